Serve one generation and one call end to end as separate processes

A node streams a generation from an engine stand-in to a caller and relays a plain call. Stand-ins for the engine, the service, the configuration service and the VM list are processes of their own in lab/.

Shown by make demo (exit 0, whole answer) and make test.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN = $(VENV)/bin
+SOURCES = chicoryshunt lab tests
+
+.PHONY: help venv test unit check format lint types demo
+
+help:  ## list the targets
+	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
+
+$(VENV)/.installed: requirements/run.txt requirements/dev.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements/dev.txt
+	touch $@
+
+venv: $(VENV)/.installed  ## build the virtual environment
+
+format: venv  ## rewrite the sources in the project's format
+	$(BIN)/ruff check --select I --fix $(SOURCES)
+	$(BIN)/ruff format $(SOURCES)
+
+lint: venv  ## formatter and linters, without changes
+	$(BIN)/ruff format --check $(SOURCES)
+	$(BIN)/ruff check $(SOURCES)
+	$(BIN)/flake8 $(SOURCES)
+
+types: venv  ## type checks
+	$(BIN)/mypy
+
+unit: venv  ## tests alone
+	$(BIN)/python -m pytest -n 8
+
+test: lint types unit  ## everything CI asks for
+
+demo: venv  ## a small fleet on loopback, one stream, one filing
+	$(BIN)/python -m lab.demo
--- /dev/null
+++ b/chicoryshunt/__init__.py
@@ -0,0 +1,1 @@
+"""A serving system for generations of unknown length."""
--- /dev/null
+++ b/chicoryshunt/__main__.py
@@ -0,0 +1,6 @@
+"""Run the command line."""
+
+from chicoryshunt.cmdline import main
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/chicoryshunt/connection/exchange.py
@@ -0,0 +1,157 @@
+"""One HTTP request and its answer."""
+
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Any, cast
+
+import msgspec
+from twisted.web import server
+
+from chicoryshunt.types import RunState
+from chicoryshunt.verdict import Verdict
+
+JSON_TYPE = 'application/json'
+
+
+class VerdictBody(msgspec.Struct, frozen=True, omit_defaults=True):
+    """JSON form of a verdict; ``retry_after`` is in seconds."""
+
+    verdict: str
+    reason: str
+    detail: str
+    retry_after: float | None = None
+
+
+def encode_verdict(verdict: Verdict) -> bytes:
+    """Return the JSON form of a verdict."""
+    return msgspec.json.encode(
+        VerdictBody(
+            verdict.run.value,
+            verdict.reason.value,
+            verdict.detail,
+            verdict.retry_after,
+        ),
+    )
+
+
+class Exchange:
+    """Typed view of a request and the answer to it."""
+
+    def __init__(self, request: server.Request) -> None:
+        """Wrap a request whose body is whole."""
+        self._request = cast(Any, request)
+        self.is_gone = False
+        request.notifyFinish().addErrback(self._mark_gone)
+
+    @property
+    def method(self) -> str:
+        """Return the HTTP method."""
+        return cast(str, self._request.method.decode())
+
+    @property
+    def path(self) -> str:
+        """Return the path without its query."""
+        return cast(str, self._request.path.decode('utf-8', 'replace'))
+
+    @property
+    def segments(self) -> tuple[str, ...]:
+        """Return the path's segments."""
+        return tuple(self.path.split('/')[1:])
+
+    @property
+    def body(self) -> bytes:
+        """Return the whole body."""
+        self._request.content.seek(0)
+        return cast(bytes, self._request.content.read())
+
+    @property
+    def is_started(self) -> bool:
+        """Say whether bytes of the answer were written."""
+        return bool(self._request.startedWriting)
+
+    @property
+    def is_open(self) -> bool:
+        """Say whether more of the answer can be written."""
+        return not (self.is_gone or self._request.finished)
+
+    def get_header(self, name: str) -> str:
+        """Return a request header, empty when absent."""
+        return self._request.getHeader(name) or ''
+
+    def get_query(self, name: str, default: str) -> str:
+        """Return the first value of a query parameter."""
+        found = self._request.args.get(name.encode())
+        return found[0].decode() if found else default
+
+    def set_header(self, name: str, text: str) -> None:
+        """Set a header of the answer."""
+        self._request.setHeader(name, text)
+
+    def set_verdict(self, run: RunState) -> None:
+        """Set the header that carries the verdict."""
+        self.set_header('x-verdict', run.value)
+
+    def set_status(self, status: int) -> None:
+        """Set the status of the answer."""
+        self._request.setResponseCode(status)
+
+    def write(self, chunk: bytes) -> None:
+        """Write a part of the answer while the caller is there."""
+        if self.is_open:
+            self._request.write(chunk)
+
+    def finish(self) -> None:
+        """End the answer."""
+        if self.is_open:
+            self._request.finish()
+
+    def abort(self) -> None:
+        """Cut the connection, so that the answer cannot look whole."""
+        if self.is_open:
+            self._request.channel.abortConnection()
+
+    def hold_back(self, producer: object) -> None:
+        """Pause the producer while the caller reads slowly."""
+        if self.is_open:
+            self._request.registerProducer(producer, True)
+
+    def release(self) -> None:
+        """Drop the registered producer."""
+        if self.is_open:
+            self._request.unregisterProducer()
+
+    def on_gone(self, notify: Callable[[], None]) -> None:
+        """Call ``notify`` when the caller leaves before the end."""
+        gone = self._request.notifyFinish()
+        gone.addErrback(lambda _: notify())
+
+    def respond(
+        self,
+        body: bytes,
+        content_type: str = JSON_TYPE,
+        status: int = HTTPStatus.OK,
+    ) -> None:
+        """Answer with a whole body."""
+        self.set_status(status)
+        self.set_header('content-type', content_type)
+        self.set_header('content-length', str(len(body)))
+        self.write(body)
+        self.finish()
+
+    def respond_json(
+        self,
+        message: object,
+        status: int = HTTPStatus.OK,
+    ) -> None:
+        """Answer with a JSON body."""
+        self.respond(msgspec.json.encode(message), JSON_TYPE, status)
+
+    def respond_verdict(self, verdict: Verdict) -> None:
+        """Answer with a verdict in header and body."""
+        self.set_verdict(verdict.run)
+        if verdict.retry_after is not None:
+            self.set_header('retry-after', f'{verdict.retry_after:.3f}')
+        self.respond(encode_verdict(verdict), JSON_TYPE, verdict.status)
+
+    def _mark_gone(self, _: object) -> None:
+        self.is_gone = True
--- /dev/null
+++ b/chicoryshunt/env.py
@@ -0,0 +1,8 @@
+"""Facts about the environment the process runs in."""
+
+import os
+import sys
+
+PYTHON = sys.version_info[:3]
+PROCESS_ID = os.getpid()
+DISABLE_UVLOOP = os.environ.get('CHICORYSHUNT_NO_UVLOOP', '') == '1'
--- /dev/null
+++ b/chicoryshunt/process/metrics.py
@@ -0,0 +1,70 @@
+"""Metrics of the process, in the Prometheus format."""
+
+from typing import cast
+
+from aioprometheus.collectors import Collector, Counter, Gauge, Registry
+from aioprometheus.renderer import render
+
+
+class Metrics:
+    """Creates collectors once each and renders them all."""
+
+    def __init__(self) -> None:
+        """Start with an empty registry."""
+        self._registry = Registry()
+        self._collectors: dict[str, Collector] = {}
+
+    def count(self, name: str, doc: str, **labels: str) -> None:
+        """Add one to a counter."""
+        self.add(name, doc, 1, **labels)
+
+    def add(self, name: str, doc: str, amount: float, **labels: str) -> None:
+        """Add an amount to a counter."""
+        self._get_counter(name, doc).add(labels, amount)
+
+    def set_gauge(
+        self,
+        name: str,
+        doc: str,
+        reading: float,
+        **labels: str,
+    ) -> None:
+        """Set a gauge."""
+        self._get_gauge(name, doc).set(labels, reading)
+
+    def get(self, name: str, **labels: str) -> float:
+        """Return the reading of a counter or gauge, 0 when never set."""
+        collector = self._collectors.get(name)
+        if collector is None:
+            return 0
+        try:
+            return float(cast(float, collector.get(labels)))
+        except KeyError:
+            return 0
+
+    def render(self) -> bytes:
+        """Return the exposition in the Prometheus text format."""
+        body, _ = render(self._registry, ['text/plain'])
+        return bytes(body)
+
+    def _get_counter(self, name: str, doc: str) -> Counter:
+        collector = self._collectors.get(name)
+        if not isinstance(collector, Counter):
+            collector = Counter(
+                f'chicoryshunt_{name}_total',
+                doc,
+                registry=self._registry,
+            )
+            self._collectors[name] = collector
+        return collector
+
+    def _get_gauge(self, name: str, doc: str) -> Gauge:
+        collector = self._collectors.get(name)
+        if not isinstance(collector, Gauge):
+            collector = Gauge(
+                f'chicoryshunt_{name}',
+                doc,
+                registry=self._registry,
+            )
+            self._collectors[name] = collector
+        return collector
--- /dev/null
+++ b/chicoryshunt/process/node.py
@@ -0,0 +1,76 @@
+"""The daemon: opens the ports, reads the platform, runs until told."""
+
+import asyncio
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import msgspec
+
+from chicoryshunt.connection.client import HttpClient
+from chicoryshunt.connection.loop import get_reactor
+from chicoryshunt.connection.platform_api import PublishedValue, PublishedVms
+from chicoryshunt.connection.web import BoundedSite
+from chicoryshunt.events import log_event, log_problem
+from chicoryshunt.exceptions import ChicoryshuntError
+from chicoryshunt.process.callers import CallerApi
+from chicoryshunt.process.state import NodeState
+from chicoryshunt.settings import Settings
+from chicoryshunt.version.config import Config
+
+_POLL_SECONDS = 1.0
+
+
+def run_node(settings: Settings) -> None:
+    """Run a node until SIGTERM."""
+    reactor = get_reactor()
+    state = NodeState(settings)
+    with serve_callers(state):
+        reactor.callWhenRunning(
+            lambda: asyncio.ensure_future(read_platform(state)),
+        )
+        log_event('node_started', vm=settings.vm)
+        reactor.run()
+
+
+@contextmanager
+def serve_callers(state: NodeState) -> Iterator[None]:
+    """Listen for callers."""
+    listen = state.settings.listen
+    limits = state.settings.limits
+    site = BoundedSite(
+        CallerApi(state).handle,
+        limits.body_bytes,
+        limits.body_seconds,
+    )
+    listener = get_reactor().listenTCP(
+        listen.caller,
+        site,
+        interface=listen.host,
+    )
+    try:
+        yield
+    finally:
+        listener.stopListening()
+
+
+async def read_platform(state: NodeState) -> None:
+    """Keep the configuration and the VM list up to date."""
+    client = HttpClient()
+    while True:
+        try:
+            await _read_once(state, client)
+        except (ChicoryshuntError, msgspec.DecodeError) as error:
+            log_problem('platform_unreadable', error=str(error))
+        await asyncio.sleep(_POLL_SECONDS)
+
+
+async def _read_once(state: NodeState, client: HttpClient) -> None:
+    platform = state.settings.platform
+    _, body = await client.read('GET', f'{platform.vms}/v1/vms')
+    state.vms = msgspec.json.decode(body, type=PublishedVms).vms
+    _, body = await client.read('GET', f'{platform.config}/v1/values/base')
+    published = msgspec.json.decode(body, type=PublishedValue)
+    config = msgspec.json.decode(published.value, type=Config)
+    if state.config is None or config.version > state.config.version:
+        state.config = config
+        log_event('version_in_force', version=config.version)
--- /dev/null
+++ b/chicoryshunt/request/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as one request."""
--- /dev/null
+++ b/chicoryshunt/types.py
@@ -0,0 +1,94 @@
+"""Ids, states and small values that every module shares."""
+
+from enum import Enum
+from typing import NewType
+
+VmId = NewType('VmId', str)
+DataCentreId = NewType('DataCentreId', str)
+TeamId = NewType('TeamId', str)
+ModelId = NewType('ModelId', str)
+ServiceId = NewType('ServiceId', str)
+TargetId = NewType('TargetId', str)
+RequestId = NewType('RequestId', str)
+GenerationId = NewType('GenerationId', str)
+IdempotencyKey = NewType('IdempotencyKey', str)
+Incarnation = NewType('Incarnation', int)
+ConfigVersion = NewType('ConfigVersion', int)
+Digest = NewType('Digest', str)
+
+Seconds = NewType('Seconds', float)
+Tokens = NewType('Tokens', int)
+
+
+class RunState(Enum):
+    """Say whether a request may have run."""
+
+    not_run = 'not_run'
+    may_have_run = 'may_have_run'
+    ran = 'ran'
+
+
+class Reason(Enum):
+    """Name why a request, message or patch was refused."""
+
+    bad_request = 'bad_request'
+    body_too_large = 'body_too_large'
+    body_truncated = 'body_truncated'
+    cancelled = 'cancelled'
+    config_missing = 'config_missing'
+    draining = 'draining'
+    engine_lost = 'engine_lost'
+    grant_expired = 'grant_expired'
+    grant_forged = 'grant_forged'
+    grant_missing = 'grant_missing'
+    internal_error = 'internal_error'
+    key_reused = 'key_reused'
+    no_capacity = 'no_capacity'
+    no_target = 'no_target'
+    overloaded = 'overloaded'
+    owner_unreachable = 'owner_unreachable'
+    paused = 'paused'
+    queue_timeout = 'queue_timeout'
+    retry_budget = 'retry_budget'
+    table_full = 'table_full'
+    target_refused = 'target_refused'
+    target_unreachable = 'target_unreachable'
+    unknown_generation = 'unknown_generation'
+    unknown_model = 'unknown_model'
+    unknown_path = 'unknown_path'
+    unknown_service = 'unknown_service'
+    unknown_team = 'unknown_team'
+
+
+class Delivery(Enum):
+    """Say how the caller wants a generation delivered."""
+
+    stream = 'stream'
+    whole = 'whole'
+
+
+class VmState(Enum):
+    """State of a VM as the membership sees it."""
+
+    live = 'live'
+    suspect = 'suspect'
+    leaving = 'leaving'
+    gone = 'gone'
+
+
+class TargetState(Enum):
+    """State of a target as its keeper sees it."""
+
+    starting = 'starting'
+    warming = 'warming'
+    warm = 'warm'
+    suspect = 'suspect'
+    leaving = 'leaving'
+    out = 'out'
+
+
+class Profile(Enum):
+    """Weighting of the measures that a user asks for."""
+
+    stall = 'stall'
+    preemption = 'preemption'
--- /dev/null
+++ b/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, experiments and benchmarks."""
--- /dev/null
+++ b/lab/daemon.py
@@ -0,0 +1,55 @@
+"""What every stand-in process shares: reactor, site, fault switch."""
+
+import sys
+from collections.abc import Callable
+
+import msgspec
+from absl import flags
+
+from chicoryshunt.connection import loop
+from chicoryshunt.connection.exchange import Exchange
+from chicoryshunt.connection.web import BoundedSite, Handler
+from lab.faults import Fault, FaultKind, Faults
+
+_BODY_BYTES = 16 << 20
+_BODY_SECONDS = 20
+
+
+def parse_flags(values: flags.FlagValues) -> None:
+    """Parse the command line of a stand-in, or exit with 2."""
+    try:
+        values(sys.argv)
+    except flags.Error as error:
+        print(error, file=sys.stderr)
+        sys.exit(2)
+
+
+def serve_stand_in(
+    name: str,
+    port: int,
+    build: Callable[[Faults], Handler],
+) -> None:
+    """Listen on loopback and run until SIGTERM."""
+    loop.install_reactor()
+    reactor = loop.get_reactor()
+    site = _build_site(build)
+    listener = reactor.listenTCP(port, site, interface='127.0.0.1')
+    print(f'{name} listening on {listener.getHost().port}', flush=True)
+    reactor.run()
+
+
+def _build_site(build: Callable[[Faults], Handler]) -> BoundedSite:
+    faults = Faults()
+    handler = build(faults)
+
+    async def handle(exchange: Exchange) -> None:
+        if exchange.segments == ('faults',):
+            fault = msgspec.json.decode(exchange.body, type=Fault)
+            faults.apply(fault)
+            exchange.respond_json({'applied': fault.kind.value})
+        elif faults.is_on(FaultKind.down):
+            exchange.abort()
+        else:
+            await handler(exchange)
+
+    return BoundedSite(handle, _BODY_BYTES, _BODY_SECONDS)
--- /dev/null
+++ b/lab/engine.py
@@ -0,0 +1,332 @@
+"""Stand-in for a model engine, one process."""
+
+import asyncio
+import random
+from collections import deque
+from dataclasses import dataclass, field
+from http import HTTPStatus
+
+import msgspec
+from absl import flags
+
+from chicoryshunt.connection.exchange import Exchange
+from chicoryshunt.connection.target_api import (
+    Accepted,
+    CacheEvent,
+    CacheEvents,
+    EndEvent,
+    GenerateOrder,
+    LoadReport,
+    NotAccepted,
+    Order,
+    OrderAnswer,
+    TokenEvent,
+)
+from lab.batching import Batch, Ending, EngineSpec, Job, Step
+from lab.daemon import parse_flags, serve_stand_in
+from lab.faults import FaultKind, Faults
+
+_FLAGS = flags.FlagValues()
+flags.DEFINE_integer('port', 0, 'port on loopback', flag_values=_FLAGS)
+flags.DEFINE_integer('seed', 1, 'seed of lengths', flag_values=_FLAGS)
+flags.DEFINE_integer('slots', 64, 'running jobs', flag_values=_FLAGS)
+flags.DEFINE_integer('memory', 60_000, 'memory tokens', flag_values=_FLAGS)
+flags.DEFINE_float('step', 0.02, 'seconds a step', flag_values=_FLAGS)
+flags.DEFINE_float('lag', 0.5, 'seconds a load lags', flag_values=_FLAGS)
+flags.DEFINE_boolean('fenced', True, 'refuse old orders', flag_values=_FLAGS)
+
+_LENGTH_MU = 5.5
+_LENGTH_SIGMA = 1.3
+_LENGTH_MAX = 30_000
+_KEPT_GENERATIONS = 4096
+_IDLE_SECONDS = 0.002
+_CACHE_GAP_CHANCE = 0.1
+_LENGTH_MARK = 'length='
+
+
+@dataclass(slots=True)
+class Generation:
+    """One generation with all it has produced, kept for resumes."""
+
+    name: str
+    job: Job
+    tokens: list[str] = field(default_factory=list)
+    ending: Ending | None = None
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def append(self, token: str) -> None:
+        """Add a token and wake every reader."""
+        self.tokens.append(token)
+        self.wake()
+
+    def end(self, ending: Ending) -> None:
+        """Record the end and wake every reader."""
+        if self.ending is None:
+            self.ending = ending
+        self.wake()
+
+    def wake(self) -> None:
+        """Wake every reader."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class Engine:
+    """The engine's state and its HTTP interface."""
+
+    def __init__(self, faults: Faults) -> None:
+        """Start the stepping loop."""
+        self.faults = faults
+        spec = EngineSpec(
+            slots=_FLAGS.slots,
+            memory_tokens=_FLAGS.memory,
+            step_seconds=_FLAGS.step,
+        )
+        self._rng = random.Random(_FLAGS.seed)
+        self.batch = Batch(spec, self._rng)
+        self.started = 0
+        self.fence = 0
+        self.role = 'both'
+        self.model_version = ''
+        self.adapters: tuple[str, ...] = ()
+        self.start_count = self._rng.getrandbits(32)
+        self._generations: dict[str, Generation] = {}
+        self._events: deque[CacheEvent] = deque(maxlen=1024)
+        self._reports: deque[LoadReport] = deque(maxlen=1024)
+        asyncio.get_event_loop().call_soon(self._spawn)
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Serve one request."""
+        method = exchange.method
+        match (method, *exchange.segments):
+            case ('POST', 'generate'):
+                await self._generate(exchange)
+            case ('GET', 'generations', name):
+                await self._resume(exchange, name)
+            case ('DELETE', 'generations', name):
+                self._cancel(exchange, name)
+            case ('GET', 'load'):
+                exchange.respond_json(self._find_report())
+            case ('GET', 'cache-events'):
+                exchange.respond_json(CacheEvents(tuple(self._events)))
+            case ('POST', 'orders'):
+                self._obey(exchange)
+            case _:
+                exchange.respond_json(None, status=HTTPStatus.NOT_FOUND)
+
+    def _spawn(self) -> None:
+        self._stepper = asyncio.ensure_future(self._step_forever())
+
+    async def _step_forever(self) -> None:
+        while True:
+            if self.faults.is_on(FaultKind.cold):
+                self.batch.chill()
+            step = self.batch.step()
+            await asyncio.sleep(step.seconds if step.emitted else _IDLE_SECONDS)
+            self._publish(step)
+
+    def _publish(self, step: Step) -> None:
+        for emitted in step.emitted:
+            generation = self._generations[emitted.name]
+            generation.append(f't{emitted.produced - 1}')
+        for finished in step.finished:
+            self._generations[finished.name].end(_find_ending(finished))
+        for cached in step.cached:
+            self._publish_cache(cached, held=True)
+        for evicted in step.evicted:
+            self._publish_cache(evicted, held=False)
+        self._reports.append(self._build_report(step.seconds))
+
+    def _publish_cache(self, prefix: str, *, held: bool) -> None:
+        if self._rng.random() > _CACHE_GAP_CHANCE:
+            self._events.append(CacheEvent(prefix, held))
+
+    def _build_report(self, step_seconds: float) -> LoadReport:
+        return LoadReport(
+            start=self.start_count,
+            at=asyncio.get_event_loop().time(),
+            running=len(self.batch.running),
+            waiting=len(self.batch.waiting),
+            memory_used=self.batch.memory_used,
+            memory_tokens=self.batch.spec.memory_tokens,
+            step_ms=step_seconds * 1000,
+            preemptions=self.batch.preemptions,
+            fence=self.fence,
+            role=self.role,
+            model_version=self.model_version,
+            adapters=self.adapters,
+        )
+
+    def _find_report(self) -> LoadReport:
+        oldest = asyncio.get_event_loop().time() - _FLAGS.lag
+        while len(self._reports) > 1 and self._reports[1].at <= oldest:
+            self._reports.popleft()
+        return self._reports[0] if self._reports else self._build_report(0)
+
+    async def _generate(self, exchange: Exchange) -> None:
+        order = msgspec.json.decode(
+            exchange.body,
+            type=GenerateOrder,
+        )
+        if self.faults.is_on(FaultKind.refuse):
+            exchange.respond_json(
+                NotAccepted('told to refuse'),
+                HTTPStatus.SERVICE_UNAVAILABLE,
+            )
+            return
+        generation = self._start(order)
+        await self._stream(exchange, generation, 0)
+
+    def _start(self, order: GenerateOrder) -> Generation:
+        self.started += 1
+        name = f'{self.start_count:08x}-{self.started}'
+        job = Job(
+            name=name,
+            prompt_tokens=max(1, order.prompt_tokens),
+            length=self._draw_length(order.prompt),
+            max_tokens=order.max_tokens,
+            priority=order.priority,
+            prefix=order.prefix,
+            submitted=asyncio.get_event_loop().time(),
+        )
+        generation = Generation(name, job)
+        self._generations[name] = generation
+        self._forget_old()
+        self.batch.submit(job)
+        return generation
+
+    def _forget_old(self) -> None:
+        if len(self._generations) <= _KEPT_GENERATIONS:
+            return
+        for name, generation in self._generations.items():
+            if generation.ending is not None:
+                self._generations.pop(name)
+                return
+
+    def _draw_length(self, prompt: str) -> int:
+        if prompt.startswith(_LENGTH_MARK):
+            return int(prompt.removeprefix(_LENGTH_MARK).split()[0])
+        drawn = self._rng.lognormvariate(_LENGTH_MU, _LENGTH_SIGMA)
+        return max(1, min(_LENGTH_MAX, int(drawn)))
+
+    async def _resume(self, exchange: Exchange, name: str) -> None:
+        generation = self._generations.get(name)
+        if generation is None:
+            exchange.respond_json(
+                NotAccepted('unknown generation'),
+                HTTPStatus.NOT_FOUND,
+            )
+            return
+        start = int(exchange.get_query('from', '0'))
+        await self._stream(exchange, generation, start)
+
+    def _cancel(self, exchange: Exchange, name: str) -> None:
+        self.batch.cancel(name)
+        generation = self._generations.get(name)
+        if generation is not None:
+            generation.end(Ending.cancelled)
+        exchange.respond_json(Accepted(name))
+
+    async def _stream(
+        self,
+        exchange: Exchange,
+        generation: Generation,
+        start: int,
+    ) -> None:
+        exchange.set_header('content-type', 'text/event-stream')
+        exchange.set_header('x-generation', generation.name)
+        exchange.on_gone(generation.wake)
+        writer = _Writer(exchange)
+        exchange.write(b': accepted\n\n')
+        index = start
+        while exchange.is_open:
+            changed = generation.changed
+            await writer.wait_ready()
+            if self._is_stalled(index):
+                await asyncio.sleep(_IDLE_SECONDS)
+            elif index < len(generation.tokens):
+                batch = tuple(generation.tokens[index:])
+                exchange.write(encode_event(generation.name, index, batch))
+                index += len(batch)
+            elif generation.ending is None:
+                await changed.wait()
+            else:
+                exchange.write(
+                    encode_end(generation.name, index, generation.ending),
+                )
+                exchange.release()
+                exchange.finish()
+
+    def _is_stalled(self, index: int) -> bool:
+        return (
+            self.faults.is_on(FaultKind.stall)
+            and index >= self.faults.stall_after
+        )
+
+    def _obey(self, exchange: Exchange) -> None:
+        order = msgspec.json.decode(exchange.body, type=Order)
+        if _FLAGS.fenced and order.fence < self.fence:
+            exchange.respond_json(
+                OrderAnswer(accepted=False, fence=self.fence),
+                HTTPStatus.CONFLICT,
+            )
+            return
+        self.fence = max(self.fence, order.fence)
+        self.role = order.role
+        if order.model_version != self.model_version:
+            self.batch.chill()
+        self.model_version = order.model_version
+        self.adapters = order.adapters
+        exchange.respond_json(OrderAnswer(accepted=True, fence=self.fence))
+
+
+class _Writer:
+    """Producer that stops the stream while its reader is slow."""
+
+    def __init__(self, exchange: Exchange) -> None:
+        self._ready = asyncio.Event()
+        self._ready.set()
+        exchange.on_gone(self._ready.set)
+        exchange.hold_back(self)
+
+    async def wait_ready(self) -> None:
+        await self._ready.wait()
+
+    def pauseProducing(self) -> None:
+        self._ready.clear()
+
+    def resumeProducing(self) -> None:
+        self._ready.set()
+
+    def stopProducing(self) -> None:
+        self._ready.set()
+
+
+def encode_event(name: str, index: int, tokens: tuple[str, ...]) -> bytes:
+    """Return the server-sent event that carries tokens."""
+    event = msgspec.json.encode(TokenEvent(name, index, tokens))
+    return b'data: %s\n\n' % event
+
+
+def encode_end(name: str, index: int, ending: Ending | None) -> bytes:
+    """Return the server-sent event that ends a generation."""
+    text = '' if ending is None else ending.value
+    return b'data: %s\n\n' % msgspec.json.encode(EndEvent(name, index, text))
+
+
+def _find_ending(job: Job) -> Ending:
+    return Ending.length if job.length > job.max_tokens else Ending.stop
+
+
+def main() -> None:
+    """Run the engine."""
+    parse_flags(_FLAGS)
+    serve_stand_in(
+        'engine',
+        _FLAGS.port,
+        lambda faults: Engine(faults).handle,
+    )
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/lab/fleet.py
@@ -0,0 +1,134 @@
+"""Starts stand-ins and nodes as processes and stops them by id."""
+
+import json
+import os
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from urllib import error, request
+
+_READY_SECONDS = 20
+_STOP_SECONDS = 20
+_POLL_SECONDS = 0.1
+_ROOT = Path(__file__).resolve().parent.parent
+
+
+@dataclass(slots=True)
+class Started:
+    """One process with the port it listens on."""
+
+    name: str
+    process: 'subprocess.Popen[bytes]'
+    port: int
+
+    @property
+    def url(self) -> str:
+        """Return the base URL."""
+        return f'http://127.0.0.1:{self.port}'
+
+
+@dataclass(slots=True)
+class Fleet:
+    """Every process of one run, by name."""
+
+    folder: Path
+    first_port: int
+    started: dict[str, Started] = field(default_factory=dict)
+    _next_offset: int = 0
+
+    def reserve_ports(self, count: int) -> int:
+        """Return the first of some unused port numbers."""
+        port = self.first_port + self._next_offset
+        self._next_offset += count
+        return port
+
+    def start_stand_in(self, kind: str, name: str, *options: str) -> Started:
+        """Start a stand-in and wait until it answers."""
+        port = self.reserve_ports(1)
+        module = f'lab.{kind}'
+        return self._start(name, port, '-m', module, f'--port={port}', *options)
+
+    def start_node(self, name: str, settings: dict[str, object]) -> Started:
+        """Start a node and wait until it answers."""
+        path = self.folder / f'{name}.json'
+        path.write_text(json.dumps(settings), encoding='utf-8')
+        listen = settings['listen']
+        assert isinstance(listen, dict)
+        return self._start(
+            name,
+            listen['caller'],
+            '-m',
+            'chicoryshunt',
+            'node',
+            f'--settings={path}',
+        )
+
+    def stop(self) -> None:
+        """Stop every process that still runs, by its id."""
+        for started in reversed(self.started.values()):
+            if started.process.poll() is None:
+                started.process.terminate()
+        for started in self.started.values():
+            try:
+                started.process.wait(_STOP_SECONDS)
+            except subprocess.TimeoutExpired:
+                started.process.kill()
+
+    def _start(self, name: str, port: int, *arguments: str) -> Started:
+        log = (self.folder / f'{name}.log').open('ab')
+        process = subprocess.Popen(
+            [sys.executable, *arguments],
+            stdout=log,
+            stderr=log,
+            cwd=_ROOT,
+            env=os.environ | {'PYTHONPATH': str(_ROOT)},
+        )
+        started = Started(name, process, port)
+        self.started[name] = started
+        wait_ready(started)
+        return started
+
+
+def wait_ready(started: Started) -> None:
+    """Wait until a process answers on its port."""
+    deadline = time.monotonic() + _READY_SECONDS
+    while time.monotonic() < deadline:
+        if started.process.poll() is not None:
+            break
+        try:
+            send(started.url, 'GET', '/ready')
+        except error.HTTPError:
+            return
+        except OSError:
+            time.sleep(_POLL_SECONDS)
+        else:
+            return
+    raise RuntimeError(f'{started.name} did not start')
+
+
+def send(
+    base: str,
+    method: str,
+    path: str,
+    message: object = None,
+) -> bytes:
+    """Send one JSON request and return the body of the answer."""
+    body = None if message is None else json.dumps(message).encode()
+    sent = request.Request(base + path, body, method=method)
+    with request.urlopen(sent, timeout=_READY_SECONDS) as answer:
+        return bytes(answer.read())
+
+
+@contextmanager
+def run_fleet(folder: Path, first_port: int) -> Iterator[Fleet]:
+    """Yield an empty fleet and stop all that was started in it."""
+    folder.mkdir(parents=True, exist_ok=True)
+    fleet = Fleet(folder, first_port)
+    try:
+        yield fleet
+    finally:
+        fleet.stop()
--- /dev/null
+++ b/lab/service.py
@@ -0,0 +1,56 @@
+"""Stand-in for a plain service that counts runs by key, one process."""
+
+import asyncio
+from collections import Counter
+from http import HTTPStatus
+
+from absl import flags
+
+from chicoryshunt.connection.exchange import Exchange
+from chicoryshunt.connection.target_api import NotAccepted
+from lab.daemon import parse_flags, serve_stand_in
+from lab.faults import FaultKind, Faults
+
+_FLAGS = flags.FlagValues()
+flags.DEFINE_integer('port', 0, 'port on loopback', flag_values=_FLAGS)
+flags.DEFINE_float('work', 0.01, 'seconds a call', flag_values=_FLAGS)
+
+
+class Service:
+    """Runs calls and counts them by idempotency key."""
+
+    def __init__(self, faults: Faults) -> None:
+        """Start with nothing run."""
+        self._faults = faults
+        self._runs: Counter[str] = Counter()
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Serve one request."""
+        if exchange.segments == ('runs',):
+            exchange.respond_json(dict(self._runs))
+            return
+        if self._faults.is_on(FaultKind.refuse):
+            exchange.respond_json(
+                NotAccepted('told to refuse'),
+                HTTPStatus.SERVICE_UNAVAILABLE,
+            )
+            return
+        key = exchange.get_header('idempotency-key')
+        if key:
+            self._runs[key] += 1
+        await asyncio.sleep(_FLAGS.work)
+        while self._faults.is_on(FaultKind.stall):
+            await asyncio.sleep(_FLAGS.work)
+        exchange.respond_json({'done': key, 'run': self._runs[key]})
+
+
+def main() -> None:
+    """Run the service."""
+    parse_flags(_FLAGS)
+    serve_stand_in(
+        'service', _FLAGS.port, lambda faults: Service(faults).handle
+    )
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/lab/vm_list.py
@@ -0,0 +1,61 @@
+"""Stand-in for the platform's lagging list of VMs, one process."""
+
+import time
+from http import HTTPStatus
+
+import msgspec
+from absl import flags
+
+from chicoryshunt.connection.exchange import Exchange
+from chicoryshunt.connection.platform_api import PublishedVms
+from lab.daemon import parse_flags, serve_stand_in
+from lab.faults import Faults
+
+_FLAGS = flags.FlagValues()
+flags.DEFINE_integer('port', 0, 'port on loopback', flag_values=_FLAGS)
+flags.DEFINE_float('lag', 1.0, 'seconds a list lags', flag_values=_FLAGS)
+
+
+class VmList:
+    """The list as published ``lag`` seconds ago."""
+
+    def __init__(self, faults: Faults) -> None:
+        """Start with an empty list."""
+        self._faults = faults
+        self._history: list[tuple[float, PublishedVms]] = [(0, PublishedVms())]
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Serve one request."""
+        match (exchange.method, *exchange.segments):
+            case ('GET', 'v1', 'vms'):
+                exchange.respond_json(self._find())
+            case ('PUT', 'v1', 'vms'):
+                vms = msgspec.json.decode(
+                    exchange.body,
+                    type=PublishedVms,
+                )
+                self._history.append((time.monotonic(), vms))
+                exchange.respond_json({'vms': len(vms.vms)})
+            case _:
+                exchange.respond_json(None, status=HTTPStatus.NOT_FOUND)
+
+    def _find(self) -> PublishedVms:
+        if len(self._history) == 2:
+            return self._history[1][1]
+        oldest = time.monotonic() - _FLAGS.lag
+        seen = [vms for at, vms in self._history if at <= oldest]
+        return seen[-1]
+
+
+def main() -> None:
+    """Run the VM list."""
+    parse_flags(_FLAGS)
+    serve_stand_in(
+        'vm_list',
+        _FLAGS.port,
+        lambda faults: VmList(faults).handle,
+    )
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, one file per module."""
--- /dev/null
+++ b/tests/builders.py
@@ -0,0 +1,35 @@
+"""Builders of test data."""
+
+import json
+
+from chicoryshunt.process.seal import Seal
+from chicoryshunt.types import Incarnation, VmId
+
+FLEET_KEY = '5a' * 32
+
+
+def build_settings_text(**changes: object) -> str:
+    """Return the text of a settings file with top-level changes."""
+    settings: dict[str, object] = {
+        'vm': 'vm-1',
+        'data_centre': 'luzon-a',
+        'listen': {
+            'host': '127.0.0.1',
+            'caller': 8101,
+            'peer': 8201,
+            'gossip': 8301,
+        },
+        'platform': {
+            'config': 'http://127.0.0.1:9001',
+            'vms': 'http://127.0.0.1:9002',
+        },
+        'fleet_key': FLEET_KEY,
+    }
+    settings.update(changes)
+    kept = {name: one for name, one in settings.items() if one is not None}
+    return json.dumps(kept)
+
+
+def build_seal(vm: str, incarnation: int = 1, key: str = FLEET_KEY) -> Seal:
+    """Return a seal of one node."""
+    return Seal(bytes.fromhex(key), VmId(vm), Incarnation(incarnation))
