--- a/chicoryshunt/clock.py
+++ b/chicoryshunt/clock.py
@@ -12,11 +12,11 @@
 
 
 class SystemClock:
-    """Clock of the running machine."""
+    """Clock of the running machine, which also counts suspended time."""
 
     def now(self) -> float:
         """Return the monotonic time in seconds."""
-        return time.monotonic()
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 class ManualClock:
--- /dev/null
+++ b/chicoryshunt/process/driver.py
@@ -0,0 +1,23 @@
+"""Drives the cores with time."""
+
+import asyncio
+from collections.abc import Sequence
+
+from chicoryshunt.process.core import Core
+from chicoryshunt.process.mesh import Mesh
+from chicoryshunt.process.pause import Pulse
+
+TICK_SECONDS = 0.1
+
+
+async def drive_cores(
+    cores: Sequence[Core],
+    mesh: Mesh,
+    pulse: Pulse,
+) -> None:
+    """Tick every core for as long as the process lives."""
+    while True:
+        now = pulse.check()
+        for core in cores:
+            mesh.send_all(core.tick(now))
+        await asyncio.sleep(TICK_SECONDS)
--- /dev/null
+++ b/chicoryshunt/process/mesh.py
@@ -0,0 +1,100 @@
+"""Datagrams between nodes: sealed, small, dispatched to the cores."""
+
+import functools
+import operator
+from collections.abc import Iterable, Sequence
+from typing import Any, cast
+
+import msgspec
+from twisted.internet.protocol import DatagramProtocol
+
+from chicoryshunt.events import log_problem
+from chicoryshunt.process.core import Core, Message, Send
+from chicoryshunt.process.links import Links
+from chicoryshunt.process.metrics import Metrics
+from chicoryshunt.process.pause import Pulse
+from chicoryshunt.process.seal import Damage, Seal
+from chicoryshunt.types import VmId
+
+MAX_DATAGRAM_BYTES = 1400
+
+
+class Mesh(DatagramProtocol):
+    """Carries the messages of cores between nodes."""
+
+    def __init__(
+        self,
+        seal: Seal,
+        links: Links,
+        pulse: Pulse,
+        metrics: Metrics,
+        cores: Sequence[Core],
+    ) -> None:
+        """Dispatch each kind of message to the core that receives it."""
+        self._seal = seal
+        self._links = links
+        self._pulse = pulse
+        for core in cores:
+            pulse.subscribe(core.wake)
+        self._metrics = metrics
+        self._cores = {kind: core for core in cores for kind in core.kinds}
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(_build_union(self._cores))
+
+    def send_all(self, sends: Iterable[Send]) -> None:
+        """Send messages; those that find no address are dropped."""
+        for one in sends:
+            self._send(one.receiver, one.message)
+
+    def datagramReceived(self, datagram: bytes, addr: object) -> None:
+        """Open, decode and dispatch one datagram."""
+        if len(datagram) > MAX_DATAGRAM_BYTES:
+            self._drop('oversized', addr)
+            return
+        envelope = self._seal.open(datagram)
+        if isinstance(envelope, Damage):
+            self._drop(envelope.value, addr)
+            return
+        if self._links.is_cut(envelope.sender):
+            return
+        try:
+            message = self._decoder.decode(envelope.body)
+        except msgspec.DecodeError:
+            self._drop('undecodable', addr)
+            return
+        core = self._cores[type(message)]
+        self.send_all(
+            core.receive(envelope.sender, message, self._pulse.check()),
+        )
+
+    def _send(self, receiver: VmId, message: Message) -> None:
+        address = self._links.find_gossip(receiver)
+        if address is None:
+            return
+        datagram = self._seal.seal(receiver, self._encoder.encode(message))
+        if len(datagram) > MAX_DATAGRAM_BYTES:
+            log_problem(
+                'datagram_too_large',
+                kind=type(message).__name__,
+                size=len(datagram),
+            )
+            return
+        cast(Any, self.transport).write(datagram, tuple(address))
+        self._metrics.add(
+            'datagram_bytes_sent',
+            'Bytes sent in datagrams',
+            len(datagram),
+            kind=type(message).__name__,
+        )
+
+    def _drop(self, reason: str, addr: object) -> None:
+        self._metrics.count(
+            'datagrams_dropped',
+            'Datagrams dropped, by reason',
+            reason=reason,
+        )
+        log_problem('datagram_dropped', reason=reason, sender=addr)
+
+
+def _build_union(kinds: Iterable[type[Message]]) -> Any:
+    return functools.reduce(operator.or_, cast(Any, kinds))
--- a/chicoryshunt/process/seal.py
+++ b/chicoryshunt/process/seal.py
@@ -9,7 +9,7 @@
 from chicoryshunt.types import Incarnation, VmId
 
 _MAC_BYTES = 16
-_WINDOW_BITS = 128
+_WINDOW_BITS = 1024
 _OPEN_KEY = b'open fleet on loopback'
 
 
@@ -23,6 +23,14 @@
     body: msgspec.Raw
 
 
+class Purpose(Enum):
+    """Separate the uses of the fleet key."""
+
+    datagram = b'datagram'
+    call = b'call'
+    token = b'token'
+
+
 class Damage(Enum):
     """Name why an envelope was dropped."""
 
@@ -40,9 +48,11 @@
         key: bytes,
         vm: VmId,
         incarnation: Incarnation,
+        purpose: Purpose,
     ) -> None:
-        """Bind the seal to this node."""
+        """Bind the seal to this node and to one use of the key."""
         self._key = key or _OPEN_KEY
+        self._purpose = purpose.value
         self._vm = vm
         self._incarnation = incarnation
         self._sequence = 0
@@ -95,6 +105,7 @@
         return hashlib.blake2b(
             payload,
             key=self._key,
+            person=self._purpose,
             digest_size=_MAC_BYTES,
         ).digest()
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -2,7 +2,7 @@
 
 import json
 
-from chicoryshunt.process.seal import Seal
+from chicoryshunt.process.seal import Purpose, Seal
 from chicoryshunt.types import Incarnation, VmId
 
 FLEET_KEY = '5a' * 32
@@ -32,4 +32,9 @@
 
 def build_seal(vm: str, incarnation: int = 1, key: str = FLEET_KEY) -> Seal:
     """Return a seal of one node."""
-    return Seal(bytes.fromhex(key), VmId(vm), Incarnation(incarnation))
+    return Seal(
+        bytes.fromhex(key),
+        VmId(vm),
+        Incarnation(incarnation),
+        Purpose.datagram,
+    )
