--- a/chicoryshunt/process/mesh.py
+++ b/chicoryshunt/process/mesh.py
@@ -37,7 +37,7 @@
         for core in cores:
             pulse.subscribe(core.wake)
         self._metrics = metrics
-        self._cores = {kind: core for core in cores for kind in core.kinds}
+        self._cores = {kind: one for one in cores for kind in one.kinds}
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(_build_union(self._cores))
 
