--- /dev/null
+++ b/chicoryshunt/process/allowance.py
@@ -0,0 +1,57 @@
+"""What this node may have running on each target."""
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+from chicoryshunt.types import TargetId
+
+
+@dataclass(frozen=True, slots=True)
+class Slack:
+    """Requests and memory tokens that could still be taken."""
+
+    slots: int
+    memory_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class Slot:
+    """Permission to have one request on a target until it is given back."""
+
+    target: TargetId
+    number: int
+    memory_tokens: int
+
+
+class Shortage(Enum):
+    """Name why no slot was given."""
+
+    no_lease = 'no_lease'
+    lease_used_up = 'lease_used_up'
+    memory_used_up = 'memory_used_up'
+    paused = 'paused'
+
+
+class Allowances(Protocol):
+    """Gives out slots that the whole fleet has room for.
+
+    Times are seconds of a monotonic clock.
+    """
+
+    def find_slack(self, target: TargetId, now: float) -> Slack:
+        """Return what could be taken on a target at this moment."""
+
+    def take(
+        self,
+        target: TargetId,
+        memory_tokens: int,
+        now: float,
+    ) -> Slot | Shortage:
+        """Take a slot right before the write to the target."""
+
+    def give_back(self, slot: Slot, now: float) -> None:
+        """Return a slot when its request has left the target."""
+
+    def want(self, target: TargetId, slots: int, now: float) -> None:
+        """Say how many more slots could be used on a target."""
--- /dev/null
+++ b/chicoryshunt/process/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: state in, decision out, no input or output."""
