--- a/chicoryshunt/caller.py
+++ b/chicoryshunt/caller.py
@@ -135,18 +135,17 @@
         self._answer.tokens.extend(event.t)
 
 
-_FLAGS = flags.FlagValues()
-flags.DEFINE_list('nodes', [], 'addresses, host:port', flag_values=_FLAGS)
-flags.DEFINE_string('team', '', 'team of the caller', flag_values=_FLAGS)
-flags.DEFINE_string('model', '', 'model to ask', flag_values=_FLAGS)
-flags.DEFINE_string('prompt', '', 'prompt', flag_values=_FLAGS)
-flags.DEFINE_string('service', '', 'service to call', flag_values=_FLAGS)
-flags.DEFINE_string('key', '', 'idempotency key', flag_values=_FLAGS)
+CALL_FLAGS = flags.FlagValues()
+flags.DEFINE_list('nodes', [], 'addresses, host:port', flag_values=CALL_FLAGS)
+flags.DEFINE_string('team', '', 'team of the caller', flag_values=CALL_FLAGS)
+flags.DEFINE_string('model', '', 'model to ask', flag_values=CALL_FLAGS)
+flags.DEFINE_string('prompt', '', 'prompt', flag_values=CALL_FLAGS)
+flags.DEFINE_string('service', '', 'service to call', flag_values=CALL_FLAGS)
+flags.DEFINE_string('key', '', 'idempotency key', flag_values=CALL_FLAGS)
 
 
-def run_call(arguments: list[str]) -> int:
+def run_call() -> int:
     """Run the ``call`` command."""
-    _FLAGS(['call', *arguments])
     reactor = get_reactor()
     results: list[int] = []
 
@@ -162,18 +161,18 @@
 
 
 async def _call_once() -> int:
-    caller = Caller(_FLAGS.nodes, _FLAGS.team)
+    caller = Caller(CALL_FLAGS.nodes, CALL_FLAGS.team)
     try:
         await caller.refresh()
     except CallError as error:
         print(f'chicoryshunt: {error}', file=sys.stderr)
         return _EXIT_FAILED
-    if _FLAGS.service:
-        answer = await caller.file(_FLAGS.service, 'file', _FLAGS.key)
+    if CALL_FLAGS.service:
+        answer = await caller.file(CALL_FLAGS.service, 'file', CALL_FLAGS.key)
     else:
         answer = await caller.generate(
-            _FLAGS.model,
-            {'prompt': _FLAGS.prompt},
+            CALL_FLAGS.model,
+            {'prompt': CALL_FLAGS.prompt},
         )
     print(answer)
     return 0 if answer.ending or answer.verdict == 'ran' else _EXIT_FAILED
--- a/chicoryshunt/cmdline.py
+++ b/chicoryshunt/cmdline.py
@@ -1,85 +1,58 @@
-"""The command line, thin over the public API."""
+"""The command line, thin over the commands."""
 
 import sys
-from pathlib import Path
+from collections.abc import Sequence
 
-from absl import flags
-
-from chicoryshunt.connection.loop import install_reactor
+from chicoryshunt.commands import call, check, explain, node, status
 from chicoryshunt.events import configure_logging
-from chicoryshunt.exceptions import ChicoryshuntError
-from chicoryshunt.settings import load_settings
+from chicoryshunt.exceptions import ChicoryshuntError, UsageError
 
-_USAGE = """usage: chicoryshunt COMMAND [FLAGS]
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
 
-commands:
-  node    run a node
-  check   check a settings file
-  call    send one request as a caller
-"""
-_EXIT_USAGE = 2
+COMMANDS = (
+    node.COMMAND,
+    check.COMMAND,
+    call.COMMAND,
+    status.COMMAND,
+    explain.COMMAND,
+)
 
 
 def main() -> None:
-    """Run one command and exit."""
+    """Run one command and exit with its status."""
     configure_logging()
-    arguments = sys.argv[1:]
-    try:
-        status = run_command(arguments)
-    except (ChicoryshuntError, flags.Error) as error:
-        print(f'chicoryshunt: {error}', file=sys.stderr)
-        status = _EXIT_USAGE
-    sys.exit(status)
-
-
-def run_command(arguments: list[str]) -> int:
-    """Run the command that the arguments name."""
-    match arguments:
-        case ['node', *rest]:
-            return _run_node(rest)
-        case ['check', *rest]:
-            return _check(rest)
-        case ['call', *rest]:
-            return _call(rest)
-        case ['help' | '--help', *_]:
-            print(_USAGE)
-            return 0
-        case _:
-            print(_USAGE, file=sys.stderr)
-            return _EXIT_USAGE
-
-
-def _run_node(arguments: list[str]) -> int:
-    settings = load_settings(_parse_settings_flag('node', arguments))
-    install_reactor()
-    from chicoryshunt.process.node import run_node
-
-    run_node(settings)
-    return 0
+    sys.exit(run_command(sys.argv[1:]))
 
 
-def _check(arguments: list[str]) -> int:
-    path = _parse_settings_flag('check', arguments)
-    load_settings(path)
-    print(f'{path}: ok')
-    return 0
-
-
-def _call(arguments: list[str]) -> int:
-    from chicoryshunt.caller import run_call
-
-    install_reactor()
-    return run_call(arguments)
-
-
-def _parse_settings_flag(command: str, arguments: list[str]) -> Path:
-    values = flags.FlagValues()
-    flags.DEFINE_string(
-        'settings',
-        None,
-        'settings file, JSON with comments',
-        flag_values=values,
-    )
-    flags.mark_flag_as_required('settings', flag_values=values)
-    values([command, *arguments])
-    return Path(values.settings)
+def run_command(arguments: Sequence[str]) -> int:
+    """Run the command that the arguments name and return its status."""
+    try:
+        return _dispatch(list(arguments))
+    except UsageError as error:
+        print(f'chicoryshunt: {error}', file=sys.stderr)
+        return EXIT_USAGE
+    except ChicoryshuntError as error:
+        print(f'chicoryshunt: {error}', file=sys.stderr)
+        return EXIT_FAILED
+
+
+def describe_commands() -> str:
+    """Return the help text of the whole command line."""
+    lines = ['usage: chicoryshunt COMMAND [FLAGS]', '', 'commands:']
+    lines.extend(f'  {one.name:14}{one.summary}' for one in COMMANDS)
+    lines.append('')
+    lines.append('`chicoryshunt COMMAND --help` lists the flags of a command.')
+    return '\n'.join(lines)
+
+
+def _dispatch(arguments: list[str]) -> int:
+    if not arguments or arguments[0] in {'help', '--help', '-h'}:
+        print(describe_commands())
+        return EXIT_OK if arguments else EXIT_USAGE
+    for command in COMMANDS:
+        words = command.name.split()
+        if arguments[: len(words)] == words:
+            return command.execute(arguments[len(words) :])
+    raise UsageError(f'unknown command {arguments[0]!r}')
--- /dev/null
+++ b/chicoryshunt/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of the command line, one module each."""
--- /dev/null
+++ b/chicoryshunt/commands/output.py
@@ -0,0 +1,22 @@
+"""How commands print what nodes answered."""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from chicoryshunt.operations import NodeAnswer
+
+
+def print_answers(answers: Sequence[NodeAnswer]) -> int:
+    """Print each node's answer; return 1 when a node did not answer."""
+    for answer in answers:
+        print(f'{answer.address}:')
+        print(_render(answer))
+    return 1 if any(one.error for one in answers) else 0
+
+
+def _render(answer: NodeAnswer) -> str:
+    if answer.error:
+        return f'  error: {answer.error}'
+    text = msgspec.json.format(answer.body, indent=2).decode()
+    return '\n'.join(f'  {line}' for line in text.splitlines())
--- a/chicoryshunt/exceptions.py
+++ b/chicoryshunt/exceptions.py
@@ -23,3 +23,7 @@
 
 class CallError(ChicoryshuntError):
     """A caller cannot complete its request."""
+
+
+class UsageError(ChicoryshuntError):
+    """A command line cannot be used."""
