--- a/chicoryshunt/cmdline.py
+++ b/chicoryshunt/cmdline.py
@@ -3,7 +3,7 @@
 import sys
 from collections.abc import Sequence
 
-from chicoryshunt.commands import call, check, explain, node, status
+from chicoryshunt.commands import call, check, explain, node, report, status
 from chicoryshunt.events import configure_logging
 from chicoryshunt.exceptions import ChicoryshuntError, UsageError
 
@@ -17,6 +17,7 @@
     call.COMMAND,
     status.COMMAND,
     explain.COMMAND,
+    report.COMMAND,
 )
 
 
