Know the members of the fleet by gossip

Purpose: nodes took the platform's lagging list for the truth. A killed VM stayed in every address answer, a leaving one until the list said so.

Equal rosters have equal digests; a probe between unequal ones carries a part of the roster each way, so a lost update is found again. The list seeds and bounds the roster: a VM that is not listed is no member, and one that is listed is gone until somebody heard it.

- An incarnation is the start in milliseconds.
A process whose clock was set back hears of the higher one from those who probe it, and takes a higher (also in its seal, since older envelopes are dropped).
An established process that hears of a higher one than its own knows that it was superseded.
- After a pause nothing is believed until three answers or four seconds; time during which suspects could not be heard does not count.
- Some probes go to gone VMs, so that a healed cut is found.
- Address answers: own data centre first, live, power of two choices by load.

Seen failing first, by taking a line away: without refutation a VM restarted with its clock behind stays gone; without parts of the roster on unequal digests the same test fails; without the check for a foreign incarnation the replaced process takes the VM back; without resetting the times after a pause a suspect turns gone at once.

--- a/chicoryshunt/process/callers.py
+++ b/chicoryshunt/process/callers.py
@@ -21,10 +21,17 @@
     RunState,
     ServiceId,
     TeamId,
+    VmId,
 )
 from chicoryshunt.verdict import Verdict, doubt, refuse
 
 
+class CutOrder(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Drop all traffic to and from some VMs, in trials only."""
+
+    vms: tuple[VmId, ...]
+
+
 class CallerApi:
     """Answers callers and operators."""
 
@@ -45,6 +52,8 @@
                 await self._call(exchange, ServiceId(service), '/'.join(path))
             case ('GET', 'v1', 'status'):
                 exchange.respond_json(self._state.describe())
+            case ('POST', 'v1', 'trial', 'cut') if self._state.settings.trials:
+                self._cut(exchange)
             case ('GET', 'metrics'):
                 exchange.respond(
                     self._state.metrics.render(),
@@ -55,6 +64,15 @@
                     refuse(Reason.unknown_path, f'no path {exchange.path!r}'),
                 )
 
+    def _cut(self, exchange: Exchange) -> None:
+        try:
+            order = msgspec.json.decode(exchange.body, type=CutOrder)
+        except msgspec.DecodeError as error:
+            exchange.respond_verdict(refuse(Reason.bad_request, str(error)))
+            return
+        self._state.fleet.links.cut(order.vms)
+        exchange.respond_json(order)
+
     def _name_request(self) -> RequestId:
         self._requests += 1
         return RequestId(f'{self._state.settings.vm}-{self._requests}')
--- /dev/null
+++ b/chicoryshunt/process/entries.py
@@ -0,0 +1,41 @@
+"""Which VMs a caller may use, in order of preference."""
+
+from collections.abc import Iterable
+from random import Random
+
+from chicoryshunt.process.roster import Member, Roster
+from chicoryshunt.types import DataCentreId, VmState
+
+KEEP_SECONDS = 3.0
+_MAX_ENTRIES = 12
+_CHOICES = 2
+
+
+def order_entries(
+    roster: Roster,
+    data_centre: DataCentreId,
+    rng: Random,
+) -> list[Member]:
+    """Return live VMs, those of the data centre first, spread by load."""
+    usable = _list_usable(roster)
+    near = [one for one in usable if one.published.data_centre == data_centre]
+    far = [one for one in usable if one.published.data_centre != data_centre]
+    ordered = [*_order_by_load(near, rng), *_order_by_load(far, rng)]
+    return ordered[:_MAX_ENTRIES]
+
+
+def _list_usable(roster: Roster) -> list[Member]:
+    for accepted in (VmState.live, VmState.suspect, VmState.gone):
+        usable = [member for member in roster if member.state is accepted]
+        if usable:
+            return usable
+    return []
+
+
+def _order_by_load(members: list[Member], rng: Random) -> Iterable[Member]:
+    left = list(members)
+    for _ in range(min(len(members), _MAX_ENTRIES)):
+        choices = rng.sample(left, min(_CHOICES, len(left)))
+        chosen = min(choices, key=lambda member: member.load)
+        left.remove(chosen)
+        yield chosen
--- /dev/null
+++ b/chicoryshunt/process/fleet.py
@@ -0,0 +1,95 @@
+"""This node's place in the fleet: members, links, datagrams, time."""
+
+import asyncio
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from random import Random
+
+from chicoryshunt.clock import SystemClock
+from chicoryshunt.connection.client import HttpClient
+from chicoryshunt.connection.loop import get_reactor
+from chicoryshunt.connection.platform_api import PublishedVm
+from chicoryshunt.process.core import Core
+from chicoryshunt.process.driver import drive_cores
+from chicoryshunt.process.links import Links
+from chicoryshunt.process.membership import Membership
+from chicoryshunt.process.mesh import Mesh
+from chicoryshunt.process.metrics import Metrics
+from chicoryshunt.process.pause import Pulse
+from chicoryshunt.process.seal import Purpose, Seal
+from chicoryshunt.process.watch import VmWatch
+from chicoryshunt.settings import Settings
+from chicoryshunt.types import Incarnation
+
+_MILLISECOND_NS = 1_000_000
+
+
+class Fleet:
+    """Holds what every part needs that talks to other nodes."""
+
+    def __init__(self, settings: Settings, metrics: Metrics) -> None:
+        """Start alone; the incarnation is the start in milliseconds."""
+        self.incarnation = Incarnation(time.time_ns() // _MILLISECOND_NS)
+        self.rng = Random(f'{settings.vm} {self.incarnation}')
+        self.links = Links()
+        self.pulse = Pulse(SystemClock())
+        self.membership = Membership(
+            publish_own(settings),
+            self.incarnation,
+            self.rng,
+            self.pulse.check(),
+        )
+        self.watch = VmWatch(
+            settings.platform.vms,
+            self.membership,
+            self.links,
+        )
+        self.cores: list[Core] = [self.membership]
+        self._settings = settings
+        self._metrics = metrics
+
+    @contextmanager
+    def serve(self) -> Iterator[Mesh]:
+        """Listen for datagrams of other nodes; cores must be complete."""
+        settings = self._settings
+        seal = Seal(
+            settings.key,
+            settings.vm,
+            self.incarnation,
+            Purpose.datagram,
+        )
+        self.membership.on_raise(seal.raise_incarnation)
+        mesh = Mesh(seal, self.links, self.pulse, self._metrics, self.cores)
+        port = get_reactor().listenUDP(
+            settings.listen.gossip,
+            mesh,
+            interface=settings.listen.host,
+        )
+        try:
+            yield mesh
+        finally:
+            port.stopListening()
+
+    async def run(self, mesh: Mesh, client: HttpClient) -> None:
+        """Read the list and drive the cores while the process lives."""
+        await asyncio.gather(
+            self.watch.run(client, self.pulse, self.rng),
+            drive_cores(self.cores, mesh, self.pulse),
+        )
+
+    def leave(self, mesh: Mesh) -> None:
+        """Tell the others at once that this node leaves."""
+        mesh.send_all(self.membership.leave(self.pulse.check()))
+
+
+def publish_own(settings: Settings) -> PublishedVm:
+    """Return this node's entry as the platform would publish it."""
+    listen = settings.listen
+    return PublishedVm(
+        settings.vm,
+        settings.data_centre,
+        caller=f'{listen.host}:{listen.caller}',
+        peer=f'{listen.host}:{listen.peer}',
+        gossip=f'{listen.host}:{listen.gossip}',
+    )
--- a/chicoryshunt/process/node.py
+++ b/chicoryshunt/process/node.py
@@ -8,11 +8,12 @@
 
 from chicoryshunt.connection.client import HttpClient
 from chicoryshunt.connection.loop import get_reactor
-from chicoryshunt.connection.platform_api import PublishedValue, PublishedVms
+from chicoryshunt.connection.platform_api import PublishedValue
 from chicoryshunt.connection.web import BoundedSite
 from chicoryshunt.events import log_event, log_problem
 from chicoryshunt.exceptions import ChicoryshuntError
 from chicoryshunt.process.callers import CallerApi
+from chicoryshunt.process.mesh import Mesh
 from chicoryshunt.process.state import NodeState
 from chicoryshunt.settings import Settings
 from chicoryshunt.version.config import Config
@@ -24,9 +25,9 @@
     """Run a node until SIGTERM."""
     reactor = get_reactor()
     state = NodeState(settings)
-    with serve_callers(state):
+    with serve_callers(state), state.fleet.serve() as mesh:
         reactor.callWhenRunning(
-            lambda: asyncio.ensure_future(read_platform(state)),
+            lambda: asyncio.ensure_future(run_tasks(state, mesh)),
         )
         log_event('node_started', vm=settings.vm)
         reactor.run()
@@ -53,9 +54,17 @@
         listener.stopListening()
 
 
-async def read_platform(state: NodeState) -> None:
-    """Keep the configuration and the VM list up to date."""
+async def run_tasks(state: NodeState, mesh: Mesh) -> None:
+    """Read the platform and talk to the other nodes."""
     client = HttpClient()
+    await asyncio.gather(
+        state.fleet.run(mesh, client),
+        read_platform(state, client),
+    )
+
+
+async def read_platform(state: NodeState, client: HttpClient) -> None:
+    """Keep the configuration up to date."""
     while True:
         try:
             await _read_once(state, client)
@@ -66,8 +75,6 @@
 
 async def _read_once(state: NodeState, client: HttpClient) -> None:
     platform = state.settings.platform
-    _, body = await client.read('GET', f'{platform.vms}/v1/vms')
-    state.vms = msgspec.json.decode(body, type=PublishedVms).vms
     _, body = await client.read('GET', f'{platform.config}/v1/values/base')
     published = msgspec.json.decode(body, type=PublishedValue)
     config = msgspec.json.decode(published.value, type=Config)
--- /dev/null
+++ b/chicoryshunt/process/prober.py
@@ -0,0 +1,99 @@
+"""Whom to probe next, and which probes are still unanswered."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from random import Random
+
+from chicoryshunt.process.roster import Roster
+from chicoryshunt.types import VmId, VmState
+
+DIRECT_SECONDS = 0.4
+PROBE_SECONDS = 1.2
+_GONE_EVERY = 4
+_GONE = frozenset((VmState.gone,))
+
+
+@dataclass(slots=True)
+class Origin:
+    """The node that asked for a probe, and the number it gave it."""
+
+    vm: VmId
+    number: int
+
+
+@dataclass(slots=True)
+class Pending:
+    """One unanswered probe; ``origin`` is set when another node asked."""
+
+    number: int
+    subject: VmId
+    sent: float
+    origin: Origin | None = None
+    helped: bool = False
+
+
+class Prober:
+    """Probes members in shuffled rounds, and gone ones now and then."""
+
+    def __init__(self, roster: Roster, rng: Random) -> None:
+        """Start without probes."""
+        self._roster = roster
+        self._rng = rng
+        self._number = 0
+        self._pending: dict[int, Pending] = {}
+        self._round: list[VmId] = []
+
+    def start(
+        self,
+        subject: VmId,
+        now: float,
+        origin: Origin | None = None,
+    ) -> int:
+        """Remember a probe that is being sent and return its number."""
+        self._number += 1
+        pending = Pending(self._number, subject, now, origin)
+        self._pending[self._number] = pending
+        return self._number
+
+    def choose(self) -> VmId | None:
+        """Return the VM to probe next."""
+        gone = self._roster.list_in(_GONE)
+        if gone and self._number % _GONE_EVERY == 0:
+            return self._rng.choice(gone)
+        while self._round:
+            vm = self._round.pop()
+            member = self._roster.find(vm)
+            if member is not None and member.state is not VmState.gone:
+                return vm
+        self._round = self._roster.list_others()
+        self._rng.shuffle(self._round)
+        if self._round:
+            return self._round.pop()
+        return self._rng.choice(gone) if gone else None
+
+    def finish(self, number: int) -> Pending | None:
+        """Forget an answered probe and return it."""
+        return self._pending.pop(number, None)
+
+    def find_late(self, now: float) -> Iterator[Pending]:
+        """Return own probes that need the help of others, once each."""
+        for pending in self._pending.values():
+            is_late = now - pending.sent >= DIRECT_SECONDS
+            if is_late and not pending.helped and pending.origin is None:
+                pending.helped = True
+                yield pending
+
+    def drop_failed(self, now: float) -> list[Pending]:
+        """Forget probes that went unanswered and return own ones."""
+        failed = [
+            pending
+            for pending in self._pending.values()
+            if now - pending.sent >= PROBE_SECONDS
+        ]
+        for pending in failed:
+            self._pending.pop(pending.number)
+        return [one for one in failed if one.origin is None]
+
+    def reset(self) -> None:
+        """Forget every probe."""
+        self._pending.clear()
--- /dev/null
+++ b/chicoryshunt/process/roster.py
@@ -0,0 +1,195 @@
+"""The VMs of the published list with what gossip says of each."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+import msgspec
+import xxhash
+
+from chicoryshunt.connection.platform_api import PublishedVm
+from chicoryshunt.process.rendezvous import rank_vms
+from chicoryshunt.types import DataCentreId, Incarnation, VmId, VmState
+
+PRESENT = frozenset((VmState.live, VmState.leaving, VmState.suspect))
+LIVE = frozenset((VmState.live,))
+_SERVING = frozenset((VmState.live, VmState.suspect))
+_ORDER = (VmState.live, VmState.leaving, VmState.suspect, VmState.gone)
+_UNKNOWN = Incarnation(0)
+
+
+class Update(msgspec.Struct, frozen=True, array_like=True):
+    """State of one VM's process, as one node announces it."""
+
+    vm: VmId
+    incarnation: Incarnation
+    state: VmState
+
+    def supersedes(self, other: 'Update') -> bool:
+        """Say whether this update is the later one about a VM."""
+        return self._rank > other._rank
+
+    @property
+    def _rank(self) -> tuple[int, int]:
+        return self.incarnation, _ORDER.index(self.state)
+
+
+@dataclass(slots=True)
+class Member:
+    """One VM; ``since`` is when its state was entered, in seconds."""
+
+    published: PublishedVm
+    update: Update
+    since: float
+    beat: int = 0
+    load: int = 0
+
+    @property
+    def state(self) -> VmState:
+        """Return the state by gossip, or by the list's leaving mark."""
+        state = self.update.state
+        if self.published.leaving and state is not VmState.gone:
+            return VmState.leaving
+        return state
+
+
+class Roster:
+    """Members by id, bounded by the published list and this node."""
+
+    def __init__(self, own: PublishedVm, incarnation: Incarnation) -> None:
+        """Start with this node alone."""
+        self.own = own.vm
+        update = Update(own.vm, incarnation, VmState.live)
+        self._members = {own.vm: Member(own, update, 0)}
+        self._published: frozenset[VmId] = frozenset()
+        self.digest = _hash_update(update)
+
+    @property
+    def published(self) -> frozenset[VmId]:
+        """Return the VMs of the published list."""
+        return self._published
+
+    @property
+    def published_count(self) -> int:
+        """Return the number of VMs of the published list."""
+        return len(self._published)
+
+    @property
+    def seen_fraction(self) -> float:
+        """Return the share of the published VMs that are present."""
+        if not self._published:
+            return 0
+        present = self._published.intersection(self.list_in(PRESENT))
+        return len(present) / len(self._published)
+
+    def __iter__(self) -> Iterator[Member]:
+        """Return every member."""
+        return iter(self._members.values())
+
+    def list_live(self, data_centre: DataCentreId | None = None) -> list[VmId]:
+        """Return the VMs that are live and not leaving."""
+        return self.list_in(LIVE, data_centre)
+
+    def list_serving(
+        self,
+        data_centre: DataCentreId | None = None,
+    ) -> list[VmId]:
+        """Return the VMs that are live or suspect, and not leaving."""
+        return self.list_in(_SERVING, data_centre)
+
+    def list_others(self) -> list[VmId]:
+        """Return the other VMs that are not gone."""
+        return [vm for vm in self.list_in(PRESENT) if vm != self.own]
+
+    def find_first(self, key: str, data_centre: DataCentreId) -> VmId | None:
+        """Return the VM that serves a key, in a data centre if it can be."""
+        serving = self.list_serving(data_centre) or self.list_serving()
+        ranked = rank_vms(key, serving)
+        return ranked[0] if ranked else None
+
+    def find_state(self, vm: VmId) -> VmState:
+        """Return the state of a VM; one that is not listed is gone."""
+        member = self._members.get(vm)
+        return VmState.gone if member is None else member.state
+
+    def list_suspects(self, until: float) -> list[Update]:
+        """Return those that are suspect since a moment or longer."""
+        return [
+            member.update
+            for member in self._members.values()
+            if member.update.state is VmState.suspect and member.since <= until
+        ]
+
+    def list_known(self) -> list[Update]:
+        """Return what was announced of every member."""
+        return [
+            member.update
+            for member in self._members.values()
+            if member.update.incarnation != _UNKNOWN
+        ]
+
+    def find(self, vm: VmId) -> Member | None:
+        """Return a member, if the list or this node names it."""
+        return self._members.get(vm)
+
+    def get_own(self) -> Member:
+        """Return this node's own entry."""
+        return self._members[self.own]
+
+    def set_load(self, load: int) -> None:
+        """Set how many requests run on this node."""
+        self.get_own().load = load
+
+    def learn(self, vms: Iterable[PublishedVm], now: float) -> tuple[VmId, ...]:
+        """Follow the published list; return the VMs that it dropped."""
+        listed = {vm.vm: vm for vm in vms}
+        self._published = frozenset(listed)
+        dropped = tuple(set(self._members) - set(listed) - {self.own})
+        for vm in dropped:
+            self.digest ^= _hash_update(self._members.pop(vm).update)
+        for published in listed.values():
+            self._list(published, now)
+        return dropped
+
+    def apply(self, update: Update, now: float) -> bool:
+        """Take an update that is the later one; say whether it was."""
+        member = self._members.get(update.vm)
+        if member is None or not update.supersedes(member.update):
+            return False
+        self.digest ^= _hash_update(member.update)
+        self.digest ^= _hash_update(update)
+        if member.update.state is not update.state:
+            member.since = now
+        member.update = update
+        return True
+
+    def list_in(
+        self,
+        states: frozenset[VmState],
+        data_centre: DataCentreId | None = None,
+    ) -> list[VmId]:
+        """Return the VMs in some states, of one data centre or of all."""
+        return [
+            member.published.vm
+            for member in self._members.values()
+            if member.state in states
+            and data_centre in {None, member.published.data_centre}
+        ]
+
+    def _list(self, published: PublishedVm, now: float) -> None:
+        member = self._members.get(published.vm)
+        if member is None:
+            update = Update(published.vm, _UNKNOWN, VmState.gone)
+            self._members[published.vm] = Member(published, update, now)
+            self.digest ^= _hash_update(update)
+        else:
+            member.published = published
+
+
+def _hash_update(update: Update) -> int:
+    if update.incarnation == _UNKNOWN:
+        return 0
+    state = update.state
+    if state is VmState.suspect:
+        state = VmState.live
+    text = f'{update.vm}\0{update.incarnation}\0{state.value}'
+    return xxhash.xxh3_64_intdigest(text.encode())
--- a/chicoryshunt/process/seal.py
+++ b/chicoryshunt/process/seal.py
@@ -90,6 +90,10 @@
             return Damage.replayed
         return envelope
 
+    def raise_incarnation(self, incarnation: Incarnation) -> None:
+        """Seal under a higher incarnation from now on."""
+        self._incarnation = max(self._incarnation, incarnation)
+
     def sign(self, text: bytes) -> bytes:
         """Return a MAC that every node of the fleet can check."""
         return self._compute_mac(text)
--- a/chicoryshunt/process/state.py
+++ b/chicoryshunt/process/state.py
@@ -2,23 +2,24 @@
 
 import msgspec
 
-from chicoryshunt.connection.platform_api import PublishedVm
+from chicoryshunt.process.entries import KEEP_SECONDS, order_entries
+from chicoryshunt.process.fleet import Fleet
 from chicoryshunt.process.metrics import Metrics
 from chicoryshunt.process.router import Route, Router
 from chicoryshunt.settings import Settings
 from chicoryshunt.types import (
     ConfigVersion,
+    DataCentreId,
     ModelId,
     Reason,
     Seconds,
     ServiceId,
     VmId,
+    VmState,
 )
 from chicoryshunt.verdict import Verdict, refuse
 from chicoryshunt.version.config import Config
 
-_KEEP_SECONDS = 5
-
 
 class Entry(msgspec.Struct, frozen=True):
     """One address a caller may use."""
@@ -34,12 +35,21 @@
     keep_seconds: float
 
 
+class MemberStatus(msgspec.Struct, frozen=True):
+    """What a node knows of one VM."""
+
+    vm: VmId
+    data_centre: DataCentreId
+    state: VmState
+    load: int
+
+
 class NodeStatus(msgspec.Struct, frozen=True):
     """What a node says of itself."""
 
     vm: VmId
     version: ConfigVersion
-    members: tuple[VmId, ...]
+    members: tuple[MemberStatus, ...]
 
 
 class NodeState:
@@ -51,7 +61,7 @@
         self.metrics = Metrics()
         self.router = Router(settings.data_centre)
         self.config: Config | None = None
-        self.vms: tuple[PublishedVm, ...] = ()
+        self.fleet = Fleet(settings, self.metrics)
 
     def route(self, wanted: ModelId | ServiceId) -> Route | Verdict:
         """Return a target for the model or service."""
@@ -65,14 +75,16 @@
 
     def list_entries(self) -> Entries:
         """Return addresses, the caller's data centre first."""
-        own = self.settings.data_centre
-        ordered = sorted(
-            (vm for vm in self.vms if not vm.leaving),
-            key=lambda vm: vm.data_centre != own,
+        ordered = order_entries(
+            self.fleet.membership.roster,
+            self.settings.data_centre,
+            self.fleet.rng,
         )
         return Entries(
-            tuple(Entry(vm.vm, vm.caller) for vm in ordered),
-            _KEEP_SECONDS,
+            tuple(
+                Entry(one.published.vm, one.published.caller) for one in ordered
+            ),
+            KEEP_SECONDS,
         )
 
     def describe(self) -> NodeStatus:
@@ -83,5 +95,13 @@
         return NodeStatus(
             self.settings.vm,
             version,
-            tuple(vm.vm for vm in self.vms),
+            tuple(
+                MemberStatus(
+                    one.published.vm,
+                    one.published.data_centre,
+                    one.state,
+                    one.load,
+                )
+                for one in self.fleet.membership.roster
+            ),
         )
--- /dev/null
+++ b/chicoryshunt/process/watch.py
@@ -0,0 +1,64 @@
+"""Reads the platform's list of VMs now and then."""
+
+import asyncio
+from random import Random
+
+import msgspec
+
+from chicoryshunt.connection.client import HttpClient
+from chicoryshunt.connection.platform_api import PublishedVms
+from chicoryshunt.events import log_problem
+from chicoryshunt.exceptions import ChicoryshuntError, PlatformError
+from chicoryshunt.process.links import Links
+from chicoryshunt.process.membership import Membership
+from chicoryshunt.process.pause import Pulse
+
+_POLL_SECONDS = 5.0
+_RETRY_SECONDS = 0.5
+_SPREAD = 0.2
+
+
+class VmWatch:
+    """Keeps membership and links to what the platform publishes."""
+
+    def __init__(self, url: str, membership: Membership, links: Links) -> None:
+        """Read the list at a base URL."""
+        self._url = url
+        self._membership = membership
+        self._links = links
+        self._is_read = False
+
+    async def run(self, client: HttpClient, pulse: Pulse, rng: Random) -> None:
+        """Read the list for as long as the process lives."""
+        while True:
+            try:
+                published = await read_vms(client, self._url)
+            except ChicoryshuntError as error:
+                log_problem('vm_list_unreadable', error=str(error))
+            else:
+                self.learn(published, pulse.check())
+            await asyncio.sleep(self._find_delay(rng))
+
+    def learn(self, published: PublishedVms, now: float) -> None:
+        """Follow a list; an empty one is no list."""
+        if not published.vms:
+            log_problem('vm_list_empty')
+            return
+        self._is_read = True
+        self._links.learn(published.vms)
+        self._membership.learn(published.vms, now)
+
+    def _find_delay(self, rng: Random) -> float:
+        is_published = self._membership.own in self._membership.roster.published
+        if not (self._is_read and is_published):
+            return _RETRY_SECONDS
+        return _POLL_SECONDS * rng.uniform(1 - _SPREAD, 1 + _SPREAD)
+
+
+async def read_vms(client: HttpClient, url: str) -> PublishedVms:
+    """Read the list once; raise ``PlatformError`` when it is no list."""
+    status, body = await client.read('GET', f'{url}/v1/vms')
+    try:
+        return msgspec.json.decode(body, type=PublishedVms)
+    except msgspec.DecodeError as error:
+        raise PlatformError(f'{url}: status {status}: {error}') from error
--- a/chicoryshunt/settings.py
+++ b/chicoryshunt/settings.py
@@ -64,6 +64,7 @@
     listen: Listen
     platform: Platform
     fleet_key: str = ''
+    trials: bool = False
     limits: Limits = msgspec.field(default_factory=Limits)
 
     @property
--- a/lab/demo.py
+++ b/lab/demo.py
@@ -1,5 +1,6 @@
 """A small fleet on loopback: one stream, one filing, the status."""
 
+import os
 import subprocess
 import sys
 import tempfile
@@ -7,7 +8,7 @@
 
 from lab.fleet import Fleet, Started, run_fleet, send
 
-_FIRST_PORT = 18100
+_FIRST_PORT = int(os.environ.get('LAB_FIRST_PORT', '18100'))
 _NODES = 3
 _PORTS_PER_NODE = 3
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,9 +1,12 @@
 """Builders of test data."""
 
 import json
+from random import Random
 
+from chicoryshunt.connection.platform_api import PublishedVm
+from chicoryshunt.process.membership import Membership
 from chicoryshunt.process.seal import Purpose, Seal
-from chicoryshunt.types import Incarnation, VmId
+from chicoryshunt.types import DataCentreId, Incarnation, VmId
 
 FLEET_KEY = '5a' * 32
 
@@ -38,3 +41,27 @@
         Incarnation(incarnation),
         Purpose.datagram,
     )
+
+
+def build_vm(
+    name: str,
+    data_centre: str = 'luzon-a',
+    *,
+    leaving: bool = False,
+) -> PublishedVm:
+    """Return one VM of the platform's list."""
+    return PublishedVm(
+        VmId(name),
+        DataCentreId(data_centre),
+        caller=f'{name}:1',
+        peer=f'{name}:2',
+        gossip='127.0.0.1:3',
+        leaving=leaving,
+    )
+
+
+def build_membership(vms: list[PublishedVm]) -> Membership:
+    """Return the membership of the first of some VMs."""
+    membership = Membership(vms[0], Incarnation(1), Random(1), 0)
+    membership.learn(vms, 0)
+    return membership
--- /dev/null
+++ b/tests/network.py
@@ -0,0 +1,98 @@
+"""A fake network that carries messages between the cores of nodes."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from random import Random
+
+from chicoryshunt.clock import ManualClock
+from chicoryshunt.process.core import Core, Message, Send
+from chicoryshunt.process.pause import Pulse
+from chicoryshunt.types import VmId
+
+
+@dataclass(frozen=True)
+class Flight:
+    """One message on its way."""
+
+    sender: VmId
+    receiver: VmId
+    message: Message
+
+
+class Host:
+    """The cores of one node with the pulse that watches for pauses."""
+
+    def __init__(self, cores: tuple[Core, ...], clock: ManualClock) -> None:
+        self.cores = cores
+        self.is_paused = False
+        self._pulse = Pulse(clock)
+        for core in cores:
+            self._pulse.subscribe(core.wake)
+
+    def check(self) -> float:
+        return self._pulse.check()
+
+    def tick(self) -> Iterator[Send]:
+        now = self._pulse.check()
+        for core in self.cores:
+            yield from core.tick(now)
+
+    def receive(self, sender: VmId, message: Message) -> Iterable[Send]:
+        now = self._pulse.check()
+        for core in self.cores:
+            if isinstance(message, core.kinds):
+                return core.receive(sender, message, now)
+        raise AssertionError(f'no core receives {message!r}')
+
+
+class Network:
+    """Delivers, loses, doubles and reorders messages between hosts."""
+
+    def __init__(self, clock: ManualClock, rng: Random) -> None:
+        self.clock = clock
+        self.hosts: dict[VmId, Host] = {}
+        self.loss: float = 0
+        self.bytes_sent = 0
+        self._rng = rng
+        self._flights: list[Flight] = []
+        self._sides: list[frozenset[VmId]] = []
+
+    def cut(self, side: Iterable[VmId]) -> None:
+        self._sides.append(frozenset(side))
+
+    def heal(self) -> None:
+        self._sides.clear()
+
+    def is_cut(self, one: VmId, other: VmId) -> bool:
+        return any((one in side) != (other in side) for side in self._sides)
+
+    def send(self, sender: VmId, sends: Iterable[Send]) -> None:
+        for one in sends:
+            flight = Flight(sender, one.receiver, one.message)
+            if self._rng.random() >= self.loss:
+                self._flights.append(flight)
+            if self._rng.random() < self.loss:
+                self._flights.append(flight)
+
+    def run(self, seconds: float, step: float = 0.1) -> None:
+        """Let time pass; messages take up to one step."""
+        for _ in range(round(seconds / step)):
+            self.clock.advance(step)
+            self.deliver()
+            for vm, host in tuple(self.hosts.items()):
+                if not host.is_paused:
+                    self.send(vm, host.tick())
+
+    def deliver(self) -> None:
+        flights = self._flights
+        self._flights = []
+        self._rng.shuffle(flights)
+        for flight in flights:
+            host = self.hosts.get(flight.receiver)
+            if host is None or self.is_cut(flight.sender, flight.receiver):
+                continue
+            if host.is_paused:
+                self._flights.append(flight)
+                continue
+            answers = host.receive(flight.sender, flight.message)
+            self.send(flight.receiver, answers)
--- a/tests/test_seal.py
+++ b/tests/test_seal.py
@@ -3,7 +3,7 @@
 import pytest
 
 from chicoryshunt.process.seal import Damage, Envelope
-from chicoryshunt.types import VmId
+from chicoryshunt.types import Incarnation, VmId
 from tests.builders import build_seal
 
 _RECEIVER = VmId('b')
@@ -48,3 +48,13 @@
     receiver = build_seal('b')
     assert isinstance(receiver.open(new), Envelope)
     assert receiver.open(old) is Damage.replayed
+
+
+def test_raised_incarnation_opens() -> None:
+    sender = build_seal('a', incarnation=1)
+    receiver = build_seal('b')
+    receiver.open(build_seal('a', incarnation=5).seal(_RECEIVER, b'\xc0'))
+    assert receiver.open(sender.seal(_RECEIVER, b'\xc0')) is Damage.replayed
+    sender.raise_incarnation(Incarnation(6))
+    opened = receiver.open(sender.seal(_RECEIVER, b'\xc0'))
+    assert isinstance(opened, Envelope)
