Lease what a target can bear from its keeper

Purpose: each node counted its own requests only, so nine nodes sent nine times what a target declares.

- A target has a panel: its first VMs by rendezvous hash, its own data centre first, at most twelve, three of them elsewhere.
Each has a seat, an equal part of the limit (remainders are dealt by position, so all parts sum up to it).
- The first live VM of the panel is the keeper.
Each member lends its seat to one keeper at a time by a vote that rides on its claims; the keeper counts the vote from the time it sent the message that the claim answers.
A keeper leases at most what the votes are worth, and only for terms that the votes outlast.
So two keepers never lease more than the limit, whatever their rosters say, with no message between them; in a cut each side has m of n.
- A holder dispatches under a live lease only, counted from the time its claim was sent, and checked when the slot is taken.
A claim binds its sender, so a slot that is not used can go to another node at once.
- Slots beyond a holder's own seat are granted only after every vote that is counted knows of them.
The votes bring them to the next keeper, which therefore need not wait: a planned handover has no gap.
- A lost holder's slots stay counted until it reports again, the target's own reports leave no room for them, or no request can last that long.
A restarted VM's seat counts only when nothing of its earlier process is left.

Seen failing first: with the whole limit granted whatever the votes say, the tests of a cut, of a dead and a paused keeper and of a dead holder fail, and the state machine; with lost holders forgotten, those of dead holders and keepers. Two faults that the state machine found while this was written: a grant said that nothing of an earlier process was left before it had been counted, and the account of a keeper that restarted was replaced by its empty one.

--- /dev/null
+++ b/chicoryshunt/process/bearings.py
@@ -0,0 +1,67 @@
+"""What each target can bear, by the configuration and by its keeper."""
+
+from collections.abc import Callable
+
+from chicoryshunt.process.allowance import Slack
+from chicoryshunt.process.ledger import Bearing
+from chicoryshunt.types import TargetId
+from chicoryshunt.version.config import Config, Presence, Target
+
+_MS_PER_SECOND = 1000
+_RUN_MARGIN = 4
+
+AdjustLimit = Callable[[TargetId, Slack], Slack]
+
+
+class Bearings:
+    """Declared limits, lowered by whoever knows the target better."""
+
+    def __init__(self) -> None:
+        """Start without a configuration."""
+        self._config: Config | None = None
+        self._adjustments: list[AdjustLimit] = []
+
+    def learn(self, config: Config) -> None:
+        """Follow the configuration."""
+        self._config = config
+
+    def adjust(self, adjustment: AdjustLimit) -> None:
+        """Lower limits by a function of the target and its limit so far."""
+        self._adjustments.append(adjustment)
+
+    def find(self, target: TargetId) -> Bearing:
+        """Return what a target can bear now."""
+        config = self._config
+        declared = None if config is None else config.targets.get(target)
+        if config is None or declared is None:
+            return Bearing(Slack(0, 0), _RUN_MARGIN)
+        slack = Slack(0, 0)
+        if _is_serving(config, declared):
+            slack = Slack(declared.concurrent, declared.memory_tokens)
+        for adjust in self._adjustments:
+            lowered = adjust(target, slack)
+            slack = Slack(
+                min(slack.slots, lowered.slots),
+                min(slack.memory_tokens, lowered.memory_tokens),
+            )
+        return Bearing(slack, _find_run_seconds(config, declared))
+
+
+def _is_serving(config: Config, target: Target) -> bool:
+    data_centre = config.data_centres.get(target.data_centre)
+    return (
+        target.presence is Presence.serving
+        and data_centre is not None
+        and data_centre.presence is Presence.serving
+    )
+
+
+def _find_run_seconds(config: Config, target: Target) -> float:
+    """Return how long a request may run that nobody hears of."""
+    if target.service is not None and target.service in config.services:
+        return config.services[target.service].timeout_seconds
+    if target.model is not None and target.model in config.models:
+        model = config.models[target.model]
+        longest = model.max_tokens * model.token_gap_ms / _MS_PER_SECOND
+        return longest * _RUN_MARGIN
+    return _RUN_MARGIN
--- a/chicoryshunt/process/fleet.py
+++ b/chicoryshunt/process/fleet.py
@@ -10,17 +10,22 @@
 from chicoryshunt.connection.client import HttpClient
 from chicoryshunt.connection.loop import get_reactor
 from chicoryshunt.connection.platform_api import PublishedVm
+from chicoryshunt.process.bearings import Bearings
+from chicoryshunt.process.claims import LeaseTimes
 from chicoryshunt.process.core import Core
 from chicoryshunt.process.driver import drive_cores
+from chicoryshunt.process.leases import Leases
 from chicoryshunt.process.links import Links
+from chicoryshunt.process.loads import LoadReader
 from chicoryshunt.process.membership import Membership
 from chicoryshunt.process.mesh import Mesh
 from chicoryshunt.process.metrics import Metrics
 from chicoryshunt.process.pause import Pulse
 from chicoryshunt.process.seal import Purpose, Seal
 from chicoryshunt.process.watch import VmWatch
-from chicoryshunt.settings import Settings
+from chicoryshunt.settings import LeaseSettings, Settings
 from chicoryshunt.types import Incarnation
+from chicoryshunt.version.config import Config
 
 _MILLISECOND_NS = 1_000_000
 
@@ -45,7 +50,16 @@
             self.membership,
             self.links,
         )
-        self.cores: list[Core] = [self.membership]
+        self.bearings = Bearings()
+        self.leases = Leases(
+            self.membership,
+            build_times(settings.leases),
+            self.bearings.find,
+            self.pulse.check(),
+        )
+        self.loads = LoadReader(self.leases.keeping, self.pulse)
+        self.watch.subscribe(self.leases.learn_vms)
+        self.cores: list[Core] = [self.membership, self.leases]
         self._settings = settings
         self._metrics = metrics
 
@@ -75,14 +89,33 @@
         """Read the list and drive the cores while the process lives."""
         await asyncio.gather(
             self.watch.run(client, self.pulse, self.rng),
+            self.loads.run(client),
             drive_cores(self.cores, mesh, self.pulse),
         )
 
+    def learn_config(self, config: Config) -> None:
+        """Follow the configuration."""
+        self.bearings.learn(config)
+        self.loads.learn(config)
+        self.leases.learn_targets(
+            {name: one.data_centre for name, one in config.targets.items()},
+            {name: one.region for name, one in config.data_centres.items()},
+        )
+
     def leave(self, mesh: Mesh) -> None:
         """Tell the others at once that this node leaves."""
         mesh.send_all(self.membership.leave(self.pulse.check()))
 
 
+def build_times(settings: LeaseSettings) -> LeaseTimes:
+    """Return the times of leases by the settings."""
+    return LeaseTimes(
+        settings.term_seconds,
+        settings.vm_list_lag_seconds,
+        settings.load_lag_seconds,
+    )
+
+
 def publish_own(settings: Settings) -> PublishedVm:
     """Return this node's entry as the platform would publish it."""
     listen = settings.listen
--- /dev/null
+++ b/chicoryshunt/process/loads.py
@@ -0,0 +1,80 @@
+"""Reads the load reports of the targets that this node keeps."""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+
+from chicoryshunt.connection.client import HttpClient
+from chicoryshunt.connection.target_api import LoadReport
+from chicoryshunt.events import log_problem
+from chicoryshunt.exceptions import ChicoryshuntError
+from chicoryshunt.process.keeping import Keeping
+from chicoryshunt.process.pause import Pulse
+from chicoryshunt.types import TargetId
+from chicoryshunt.version.config import Config
+
+_READ_SECONDS = 1.0
+_TIMEOUT_SECONDS = 2.0
+
+Subscriber = Callable[[TargetId, LoadReport, float], None]
+
+
+class LoadReader:
+    """Polls engines; plain services report no load."""
+
+    def __init__(self, keeping: Keeping, pulse: Pulse) -> None:
+        """Start without a configuration."""
+        self._keeping = keeping
+        self._pulse = pulse
+        self._config: Config | None = None
+        self._subscribers: list[Subscriber] = []
+
+    def learn(self, config: Config) -> None:
+        """Follow the configuration."""
+        self._config = config
+
+    def subscribe(self, notify: Subscriber) -> None:
+        """Call ``notify(target, report, now)`` with each report."""
+        self._subscribers.append(notify)
+
+    async def run(self, client: HttpClient) -> None:
+        """Read for as long as the process lives."""
+        while True:
+            urls = self._list_urls()
+            await asyncio.gather(
+                asyncio.sleep(_READ_SECONDS),
+                *(self._read(client, *found) for found in urls.items()),
+            )
+
+    def _list_urls(self) -> dict[TargetId, str]:
+        if self._config is None:
+            return {}
+        targets = self._config.targets
+        return {
+            ledger.target: f'http://{targets[ledger.target].address}/load'
+            for ledger in self._keeping
+            if ledger.target in targets and targets[ledger.target].model
+        }
+
+    async def _read(
+        self,
+        client: HttpClient,
+        target: TargetId,
+        url: str,
+    ) -> None:
+        try:
+            report = await _read_report(client, url)
+        except (ChicoryshuntError, TimeoutError, msgspec.DecodeError) as error:
+            log_problem('load_unreadable', target=target, error=str(error))
+            return
+        now = self._pulse.check()
+        self._keeping.take_load(target, report, now)
+        for notify in self._subscribers:
+            notify(target, report, now)
+
+
+async def _read_report(client: HttpClient, url: str) -> LoadReport:
+    async with asyncio.timeout(_TIMEOUT_SECONDS):
+        _, body = await client.read('GET', url)
+    return msgspec.json.decode(body, type=LoadReport)
--- a/chicoryshunt/process/router.py
+++ b/chicoryshunt/process/router.py
@@ -5,16 +5,21 @@
 from contextlib import contextmanager
 from dataclasses import dataclass
 
+from chicoryshunt.process.allowance import Allowances, Slot
+from chicoryshunt.process.pause import Pulse
 from chicoryshunt.types import (
     DataCentreId,
     ModelId,
     Reason,
+    Seconds,
     ServiceId,
     TargetId,
 )
 from chicoryshunt.verdict import Verdict, refuse
 from chicoryshunt.version.config import Config, Presence, Target
 
+_RETRY_SECONDS = 0.2
+
 
 @dataclass(frozen=True, slots=True)
 class Route:
@@ -27,9 +32,16 @@
 class Router:
     """Spreads requests over the targets that may take them."""
 
-    def __init__(self, data_centre: DataCentreId) -> None:
+    def __init__(
+        self,
+        data_centre: DataCentreId,
+        allowances: Allowances,
+        pulse: Pulse,
+    ) -> None:
         """Prefer targets of the node's own data centre."""
         self._data_centre = data_centre
+        self._allowances = allowances
+        self._pulse = pulse
         self._running: Counter[TargetId] = Counter()
 
     def choose(
@@ -46,19 +58,29 @@
         }
         if not usable:
             return refuse(Reason.no_target, f'no target serves {wanted!r}')
-        chosen = min(usable, key=lambda one: self._running[one])
-        if self._running[chosen] >= usable[chosen].concurrent:
-            return refuse(Reason.overloaded, f'targets of {wanted!r} are full')
-        return Route(chosen, usable[chosen].address)
+        now = self._pulse.check()
+        ordered = sorted(usable, key=lambda one: self._running[one])
+        for chosen in ordered:
+            if self._allowances.find_slack(chosen, now).slots:
+                return Route(chosen, usable[chosen].address)
+            self._allowances.want(chosen, 1, now)
+        return refuse(
+            Reason.overloaded,
+            f'targets of {wanted!r} are full',
+            Seconds(_RETRY_SECONDS),
+        )
 
     @contextmanager
     def hold(self, route: Route) -> Iterator[None]:
         """Count a request on its target while it runs."""
+        slot = self._allowances.take(route.target, 0, self._pulse.check())
         self._running[route.target] += 1
         try:
             yield
         finally:
             self._running[route.target] -= 1
+            if isinstance(slot, Slot):
+                self._allowances.give_back(slot, self._pulse.check())
 
 
 def is_serving(config: Config, target: Target) -> bool:
--- a/chicoryshunt/process/state.py
+++ b/chicoryshunt/process/state.py
@@ -14,6 +14,7 @@
     Reason,
     Seconds,
     ServiceId,
+    TargetId,
     VmId,
     VmState,
 )
@@ -44,12 +45,22 @@
     load: int
 
 
+class LeaseStatus(msgspec.Struct, frozen=True):
+    """What a node holds on one target."""
+
+    target: TargetId
+    keeper: VmId | None
+    slots: int
+    running: int
+
+
 class NodeStatus(msgspec.Struct, frozen=True):
     """What a node says of itself."""
 
     vm: VmId
     version: ConfigVersion
     members: tuple[MemberStatus, ...]
+    leases: tuple[LeaseStatus, ...]
 
 
 class NodeState:
@@ -59,9 +70,24 @@
         """Start without a configuration."""
         self.settings = settings
         self.metrics = Metrics()
-        self.router = Router(settings.data_centre)
-        self.config: Config | None = None
+        self._config: Config | None = None
         self.fleet = Fleet(settings, self.metrics)
+        self.router = Router(
+            settings.data_centre,
+            self.fleet.leases.tenures,
+            self.fleet.pulse,
+        )
+
+    @property
+    def config(self) -> Config | None:
+        """Return the configuration in force."""
+        return self._config
+
+    @config.setter
+    def config(self, config: Config) -> None:
+        """Put a configuration in force."""
+        self._config = config
+        self.fleet.learn_config(config)
 
     def route(self, wanted: ModelId | ServiceId) -> Route | Verdict:
         """Return a target for the model or service."""
@@ -104,4 +130,17 @@
                 )
                 for one in self.fleet.membership.roster
             ),
+            self._list_leases(),
+        )
+
+    def _list_leases(self) -> tuple[LeaseStatus, ...]:
+        now = self.fleet.pulse.check()
+        return tuple(
+            LeaseStatus(
+                target,
+                tenure.keeper,
+                tenure.count_slots(now),
+                tenure.running,
+            )
+            for target, tenure in self.fleet.leases.tenures
         )
--- /dev/null
+++ b/chicoryshunt/process/tenures.py
@@ -0,0 +1,151 @@
+"""What this node holds on every target that it uses."""
+
+from collections.abc import Callable, Iterator
+
+from chicoryshunt.process.allowance import Shortage, Slack, Slot
+from chicoryshunt.process.ballot import Ballot
+from chicoryshunt.process.claims import Claim, Grant, LeaseTimes, Release
+from chicoryshunt.process.ledger import Bearing
+from chicoryshunt.process.panels import Panel, Panels
+from chicoryshunt.process.tenure import Tenure
+from chicoryshunt.types import TargetId, VmId
+
+FindBearing = Callable[[TargetId], Bearing]
+FindKeeper = Callable[[Panel], VmId | None]
+
+
+class Tenures:
+    """Gives out slots under live leases (see ``Allowances``)."""
+
+    def __init__(
+        self,
+        own: VmId,
+        panels: Panels,
+        times: LeaseTimes,
+        started: float,
+        epoch: int,
+        find_bearing: FindBearing,
+    ) -> None:
+        """Start without leases; claims are numbered from the epoch on."""
+        self._own = own
+        self._panels = panels
+        self._times = times
+        self._started = started
+        self._epoch = epoch
+        self._find_bearing = find_bearing
+        self._tenures: dict[TargetId, Tenure] = {}
+
+    def __iter__(self) -> Iterator[tuple[TargetId, Tenure]]:
+        """Return every target in use with its tenure."""
+        return iter(self._tenures.items())
+
+    @property
+    def running(self) -> int:
+        """Return the slots taken on all targets."""
+        return sum(tenure.running for tenure in self._tenures.values())
+
+    def find(self, target: TargetId) -> Tenure | None:
+        """Return the tenure of a target in use."""
+        return self._tenures.get(target)
+
+    def find_slack(self, target: TargetId, now: float) -> Slack:
+        """Return what could be taken on a target at this moment."""
+        tenure = self._tenures.get(target)
+        return Slack(0, 0) if tenure is None else tenure.find_slack(now)
+
+    def take(
+        self,
+        target: TargetId,
+        memory_tokens: int,
+        now: float,
+    ) -> Slot | Shortage:
+        """Take a slot right before the write to the target."""
+        tenure = self._tenures.get(target)
+        if tenure is None:
+            return Shortage.no_lease
+        return tenure.take(memory_tokens, now)
+
+    def give_back(self, slot: Slot, now: float) -> None:
+        """Return a slot when its request has left the target."""
+        tenure = self._tenures.get(slot.target)
+        if tenure is not None:
+            tenure.usage.give_back(slot)
+
+    def want(self, target: TargetId, slots: int, now: float) -> None:
+        """Say how many more slots could be used on a target."""
+        if target in self._panels and self._panels.find(target):
+            self._open(target).want(slots, now)
+
+    def learn_panel(
+        self,
+        target: TargetId,
+        panel: Panel,
+        now: float,
+    ) -> None:
+        """Follow a changed panel."""
+        tenure = self._tenures.get(target)
+        if tenure is not None:
+            tenure.ballot.learn(panel, now)
+        elif self._own in panel:
+            self._open(target)
+
+    def follow(self, find_keeper: FindKeeper, now: float) -> None:
+        """Turn to the keepers of the moment; drop what is not used."""
+        for target, tenure in tuple(self._tenures.items()):
+            panel = self._panels.find(target)
+            tenure.follow(find_keeper(panel), now)
+            if self._own not in panel and tenure.is_idle(now):
+                self._tenures.pop(target)
+
+    def build_claims(self, now: float) -> dict[VmId, list[Claim]]:
+        """Return the claims that are due, by keeper."""
+        soon = now + self._times.interval / 2
+        due = {
+            tenure.keeper
+            for tenure in self._tenures.values()
+            if tenure.next_claim <= now
+        }
+        return {
+            keeper: self._claim_of(keeper, soon, now)
+            for keeper in due
+            if keeper is not None
+        }
+
+    def accept(self, sender: VmId, grant: Grant, now: float) -> None:
+        """Take a grant."""
+        tenure = self._tenures.get(grant.target)
+        if tenure is not None:
+            tenure.accept(sender, grant, now)
+
+    def release(self, sender: VmId, release: Release, now: float) -> None:
+        """Take a vote back from a keeper that grants no more."""
+        tenure = self._tenures.get(release.target)
+        if tenure is not None:
+            tenure.release(sender, release, now)
+
+    def wake(self, now: float) -> None:
+        """Hold nothing until it is confirmed."""
+        for tenure in self._tenures.values():
+            tenure.wake(now)
+
+    def _claim_of(self, keeper: VmId, soon: float, now: float) -> list[Claim]:
+        return [
+            tenure.claim(now)
+            for tenure in self._tenures.values()
+            if tenure.keeper == keeper and tenure.next_claim <= soon
+        ]
+
+    def _open(self, target: TargetId) -> Tenure:
+        tenure = self._tenures.get(target)
+        if tenure is None:
+            ballot = Ballot(self._own, self._started, self._times)
+            ballot.learn(self._panels.find(target), self._panels.listed_at)
+            tenure = Tenure(
+                target,
+                ballot,
+                self._times,
+                self._epoch,
+                self._started + self._find_bearing(target).run_seconds,
+            )
+            self._tenures[target] = tenure
+        return tenure
--- a/chicoryshunt/process/watch.py
+++ b/chicoryshunt/process/watch.py
@@ -1,12 +1,13 @@
 """Reads the platform's list of VMs now and then."""
 
 import asyncio
+from collections.abc import Callable, Iterable
 from random import Random
 
 import msgspec
 
 from chicoryshunt.connection.client import HttpClient
-from chicoryshunt.connection.platform_api import PublishedVms
+from chicoryshunt.connection.platform_api import PublishedVm, PublishedVms
 from chicoryshunt.events import log_problem
 from chicoryshunt.exceptions import ChicoryshuntError, PlatformError
 from chicoryshunt.process.links import Links
@@ -18,6 +19,9 @@
 _SPREAD = 0.2
 
 
+Subscriber = Callable[[Iterable[PublishedVm], float], None]
+
+
 class VmWatch:
     """Keeps membership and links to what the platform publishes."""
 
@@ -27,6 +31,11 @@
         self._membership = membership
         self._links = links
         self._is_read = False
+        self._subscribers: list[Subscriber] = [membership.learn]
+
+    def subscribe(self, notify: Subscriber) -> None:
+        """Call ``notify(vms, now)`` with each list that is read."""
+        self._subscribers.append(notify)
 
     async def run(self, client: HttpClient, pulse: Pulse, rng: Random) -> None:
         """Read the list for as long as the process lives."""
@@ -46,7 +55,8 @@
             return
         self._is_read = True
         self._links.learn(published.vms)
-        self._membership.learn(published.vms, now)
+        for notify in self._subscribers:
+            notify(published.vms, now)
 
     def _find_delay(self, rng: Random) -> float:
         is_published = self._membership.own in self._membership.roster.published
--- a/chicoryshunt/settings.py
+++ b/chicoryshunt/settings.py
@@ -56,6 +56,14 @@
     caller_grace_seconds: PositiveSeconds = 5
 
 
+class LeaseSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Term of leases and bounds of lag that they rely on."""
+
+    term_seconds: PositiveSeconds = 4
+    vm_list_lag_seconds: PositiveSeconds = 5
+    load_lag_seconds: PositiveSeconds = 2
+
+
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Everything a node is told when it starts."""
 
@@ -65,6 +73,7 @@
     platform: Platform
     fleet_key: str = ''
     trials: bool = False
+    leases: LeaseSettings = msgspec.field(default_factory=LeaseSettings)
     limits: Limits = msgspec.field(default_factory=Limits)
 
     @property
--- a/lab/demo.py
+++ b/lab/demo.py
@@ -6,7 +6,7 @@
 import tempfile
 from pathlib import Path
 
-from lab.fleet import Fleet, Started, run_fleet, send
+from lab.fleet import Fleet, Started, run_fleet, send, wait_leases
 
 _FIRST_PORT = int(os.environ.get('LAB_FIRST_PORT', '18100'))
 _NODES = 3
@@ -59,7 +59,10 @@
         '/v1/vms',
         {'vms': [_publish_vm(one) for one in settings]},
     )
-    return [fleet.start_node(str(one['vm']), one) for one in settings]
+    nodes = [fleet.start_node(str(one['vm']), one) for one in settings]
+    for node in nodes:
+        wait_leases(node)
+    return nodes
 
 
 def _call(addresses: str, *options: str) -> int:
@@ -121,6 +124,7 @@
             'gossip': port + 2,
         },
         'platform': {'config': config.url, 'vms': vm_list.url},
+        'leases': {'term_seconds': 1, 'vm_list_lag_seconds': 0.5},
     }
 
 
--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -110,6 +110,18 @@
     raise RuntimeError(f'{started.name} did not start')
 
 
+def wait_leases(node: Started) -> None:
+    """Wait until a node has a lease on each target that it uses."""
+    deadline = time.monotonic() + _READY_SECONDS
+    while time.monotonic() < deadline:
+        status = json.loads(send(node.url, 'GET', '/v1/status'))
+        leases = status['leases']
+        if leases and all(lease['slots'] for lease in leases):
+            return
+        time.sleep(_POLL_SECONDS)
+    raise RuntimeError(f'{node.name} got no leases')
+
+
 def send(
     base: str,
     method: str,
--- /dev/null
+++ b/tests/leasing.py
@@ -0,0 +1,211 @@
+"""A few nodes' leases over a fake network, with fake targets."""
+
+from collections import deque
+from random import Random
+
+from chicoryshunt.clock import ManualClock
+from chicoryshunt.connection.platform_api import PublishedVm
+from chicoryshunt.connection.target_api import LoadReport
+from chicoryshunt.process.allowance import Shortage, Slack, Slot
+from chicoryshunt.process.claims import LeaseTimes
+from chicoryshunt.process.leases import Leases
+from chicoryshunt.process.ledger import Bearing
+from chicoryshunt.process.membership import Membership
+from chicoryshunt.process.roster import Roster
+from chicoryshunt.types import DataCentreId, Incarnation, TargetId, VmId
+from tests.builders import build_vm
+from tests.network import Host, Network
+
+CENTRES = ('luzon-a', 'luzon-b', 'luzon-c')
+TARGET = TargetId('engine-1')
+TIMES = LeaseTimes(term=4, list_lag=2, load_lag=1)
+RUN_SECONDS = 600
+STEP_SECONDS = 0.1
+_POLL_STEPS = 5
+
+
+class FakeTarget:
+    """Requests that truly run, and a report of them that lags."""
+
+    def __init__(self, limit: int) -> None:
+        self.limit = limit
+        self.running: dict[tuple[VmId, int, int], Slot] = {}
+        self._history: deque[tuple[float, int]] = deque([(0, 0)])
+
+    def observe(self, now: float) -> None:
+        self._history.append((now, len(self.running)))
+        while len(self._history) > 1 and self._history[1][0] <= now - 1:
+            self._history.popleft()
+
+    def report(self, now: float) -> LoadReport:
+        at, running = self._history[0]
+        return LoadReport(1, at, running, 0, 0, 0, 0, 0)
+
+
+class Node:
+    """One process: its cores and the slots it has taken."""
+
+    def __init__(self, fleet: 'LeaseFleet', vm: PublishedVm) -> None:
+        fleet.starts += 1
+        self.vm = vm.vm
+        self.epoch = fleet.starts * 1_000_000
+        now = fleet.clock.now()
+        self.membership = Membership(
+            vm,
+            Incarnation(self.epoch),
+            Random(fleet.starts),
+            now,
+        )
+        self.leases = Leases(
+            self.membership,
+            TIMES,
+            fleet.find_bearing,
+            now,
+        )
+        self.learn(fleet.vms, now)
+        self.leases.learn_targets(fleet.targets, {})
+
+    @property
+    def roster(self) -> Roster:
+        return self.membership.roster
+
+    @property
+    def is_leaving(self) -> bool:
+        return self.membership.is_leaving
+
+    def learn(self, vms: list[PublishedVm], now: float) -> None:
+        self.membership.learn(vms, now)
+        self.leases.learn_vms(vms, now)
+
+
+class LeaseFleet:
+    """Nodes, targets and time."""
+
+    def __init__(
+        self,
+        count: int = 5,
+        limit: int = 20,
+        seed: int = 1,
+        targets: int = 1,
+    ) -> None:
+        self.clock = ManualClock(1000)
+        self.network = Network(self.clock, Random(seed))
+        self.starts = 0
+        self.vms = [
+            build_vm(f'vm-{number}', CENTRES[number % len(CENTRES)])
+            for number in range(count)
+        ]
+        names = [TargetId(f'engine-{one + 1}') for one in range(targets)]
+        self.targets = dict.fromkeys(names, DataCentreId(CENTRES[0]))
+        self.fakes = {name: FakeTarget(limit) for name in names}
+        self.nodes: dict[VmId, Node] = {}
+        self.is_load_read = True
+        self._steps = 0
+
+    def find_bearing(self, target: TargetId) -> Bearing:
+        return Bearing(Slack(self.fakes[target].limit, 0), RUN_SECONDS)
+
+    def start(self, vm: PublishedVm) -> None:
+        node = Node(self, vm)
+        self.nodes[vm.vm] = node
+        cores = (node.membership, node.leases)
+        self.network.hosts[vm.vm] = Host(cores, self.clock)
+
+    def start_all(self) -> None:
+        for vm in self.vms:
+            self.start(vm)
+        self.run(30)
+
+    def kill(self, vm: VmId) -> None:
+        self.nodes.pop(vm)
+        self.network.hosts.pop(vm)
+
+    def run(self, seconds: float) -> None:
+        for _ in range(round(seconds / STEP_SECONDS)):
+            self._steps += 1
+            self.network.run(STEP_SECONDS, STEP_SECONDS)
+            now = self.clock.now()
+            for fake in self.fakes.values():
+                fake.observe(now)
+            if self.is_load_read and not self._steps % _POLL_STEPS:
+                self._poll(now)
+            self.check()
+
+    def take(self, vm: VmId, target: TargetId = TARGET) -> bool:
+        """Dispatch one request if the node has a lease for it."""
+        node = self.nodes[vm]
+        now = self.network.hosts[vm].check()
+        slot = node.leases.tenures.take(target, 0, now)
+        if isinstance(slot, Shortage):
+            node.leases.tenures.want(target, 1, now)
+            return False
+        key = (vm, node.epoch, slot.number)
+        self.fakes[target].running[key] = slot
+        self.check()
+        return True
+
+    def fill(self, vm: VmId, wanted: int, target: TargetId = TARGET) -> int:
+        """Dispatch as many requests as wanted and possible."""
+        taken = [self.take(vm, target) for _ in range(wanted)].count(True)
+        if taken < wanted and vm in self.nodes:
+            tenures = self.nodes[vm].leases.tenures
+            tenures.want(target, wanted - taken, self.clock.now())
+        return taken
+
+    def end(self, vm: VmId, count: int, target: TargetId = TARGET) -> int:
+        """End requests that a VM dispatched, of its earlier processes too."""
+        fake = self.fakes[target]
+        ended = [key for key in fake.running if key[0] == vm][:count]
+        for key in ended:
+            slot = fake.running.pop(key)
+            node = self.nodes.get(vm)
+            if node is not None and node.epoch == key[1]:
+                tenures = node.leases.tenures
+                tenures.give_back(slot, self.clock.now())
+        return len(ended)
+
+    def count_bound(self, target: TargetId = TARGET) -> int:
+        """Return live leases plus requests that run without one."""
+        now = self.clock.now()
+        total = 0
+        for vm, node in self.nodes.items():
+            tenure = node.leases.tenures.find(target)
+            slots = 0 if tenure is None else tenure.count_slots(now)
+            total += max(slots, self.count_running(vm, node.epoch, target))
+        live = {(vm, node.epoch) for vm, node in self.nodes.items()}
+        running = self.fakes[target].running
+        return total + sum(1 for key in running if key[:2] not in live)
+
+    def count_running(self, vm: VmId, epoch: int, target: TargetId) -> int:
+        running = self.fakes[target].running
+        return sum(1 for key in running if key[:2] == (vm, epoch))
+
+    def check(self) -> None:
+        """Assert that no target has to bear more than it can."""
+        for target, fake in self.fakes.items():
+            assert self.count_bound(target) <= fake.limit
+
+    def count_leased(self, target: TargetId = TARGET) -> int:
+        """Return the slots of all live leases."""
+        now = self.clock.now()
+        total = 0
+        for node in self.nodes.values():
+            tenure = node.leases.tenures.find(target)
+            total += 0 if tenure is None else tenure.count_slots(now)
+        return total
+
+    def find_keepers(self, target: TargetId = TARGET) -> set[VmId]:
+        """Return the nodes that keep a target."""
+        return {
+            vm
+            for vm, node in self.nodes.items()
+            if node.leases.keeping.find(target) is not None
+        }
+
+    def _poll(self, now: float) -> None:
+        for vm, node in self.nodes.items():
+            if self.network.hosts[vm].is_paused:
+                continue
+            for ledger in node.leases.keeping:
+                report = self.fakes[ledger.target].report(now)
+                ledger.take_load(report, now)
