--- /dev/null
+++ b/chicoryshunt/caller/__init__.py
@@ -0,0 +1,1 @@
+"""A caller that follows every rule of the interface."""
--- /dev/null
+++ b/chicoryshunt/caller/caller.py
@@ -0,0 +1,222 @@
+"""Sends requests, retries what did not run, resumes what was cut."""
+
+import asyncio
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+
+from chicoryshunt.caller.answer import Answer, parse_run_state
+from chicoryshunt.caller.entries import EntryBook
+from chicoryshunt.caller.stream import AnswerStream
+from chicoryshunt.connection.caller_api import (
+    GENERATION_HEADER,
+    INCOMPLETE,
+    RESUME_HEADER,
+    RESUME_PATH,
+    TEAM_HEADER,
+    VERDICT_HEADER,
+    VerdictBody,
+)
+from chicoryshunt.connection.client import (
+    BrokenError,
+    HttpClient,
+    NotConnectedError,
+    read_body,
+)
+from chicoryshunt.types import Reason, RunState
+
+_MAX_ATTEMPTS = 5
+_MAX_RESUMES = 8
+_MAX_RETRY_SECONDS = 10.0
+_RESUME_PAUSE_SECONDS = 0.1
+_FIRST_BYTE_SECONDS = 300.0
+_SILENT_SECONDS = 15.0
+_EVENT_STREAM = 'text/event-stream'
+
+
+class Caller:
+    """A caller of one team."""
+
+    def __init__(self, seeds: list[str], team: str) -> None:
+        """Start from any addresses of nodes, host:port each."""
+        self._client = HttpClient(keeps_connections=False)
+        self._book = EntryBook(self._client, seeds)
+        self._headers = {TEAM_HEADER: team}
+
+    async def refresh(self) -> None:
+        """Ask for addresses; raise ``CallError`` when no node answers."""
+        self._book.expire()
+        await self._book.list_addresses()
+
+    async def generate(self, model: str, body: Mapping[str, object]) -> Answer:
+        """Return one generation's answer; raise ``CallError``."""
+        encoded = msgspec.json.encode(body)
+        answer = Answer(RunState.not_run)
+        for attempt in range(_MAX_ATTEMPTS):
+            addresses = await self._book.list_addresses()
+            address = addresses[attempt % len(addresses)]
+            answer = await self._generate_at(address, model, encoded)
+            if not await self._may_retry(answer):
+                break
+        return answer
+
+    async def file(self, service: str, path: str, key: str) -> Answer:
+        """Send one call that may not be repeated; raise ``CallError``."""
+        addresses = await self._book.list_addresses()
+        answer: Answer = await self._post(
+            f'http://{addresses[0]}/v1/call/{service}/{path}',
+            b'{}',
+            {'idempotency-key': key},
+        )
+        return answer
+
+    async def _may_retry(self, answer: Answer) -> bool:
+        """Wait as long as the refusal asks; say whether to try again."""
+        if answer.verdict is not RunState.not_run:
+            return False
+        if answer.retry_after is None:
+            return False
+        if answer.retry_after > _MAX_RETRY_SECONDS:
+            return False
+        self._book.expire()
+        await asyncio.sleep(answer.retry_after)
+        return True
+
+    async def _generate_at(
+        self,
+        address: str,
+        model: str,
+        body: bytes,
+    ) -> Answer:
+        url = f'http://{address}/v1/generate/{model}'
+        response = await self._post(url, body)
+        if isinstance(response, Answer):
+            return response
+        stream = AnswerStream(
+            _start_answer(response),
+            _get_header(response, RESUME_HEADER),
+        )
+        await stream.read(response, _SILENT_SECONDS)
+        return await self._finish(stream, address)
+
+    async def _finish(self, stream: AnswerStream, address: str) -> Answer:
+        """Resume on the same address, then on others, until the end."""
+        failures = 0
+        while not stream.answer.ending and failures < _MAX_RESUMES:
+            index = stream.next_index
+            refusal = await self._resume(stream, address)
+            if refusal is not None and refusal.retry_after is None:
+                return _give_up(stream, refusal.reason, refusal.detail)
+            failures = 0 if stream.next_index > index else failures + 1
+            if failures:
+                await asyncio.sleep(_RESUME_PAUSE_SECONDS * failures)
+                address = await self._choose_next(address)
+        if stream.answer.ending:
+            return stream.answer
+        return _give_up(
+            stream,
+            Reason.target_unreachable.value,
+            f'not resumed in {failures} attempts',
+        )
+
+    async def _resume(
+        self,
+        stream: AnswerStream,
+        address: str,
+    ) -> Answer | None:
+        """Read on from the next index; return what refused it, if any."""
+        response = await self._post(
+            f'http://{address}{RESUME_PATH}?from={stream.next_index}',
+            headers={RESUME_HEADER: stream.token},
+            seconds=_SILENT_SECONDS,
+        )
+        if isinstance(response, Answer):
+            return response
+        await stream.read(response, _SILENT_SECONDS)
+        return None
+
+    async def _post(
+        self,
+        url: str,
+        body: bytes = b'',
+        headers: Mapping[str, str] | None = None,
+        seconds: float = _FIRST_BYTE_SECONDS,
+    ) -> Any:
+        """Return a response that streams, or the whole ``Answer``."""
+        try:
+            return await self._receive(url, body, headers or {}, seconds)
+        except NotConnectedError as error:
+            return _explain(RunState.not_run, error)
+        except BrokenError as error:
+            return _explain(RunState.may_have_run, error)
+
+    async def _receive(
+        self,
+        url: str,
+        body: bytes,
+        headers: Mapping[str, str],
+        seconds: float,
+    ) -> Any:
+        response = await self._client.request(
+            'POST',
+            url,
+            body,
+            {**headers, **self._headers},
+            answer_seconds=seconds,
+        )
+        return response if _is_stream(response) else await _read_whole(response)
+
+    async def _choose_next(self, address: str) -> str:
+        self._book.expire()
+        addresses = await self._book.list_addresses()
+        if address not in addresses:
+            return addresses[0]
+        return addresses[(addresses.index(address) + 1) % len(addresses)]
+
+
+def _is_stream(response: Any) -> bool:
+    return _get_header(response, 'content-type') == _EVENT_STREAM
+
+
+def _get_header(response: Any, name: str) -> str:
+    found: list[str] = response.headers.getRawHeaders(name, [''])
+    return found[0]
+
+
+def _start_answer(response: Any) -> Answer:
+    return Answer(
+        parse_run_state(_get_header(response, VERDICT_HEADER)),
+        generation=_get_header(response, GENERATION_HEADER),
+        status=response.code,
+    )
+
+
+async def _read_whole(response: Any) -> Answer:
+    """Return a call's answer or a refusal with its reason."""
+    answer = _start_answer(response)
+    answer.body = await read_body(response, _SILENT_SECONDS)
+    try:
+        refusal = msgspec.json.decode(answer.body, type=VerdictBody)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return answer
+    answer.reason = refusal.reason
+    answer.detail = refusal.detail
+    answer.retry_after = refusal.retry_after
+    return answer
+
+
+def _explain(run: RunState, error: Exception) -> Answer:
+    return Answer(
+        run,
+        Reason.target_unreachable.value,
+        str(error),
+        retry_after=0,
+    )
+
+
+def _give_up(stream: AnswerStream, reason: str, detail: str) -> Answer:
+    stream.answer.ending = INCOMPLETE
+    stream.answer.reason = reason
+    stream.answer.detail = detail
+    return stream.answer
--- a/chicoryshunt/connection/exchange.py
+++ b/chicoryshunt/connection/exchange.py
@@ -1,5 +1,6 @@
 """One HTTP request and its answer."""
 
+import asyncio
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any, cast
@@ -7,40 +8,24 @@
 import msgspec
 from twisted.web import server
 
+from chicoryshunt.connection.caller_api import (
+    RETRY_HEADER,
+    VERDICT_HEADER,
+    encode_verdict,
+)
 from chicoryshunt.types import RunState
 from chicoryshunt.verdict import Verdict
 
 JSON_TYPE = 'application/json'
 
 
-class VerdictBody(msgspec.Struct, frozen=True, omit_defaults=True):
-    """JSON form of a verdict; ``retry_after`` is in seconds."""
-
-    verdict: str
-    reason: str
-    detail: str
-    retry_after: float | None = None
-
-
-def encode_verdict(verdict: Verdict) -> bytes:
-    """Return the JSON form of a verdict."""
-    return msgspec.json.encode(
-        VerdictBody(
-            verdict.run.value,
-            verdict.reason.value,
-            verdict.detail,
-            verdict.retry_after,
-        ),
-    )
-
-
 class Exchange:
     """Typed view of a request and the answer to it."""
 
     def __init__(self, request: server.Request) -> None:
         """Wrap a request whose body is whole."""
         self._request = cast(Any, request)
-        self.is_gone = False
+        self._gone = asyncio.Event()
         request.notifyFinish().addErrback(self._mark_gone)
 
     @property
@@ -74,6 +59,15 @@
         """Say whether more of the answer can be written."""
         return not (self.is_gone or self._request.finished)
 
+    @property
+    def is_gone(self) -> bool:
+        """Say whether the caller left before the end of the answer."""
+        return self._gone.is_set()
+
+    async def wait_gone(self) -> None:
+        """Return when the caller leaves before the end of the answer."""
+        await self._gone.wait()
+
     def get_header(self, name: str) -> str:
         """Return a request header, empty when absent."""
         return self._request.getHeader(name) or ''
@@ -87,13 +81,13 @@
         """Set a header of the answer."""
         self._request.setHeader(name, text)
 
+    def remove_header(self, name: str) -> None:
+        """Drop a header of the answer."""
+        self._request.responseHeaders.removeHeader(name)
+
     def set_verdict(self, run: RunState) -> None:
         """Set the header that carries the verdict."""
-        self.set_header('x-verdict', run.value)
-
-    def set_status(self, status: int) -> None:
-        """Set the status of the answer."""
-        self._request.setResponseCode(status)
+        self.set_header(VERDICT_HEADER, run.value)
 
     def write(self, chunk: bytes) -> None:
         """Write a part of the answer while the caller is there."""
@@ -132,7 +126,7 @@
         status: int = HTTPStatus.OK,
     ) -> None:
         """Answer with a whole body."""
-        self.set_status(status)
+        self._request.setResponseCode(status)
         self.set_header('content-type', content_type)
         self.set_header('content-length', str(len(body)))
         self.write(body)
@@ -150,8 +144,8 @@
         """Answer with a verdict in header and body."""
         self.set_verdict(verdict.run)
         if verdict.retry_after is not None:
-            self.set_header('retry-after', f'{verdict.retry_after:.3f}')
+            self.set_header(RETRY_HEADER, f'{verdict.retry_after:.3f}')
         self.respond(encode_verdict(verdict), JSON_TYPE, verdict.status)
 
     def _mark_gone(self, _: object) -> None:
-        self.is_gone = True
+        self._gone.set()
--- a/chicoryshunt/connection/web.py
+++ b/chicoryshunt/connection/web.py
@@ -7,7 +7,8 @@
 from twisted.web import http, server
 from twisted.web.resource import Resource
 
-from chicoryshunt.connection.exchange import Exchange, encode_verdict
+from chicoryshunt.connection.caller_api import encode_verdict
+from chicoryshunt.connection.exchange import Exchange
 from chicoryshunt.events import log_problem
 from chicoryshunt.types import Reason
 from chicoryshunt.verdict import doubt, refuse
--- /dev/null
+++ b/chicoryshunt/process/generations.py
@@ -0,0 +1,237 @@
+"""The interface for generations: start, restart, resume."""
+
+import msgspec
+
+from chicoryshunt.connection.caller_api import RESUME_HEADER, TEAM_HEADER
+from chicoryshunt.connection.client import HttpClient
+from chicoryshunt.connection.engine_link import EngineLink
+from chicoryshunt.connection.exchange import Exchange
+from chicoryshunt.events import log_event
+from chicoryshunt.process.router import Route
+from chicoryshunt.process.seal import Purpose, Seal
+from chicoryshunt.process.state import NodeState
+from chicoryshunt.request.cancels import Cancels
+from chicoryshunt.request.generation import (
+    Generation,
+    Outcome,
+    Relay,
+    RelayLimits,
+)
+from chicoryshunt.request.handover import Handovers
+from chicoryshunt.request.order import (
+    GenerationRequest,
+    build_order,
+    parse_generation,
+    parse_index,
+)
+from chicoryshunt.request.resume_token import (
+    ResumeToken,
+    decode_token,
+    encode_token,
+)
+from chicoryshunt.request.sink import HoldBudget, Sink, describe_end
+from chicoryshunt.request.stall import StallWatch
+from chicoryshunt.types import (
+    Delivery,
+    GenerationId,
+    Incarnation,
+    ModelId,
+    Reason,
+    RequestId,
+    TargetId,
+    TeamId,
+)
+from chicoryshunt.verdict import Verdict, refuse
+
+_MAX_STARTS = 3
+
+
+class GenerationApi:
+    """Relays generations for callers."""
+
+    def __init__(self, state: NodeState) -> None:
+        """Serve with the state of the node."""
+        settings = state.settings
+        self._state = state
+        self._client = HttpClient(keeps_connections=False)
+        self._sign = Seal(
+            settings.key,
+            settings.vm,
+            Incarnation(0),
+            Purpose.token,
+        ).sign
+        self._relay = Relay(
+            StallWatch(),
+            Handovers(),
+            Cancels(),
+            RelayLimits(
+                settings.limits.stream_buffer_bytes,
+                settings.limits.caller_grace_seconds,
+            ),
+        )
+        self._budget = HoldBudget(
+            settings.limits.whole_buffer_bytes,
+            settings.limits.whole_buffers_bytes,
+        )
+        self._requests = 0
+
+    @property
+    def handovers(self) -> Handovers:
+        """Return the generations that other nodes may take over."""
+        return self._relay.handovers
+
+    async def generate(self, exchange: Exchange, model: ModelId) -> None:
+        """Answer a caller with a new generation."""
+        wanted = self._parse(exchange, model)
+        if isinstance(wanted, Verdict):
+            exchange.respond_verdict(wanted)
+            return
+        sink = Sink(exchange, self._choose_budget(wanted))
+        outcome = await self._start_until_delivered(wanted, sink)
+        log_event(
+            'generation_ended',
+            request=wanted.request,
+            tokens=outcome.tokens,
+            reason=_name_reason(outcome),
+        )
+        _end_answer(sink, outcome)
+
+    async def resume(self, exchange: Exchange) -> None:
+        """Continue a generation from the caller's next index."""
+        index = parse_index(exchange.get_query('from', '0'))
+        if isinstance(index, Verdict):
+            exchange.respond_verdict(index)
+            return
+        token = decode_token(exchange.get_header(RESUME_HEADER), self._sign)
+        if isinstance(token, Verdict):
+            exchange.respond_verdict(token)
+            return
+        route = self._find_route(token.target)
+        if isinstance(route, Verdict):
+            exchange.respond_verdict(route)
+            return
+        self._relay.handovers.take(token.generation)
+        sink = Sink(exchange)
+        with self._state.router.hold(route):
+            outcome = await self._build(route, sink, token).resume(
+                token.generation,
+                index,
+            )
+        log_event(
+            'resumed_generation_ended',
+            request=token.request,
+            tokens=outcome.tokens,
+            reason=_name_reason(outcome),
+        )
+        _end_answer(sink, outcome)
+
+    async def _start_until_delivered(
+        self,
+        wanted: GenerationRequest,
+        sink: Sink,
+    ) -> Outcome:
+        failed: frozenset[TargetId] = frozenset()
+        outcome = Outcome(0, '', None, delivered=False)
+        for _ in range(_MAX_STARTS):
+            route = self._state.route(wanted.model, failed)
+            if isinstance(route, Verdict):
+                last = outcome.verdict or route
+                return Outcome(outcome.tokens, '', last, delivered=False)
+            outcome = await self._start_at(route, wanted, sink)
+            repeatable = wanted.body.repeatable
+            if not outcome.may_start_anew(repeatable=repeatable):
+                break
+            log_event(
+                'generation_restarted',
+                request=wanted.request,
+                target=route.target,
+                reason=_name_reason(outcome),
+            )
+            sink.discard()
+            failed |= {route.target}
+        return outcome
+
+    async def _start_at(
+        self,
+        route: Route,
+        wanted: GenerationRequest,
+        sink: Sink,
+    ) -> Outcome:
+        token = ResumeToken(
+            self._state.settings.vm,
+            route.target,
+            GenerationId(''),
+            wanted.model,
+            wanted.team,
+            wanted.request,
+        )
+        with self._state.router.hold(route):
+            return await self._build(route, sink, token).start(
+                build_order(wanted),
+            )
+
+    def _build(
+        self,
+        route: Route,
+        sink: Sink,
+        token: ResumeToken,
+    ) -> Generation:
+        def make_token(generation: GenerationId) -> str:
+            own = msgspec.structs.replace(
+                token,
+                vm=self._state.settings.vm,
+                generation=generation,
+            )
+            return encode_token(own, self._sign)
+
+        engine = EngineLink(self._client, route.address)
+        return Generation(self._relay, engine, sink, make_token)
+
+    def _find_route(self, target: TargetId) -> Route | Verdict:
+        config = self._state.config
+        if config is None:
+            return refuse(Reason.config_missing, 'no configuration is known')
+        if target not in config.targets:
+            return refuse(Reason.no_target, f'no target {target!r}')
+        return Route(target, config.targets[target].address)
+
+    def _choose_budget(self, wanted: GenerationRequest) -> HoldBudget | None:
+        delivery = wanted.body.delivery
+        config = self._state.config
+        if delivery is None and config is not None:
+            delivery = config.teams[wanted.team].delivery
+        return self._budget if delivery is Delivery.whole else None
+
+    def _parse(
+        self,
+        exchange: Exchange,
+        model: ModelId,
+    ) -> GenerationRequest | Verdict:
+        config = self._state.config
+        if config is None:
+            return refuse(Reason.config_missing, 'no configuration is known')
+        if model not in config.models:
+            return refuse(Reason.unknown_model, f'no model {model!r}')
+        team = TeamId(exchange.get_header(TEAM_HEADER))
+        if team not in config.teams:
+            return refuse(Reason.unknown_team, f'no team {team!r}')
+        body = exchange.body
+        return parse_generation(self._name_request(), team, model, body)
+
+    def _name_request(self) -> RequestId:
+        self._requests += 1
+        return RequestId(f'{self._state.settings.vm}-{self._requests}')
+
+
+def _name_reason(outcome: Outcome) -> str:
+    verdict = outcome.verdict
+    return outcome.ending if verdict is None else verdict.reason.value
+
+
+def _end_answer(sink: Sink, outcome: Outcome) -> None:
+    if outcome.verdict is None or outcome.delivered:
+        sink.finish(
+            describe_end(outcome.tokens, outcome.ending, outcome.verdict),
+        )
+    else:
+        sink.respond_verdict(outcome.verdict)
--- a/chicoryshunt/process/router.py
+++ b/chicoryshunt/process/router.py
@@ -1,7 +1,7 @@
 """Chooses targets and counts what this node has running on each."""
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
 
@@ -36,12 +36,14 @@
         self,
         config: Config,
         wanted: ModelId | ServiceId,
+        excluded: Collection[TargetId] = (),
     ) -> Route | Verdict:
         """Return the least loaded target that serves what is wanted."""
         usable = {
             target_id: target
             for target_id, target in config.targets.items()
-            if wanted in {target.model, target.service}
+            if target_id not in excluded
+            and wanted in {target.model, target.service}
             and is_serving(config, target)
         }
         if not usable:
--- a/chicoryshunt/process/state.py
+++ b/chicoryshunt/process/state.py
@@ -1,7 +1,10 @@
 """What the parts of a node share while the process lives."""
 
+from collections.abc import Collection
+
 import msgspec
 
+from chicoryshunt.connection.caller_api import Entries, Entry
 from chicoryshunt.connection.platform_api import PublishedVm
 from chicoryshunt.process.metrics import Metrics
 from chicoryshunt.process.router import Route, Router
@@ -12,6 +15,7 @@
     Reason,
     Seconds,
     ServiceId,
+    TargetId,
     VmId,
 )
 from chicoryshunt.verdict import Verdict, refuse
@@ -20,20 +24,6 @@
 _KEEP_SECONDS = 5
 
 
-class Entry(msgspec.Struct, frozen=True):
-    """One address a caller may use."""
-
-    vm: VmId
-    address: str
-
-
-class Entries(msgspec.Struct, frozen=True):
-    """Addresses in order of preference and how long to keep them."""
-
-    entries: tuple[Entry, ...]
-    keep_seconds: float
-
-
 class NodeStatus(msgspec.Struct, frozen=True):
     """What a node says of itself."""
 
@@ -53,7 +43,11 @@
         self.config: Config | None = None
         self.vms: tuple[PublishedVm, ...] = ()
 
-    def route(self, wanted: ModelId | ServiceId) -> Route | Verdict:
+    def route(
+        self,
+        wanted: ModelId | ServiceId,
+        excluded: Collection[TargetId] = (),
+    ) -> Route | Verdict:
         """Return a target for the model or service."""
         if self.config is None:
             return refuse(
@@ -61,7 +55,7 @@
                 'no configuration is known',
                 Seconds(1),
             )
-        return self.router.choose(self.config, wanted)
+        return self.router.choose(self.config, wanted, excluded)
 
     def list_entries(self) -> Entries:
         """Return addresses, the caller's data centre first."""
--- a/chicoryshunt/request/assembler.py
+++ b/chicoryshunt/request/assembler.py
@@ -11,6 +11,7 @@
     """Say what an event is to the stream so far."""
 
     fresh = 'fresh'
+    overlap = 'overlap'
     duplicate = 'duplicate'
     foreign = 'foreign'
     gap = 'gap'
@@ -26,7 +27,11 @@
     ending: str = ''
 
     def accept(self, event: StreamEvent) -> Arrival:
-        """Classify an event and move the position past a fresh one."""
+        """Classify an event and move the position past fresh tokens.
+
+        An ``overlap`` begins before the position and ends past it; only its
+        tokens from the old position on are fresh.
+        """
         if event.g != self.generation:
             return Arrival.foreign
         if self.ending:
@@ -34,11 +39,16 @@
         if event.i > self.next_index:
             return Arrival.gap
         if event.end:
-            if event.i < self.next_index:
-                return Arrival.duplicate
-            self.ending = event.end
-            return Arrival.end
+            return self._accept_end(event)
+        stop = event.i + len(event.t)
+        if stop <= self.next_index:
+            return Arrival.duplicate
+        is_whole = event.i == self.next_index
+        self.next_index = stop
+        return Arrival.fresh if is_whole else Arrival.overlap
+
+    def _accept_end(self, event: StreamEvent) -> Arrival:
         if event.i < self.next_index:
             return Arrival.duplicate
-        self.next_index += len(event.t)
-        return Arrival.fresh
+        self.ending = event.end
+        return Arrival.end
--- /dev/null
+++ b/chicoryshunt/request/cancels.py
@@ -0,0 +1,59 @@
+"""Cancels generations at their engines until an engine answers."""
+
+import asyncio
+from typing import Protocol
+
+from chicoryshunt.connection.engine_link import EngineStream, ResumeFailure
+from chicoryshunt.connection.target_api import GenerateOrder
+from chicoryshunt.events import log_event, log_problem
+from chicoryshunt.types import GenerationId
+from chicoryshunt.verdict import Verdict
+
+_ATTEMPTS = 8
+_FIRST_PAUSE_SECONDS = 0.2
+_MAX_CANCELS = 256
+
+
+class Engine(Protocol):
+    """Where a generation runs."""
+
+    async def start(self, order: GenerateOrder) -> EngineStream | Verdict:
+        """Start a generation."""
+
+    async def resume(
+        self,
+        generation: GenerationId,
+        index: int,
+    ) -> EngineStream | ResumeFailure:
+        """Continue a generation from an index."""
+
+    async def cancel(self, generation: GenerationId) -> bool:
+        """Stop a generation; say whether the engine answered."""
+
+
+class Cancels:
+    """Repeats cancels in the background, a bounded number at once."""
+
+    def __init__(self) -> None:
+        """Start with nothing to cancel."""
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def add(self, engine: Engine, generation: GenerationId) -> None:
+        """Cancel a generation as soon as its engine answers."""
+        if len(self._tasks) >= _MAX_CANCELS:
+            log_problem('cancel_dropped', generation=generation)
+            return
+        task = asyncio.ensure_future(_cancel(engine, generation))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+async def _cancel(engine: Engine, generation: GenerationId) -> None:
+    pause = _FIRST_PAUSE_SECONDS
+    for _ in range(_ATTEMPTS):
+        if await engine.cancel(generation):
+            log_event('generation_cancelled', generation=generation)
+            return
+        await asyncio.sleep(pause)
+        pause *= 2
+    log_problem('cancel_failed', generation=generation)
--- a/chicoryshunt/request/generation.py
+++ b/chicoryshunt/request/generation.py
@@ -1,40 +1,72 @@
 """One generation: from an engine's stream to its caller."""
 
 import asyncio
+from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any, cast
 
-import msgspec
-from twisted.internet.protocol import Protocol
-from twisted.web import http
-
-from chicoryshunt.connection.client import (
-    BrokenError,
-    HttpClient,
-    NotConnectedError,
-)
-from chicoryshunt.connection.exchange import Exchange
-from chicoryshunt.connection.target_api import GenerateOrder, StreamEvent
+from chicoryshunt.connection.engine_link import EngineStream, ResumeFailure
+from chicoryshunt.connection.target_api import GenerateOrder
 from chicoryshunt.events import log_event
-from chicoryshunt.request.assembler import Arrival, Assembler
-from chicoryshunt.request.order import GenerationRequest
-from chicoryshunt.types import GenerationId, Reason, RunState
-from chicoryshunt.verdict import Verdict, doubt, refuse
+from chicoryshunt.request.assembler import Assembler
+from chicoryshunt.request.cancels import Cancels, Engine
+from chicoryshunt.request.handover import Handovers
+from chicoryshunt.request.reader import Stop, StreamReader
+from chicoryshunt.request.sink import Sink
+from chicoryshunt.request.stall import StallWatch
+from chicoryshunt.request.valve import Pausable
+from chicoryshunt.types import GenerationId, Reason, RunState, Seconds
+from chicoryshunt.verdict import Verdict
 
-_EVENT_END = b'\n\n'
-_DATA = b'data: '
 _RESUME_ATTEMPTS = 5
 _RESUME_PAUSE_SECONDS = 0.2
-_STALL_SECONDS = 2.0
+_MAX_SILENCE_SECONDS = 300.0
+_WHOLE_ENDINGS = frozenset(('stop', 'length'))
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class Outcome:
-    """How a generation ended; ``verdict`` is ``None`` when it is whole."""
+    """How a relay ended; ``verdict`` is ``None`` when the answer is whole.
+
+    ``tokens`` counts the generation's tokens so far. ``delivered`` says
+    whether the caller may have some of them.
+    """
 
     tokens: int
+    ending: str
     verdict: Verdict | None
+    delivered: bool
+
+    def may_start_anew(self, *, repeatable: bool) -> bool:
+        """Say whether the request may be sent to another engine."""
+        if self.verdict is None or self.delivered:
+            return False
+        match self.verdict.reason:
+            case Reason.target_unreachable | Reason.target_refused:
+                return repeatable or self.verdict.run is RunState.not_run
+            case Reason.engine_lost | Reason.engine_garbled:
+                return repeatable
+            case _:
+                return False
+
+
+@dataclass(frozen=True, slots=True)
+class RelayLimits:
+    """Bounds of one relay, in bytes and seconds."""
+
+    event_bytes: int
+    caller_grace_seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class Relay:
+    """What every generation of a process shares."""
+
+    watch: StallWatch
+    handovers: Handovers
+    cancels: Cancels
+    limits: RelayLimits
 
 
 class Generation:
@@ -42,162 +74,219 @@
 
     def __init__(
         self,
-        client: HttpClient,
-        address: str,
-        wanted: GenerationRequest,
-        caller: Exchange,
+        relay: Relay,
+        engine: Engine,
+        sink: Sink,
+        make_token: Callable[[GenerationId], str],
     ) -> None:
-        """Bind the generation to a target's address and its caller."""
-        self._client = client
-        self._base = f'http://{address}'
-        self._wanted = wanted
-        self._caller = caller
-        self._assembler: Assembler | None = None
-
-    async def run(self) -> Outcome:
-        """Stream until the end, a loss, or the caller is gone."""
-        response = await self._start()
-        if isinstance(response, Verdict):
-            return Outcome(0, response)
-        self._open(response)
-        await self._read(response)
-        for _ in range(_RESUME_ATTEMPTS):
-            if self._is_over():
-                break
-            await self._resume()
-        return self._conclude()
-
-    async def _start(self) -> Any:
-        body = self._wanted.body
-        order = GenerateOrder(
-            request=self._wanted.request,
-            model=self._wanted.model,
-            prompt=body.prompt,
-            max_tokens=body.max_tokens,
-            prompt_tokens=body.prompt_tokens,
-            priority=body.priority,
-            prefix=body.prefix,
-        )
+        """Bind the generation to an engine and its caller."""
+        self._relay = relay
+        self._engine = engine
+        self._sink = sink
+        self._make_token = make_token
+        self._assembler = Assembler(GenerationId(''))
+        self._failures = 0
+        self._progressed = asyncio.get_running_loop().time()
+
+    async def start(self, order: GenerateOrder) -> Outcome:
+        """Start the generation and relay it until it ends or is lost."""
+        stream = await self._engine.start(order)
+        if isinstance(stream, Verdict):
+            return self._conclude(stream)
+        return await self._relay_from(stream, 0)
+
+    async def resume(self, generation: GenerationId, index: int) -> Outcome:
+        """Relay the rest of a generation that was started before."""
+        stream = await self._engine.resume(generation, index)
+        match stream:
+            case EngineStream():
+                return await self._relay_from(stream, index)
+            case ResumeFailure.unknown:
+                verdict = Verdict(
+                    RunState.ran,
+                    Reason.unknown_generation,
+                    f'the engine does not know generation {generation}',
+                )
+            case _:
+                verdict = Verdict(
+                    RunState.ran,
+                    Reason.target_unreachable,
+                    f'the engine of generation {generation} does not answer',
+                    retry_after=Seconds(_RESUME_PAUSE_SECONDS),
+                )
+        return self._conclude(verdict)
+
+    async def _relay_from(self, stream: EngineStream, index: int) -> Outcome:
+        generation = stream.generation
+        self._assembler = Assembler(generation, index)
+        self._sink.announce(generation, self._make_token(generation))
+        with self._relay.handovers.track(generation) as taken:
+            follower = asyncio.ensure_future(self._follow(stream))
+            try:
+                verdict = await self._guard(follower, taken)
+            finally:
+                follower.cancel()
+        return self._conclude(verdict)
+
+    async def _guard(
+        self,
+        follower: 'asyncio.Future[Verdict | None]',
+        taken: asyncio.Event,
+    ) -> Verdict | None:
+        """Wait for the end, the loss of the caller, or a takeover."""
+        await self._wait_first(follower, taken)
+        if taken.is_set():
+            return self._hand_over()
+        if follower.done():
+            return self._settle(follower.result())
+        follower.cancel()
+        return await self._leave(taken)
+
+    async def _wait_first(
+        self,
+        follower: 'asyncio.Future[Verdict | None]',
+        taken: asyncio.Event,
+    ) -> None:
+        taking = asyncio.ensure_future(taken.wait())
+        leaving = asyncio.ensure_future(self._sink.wait_gone())
+        waits: list[asyncio.Future[Any]] = [follower, taking, leaving]
         try:
-            response = await self._client.request(
-                'POST',
-                f'{self._base}/generate',
-                msgspec.json.encode(order),
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            taking.cancel()
+            leaving.cancel()
+
+    def _hand_over(self) -> Verdict:
+        self._sink.abort()
+        return Verdict(
+            RunState.ran,
+            Reason.resumed_elsewhere,
+            'the caller resumed on another connection',
+        )
+
+    async def _leave(self, taken: asyncio.Event) -> Verdict:
+        """Give a caller that is gone time to resume, then cancel."""
+        if self._sink.is_delivered:
+            grace = self._relay.limits.caller_grace_seconds
+            with suppress(TimeoutError):
+                await asyncio.wait_for(taken.wait(), grace)
+                return self._hand_over()
+        generation = self._assembler.generation
+        if not await self._engine.cancel(generation):
+            self._relay.cancels.add(self._engine, generation)
+        return Verdict(RunState.ran, Reason.cancelled, 'the caller is gone')
+
+    def _settle(self, verdict: Verdict | None) -> Verdict | None:
+        if verdict is not None:
+            generation = self._assembler.generation
+            self._relay.cancels.add(self._engine, generation)
+        return verdict
+
+    async def _follow(self, stream: EngineStream) -> Verdict | None:
+        """Read to the end; the verdict tells why there is none."""
+        while True:
+            stop = await self._read(stream)
+            if stop is Stop.end:
+                return self._judge_ending()
+            lost = self._judge_stop(stop)
+            if lost is not None:
+                return lost
+            again = await self._reconnect(stop)
+            if isinstance(again, Verdict):
+                return again
+            stream = again
+
+    def _judge_stop(self, stop: Stop) -> Verdict | None:
+        """Say why the stream cannot be resumed, ``None`` if it can."""
+        if stop in {Stop.garbled, Stop.oversized}:
+            return self._judge_loss(
+                Reason.engine_garbled,
+                f'{stop.value} event from the engine',
+            )
+        if stop in {Stop.cut, Stop.gap}:
+            self._failures += 1
+        silence = asyncio.get_running_loop().time() - self._progressed
+        if silence > _MAX_SILENCE_SECONDS:
+            return self._judge_loss(
+                Reason.engine_lost,
+                f'no token for {silence:.0f} s',
             )
-        except NotConnectedError as error:
-            return refuse(Reason.target_unreachable, str(error))
-        except BrokenError as error:
-            return doubt(Reason.engine_lost, str(error))
-        if response.code != http.OK:
-            return refuse(Reason.target_refused, f'status {response.code}')
-        return response
-
-    def _open(self, response: Any) -> None:
-        name = response.headers.getRawHeaders('x-generation', [''])[0]
-        self._assembler = Assembler(GenerationId(name))
-        self._caller.set_header('content-type', 'text/event-stream')
-        self._caller.set_header('x-generation', name)
-        self._caller.set_verdict(RunState.ran)
-
-    async def _read(self, response: Any) -> None:
-        assert self._assembler is not None
-        reader = StreamReader(self._assembler, self._caller)
-        response.deliverBody(reader)
-        await reader.done
-
-    def _is_over(self) -> bool:
-        assert self._assembler is not None
-        return bool(self._assembler.ending) or self._caller.is_gone
-
-    async def _resume(self) -> None:
-        assert self._assembler is not None
-        await asyncio.sleep(_RESUME_PAUSE_SECONDS)
-        url = (
-            f'{self._base}/generations/{self._assembler.generation}'
-            + f'?from={self._assembler.next_index}'
+        return None
+
+    def _note_progress(self, index: int) -> None:
+        is_ahead = self._assembler.next_index > index
+        if is_ahead or self._sink.valve.is_paused:
+            self._progressed = asyncio.get_running_loop().time()
+            self._failures = 0
+
+    async def _read(self, stream: EngineStream) -> Stop:
+        reader = StreamReader(
+            self._assembler,
+            self._sink,
+            self._relay.limits.event_bytes,
         )
+        index = self._assembler.next_index
+        self._relay.watch.add(reader)
+        stream.response.deliverBody(reader)
+        if reader.transport is not None:
+            self._sink.valve.attach(cast(Pausable, reader.transport))
+        try:
+            return await reader.stopped
+        finally:
+            self._close(reader)
+            self._note_progress(index)
+
+    def _close(self, reader: StreamReader) -> None:
+        self._sink.valve.detach()
+        self._relay.watch.discard(reader)
+        reader.close()
+
+    async def _reconnect(self, stop: Stop) -> EngineStream | Verdict:
+        generation = self._assembler.generation
+        index = self._assembler.next_index
         log_event(
             'generation_resumed',
-            request=self._wanted.request,
-            index=self._assembler.next_index,
+            generation=generation,
+            index=index,
+            reason=stop.value,
         )
-        with suppress(NotConnectedError, BrokenError):
-            response = await self._client.request('GET', url)
-            if response.code == http.OK:
-                await self._read(response)
-
-    def _conclude(self) -> Outcome:
-        assert self._assembler is not None
-        tokens = self._assembler.next_index
-        if self._assembler.ending:
-            return Outcome(tokens, None)
-        if self._caller.is_gone:
-            reason = Reason.cancelled
-        else:
-            reason = Reason.engine_lost
-        return Outcome(
-            tokens,
-            Verdict(RunState.ran, reason, f'incomplete after {tokens} tokens'),
+        while self._failures <= _RESUME_ATTEMPTS:
+            await asyncio.sleep(_RESUME_PAUSE_SECONDS * self._failures)
+            stream = await self._engine.resume(generation, index)
+            if isinstance(stream, EngineStream):
+                return stream
+            if stream is ResumeFailure.unknown:
+                return self._judge_loss(
+                    Reason.engine_lost,
+                    f'the engine forgot generation {generation}',
+                )
+            self._failures += 1
+        return self._judge_loss(
+            Reason.engine_lost,
+            f'the engine did not answer {_RESUME_ATTEMPTS} times',
         )
 
-
-class StreamReader(Protocol):
-    """Checks events of an engine and passes fresh ones to the caller."""
-
-    def __init__(self, assembler: Assembler, caller: Exchange) -> None:
-        """Read into the given assembler."""
-        self.done: asyncio.Future[None] = (
-            asyncio.get_running_loop().create_future()
+    def _judge_ending(self) -> Verdict | None:
+        ending = self._assembler.ending
+        if ending in _WHOLE_ENDINGS:
+            return None
+        return self._judge_loss(
+            Reason.cancelled,
+            f'the engine ended the generation with {ending!r}',
         )
-        self._assembler = assembler
-        self._caller = caller
-        self._buffer = b''
-        self._decode = msgspec.json.Decoder(StreamEvent).decode
-        self._watchdog = self._watch()
-
-    def connectionMade(self) -> None:
-        """Hold back the engine while the caller is slow."""
-        if self._caller.is_gone:
-            self._finish()
-            return
-        self._caller.hold_back(self.transport)
-        self._caller.on_gone(self._finish)
-
-    def dataReceived(self, data: bytes) -> None:
-        """Pass on the fresh events of a chunk."""
-        self._watchdog.cancel()
-        self._watchdog = self._watch()
-        frames = (self._buffer + data).split(_EVENT_END)
-        self._buffer = frames.pop()
-        fresh = [frame for frame in frames if self._check(frame)]
-        if fresh and not self._caller.is_gone:
-            fresh.append(b'')
-            self._caller.write(_EVENT_END.join(fresh))
-
-    def connectionLost(self, reason: Any = None) -> None:
-        """End the reading."""
-        self._finish()
-
-    def _check(self, frame: bytes) -> bool:
-        if not frame.startswith(_DATA):
-            return False
-        arrival = self._assembler.accept(self._decode(frame[len(_DATA) :]))
-        if arrival is Arrival.gap:
-            self._finish()
-        return arrival is Arrival.fresh
-
-    def _watch(self) -> asyncio.TimerHandle:
-        return asyncio.get_running_loop().call_later(
-            _STALL_SECONDS,
-            self._finish,
+
+    def _judge_loss(self, reason: Reason, detail: str) -> Verdict:
+        tokens = self._assembler.next_index
+        return Verdict(
+            RunState.ran,
+            reason,
+            f'incomplete after {tokens} tokens: {detail}',
         )
 
-    def _finish(self) -> None:
-        self._watchdog.cancel()
-        if self.done.done():
-            return
-        if not self._caller.is_gone:
-            self._caller.release()
-        self.done.set_result(None)
-        if self.transport is not None:
-            cast(Any, self.transport).loseConnection()
+    def _conclude(self, verdict: Verdict | None) -> Outcome:
+        return Outcome(
+            self._assembler.next_index,
+            self._assembler.ending,
+            verdict,
+            self._sink.is_delivered,
+        )
--- a/chicoryshunt/request/order.py
+++ b/chicoryshunt/request/order.py
@@ -2,9 +2,12 @@
 
 import msgspec
 
+from chicoryshunt.connection.target_api import GenerateOrder
 from chicoryshunt.types import Delivery, ModelId, Reason, RequestId, TeamId
 from chicoryshunt.verdict import Verdict, refuse
 
+_MAX_INDEX_DIGITS = 9
+
 
 class GenerationBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """JSON body of a generation request; lengths are in tokens."""
@@ -39,8 +42,31 @@
     """Check a request body; the verdict names what is wrong."""
     try:
         parsed = _DECODER.decode(body)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
         return refuse(Reason.bad_request, f'body: {error}')
     if parsed.max_tokens < 1 or parsed.prompt_tokens < 1:
         return refuse(Reason.bad_request, 'body: token counts start at 1')
     return GenerationRequest(request, team, model, parsed)
+
+
+def build_order(wanted: GenerationRequest) -> GenerateOrder:
+    """Return what an engine is asked for."""
+    body = wanted.body
+    return GenerateOrder(
+        request=wanted.request,
+        model=wanted.model,
+        prompt=body.prompt,
+        max_tokens=body.max_tokens,
+        prompt_tokens=body.prompt_tokens,
+        priority=body.priority,
+        prefix=body.prefix,
+    )
+
+
+def parse_index(text: str) -> int | Verdict:
+    """Check the index that a caller wants to resume from."""
+    if len(text) > _MAX_INDEX_DIGITS:
+        return refuse(Reason.bad_request, 'from: the index is too long')
+    if not (text.isascii() and text.isdigit()):
+        return refuse(Reason.bad_request, f'from: {text!r} is no index')
+    return int(text)
--- /dev/null
+++ b/chicoryshunt/request/reader.py
@@ -0,0 +1,110 @@
+"""Reads one engine connection of a generation."""
+
+import asyncio
+from enum import Enum
+from typing import Any, cast
+
+from twisted.internet.protocol import Protocol
+
+from chicoryshunt.connection.event_stream import (
+    EventDecoder,
+    FrameBuffer,
+    StreamDamage,
+    encode_tail,
+    join_frames,
+)
+from chicoryshunt.request.assembler import Arrival, Assembler
+from chicoryshunt.request.sink import Sink
+
+_DECODE = EventDecoder().decode
+
+
+class Stop(Enum):
+    """Say why reading stopped."""
+
+    end = 'end'
+    cut = 'cut'
+    stalled = 'stalled'
+    gap = 'gap'
+    garbled = 'garbled'
+    oversized = 'oversized'
+
+
+class StreamReader(Protocol):
+    """Checks events of an engine and passes fresh ones to the caller."""
+
+    def __init__(
+        self,
+        assembler: Assembler,
+        sink: Sink,
+        max_event_bytes: int,
+    ) -> None:
+        """Read into the given assembler."""
+        self.stopped: asyncio.Future[Stop] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.heard = False
+        self._assembler = assembler
+        self._sink = sink
+        self._buffer = FrameBuffer(max_event_bytes)
+
+    @property
+    def is_paused(self) -> bool:
+        """Say whether the caller's slowness holds the engine back."""
+        return self._sink.valve.is_paused
+
+    def dataReceived(self, data: bytes) -> None:
+        """Pass on the fresh events of a chunk."""
+        self.heard = True
+        if self.stopped.done():
+            return
+        match self._buffer.cut(data):
+            case StreamDamage.oversized | StreamDamage.garbled:
+                self._stop(Stop.oversized)
+            case list(frames):
+                self._pass_on(frames)
+
+    def connectionLost(self, reason: Any = None) -> None:
+        """End the reading."""
+        self._stop(Stop.cut)
+
+    def stall(self) -> None:
+        """End the reading, for the engine is silent."""
+        self._stop(Stop.stalled)
+
+    def close(self) -> None:
+        """Close the connection to the engine."""
+        if self.transport is not None:
+            cast(Any, self.transport).loseConnection()
+
+    def _pass_on(self, frames: list[bytes]) -> None:
+        fresh: list[bytes] = []
+        for frame in frames:
+            stop = self._check(frame, fresh)
+            if stop is not None:
+                self._stop(stop)
+                break
+        if fresh:
+            self._sink.write(join_frames(fresh))
+
+    def _check(self, frame: bytes, fresh: list[bytes]) -> Stop | None:
+        event = _DECODE(frame)
+        if event is None:
+            return None
+        if isinstance(event, StreamDamage):
+            return Stop.garbled
+        start = self._assembler.next_index
+        match self._assembler.accept(event):
+            case Arrival.fresh:
+                fresh.append(frame)
+            case Arrival.overlap:
+                fresh.append(encode_tail(event, start))
+            case Arrival.gap:
+                return Stop.gap
+            case Arrival.end:
+                return Stop.end
+        return None
+
+    def _stop(self, stop: Stop) -> None:
+        if not self.stopped.done():
+            self.stopped.set_result(stop)
--- /dev/null
+++ b/chicoryshunt/request/sink.py
@@ -0,0 +1,140 @@
+"""The caller's side of one generation: held back or streamed."""
+
+from chicoryshunt.connection.caller_api import (
+    GENERATION_HEADER,
+    INCOMPLETE,
+    RESUME_HEADER,
+    AnswerEnd,
+    encode_answer_end,
+)
+from chicoryshunt.connection.exchange import Exchange
+from chicoryshunt.request.valve import Valve
+from chicoryshunt.types import GenerationId, RunState
+from chicoryshunt.verdict import Verdict
+
+
+class HoldBudget:
+    """Memory for answers that are held back, shared by the process."""
+
+    def __init__(self, answer_bytes: int, total_bytes: int) -> None:
+        """Bound one answer and all of them together."""
+        self._answer_bytes = answer_bytes
+        self._left = total_bytes
+
+    def take(self, size: int, held: int) -> bool:
+        """Reserve more for an answer that holds some; say if it fits."""
+        if size > self._left or held + size > self._answer_bytes:
+            return False
+        self._left -= size
+        return True
+
+    def give_back(self, size: int) -> None:
+        """Return what was reserved."""
+        self._left += size
+
+
+class Sink:
+    """Passes frames on to a caller.
+
+    With a budget, frames are held back until the end, so that a lost engine
+    costs no answer. What does not fit into the budget is streamed.
+    """
+
+    def __init__(
+        self,
+        exchange: Exchange,
+        budget: HoldBudget | None = None,
+    ) -> None:
+        """Answer the exchange."""
+        self.valve = Valve()
+        self._exchange = exchange
+        self._budget = budget
+        self._held: list[bytes] = []
+        self._held_bytes = 0
+
+    @property
+    def is_delivered(self) -> bool:
+        """Say whether the caller may have tokens of this answer."""
+        return self._exchange.is_started
+
+    @property
+    def is_gone(self) -> bool:
+        """Say whether the caller's connection is lost."""
+        return self._exchange.is_gone
+
+    async def wait_gone(self) -> None:
+        """Return when the caller's connection is lost."""
+        await self._exchange.wait_gone()
+
+    def announce(self, generation: GenerationId, token: str) -> None:
+        """Name the generation whose frames follow, and how to resume it."""
+        self._exchange.set_header('content-type', 'text/event-stream')
+        self._exchange.set_header('cache-control', 'no-store')
+        self._exchange.set_header(GENERATION_HEADER, generation)
+        self._exchange.set_header(RESUME_HEADER, token)
+        self._exchange.set_verdict(RunState.ran)
+        self._exchange.hold_back(self.valve)
+
+    def write(self, frames: bytes) -> None:
+        """Pass on or hold back whole frames."""
+        if self._budget is None:
+            self._exchange.write(frames)
+        elif self._budget.take(len(frames), self._held_bytes):
+            self._held.append(frames)
+            self._held_bytes += len(frames)
+        else:
+            self._flush()
+            self._budget = None
+            self._exchange.write(frames)
+
+    def discard(self) -> None:
+        """Forget what is held back and the engine it came from."""
+        self._drop_held()
+        self._exchange.release()
+
+    def finish(self, end: AnswerEnd) -> None:
+        """Send what is held back and the end of the answer."""
+        self._flush()
+        self._exchange.release()
+        self._exchange.write(encode_answer_end(end))
+        self._exchange.finish()
+
+    def respond_verdict(self, verdict: Verdict) -> None:
+        """Answer with a verdict alone; nothing was delivered."""
+        self.discard()
+        for name in (GENERATION_HEADER, RESUME_HEADER):
+            self._exchange.remove_header(name)
+        self._exchange.respond_verdict(verdict)
+
+    def abort(self) -> None:
+        """Cut the caller's connection."""
+        self._drop_held()
+        self._exchange.abort()
+
+    def _flush(self) -> None:
+        held = self._drop_held()
+        if held:
+            self._exchange.write(held)
+
+    def _drop_held(self) -> bytes:
+        held = b''.join(self._held)
+        self._held.clear()
+        if self._budget is not None:
+            self._budget.give_back(self._held_bytes)
+        self._held_bytes = 0
+        return held
+
+
+def describe_end(
+    tokens: int, ending: str, verdict: Verdict | None
+) -> AnswerEnd:
+    """Return the last event of an answer that was begun."""
+    if verdict is None:
+        return AnswerEnd(ending, tokens, RunState.ran.value)
+    return AnswerEnd(
+        INCOMPLETE,
+        tokens,
+        verdict.run.value,
+        verdict.reason.value,
+        verdict.detail,
+    )
--- a/chicoryshunt/settings.py
+++ b/chicoryshunt/settings.py
@@ -50,9 +50,12 @@
 
     body_bytes: PositiveInt = 4 << 20
     body_seconds: PositiveSeconds = 20
+    header_seconds: PositiveSeconds = 10
+    open_bodies_bytes: PositiveInt = 32 << 20
     connections: PositiveInt = 4096
     stream_buffer_bytes: PositiveInt = 256 << 10
     whole_buffer_bytes: PositiveInt = 8 << 20
+    whole_buffers_bytes: PositiveInt = 32 << 20
     caller_grace_seconds: PositiveSeconds = 5
 
 
--- a/chicoryshunt/verdict.py
+++ b/chicoryshunt/verdict.py
@@ -20,7 +20,10 @@
         Reason.unknown_path: HTTPStatus.NOT_FOUND,
         Reason.unknown_service: HTTPStatus.NOT_FOUND,
         Reason.unknown_team: HTTPStatus.FORBIDDEN,
+        Reason.engine_garbled: HTTPStatus.BAD_GATEWAY,
         Reason.engine_lost: HTTPStatus.BAD_GATEWAY,
+        Reason.request_timeout: HTTPStatus.REQUEST_TIMEOUT,
+        Reason.token_forged: HTTPStatus.FORBIDDEN,
         Reason.target_unreachable: HTTPStatus.BAD_GATEWAY,
         Reason.internal_error: HTTPStatus.INTERNAL_SERVER_ERROR,
     }
--- a/lab/engine.py
+++ b/lab/engine.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 from collections import deque
-from dataclasses import dataclass, field
 from http import HTTPStatus
 
 import msgspec
@@ -14,16 +13,15 @@
     Accepted,
     CacheEvent,
     CacheEvents,
-    EndEvent,
     GenerateOrder,
     LoadReport,
     NotAccepted,
     Order,
     OrderAnswer,
-    TokenEvent,
 )
 from lab.batching import Batch, Ending, EngineSpec, Job, Step
 from lab.daemon import parse_flags, serve_stand_in
+from lab.engine_stream import Generation, TokenStream
 from lab.faults import FaultKind, Faults
 
 _FLAGS = flags.FlagValues()
@@ -44,33 +42,6 @@
 _LENGTH_MARK = 'length='
 
 
-@dataclass(slots=True)
-class Generation:
-    """One generation with all it has produced, kept for resumes."""
-
-    name: str
-    job: Job
-    tokens: list[str] = field(default_factory=list)
-    ending: Ending | None = None
-    changed: asyncio.Event = field(default_factory=asyncio.Event)
-
-    def append(self, token: str) -> None:
-        """Add a token and wake every reader."""
-        self.tokens.append(token)
-        self.wake()
-
-    def end(self, ending: Ending) -> None:
-        """Record the end and wake every reader."""
-        if self.ending is None:
-            self.ending = ending
-        self.wake()
-
-    def wake(self) -> None:
-        """Wake every reader."""
-        self.changed.set()
-        self.changed = asyncio.Event()
-
-
 class Engine:
     """The engine's state and its HTTP interface."""
 
@@ -164,10 +135,14 @@
         return self._reports[0] if self._reports else self._build_report(0)
 
     async def _generate(self, exchange: Exchange) -> None:
-        order = msgspec.json.decode(
-            exchange.body,
-            type=GenerateOrder,
-        )
+        try:
+            order = msgspec.json.decode(exchange.body, type=GenerateOrder)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            exchange.respond_json(
+                NotAccepted(str(error)),
+                HTTPStatus.BAD_REQUEST,
+            )
+            return
         if self.faults.is_on(FaultKind.refuse):
             exchange.respond_json(
                 NotAccepted('told to refuse'),
@@ -233,35 +208,8 @@
         generation: Generation,
         start: int,
     ) -> None:
-        exchange.set_header('content-type', 'text/event-stream')
-        exchange.set_header('x-generation', generation.name)
-        exchange.on_gone(generation.wake)
-        writer = _Writer(exchange)
-        exchange.write(b': accepted\n\n')
-        index = start
-        while exchange.is_open:
-            changed = generation.changed
-            await writer.wait_ready()
-            if self._is_stalled(index):
-                await asyncio.sleep(_IDLE_SECONDS)
-            elif index < len(generation.tokens):
-                batch = tuple(generation.tokens[index:])
-                exchange.write(encode_event(generation.name, index, batch))
-                index += len(batch)
-            elif generation.ending is None:
-                await changed.wait()
-            else:
-                exchange.write(
-                    encode_end(generation.name, index, generation.ending),
-                )
-                exchange.release()
-                exchange.finish()
-
-    def _is_stalled(self, index: int) -> bool:
-        return (
-            self.faults.is_on(FaultKind.stall)
-            and index >= self.faults.stall_after
-        )
+        stream = TokenStream(exchange, generation, start, self.faults)
+        await stream.serve()
 
     def _obey(self, exchange: Exchange) -> None:
         order = msgspec.json.decode(exchange.body, type=Order)
@@ -280,40 +228,6 @@
         exchange.respond_json(OrderAnswer(accepted=True, fence=self.fence))
 
 
-class _Writer:
-    """Producer that stops the stream while its reader is slow."""
-
-    def __init__(self, exchange: Exchange) -> None:
-        self._ready = asyncio.Event()
-        self._ready.set()
-        exchange.on_gone(self._ready.set)
-        exchange.hold_back(self)
-
-    async def wait_ready(self) -> None:
-        await self._ready.wait()
-
-    def pauseProducing(self) -> None:
-        self._ready.clear()
-
-    def resumeProducing(self) -> None:
-        self._ready.set()
-
-    def stopProducing(self) -> None:
-        self._ready.set()
-
-
-def encode_event(name: str, index: int, tokens: tuple[str, ...]) -> bytes:
-    """Return the server-sent event that carries tokens."""
-    event = msgspec.json.encode(TokenEvent(name, index, tokens))
-    return b'data: %s\n\n' % event
-
-
-def encode_end(name: str, index: int, ending: Ending | None) -> bytes:
-    """Return the server-sent event that ends a generation."""
-    text = '' if ending is None else ending.value
-    return b'data: %s\n\n' % msgspec.json.encode(EndEvent(name, index, text))
-
-
 def _find_ending(job: Job) -> Ending:
     return Ending.length if job.length > job.max_tokens else Ending.stop
 
--- /dev/null
+++ b/lab/engine_stream.py
@@ -0,0 +1,135 @@
+"""The event streams of the engine stand-in."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+import msgspec
+
+from chicoryshunt.connection.caller_api import GENERATION_HEADER
+from chicoryshunt.connection.exchange import Exchange
+from chicoryshunt.connection.target_api import EndEvent, TokenEvent
+from lab.batching import Ending, Job
+from lab.faults import FaultKind, Faults
+
+_FAULT_PAUSE_SECONDS = 0.002
+_MAX_BATCH_TOKENS = 256
+_GARBLED_EVENT = b'data: {"g": 1, \xff\n\n'
+
+
+@dataclass(slots=True)
+class Generation:
+    """One generation with all it has produced, kept for resumes."""
+
+    name: str
+    job: Job
+    tokens: list[str] = field(default_factory=list)
+    ending: Ending | None = None
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def append(self, token: str) -> None:
+        """Add a token and wake every reader."""
+        self.tokens.append(token)
+        self.wake()
+
+    def end(self, ending: Ending) -> None:
+        """Record the end and wake every reader."""
+        if self.ending is None:
+            self.ending = ending
+        self.wake()
+
+    def wake(self) -> None:
+        """Wake every reader."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class TokenStream:
+    """One reader's stream; a slow reader stops only its own."""
+
+    def __init__(
+        self,
+        exchange: Exchange,
+        generation: Generation,
+        start: int,
+        faults: Faults,
+    ) -> None:
+        """Stream from an index on."""
+        self._exchange = exchange
+        self._generation = generation
+        self._index = start
+        self._faults = faults
+        self._ready = asyncio.Event()
+        self._ready.set()
+
+    async def serve(self) -> None:
+        """Write until the generation ends or the reader is gone."""
+        self._open()
+        while self._exchange.is_open:
+            await self._ready.wait()
+            changed = self._generation.changed
+            if self._misbehave():
+                await asyncio.sleep(_FAULT_PAUSE_SECONDS)
+            elif not self._write_next():
+                await changed.wait()
+
+    def pauseProducing(self) -> None:
+        """Stop writing."""
+        self._ready.clear()
+
+    def resumeProducing(self) -> None:
+        """Write on."""
+        self._ready.set()
+
+    def stopProducing(self) -> None:
+        """Let the loop see that the reader is gone."""
+        self._ready.set()
+
+    def _open(self) -> None:
+        self._exchange.set_header('content-type', 'text/event-stream')
+        self._exchange.set_header(GENERATION_HEADER, self._generation.name)
+        self._exchange.on_gone(self._generation.wake)
+        self._exchange.on_gone(self._ready.set)
+        self._exchange.hold_back(self)
+        self._exchange.write(b': accepted\n\n')
+
+    def _misbehave(self) -> bool:
+        if self._is_on(FaultKind.cut):
+            self._exchange.abort()
+            return True
+        if self._is_on(FaultKind.garble):
+            self._exchange.write(_GARBLED_EVENT)
+            return True
+        return self._is_on(FaultKind.stall)
+
+    def _is_on(self, kind: FaultKind) -> bool:
+        return (
+            self._faults.is_on(kind) and self._index >= self._faults.stall_after
+        )
+
+    def _write_next(self) -> bool:
+        """Write what is new; say whether there was anything."""
+        tokens = self._generation.tokens
+        if self._index < len(tokens):
+            stop = self._index + _MAX_BATCH_TOKENS
+            self._write_tokens(tuple(tokens[self._index : stop]))
+            return True
+        if self._generation.ending is None:
+            return False
+        self._finish(self._generation.ending)
+        return True
+
+    def _write_tokens(self, tokens: tuple[str, ...]) -> None:
+        event = TokenEvent(self._generation.name, self._index, tokens)
+        self._exchange.write(encode_event(event))
+        self._index += len(tokens)
+
+    def _finish(self, ending: Ending) -> None:
+        event = EndEvent(self._generation.name, self._index, ending.value)
+        self._exchange.write(encode_event(event))
+        self._exchange.release()
+        self._exchange.finish()
+
+
+def encode_event(event: TokenEvent | EndEvent) -> bytes:
+    """Return the server-sent event that carries a message."""
+    return b'data: %s\n\n' % msgspec.json.encode(event)
--- a/lab/faults.py
+++ b/lab/faults.py
@@ -21,6 +21,8 @@
     down = 'down'
     slow = 'slow'
     cold = 'cold'
+    cut = 'cut'
+    garble = 'garble'
     stale = 'stale'
 
 
