Test overlapping events and their tails in the assembler

The old check let a partly overlapping event be dropped as a duplicate; it failed once such events deliver their fresh tokens. The replacement also checks that a duplicate brings nothing new, that a gap is a gap and that each tail starts at the position.

--- a/tests/test_assembler.py
+++ b/tests/test_assembler.py
@@ -3,6 +3,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from chicoryshunt.connection.event_stream import EventDecoder, encode_tail
 from chicoryshunt.connection.target_api import StreamEvent
 from chicoryshunt.request.assembler import Arrival, Assembler
 from chicoryshunt.types import GenerationId
@@ -11,6 +12,12 @@
 _LENGTH = 12
 
 
+def decode_tail(event: StreamEvent, start: int) -> StreamEvent:
+    tail = EventDecoder().decode(encode_tail(event, start))
+    assert isinstance(tail, StreamEvent)
+    return tail
+
+
 class AssemblerMachine(RuleBasedStateMachine):
     """Any order of frames delivers each token once, in order."""
 
@@ -26,8 +33,19 @@
         if not tokens:
             return
         event = StreamEvent(_OWN, start, tokens)
-        if self.assembler.accept(event) is Arrival.fresh:
-            self.delivered.extend(tokens)
+        position = len(self.delivered)
+        match self.assembler.accept(event):
+            case Arrival.fresh:
+                assert start == position
+                self.delivered.extend(tokens)
+            case Arrival.overlap:
+                tail = decode_tail(event, position)
+                assert tail.i == position
+                self.delivered.extend(tail.t)
+            case Arrival.duplicate:
+                assert stop <= position or self.assembler.ending
+            case Arrival.gap:
+                assert start > position
 
     @rule(start=st.integers(0, _LENGTH))
     def receive_foreign(self, start: int) -> None:
