--- /dev/null
+++ b/tests/relay_fakes.py
@@ -0,0 +1,246 @@
+"""Fakes of an engine and a caller, for relays on a virtual clock."""
+
+import asyncio
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any, cast
+
+import msgspec
+
+from chicoryshunt.connection.engine_link import EngineStream, ResumeFailure
+from chicoryshunt.connection.event_stream import EventDecoder
+from chicoryshunt.connection.exchange import Exchange
+from chicoryshunt.connection.target_api import (
+    EndEvent,
+    GenerateOrder,
+    StreamEvent,
+    TokenEvent,
+)
+from chicoryshunt.request.cancels import Cancels
+from chicoryshunt.request.generation import Generation, Relay, RelayLimits
+from chicoryshunt.request.handover import Handovers
+from chicoryshunt.request.sink import HoldBudget, Sink
+from chicoryshunt.request.stall import StallWatch
+from chicoryshunt.types import GenerationId
+from chicoryshunt.verdict import Verdict
+
+OWN = GenerationId('g-1')
+ORDER = GenerateOrder('r-1', 'm', 'p', max_tokens=100)
+EVENT_BYTES = 4096
+GRACE_SECONDS = 5.0
+
+
+class Act(Enum):
+    """What an engine connection does besides sending bytes."""
+
+    cut = 'cut'
+    silence = 'silence'
+
+
+Step = bytes | Act | float
+
+
+def frame_tokens(start: int, stop: int, name: str = OWN) -> bytes:
+    """Return the event of tokens ``start`` to ``stop``."""
+    tokens = tuple(f't{index}' for index in range(start, stop))
+    return _frame(TokenEvent(name, start, tokens))
+
+
+def frame_end(count: int, ending: str = 'stop') -> bytes:
+    """Return the event that ends a generation."""
+    return _frame(EndEvent(OWN, count, ending))
+
+
+def _frame(event: TokenEvent | EndEvent) -> bytes:
+    return b'data: %s\n\n' % msgspec.json.encode(event)
+
+
+class FakeTransport:
+    """Engine connection that can be paused and closed."""
+
+    def __init__(self) -> None:
+        self.is_paused = False
+        self.is_closed = False
+
+    def pauseProducing(self) -> None:
+        """Pause."""
+        self.is_paused = True
+
+    def resumeProducing(self) -> None:
+        """Resume."""
+        self.is_paused = False
+
+    def loseConnection(self) -> None:
+        """Close."""
+        self.is_closed = True
+
+
+@dataclass
+class FakeResponse:
+    """Response that plays steps: bytes, a pause in seconds, or an act."""
+
+    steps: tuple[Step, ...]
+    transport: FakeTransport = field(default_factory=FakeTransport)
+
+    def deliverBody(self, reader: Any) -> None:
+        """Play the steps to a reader."""
+        reader.makeConnection(self.transport)
+        self._player = asyncio.ensure_future(self._play(reader))
+
+    async def _play(self, reader: Any) -> None:
+        for step in self.steps:
+            if self.transport.is_closed:
+                return
+            match step:
+                case bytes(data):
+                    reader.dataReceived(data)
+                case float(seconds):
+                    await asyncio.sleep(seconds)
+                case Act.cut:
+                    reader.connectionLost()
+                case Act.silence:
+                    return
+            await asyncio.sleep(0)
+
+
+class FakeEngine:
+    """Engine that plays one script a connection, in order."""
+
+    def __init__(self, *scripts: tuple[Step, ...] | ResumeFailure) -> None:
+        self.scripts = list(scripts)
+        self.responses: list[FakeResponse] = []
+        self.resumed_from: list[int] = []
+        self.cancelled: list[GenerationId] = []
+
+    async def start(self, order: GenerateOrder) -> EngineStream | Verdict:
+        """Play the first script."""
+        stream = self._play_next()
+        assert isinstance(stream, EngineStream)
+        return stream
+
+    async def resume(
+        self,
+        generation: GenerationId,
+        index: int,
+    ) -> EngineStream | ResumeFailure:
+        """Play the next script."""
+        self.resumed_from.append(index)
+        return self._play_next()
+
+    async def cancel(self, generation: GenerationId) -> bool:
+        """Remember the cancel."""
+        self.cancelled.append(generation)
+        return True
+
+    def _play_next(self) -> EngineStream | ResumeFailure:
+        if not self.scripts:
+            return ResumeFailure.unreachable
+        script = self.scripts.pop(0)
+        if isinstance(script, ResumeFailure):
+            return script
+        self.responses.append(FakeResponse(script))
+        return EngineStream(OWN, self.responses[-1])
+
+
+class FakeExchange:
+    """Caller's side that collects what is written."""
+
+    def __init__(self) -> None:
+        self.written = b''
+        self.headers: dict[str, str] = {}
+        self.verdict: Verdict | None = None
+        self.producer: Any = None
+        self.is_finished = False
+        self._gone = asyncio.Event()
+
+    @property
+    def is_started(self) -> bool:
+        """Say whether anything was written."""
+        return bool(self.written)
+
+    @property
+    def is_gone(self) -> bool:
+        """Say whether the caller left."""
+        return self._gone.is_set()
+
+    @property
+    def tokens(self) -> list[str]:
+        """Return the tokens written, checked to be one generation's."""
+        tokens: list[str] = []
+        for frame in self.written.split(b'\n\n'):
+            event = EventDecoder().decode(frame)
+            if isinstance(event, StreamEvent):
+                assert event.g == OWN
+                assert event.i == len(tokens)
+                tokens.extend(event.t)
+        return tokens
+
+    async def wait_gone(self) -> None:
+        """Wait for the caller to leave."""
+        await self._gone.wait()
+
+    def leave(self) -> None:
+        """Lose the caller."""
+        self._gone.set()
+
+    def set_header(self, name: str, text: str) -> None:
+        """Remember a header."""
+        self.headers[name] = text
+
+    def remove_header(self, name: str) -> None:
+        """Forget a header."""
+        self.headers.pop(name, None)
+
+    def set_verdict(self, run: object) -> None:
+        """Ignore the verdict's header."""
+
+    def hold_back(self, producer: Any) -> None:
+        """Register a producer, once at a time."""
+        assert self.producer is None
+        self.producer = producer
+
+    def release(self) -> None:
+        """Drop the producer."""
+        self.producer = None
+
+    def write(self, chunk: bytes) -> None:
+        """Collect a part."""
+        self.written += chunk
+
+    def finish(self) -> None:
+        """End the answer."""
+        self.is_finished = True
+
+    def abort(self) -> None:
+        """Cut the caller."""
+        self._gone.set()
+
+    def respond_verdict(self, verdict: Verdict) -> None:
+        """Answer with a verdict."""
+        self.verdict = verdict
+
+
+@dataclass
+class Rig:
+    """One generation between a fake engine and a fake caller."""
+
+    engine: FakeEngine
+    budget: HoldBudget | None = None
+    caller: FakeExchange = field(default_factory=FakeExchange)
+    handovers: Handovers = field(default_factory=Handovers)
+
+    def __post_init__(self) -> None:
+        """Build the generation."""
+        self.sink = Sink(cast(Exchange, self.caller), self.budget)
+        relay = Relay(
+            StallWatch(),
+            self.handovers,
+            Cancels(),
+            RelayLimits(EVENT_BYTES, GRACE_SECONDS),
+        )
+        self.generation = Generation(
+            relay,
+            self.engine,
+            self.sink,
+            lambda name: f'token of {name}',
+        )
--- /dev/null
+++ b/tests/virtual_loop.py
@@ -0,0 +1,46 @@
+"""An event loop whose time jumps to the next timer."""
+
+import asyncio
+import selectors
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+_Result = TypeVar('_Result')
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Loop that never waits; its clock moves to whatever is due next."""
+
+    def __init__(self) -> None:
+        """Start at second 0."""
+        self._virtual_now = 0.0
+        super().__init__(_JumpingSelector(self))
+
+    def time(self) -> float:
+        """Return the virtual time in seconds."""
+        return self._virtual_now
+
+    def jump(self, seconds: float) -> None:
+        """Move the virtual time forward."""
+        self._virtual_now += seconds
+
+
+class _JumpingSelector(selectors.DefaultSelector):
+    def __init__(self, loop: VirtualLoop) -> None:
+        super().__init__()
+        self._loop = loop
+
+    def select(self, timeout: float | None = None) -> Any:
+        if timeout is None:
+            raise RuntimeError('nothing is due: the test would hang')
+        self._loop.jump(max(0, timeout))
+        return super().select(0)
+
+
+def run_virtual(main: Coroutine[Any, Any, _Result]) -> _Result:
+    """Run a coroutine on a fresh virtual loop."""
+    loop = VirtualLoop()
+    try:
+        return loop.run_until_complete(main)
+    finally:
+        loop.close()
