--- a/chicoryshunt/request/resume_token.py
+++ b/chicoryshunt/request/resume_token.py
@@ -1,7 +1,7 @@
 """The token with which a caller resumes its generation on any node."""
 
 import hmac
-from base64 import urlsafe_b64decode, urlsafe_b64encode
+from base64 import b64decode, urlsafe_b64encode
 from binascii import Error as Base64Error
 from collections.abc import Callable
 
@@ -20,6 +20,7 @@
 
 MAC_BYTES = 16
 _MAX_TOKEN_BYTES = 2048
+_ALTERNATIVES = b'-_'
 
 Sign = Callable[[bytes], bytes]
 
@@ -48,7 +49,7 @@
     if len(text) > _MAX_TOKEN_BYTES:
         return refuse(Reason.token_forged, 'resume token is too long')
     try:
-        signed = urlsafe_b64decode(text.encode('ascii'))
+        signed = b64decode(text.encode('ascii'), _ALTERNATIVES, validate=True)
     except (Base64Error, UnicodeEncodeError):
         return refuse(Reason.token_forged, 'resume token is not base64')
     mac = signed[:MAC_BYTES]
