Decide on admission, order and choice of targets in pure modules

Purpose: one dispatcher for each model that queues, places and tracks requests, without input or output, so that the node and a bench on a virtual clock drive the same decisions.

- admission: fit at every horizon with a margin led by preemptions

Nothing is measured yet; the parameters are starting values.

--- /dev/null
+++ b/chicoryshunt/process/policy/admission.py
@@ -0,0 +1,127 @@
+"""Decides whether a target has memory for one more request.
+
+Memory is judged over time: at each horizon the mean of what is held plus some
+standard deviations must fit. How many is led by the preemptions that are seen.
+"""
+
+from dataclasses import dataclass
+
+import numpy as np
+
+from chicoryshunt.process.allowance import Slack
+from chicoryshunt.process.policy.occupancy import HORIZONS, Curve
+from chicoryshunt.process.policy.profile import Parameters
+
+_SLOT_RESERVE = 0.1
+_PREEMPTION_STEP = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class Limit:
+    """What a target may bear at this moment."""
+
+    slots: int
+    memory_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class Fit:
+    """The request fits.
+
+    ``part_used`` is the fullest horizon's mean as a part of the limit, and
+    ``deviations_free`` how many standard deviations it stays below it.
+    """
+
+    part_used: float
+    deviations_free: float
+
+
+@dataclass(frozen=True, slots=True)
+class NoSlot:
+    """All slots that the request may use are taken."""
+
+    slots: int
+
+
+@dataclass(frozen=True, slots=True)
+class NoMemory:
+    """Memory would not suffice at a horizon of some tokens ahead."""
+
+    horizon_tokens: int
+    needed_tokens: int
+    limit_tokens: int
+
+
+def check_fit(
+    limit: Limit,
+    running: Curve,
+    request: Curve,
+    margin: float,
+    *,
+    reserve: float = 0,
+    is_short: bool = False,
+) -> Fit | NoSlot | NoMemory:
+    """Say whether a request fits beside what runs, and why not.
+
+    ``reserve`` is the part of the memory that it may not use. A few slots
+    are kept for short requests.
+    """
+    slots = limit.slots
+    if not is_short:
+        slots -= int(slots * _SLOT_RESERVE)
+    if running.requests >= slots:
+        return NoSlot(slots)
+    both = running + request
+    memory = limit.memory_tokens * (1 - reserve)
+    deviation = np.maximum(np.sqrt(both.variance), 1)
+    free = (memory - both.mean) / deviation
+    worst = int(np.argmin(free))
+    if free[worst] < margin:
+        needed = both.mean[worst] + margin * deviation[worst]
+        return NoMemory(int(HORIZONS[worst]), int(needed), int(memory))
+    return Fit(
+        float(both.mean.max()) / limit.memory_tokens,
+        float(free[worst]),
+    )
+
+
+def compute_headroom(
+    limit: Limit,
+    running: Curve,
+    typical: Curve,
+    margin: float,
+) -> Slack:
+    """Return how many typical requests, and tokens, still fit.
+
+    ``running`` is the pooled curve of everything on the target.
+    """
+    free = max(0, limit.slots - running.requests)
+    counts = np.expand_dims(np.arange(free + 1), 1)
+    variance = running.variance + counts * typical.variance
+    needed = running.mean + counts * typical.mean + margin * np.sqrt(variance)
+    fits = (needed <= limit.memory_tokens).all(axis=1)
+    tokens = limit.memory_tokens - int(running.bound(margin).max())
+    return Slack(max(0, int(fits.sum()) - 1), max(0, tokens))
+
+
+class Margin:
+    """Standard deviations kept free, led by the preemptions seen."""
+
+    def __init__(self, parameters: Parameters) -> None:
+        """Start at the margin of the profile."""
+        self.deviations = parameters.margin
+        self._parameters = parameters
+
+    def record_admission(self) -> None:
+        """Lower the margin a little for a request that was let in."""
+        self._move(-_PREEMPTION_STEP * self._parameters.preemption_goal)
+
+    def record_preemptions(self, count: int) -> None:
+        """Raise the margin for preemptions that a target reported."""
+        self._move(_PREEMPTION_STEP * count)
+
+    def _move(self, step: float) -> None:
+        self.deviations = min(
+            max(self.deviations + step, self._parameters.least_margin),
+            self._parameters.most_margin,
+        )
--- /dev/null
+++ b/chicoryshunt/process/policy/book.py
@@ -0,0 +1,110 @@
+"""What a node knows of one target: what it runs there and what it heard."""
+
+from dataclasses import dataclass
+
+from chicoryshunt.process.allowance import Slack
+from chicoryshunt.process.policy.admission import Limit
+from chicoryshunt.process.policy.choice import PrefixHints
+from chicoryshunt.process.policy.occupancy import (
+    Curve,
+    Running,
+    build_empty_curve,
+    predict_occupancy,
+)
+from chicoryshunt.process.policy.survival import LengthEstimator
+from chicoryshunt.types import RequestId, Seconds, TargetId
+
+_CURVE_AGE_SECONDS = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class Sole:
+    """This node alone decides what runs within a limit."""
+
+    limit: Limit
+
+
+@dataclass(frozen=True, slots=True)
+class Leased:
+    """A keeper leased this slack of a target's limit."""
+
+    slack: Slack
+    limit: Limit
+
+
+@dataclass(frozen=True, slots=True)
+class Closed:
+    """The target takes no new work."""
+
+    reason: str
+
+
+Room = Sole | Leased | Closed
+
+
+def count_memory(room: Room) -> int:
+    """Return the memory tokens of the target that a room is part of."""
+    match room:
+        case Sole(limit) | Leased(_, limit):
+            return limit.memory_tokens
+        case Closed():
+            return 0
+
+
+class TargetBook:
+    """Requests of this node on one target, and the target's load."""
+
+    def __init__(
+        self,
+        target: TargetId,
+        estimator: LengthEstimator,
+        *,
+        is_local: bool = True,
+    ) -> None:
+        """Start with nothing running and the target closed."""
+        self.target = target
+        self.is_local = is_local
+        self.room: Room = Closed('unknown')
+        self.hints = PrefixHints()
+        self.step_seconds = Seconds(0)
+        self.waiting = 0
+        self.pending_tokens = 0
+        self.running: dict[RequestId, Running] = {}
+        self._estimator = estimator
+        self._curve = build_empty_curve()
+        self._curve_at: float | None = None
+
+    def start(self, request: RequestId, running: Running, added: Curve) -> None:
+        """Count a request that is sent to the target."""
+        self.running[request] = running
+        running.promised = added.peak
+        self.pending_tokens += running.prompt_tokens
+        self._curve += added
+
+    def record_tokens(self, request: RequestId, produced: int) -> None:
+        """Note how many tokens a request has produced."""
+        running = self.running[request]
+        if not running.produced and produced:
+            self.pending_tokens -= running.prompt_tokens
+        self._estimator.observe(running.kind, running.produced, produced)
+        running.produced = produced
+
+    def end(self, request: RequestId) -> Running | None:
+        """Count a request no longer."""
+        running = self.running.pop(request, None)
+        if running is None:
+            return None
+        if not running.produced:
+            self.pending_tokens -= running.prompt_tokens
+        self._curve_at = None
+        return running
+
+    def predict(self, now: float) -> Curve:
+        """Return the memory that this node's requests will hold."""
+        age = _CURVE_AGE_SECONDS
+        if self._curve_at is None or now - self._curve_at >= age:
+            for running in self.running.values():
+                running.survival = self._estimator.estimate(running.kind)
+            self._curve = predict_occupancy(tuple(self.running.values()))
+            self._curve_at = now
+        return self._curve
--- /dev/null
+++ b/chicoryshunt/process/policy/dispatcher.py
@@ -0,0 +1,259 @@
+"""Decides for one model which request goes to which target, and when.
+
+The owner offers requests, asks for the next dispatch until there is none, and
+records what it sees of streams and targets. Times are seconds of a monotonic
+clock.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from chicoryshunt.process.policy.admission import Fit, Margin
+from chicoryshunt.process.policy.book import Room, TargetBook, count_memory
+from chicoryshunt.process.policy.choice import Choice
+from chicoryshunt.process.policy.occupancy import (
+    Running,
+    predict_occupancy,
+)
+from chicoryshunt.process.policy.overload import (
+    DrainRate,
+    TooLate,
+    Useful,
+    judge_wait,
+)
+from chicoryshunt.process.policy.placement import (
+    Demand,
+    NoPlace,
+    Placement,
+    find_place,
+)
+from chicoryshunt.process.policy.profile import Parameters
+from chicoryshunt.process.policy.queue import Ask, FairQueue, Waiting
+from chicoryshunt.process.policy.shares import TeamShares
+from chicoryshunt.process.policy.survival import LengthEstimator, Size
+from chicoryshunt.types import RequestId, Seconds, TargetId, Tokens
+
+_WORK_PER_PROMPT_TOKEN = 0.1
+_BLOCKED_SECONDS = 0.1
+
+
+class Stop(Enum):
+    """Say why a request left its target."""
+
+    ended = 'ended'
+    bounded = 'bounded'
+    cancelled = 'cancelled'
+    lost = 'lost'
+
+
+@dataclass(frozen=True, slots=True)
+class Dispatch:
+    """Send a request to a target now."""
+
+    waiting: Waiting
+    choice: Choice
+    fit: Fit
+    waited: Seconds
+
+
+class _Lane:
+    """Requests of one size class that wait."""
+
+    def __init__(self, patience: Seconds) -> None:
+        self.patience = patience
+        self.queue = FairQueue()
+        self.drain = DrainRate()
+        self.blocked: RequestId | None = None
+        self.blocked_until: float = 0
+
+    def judge(self, waiting: Waiting) -> Useful | TooLate:
+        ahead = self.queue.measure_ahead(waiting)
+        return judge_wait(self.drain.predict_wait(ahead), self.patience)
+
+    def is_blocked(self, head: Waiting, now: float) -> bool:
+        return head.ask.request == self.blocked and now < self.blocked_until
+
+    def block(self, head: Waiting, now: float) -> None:
+        self.blocked = head.ask.request
+        self.blocked_until = now + _BLOCKED_SECONDS
+
+    def push(self, waiting: Waiting, now: float) -> None:
+        self.drain.record(0, now, is_waiting=bool(len(self.queue)))
+        self.queue.push(waiting)
+
+    def take(self, head: Waiting, now: float) -> None:
+        self.drain.record(head.work, now, is_waiting=True)
+        self.queue.pop()
+
+
+class Dispatcher:
+    """Queues, places and tracks the requests of one model."""
+
+    def __init__(
+        self,
+        parameters: Parameters,
+        estimator: LengthEstimator,
+    ) -> None:
+        """Start without targets."""
+        self.margin = Margin(parameters)
+        self.books: dict[TargetId, TargetBook] = {}
+        self._parameters = parameters
+        self._estimator = estimator
+        self._shares = TeamShares()
+        self._places: dict[RequestId, TargetBook] = {}
+        self._lanes = {
+            Size.short: _Lane(parameters.short_patience),
+            Size.free: _Lane(parameters.patience),
+        }
+
+    @property
+    def queued(self) -> int:
+        """Return the number of requests that wait."""
+        return sum(len(lane.queue) for lane in self._lanes.values())
+
+    def add_target(self, target: TargetId, *, is_local: bool = True) -> None:
+        """Know a target; it is closed until it has room."""
+        if target not in self.books:
+            self.books[target] = TargetBook(
+                target,
+                self._estimator,
+                is_local=is_local,
+            )
+
+    def set_room(self, target: TargetId, room: Room) -> None:
+        """Say what the target may still take from this node."""
+        self.books[target].room = room
+
+    def offer(self, ask: Ask, now: float) -> Useful | TooLate:
+        """Queue a request, or refuse it when it would wait too long."""
+        self._shares.see(ask.kind.team, ask.weight, now)
+        waiting = Waiting(ask, now, self._expect_work(ask))
+        lane = self._lanes[ask.kind.size]
+        verdict = lane.judge(waiting)
+        match verdict:
+            case Useful():
+                lane.push(waiting, now)
+            case TooLate():
+                pass
+        return verdict
+
+    def withdraw(self, waiting: Waiting) -> bool:
+        """Drop a request that waits, such as one whose caller is gone."""
+        return self._lanes[waiting.ask.kind.size].queue.remove(waiting)
+
+    def expire(self, now: float) -> list[Waiting]:
+        """Take out what has waited longer than is useful."""
+        expired: list[Waiting] = []
+        for lane in self._lanes.values():
+            expired.extend(lane.queue.expire(now - lane.patience))
+        return expired
+
+    def find_next(self, now: float) -> Dispatch | None:
+        """Decide on the next dispatch, short requests first, and count it.
+
+        The owner sends it at once, or calls ``cancel``.
+        """
+        for lane in self._lanes.values():
+            head = lane.queue.peek()
+            if head is None or lane.is_blocked(head, now):
+                continue
+            demand = self._build_demand(head)
+            place = find_place(self.books.values(), demand, now)
+            match place:
+                case Placement():
+                    lane.take(head, now)
+                    return self._start(head, demand, place, now)
+                case NoPlace():
+                    lane.block(head, now)
+        return None
+
+    def cancel(self, dispatch: Dispatch) -> None:
+        """Put a request back that was not sent after all."""
+        ask = dispatch.waiting.ask
+        self._leave(ask.request)
+        self._lanes[ask.kind.size].queue.restore(dispatch.waiting)
+
+    def record_tokens(self, request: RequestId, produced: int) -> None:
+        """Note how many tokens a request has produced by now."""
+        book = self._places.get(request)
+        if book is not None:
+            book.record_tokens(request, produced)
+
+    def record_stop(
+        self, request: RequestId, length: Tokens, stop: Stop
+    ) -> None:
+        """Note that a request left its target after some tokens."""
+        running = self._leave(request)
+        if running is None:
+            return
+        match stop:
+            case Stop.ended:
+                self._estimator.observe_end(
+                    running.kind,
+                    running.produced,
+                    length,
+                )
+            case Stop.bounded | Stop.cancelled | Stop.lost:
+                self._estimator.observe(running.kind, running.produced, length)
+
+    def unblock(self) -> None:
+        """Look at every waiting request again, as when room was gained."""
+        for lane in self._lanes.values():
+            lane.blocked = None
+
+    def _expect_work(self, ask: Ask) -> float:
+        survival = self._estimator.estimate(ask.kind)
+        tokens = survival.expect_remaining(0, ask.max_tokens)
+        return tokens + _WORK_PER_PROMPT_TOKEN * ask.prompt_tokens
+
+    def _build_demand(self, head: Waiting) -> Demand:
+        ask = head.ask
+        curve = predict_occupancy((self._build_running(ask),))
+        return Demand(
+            ask,
+            curve,
+            self.margin.deviations,
+            self._find_reserve(head),
+        )
+
+    def _build_running(self, ask: Ask) -> Running:
+        return Running(
+            ask.kind,
+            self._estimator.estimate(ask.kind),
+            ask.prompt_tokens,
+            ask.max_tokens,
+        )
+
+    def _find_reserve(self, head: Waiting) -> float:
+        share = self._shares.judge(head.team, self._sum_memory())
+        return self._parameters.team_reserve if share.is_over else 0
+
+    def _sum_memory(self) -> int:
+        return sum(count_memory(book.room) for book in self.books.values())
+
+    def _start(
+        self,
+        waiting: Waiting,
+        demand: Demand,
+        place: Placement,
+        now: float,
+    ) -> Dispatch:
+        ask = demand.ask
+        book = self.books[place.choice.target]
+        book.start(ask.request, self._build_running(ask), demand.curve)
+        book.hints.record(ask.prefix, now, held=True)
+        self._places[ask.request] = book
+        self._shares.add(ask.kind.team, demand.curve.peak)
+        self.margin.record_admission()
+        waited = Seconds(now - waiting.arrived)
+        return Dispatch(waiting, place.choice, place.fit, waited)
+
+    def _leave(self, request: RequestId) -> Running | None:
+        book = self._places.pop(request, None)
+        if book is None:
+            return None
+        running = book.end(request)
+        if running is not None:
+            self._shares.add(running.kind.team, -running.promised)
+        self.unblock()
+        return running
--- /dev/null
+++ b/chicoryshunt/process/policy/placement.py
@@ -0,0 +1,126 @@
+"""Finds the target that a request should go to, or why there is none."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from chicoryshunt.process.allowance import Slack
+from chicoryshunt.process.policy.admission import (
+    Fit,
+    NoMemory,
+    NoSlot,
+    check_fit,
+)
+from chicoryshunt.process.policy.book import Closed, Leased, Sole, TargetBook
+from chicoryshunt.process.policy.choice import (
+    Candidate,
+    Choice,
+    choose_target,
+    compute_overflow_chance,
+)
+from chicoryshunt.process.policy.occupancy import Curve
+from chicoryshunt.process.policy.queue import Ask
+from chicoryshunt.process.policy.survival import Size
+
+Misfit = NoSlot | NoMemory | Closed
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """A request, the memory it will hold, and what is kept free of it.
+
+    ``margin`` counts standard deviations; ``reserve`` is a part of the
+    memory that the request may not use.
+    """
+
+    ask: Ask
+    curve: Curve
+    margin: float
+    reserve: float = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """The target chosen and how the request fits there."""
+
+    choice: Choice
+    fit: Fit
+
+
+@dataclass(frozen=True, slots=True)
+class NoPlace:
+    """No target takes the request; each one's reason."""
+
+    misfits: tuple[Misfit, ...]
+
+
+def find_place(
+    books: Iterable[TargetBook],
+    demand: Demand,
+    now: float,
+) -> Placement | NoPlace:
+    """Choose among the targets that the request fits on."""
+    fits: dict[str, Fit] = {}
+    misfits: list[Misfit] = []
+    candidates: list[Candidate] = []
+    for book in books:
+        verdict = check_room(book, demand, now)
+        match verdict:
+            case Fit():
+                fits[book.target] = verdict
+                candidates.append(_describe(book, demand, verdict, now))
+            case _:
+                misfits.append(verdict)
+    choice = choose_target(candidates, demand.ask.prompt_tokens)
+    if choice is None:
+        return NoPlace(tuple(misfits))
+    return Placement(choice, fits[choice.target])
+
+
+def check_room(book: TargetBook, demand: Demand, now: float) -> Fit | Misfit:
+    """Say whether a request fits on one target."""
+    match book.room:
+        case Closed():
+            return book.room
+        case Sole(limit):
+            return check_fit(
+                limit,
+                book.predict(now),
+                demand.curve,
+                demand.margin,
+                reserve=demand.reserve,
+                is_short=demand.ask.kind.size is Size.short,
+            )
+        case Leased(slack, limit):
+            return check_lease(slack, limit.memory_tokens, demand.curve)
+
+
+def check_lease(
+    slack: Slack,
+    memory_tokens: int,
+    request: Curve,
+) -> Fit | Misfit:
+    """Say whether a request fits into what a keeper leased."""
+    if slack.slots < 1:
+        return NoSlot(slack.slots)
+    if request.peak > slack.memory_tokens:
+        return NoMemory(0, request.peak, slack.memory_tokens)
+    free = (slack.memory_tokens - request.peak) / memory_tokens
+    return Fit(1 - free, 0)
+
+
+def _describe(
+    book: TargetBook,
+    demand: Demand,
+    fit: Fit,
+    now: float,
+) -> Candidate:
+    return Candidate(
+        target=book.target,
+        part_used=fit.part_used,
+        overflow_chance=compute_overflow_chance(fit.deviations_free),
+        pending_tokens=book.pending_tokens,
+        waiting=book.waiting,
+        step_seconds=book.step_seconds,
+        cached_chance=book.hints.estimate(demand.ask.prefix, now),
+        is_local=book.is_local,
+    )
--- /dev/null
+++ b/chicoryshunt/process/policy/profile.py
@@ -0,0 +1,59 @@
+"""Parameters of the two profiles that a model can be served under."""
+
+from dataclasses import dataclass
+
+from chicoryshunt.types import Profile, Seconds
+
+
+@dataclass(frozen=True, slots=True)
+class Parameters:
+    """What the decisions of one model are led by; times are in seconds.
+
+    ``margin`` counts standard deviations of predicted memory.
+    ``preemption_goal`` is preemptions for each admitted request.
+    ``team_reserve`` is the part of the memory that is kept for teams below
+    their share.
+    """
+
+    margin: float
+    least_margin: float
+    most_margin: float
+    preemption_goal: float
+    patience: Seconds
+    short_patience: Seconds
+    hedge_after: Seconds
+    hedge_ratio: float
+    team_reserve: float
+
+
+_STALL = Parameters(
+    margin=2,
+    least_margin=1,
+    most_margin=3.5,
+    preemption_goal=0.004,
+    patience=Seconds(3),
+    short_patience=Seconds(1),
+    hedge_after=Seconds(0.4),
+    hedge_ratio=0.02,
+    team_reserve=0.1,
+)
+_PREEMPTION = Parameters(
+    margin=2.2,
+    least_margin=1.2,
+    most_margin=4,
+    preemption_goal=0.002,
+    patience=Seconds(20),
+    short_patience=Seconds(2),
+    hedge_after=Seconds(1),
+    hedge_ratio=0.01,
+    team_reserve=0.1,
+)
+
+
+def get_parameters(profile: Profile) -> Parameters:
+    """Return the parameters of a profile."""
+    match profile:
+        case Profile.stall:
+            return _STALL
+        case Profile.preemption:
+            return _PREEMPTION
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -2,8 +2,10 @@
 
 import json
 
+from chicoryshunt.process.policy.queue import Ask
+from chicoryshunt.process.policy.survival import Kind, classify
 from chicoryshunt.process.seal import Purpose, Seal
-from chicoryshunt.types import Incarnation, VmId
+from chicoryshunt.types import Incarnation, ModelId, RequestId, TeamId, VmId
 
 FLEET_KEY = '5a' * 32
 
@@ -38,3 +40,23 @@
         Incarnation(incarnation),
         Purpose.datagram,
     )
+
+
+def build_ask(
+    request: str = 'request-1',
+    team: str = 'team-1',
+    *,
+    prompt_tokens: int = 100,
+    max_tokens: int = 30_000,
+    priority: int = 0,
+    weight: float = 1,
+) -> Ask:
+    """Return what a caller asks for."""
+    return Ask(
+        RequestId(request),
+        Kind(TeamId(team), ModelId('kibitzer-llm'), classify(max_tokens)),
+        prompt_tokens,
+        max_tokens,
+        priority,
+        weight,
+    )
