--- a/tests/builders.py
+++ b/tests/builders.py
@@ -5,8 +5,17 @@
 
 from chicoryshunt.connection.platform_api import PublishedVm
 from chicoryshunt.process.membership import Membership
+from chicoryshunt.process.policy.queue import Ask
+from chicoryshunt.process.policy.survival import Kind, classify
 from chicoryshunt.process.seal import Purpose, Seal
-from chicoryshunt.types import DataCentreId, Incarnation, VmId
+from chicoryshunt.types import (
+    DataCentreId,
+    Incarnation,
+    ModelId,
+    RequestId,
+    TeamId,
+    VmId,
+)
 
 FLEET_KEY = '5a' * 32
 
@@ -65,3 +74,23 @@
     membership = Membership(vms[0], Incarnation(1), Random(1), 0)
     membership.learn(vms, 0)
     return membership
+
+
+def build_ask(
+    request: str = 'request-1',
+    team: str = 'team-1',
+    *,
+    prompt_tokens: int = 100,
+    max_tokens: int = 30_000,
+    priority: int = 0,
+    weight: float = 1,
+) -> Ask:
+    """Return what a caller asks for."""
+    return Ask(
+        RequestId(request),
+        Kind(TeamId(team), ModelId('kibitzer-llm'), classify(max_tokens)),
+        prompt_tokens,
+        max_tokens,
+        priority,
+        weight,
+    )
