Fold the published patch log into the configuration

Purpose: every node must come to the same configuration and the same rejections from what operators publish, in whatever order and however damaged a node learns it.

One key per patch was ruled out: a cut value could not be told from a flawed patch, and a transient cut would have forked the fleet.

The fold depends on the log alone. Each line extends a chain of digests, so that the same position with another digest is found to be a fork; a newer base carries the digests right before it for the same check.

Seen failing, one change at a time on a scratch copy: - digests not compared: LogMachine, fork folded at test_replica.py:118 - unfinished last line taken: LogMachine, replicas disagree - patches against older versions accepted: test_second_of_two_racing_patches_is_rejected - known lines folded again: LogMachine, replicas disagree

--- a/chicoryshunt/settings.py
+++ b/chicoryshunt/settings.py
@@ -148,3 +148,14 @@
     except ValueError:
         return False
     return True
+
+
+def is_address(text: str) -> bool:
+    """Say whether the text is an IP number, a colon and a port."""
+    host, _, port = text.rpartition(':')
+    return (
+        is_ip_number(host)
+        and port.isascii()
+        and port.isdecimal()
+        and int(port) <= _MAX_PORT
+    )
--- a/chicoryshunt/types.py
+++ b/chicoryshunt/types.py
@@ -14,6 +14,7 @@
 IdempotencyKey = NewType('IdempotencyKey', str)
 Incarnation = NewType('Incarnation', int)
 ConfigVersion = NewType('ConfigVersion', int)
+LogPosition = NewType('LogPosition', int)
 Digest = NewType('Digest', str)
 
 Seconds = NewType('Seconds', float)
--- a/chicoryshunt/version/config.py
+++ b/chicoryshunt/version/config.py
@@ -1,6 +1,7 @@
 """The configuration that is in force under one version number."""
 
 from enum import Enum
+from typing import Annotated
 
 import msgspec
 
@@ -9,6 +10,7 @@
     DataCentreId,
     Delivery,
     Digest,
+    LogPosition,
     ModelId,
     Profile,
     ServiceId,
@@ -16,6 +18,24 @@
     TeamId,
 )
 
+_NAME = msgspec.Meta(min_length=1, max_length=128)
+_TEXT = msgspec.Meta(max_length=128)
+
+Count = Annotated[int, msgspec.Meta(ge=0, le=1 << 40)]
+PositiveCount = Annotated[int, msgspec.Meta(ge=1, le=1 << 40)]
+Weight = Annotated[float, msgspec.Meta(gt=0, le=1_000_000)]
+Ratio = Annotated[float, msgspec.Meta(ge=0, le=1)]
+Rate = Annotated[float, msgspec.Meta(gt=0, le=1_000_000)]
+Text = Annotated[str, _TEXT]
+Names = Annotated[
+    tuple[Annotated[str, _NAME], ...], msgspec.Meta(max_length=64)
+]
+DataCentreName = Annotated[DataCentreId, _NAME]
+TeamName = Annotated[TeamId, _NAME]
+ModelName = Annotated[ModelId, _NAME]
+ServiceName = Annotated[ServiceId, _NAME]
+TargetName = Annotated[TargetId, _NAME]
+
 
 class Presence(Enum):
     """Say whether operators let a data centre or target take work."""
@@ -27,15 +47,15 @@
 class DataCentre(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """One data centre."""
 
-    region: str
+    region: Text
     presence: Presence = Presence.serving
 
 
 class Team(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """One team and its share of crowded targets."""
 
-    weight: float = 1
-    retry_ratio: float = 0.1
+    weight: Weight = 1
+    retry_ratio: Ratio = 0.1
     delivery: Delivery = Delivery.stream
 
 
@@ -43,24 +63,24 @@
     """One model that engines serve; times are in milliseconds."""
 
     profile: Profile = Profile.stall
-    max_tokens: int = 32768
-    first_token_ms: int = 680
-    token_gap_ms: int = 28
+    max_tokens: PositiveCount = 32768
+    first_token_ms: PositiveCount = 680
+    token_gap_ms: PositiveCount = 28
 
 
 class Service(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """One plain service; reads are the methods that may be repeated."""
 
-    repeatable_methods: tuple[str, ...] = ('GET', 'HEAD')
-    timeout_seconds: float = 10
+    repeatable_methods: Names = ('GET', 'HEAD')
+    timeout_seconds: Rate = 10
 
 
 class Desired(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What operators want a target to hold."""
 
-    model_version: str = ''
-    adapters: tuple[str, ...] = ()
-    role: str = 'both'
+    model_version: Text = ''
+    adapters: Names = ()
+    role: Text = 'both'
 
 
 class Target(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -70,24 +90,39 @@
     requests, ``memory_tokens`` counts tokens held at once.
     """
 
-    address: str
-    data_centre: DataCentreId
-    concurrent: int
-    model: ModelId | None = None
-    service: ServiceId | None = None
-    memory_tokens: int = 0
+    address: Text
+    data_centre: DataCentreName
+    concurrent: PositiveCount
+    model: ModelName | None = None
+    service: ServiceName | None = None
+    memory_tokens: Count = 0
     checks_fence: bool = False
     presence: Presence = Presence.serving
     desired: Desired = Desired()
 
 
+class Weights(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How fast the weight store may be read by the whole fleet."""
+
+    loads_per_minute: Rate = 60
+
+
 class Config(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """One numbered version of the configuration."""
+    """One numbered version of the configuration.
+
+    ``position`` counts the lines of the patch log that were folded, rejected
+    ones too. ``digest`` is the digest of the log up to there.
+    ``desired_since`` holds the version that last changed what a target is to
+    hold.
+    """
 
     version: ConfigVersion
+    position: LogPosition = LogPosition(0)
     data_centres: dict[DataCentreId, DataCentre] = {}
     teams: dict[TeamId, Team] = {}
     models: dict[ModelId, Model] = {}
     services: dict[ServiceId, Service] = {}
     targets: dict[TargetId, Target] = {}
+    weights: Weights = Weights()
+    desired_since: dict[TargetId, ConfigVersion] = {}
     digest: Digest = Digest('')
--- /dev/null
+++ b/chicoryshunt/version/draft.py
@@ -0,0 +1,177 @@
+"""Applies the operations of one patch, sharing all that stays the same."""
+
+from typing import Any, cast
+
+import msgspec
+
+from chicoryshunt.settings import is_address
+from chicoryshunt.types import ConfigVersion, TargetId
+from chicoryshunt.version.config import Config, Target
+from chicoryshunt.version.patch import (
+    ChangeEntry,
+    Flaw,
+    Operation,
+    Patch,
+    Rejection,
+    RemoveDataCentre,
+    RemoveModel,
+    RemoveService,
+    RemoveTarget,
+    RemoveTeam,
+    SetDataCentre,
+    SetDataCentrePresence,
+    SetDesired,
+    SetModel,
+    SetService,
+    SetTarget,
+    SetTargetPresence,
+    SetTeam,
+    SetWeights,
+    Table,
+)
+
+
+def apply_patch(config: Config, patch: Patch) -> Config | Flaw:
+    """Return the next version, or why the patch cannot be applied."""
+    draft = Draft(config)
+    for index, operation in enumerate(patch.operations):
+        flaw = draft.apply(operation)
+        if flaw is not None:
+            return Flaw(
+                flaw.rejection,
+                f'{flaw.detail} - at `$.operations[{index}]`',
+            )
+    changed = draft.build()
+    return find_flaw(changed) or changed
+
+
+class Draft:
+    """The next version while operations are applied to it."""
+
+    def __init__(self, config: Config) -> None:
+        """Start as the version in force; a table is copied when written."""
+        self._config = config
+        self._version = ConfigVersion(config.version + 1)
+        self._tables: dict[Table, dict[str, Any]] = {}
+        self._weights = config.weights
+        self._desired_since = config.desired_since
+
+    def apply(self, operation: Operation) -> Flaw | None:
+        """Apply one operation."""
+        match operation:
+            case SetTarget():
+                self._note_desired(operation)
+                self._write(operation.table)[operation.name] = operation.value
+            case SetDataCentre() | SetTeam() | SetModel() | SetService():
+                self._write(operation.table)[operation.name] = operation.value
+            case SetWeights():
+                self._weights = operation.value
+            case SetDataCentrePresence() | SetTargetPresence() | SetDesired():
+                return self._change(operation)
+            case (
+                RemoveDataCentre()
+                | RemoveTeam()
+                | RemoveModel()
+                | RemoveService()
+                | RemoveTarget()
+            ):
+                return self._remove(operation.table, operation.name)
+        return None
+
+    def build(self) -> Config:
+        """Return the next version."""
+        return msgspec.structs.replace(
+            self._config,
+            version=self._version,
+            weights=self._weights,
+            desired_since=self._desired_since,
+            **{table.value: entries for table, entries in self._tables.items()},
+        )
+
+    def _change(self, operation: ChangeEntry) -> Flaw | None:
+        entry = self._read(operation.table).get(operation.name)
+        if entry is None:
+            return _miss(operation.table, operation.name)
+        match operation:
+            case SetDesired(name=name, desired=desired):
+                changed = msgspec.structs.replace(entry, desired=desired)
+                self._note_desired(SetTarget(name, changed))
+            case _:
+                changed = msgspec.structs.replace(
+                    entry,
+                    presence=operation.presence,
+                )
+        self._write(operation.table)[operation.name] = changed
+        return None
+
+    def _remove(self, table: Table, name: str) -> Flaw | None:
+        if name not in self._read(table):
+            return _miss(table, name)
+        self._write(table).pop(name)
+        if table is Table.targets:
+            self._desired_since = {
+                target: version
+                for target, version in self._desired_since.items()
+                if target != name
+            }
+        return None
+
+    def _note_desired(self, operation: SetTarget) -> None:
+        before = self._read(Table.targets).get(operation.name)
+        if before is None or before.desired != operation.value.desired:
+            self._desired_since = {
+                **self._desired_since,
+                operation.name: self._version,
+            }
+
+    def _read(self, table: Table) -> dict[str, Any]:
+        entries = self._tables.get(table)
+        if entries is None:
+            entries = cast(dict[str, Any], getattr(self._config, table.value))
+        return entries
+
+    def _write(self, table: Table) -> dict[str, Any]:
+        if table not in self._tables:
+            self._tables[table] = dict(self._read(table))
+        return self._tables[table]
+
+
+def find_flaw(config: Config) -> Flaw | None:
+    """Return the first target that does not fit the other tables."""
+    for target_id, target in config.targets.items():
+        flaw = _check_target(config, target_id, target)
+        if flaw is not None:
+            return flaw
+    return None
+
+
+def _check_target(
+    config: Config,
+    target_id: TargetId,
+    target: Target,
+) -> Flaw | None:
+    if (target.model is None) == (target.service is None):
+        return Flaw(
+            Rejection.invalid,
+            f'target {target_id!r} needs a model or a service, not both',
+        )
+    if not is_address(target.address):
+        return Flaw(
+            Rejection.invalid,
+            f'target {target_id!r}: {target.address!r} is not IP:port',
+        )
+    for table, entries, name in (
+        (Table.data_centres, config.data_centres, target.data_centre),
+        (Table.models, config.models, target.model),
+        (Table.services, config.services, target.service),
+    ):
+        if name is not None and name not in entries:
+            return Flaw(
+                Rejection.unknown_name,
+                f'target {target_id!r} needs {name!r} in {table.value}',
+            )
+    return None
+
+
+def _miss(table: Table, name: str) -> Flaw:
+    return Flaw(Rejection.unknown_name, f'no {name!r} in {table.value}')
--- /dev/null
+++ b/chicoryshunt/version/replica.py
@@ -0,0 +1,161 @@
+"""This node's copy of the log: it only ever goes forward."""
+
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import Enum
+
+import msgspec
+
+from chicoryshunt.types import ConfigVersion, Digest, LogPosition
+from chicoryshunt.version.chain import Chain, Head, Relation
+from chicoryshunt.version.config import Config
+from chicoryshunt.version.fold import Ruling, chain_digest, fold_line
+from chicoryshunt.version.published import MAX_EARLIER_DIGESTS, LogHeader
+
+MAX_KEPT_LINES = 4096
+MAX_KEPT_RULINGS = 1024
+
+NO_HEAD = Head(ConfigVersion(0), LogPosition(-1), Digest(''))
+
+
+class Snapshot(msgspec.Struct, frozen=True):
+    """Everything a node without history needs."""
+
+    config: Config
+    earlier: tuple[Digest, ...]
+    rulings: tuple[Ruling, ...]
+
+
+class Outcome(Enum):
+    """What became of something learned about the log."""
+
+    advanced = 'advanced'
+    known = 'known'
+    gap = 'gap'
+    forked = 'forked'
+
+
+@dataclass(frozen=True, slots=True)
+class Segment:
+    """Lines of the log that follow a position with a digest."""
+
+    position: LogPosition
+    digest: Digest
+    lines: Sequence[bytes]
+
+
+class Replica:
+    """Configuration in force, digests, latest lines and rulings."""
+
+    def __init__(self) -> None:
+        """Start without a configuration."""
+        self.config: Config | None = None
+        self._chain: Chain | None = None
+        self._lines: deque[bytes] = deque(maxlen=MAX_KEPT_LINES)
+        self._rulings: deque[Ruling] = deque(maxlen=MAX_KEPT_RULINGS)
+
+    @property
+    def head(self) -> Head:
+        """Return how far the log was folded."""
+        config = self.config
+        if config is None:
+            return NO_HEAD
+        return Head(config.version, config.position, config.digest)
+
+    @property
+    def rulings(self) -> tuple[Ruling, ...]:
+        """Return what became of the latest patches, the oldest first."""
+        return tuple(self._rulings)
+
+    def compare(self, head: Head) -> Relation:
+        """Say how another log compares with this one."""
+        if self._chain is None:
+            same = head.position == NO_HEAD.position
+            return Relation.same if same else Relation.ahead
+        if head.position == NO_HEAD.position:
+            return Relation.unknown
+        return self._chain.compare(head.position, head.digest)
+
+    def extend(self, segment: Segment) -> Outcome:
+        """Fold the lines that are new, unless they belong to another log."""
+        if self._chain is None or segment.position > self._chain.position:
+            return Outcome.gap
+        digest = segment.digest
+        if not self._is_known(segment.position, digest):
+            return Outcome.forked
+        outcome = Outcome.known
+        for offset, line in enumerate(segment.lines, 1):
+            position = LogPosition(segment.position + offset)
+            digest = chain_digest(digest, line)
+            if position > self._chain.position:
+                self._fold(line)
+                outcome = Outcome.advanced
+            elif not self._is_known(position, digest):
+                return Outcome.forked
+        return outcome
+
+    def adopt(self, snapshot: Snapshot) -> Outcome:
+        """Take a whole state over if it lies further on the same log."""
+        config = snapshot.config
+        chain = Chain(config.position, config.digest, snapshot.earlier)
+        if self._chain is not None:
+            if config.position <= self._chain.position:
+                known = self._is_known(config.position, config.digest)
+                return Outcome.known if known else Outcome.forked
+            own = self.head
+            if chain.compare(own.position, own.digest) is Relation.forked:
+                return Outcome.forked
+        self.config = config
+        self._chain = chain
+        self._lines.clear()
+        self._rulings.clear()
+        self._rulings.extend(snapshot.rulings)
+        return Outcome.advanced
+
+    def check_base(self, header: LogHeader) -> Relation:
+        """Say how a published base compares with this log."""
+        if self._chain is None:
+            return Relation.ahead
+        relation = self._chain.compare(header.position, header.digest)
+        if relation is Relation.ahead:
+            base = Chain(header.position, header.digest, header.earlier)
+            own = self.head
+            if base.compare(own.position, own.digest) is Relation.forked:
+                return Relation.forked
+        return relation
+
+    def list_after(self, position: LogPosition) -> Segment | None:
+        """Return the lines after a position, if all are still kept."""
+        if self._chain is None:
+            return None
+        digest = self._chain.find(position)
+        count = self._chain.position - position
+        if digest is None or count > len(self._lines):
+            return None
+        lines = tuple(self._lines)[len(self._lines) - count :]
+        return Segment(position, digest, lines)
+
+    def take_snapshot(self) -> Snapshot | None:
+        """Return everything a node without history needs."""
+        if self.config is None or self._chain is None:
+            return None
+        return Snapshot(
+            self.config,
+            self._chain.list_earlier(MAX_EARLIER_DIGESTS),
+            self.rulings,
+        )
+
+    def _fold(self, line: bytes) -> None:
+        assert self.config is not None
+        assert self._chain is not None
+        folding = fold_line(self.config, line)
+        self.config = folding.config
+        self._chain.append(folding.config.digest)
+        self._lines.append(line)
+        self._rulings.append(folding.ruling)
+
+    def _is_known(self, position: LogPosition, digest: Digest) -> bool:
+        assert self._chain is not None
+        known = self._chain.find(position)
+        return known is None or known == digest
