--- a/tests/builders.py
+++ b/tests/builders.py
@@ -116,6 +116,8 @@
         priority,
         weight,
     )
+
+
 def build_config(teams: int = 2, targets: int = 2) -> Config:
     """Return a base of one data centre, one model and one service."""
     data_centre = DataCentreId('luzon-a')
