--- a/tests/builders.py
+++ b/tests/builders.py
@@ -3,27 +3,19 @@
 import json
 from random import Random
 
+import msgspec
+
 from chicoryshunt.connection.platform_api import PublishedVm
 from chicoryshunt.process.membership import Membership
 from chicoryshunt.process.policy.queue import Ask
 from chicoryshunt.process.policy.survival import Kind, classify
-from chicoryshunt.process.seal import Purpose, Seal
-from chicoryshunt.types import (
-    DataCentreId,
-    Incarnation,
-    ModelId,
-    RequestId,
-    TeamId,
-    VmId,
-)
-import msgspec
-
 from chicoryshunt.process.seal import Purpose, Seal
 from chicoryshunt.types import (
     ConfigVersion,
     DataCentreId,
     Incarnation,
     ModelId,
+    RequestId,
     ServiceId,
     TargetId,
     TeamId,
