--- /dev/null
+++ b/chicoryshunt/process/local_shares.py
@@ -0,0 +1,61 @@
+"""Allowances without messages: an equal part of each limit for each node."""
+
+from collections import Counter
+from collections.abc import Callable
+
+from chicoryshunt.process.allowance import Shortage, Slack, Slot
+from chicoryshunt.types import TargetId
+from chicoryshunt.version.config import Config
+
+
+class LocalShares:
+    """Gives out this node's equal part of what each target declares."""
+
+    def __init__(
+        self,
+        read_config: Callable[[], Config | None],
+        count_nodes: Callable[[], int],
+    ) -> None:
+        """Divide by the number of nodes that are published."""
+        self._read_config = read_config
+        self._count_nodes = count_nodes
+        self._slots: Counter[TargetId] = Counter()
+        self._memory: Counter[TargetId] = Counter()
+        self._taken = 0
+
+    def find_slack(self, target: TargetId, now: float) -> Slack:
+        """Return what is left of this node's part."""
+        config = self._read_config()
+        declared = None if config is None else config.targets.get(target)
+        if declared is None:
+            return Slack(0, 0)
+        nodes = max(1, self._count_nodes())
+        return Slack(
+            max(0, declared.concurrent // nodes - self._slots[target]),
+            max(0, declared.memory_tokens // nodes - self._memory[target]),
+        )
+
+    def take(
+        self,
+        target: TargetId,
+        memory_tokens: int,
+        now: float,
+    ) -> Slot | Shortage:
+        """Take a slot of this node's part."""
+        slack = self.find_slack(target, now)
+        if not slack.slots:
+            return Shortage.lease_used_up
+        if memory_tokens > slack.memory_tokens:
+            return Shortage.memory_used_up
+        self._taken += 1
+        self._slots[target] += 1
+        self._memory[target] += memory_tokens
+        return Slot(target, self._taken, memory_tokens)
+
+    def give_back(self, slot: Slot, now: float) -> None:
+        """Return a slot."""
+        self._slots[slot.target] -= 1
+        self._memory[slot.target] -= slot.memory_tokens
+
+    def want(self, target: TargetId, slots: int, now: float) -> None:
+        """Ignore demand; the part is fixed."""
--- /dev/null
+++ b/chicoryshunt/process/scheduler.py
@@ -0,0 +1,321 @@
+"""Admits generations to targets: waits, places and refuses."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+from chicoryshunt.clock import Clock
+from chicoryshunt.process.allowance import Allowances, Shortage, Slot
+from chicoryshunt.process.journal import Journal
+from chicoryshunt.process.policy.admission import Limit
+from chicoryshunt.process.policy.book import Closed, Leased, Room
+from chicoryshunt.process.policy.dispatcher import Dispatch, Dispatcher, Stop
+from chicoryshunt.process.policy.overload import TooLate, Useful
+from chicoryshunt.process.policy.profile import get_parameters
+from chicoryshunt.process.policy.queue import Ask
+from chicoryshunt.process.policy.survival import (
+    Kind,
+    LengthEstimator,
+    classify,
+)
+from chicoryshunt.process.router import Route, is_serving
+from chicoryshunt.request.order import GenerationRequest
+from chicoryshunt.types import (
+    DataCentreId,
+    ModelId,
+    Reason,
+    RequestId,
+    Seconds,
+    TargetId,
+    Tokens,
+)
+from chicoryshunt.verdict import Verdict, refuse
+from chicoryshunt.version.config import Config
+
+TICK_SECONDS = 0.05
+_RETRY_SECONDS = Seconds(1)
+_LOST_SECONDS = 5.0
+
+
+@dataclass(slots=True)
+class Permit:
+    """Permission to run one request on a target.
+
+    ``read_position`` returns the tokens produced so far, ``stop`` says how
+    it ended; whoever relays the generation sets them.
+    """
+
+    request: RequestId
+    model: ModelId
+    route: Route
+    slot: Slot
+    read_position: Callable[[], int] = field(default=int)
+    stop: Stop = Stop.cancelled
+
+
+class Scheduler:
+    """Admits the generations of every model."""
+
+    def __init__(
+        self,
+        data_centre: DataCentreId,
+        allowances: Allowances,
+        clock: Clock,
+        journal: Journal,
+    ) -> None:
+        """Start without models."""
+        self._data_centre = data_centre
+        self._allowances = allowances
+        self._clock = clock
+        self._journal = journal
+        self._config: Config | None = None
+        self._estimator = LengthEstimator()
+        self._dispatchers: dict[ModelId, Dispatcher] = {}
+        self._queued: dict[
+            RequestId,
+            asyncio.Future[Permit | Verdict],
+        ] = {}
+        self._permits: dict[RequestId, Permit] = {}
+        self._lost_until: dict[TargetId, float] = {}
+
+    async def run(self) -> None:
+        """Tick for as long as the process lives."""
+        while True:
+            self.tick(self._clock.now())
+            await asyncio.sleep(TICK_SECONDS)
+
+    def apply(self, config: Config) -> None:
+        """Follow a new version of the configuration."""
+        self._config = config
+        for target_id, target in config.targets.items():
+            if target.model is None:
+                continue
+            dispatcher = self._get_dispatcher(config, target.model)
+            dispatcher.add_target(
+                target_id,
+                is_local=target.data_centre == self._data_centre,
+            )
+
+    @contextmanager
+    def hold(self, permit: Permit) -> Iterator[None]:
+        """Keep a permit while its request runs, then give it back."""
+        try:
+            yield
+        finally:
+            self._give_back(permit)
+
+    async def admit(
+        self,
+        wanted: GenerationRequest,
+        gone: Awaitable[None],
+    ) -> Permit | Verdict:
+        """Wait until a target can bear the request, or refuse it.
+
+        ``gone`` ends when the caller has left.
+        """
+        config = self._config
+        if config is None or wanted.model not in self._dispatchers:
+            return refuse(
+                Reason.no_target,
+                f'no target serves {wanted.model!r}',
+                _RETRY_SECONDS,
+            )
+        now = self._clock.now()
+        refusal = self._offer(_build_ask(wanted, config), now)
+        if refusal is not None:
+            return refusal
+        return await self._wait(wanted, gone)
+
+    def record_loss(self, target: TargetId) -> None:
+        """Send a target nothing for a while, for it was lost."""
+        self._lost_until[target] = self._clock.now() + _LOST_SECONDS
+
+    def tick(self, now: float) -> None:
+        """Follow what runs, refuse what waited too long, place the rest."""
+        for permit in self._permits.values():
+            dispatcher = self._dispatchers[permit.model]
+            dispatcher.record_tokens(permit.request, permit.read_position())
+        for model in self._dispatchers:
+            self._expire(model, now)
+            self._pump(model, now)
+
+    def _get_dispatcher(self, config: Config, model: ModelId) -> Dispatcher:
+        dispatcher = self._dispatchers.get(model)
+        if dispatcher is None:
+            profile = config.models[model].profile
+            dispatcher = Dispatcher(get_parameters(profile), self._estimator)
+            self._dispatchers[model] = dispatcher
+        return dispatcher
+
+    def _offer(self, ask: Ask, now: float) -> Verdict | None:
+        verdict = self._dispatchers[ask.kind.model].offer(ask, now)
+        match verdict:
+            case Useful():
+                return None
+            case TooLate(expected, _, retry_after):
+                return self._refuse(
+                    ask,
+                    Reason.overloaded,
+                    f'{ask.kind.model} would start in {expected:.1f} s',
+                    retry_after,
+                )
+
+    def _refuse(
+        self,
+        ask: Ask,
+        reason: Reason,
+        detail: str,
+        retry_after: Seconds,
+    ) -> Verdict:
+        self._journal.note(
+            ask.request,
+            'request_refused',
+            reason.value,
+            team=ask.kind.team,
+            model=ask.kind.model,
+            detail=detail,
+        )
+        return refuse(reason, detail, retry_after)
+
+    async def _wait(
+        self,
+        wanted: GenerationRequest,
+        gone: Awaitable[None],
+    ) -> Permit | Verdict:
+        answer: asyncio.Future[Permit | Verdict] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._queued[wanted.request] = answer
+        leaving = asyncio.ensure_future(gone)
+        self._pump(wanted.model, self._clock.now())
+        try:
+            await asyncio.wait(
+                (answer, leaving),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        finally:
+            leaving.cancel()
+            self._queued.pop(wanted.request, None)
+        if answer.done():
+            return answer.result()
+        answer.cancel()
+        return refuse(Reason.cancelled, 'the caller left the queue')
+
+    def _expire(self, model: ModelId, now: float) -> None:
+        for waiting in self._dispatchers[model].expire(now):
+            answer = self._queued.pop(waiting.ask.request, None)
+            if answer is not None and not answer.done():
+                refusal = self._refuse(
+                    waiting.ask,
+                    Reason.queue_timeout,
+                    f'no target took the request in '
+                    f'{now - waiting.arrived:.1f} s',
+                    _RETRY_SECONDS,
+                )
+                answer.set_result(refusal)
+
+    def _pump(self, model: ModelId, now: float) -> None:
+        dispatcher = self._dispatchers[model]
+        if not dispatcher.queued:
+            return
+        self._refresh_rooms(model, now)
+        dispatch = dispatcher.find_next(now)
+        while dispatch is not None:
+            if not self._send(model, dispatch, now):
+                break
+            self._refresh_room(dispatcher, dispatch.choice.target, now)
+            dispatch = dispatcher.find_next(now)
+
+    def _send(self, model: ModelId, dispatch: Dispatch, now: float) -> bool:
+        """Take the slot and let the request run; say whether to go on."""
+        dispatcher = self._dispatchers[model]
+        ask = dispatch.waiting.ask
+        answer = self._queued.get(ask.request)
+        if answer is None or answer.done():
+            dispatcher.record_stop(ask.request, Tokens(0), Stop.cancelled)
+            return True
+        target = dispatch.choice.target
+        running = dispatcher.books[target].running[ask.request]
+        slot = self._allowances.take(target, int(running.promised), now)
+        if isinstance(slot, Shortage):
+            dispatcher.cancel(dispatch)
+            return False
+        permit = Permit(ask.request, model, self._find_route(target), slot)
+        self._permits[ask.request] = permit
+        answer.set_result(permit)
+        self._note_admitted(dispatch)
+        return True
+
+    def _note_admitted(self, dispatch: Dispatch) -> None:
+        choice = dispatch.choice
+        self._journal.note(
+            dispatch.waiting.ask.request,
+            'request_admitted',
+            'least_stall',
+            target=choice.target,
+            waited=dispatch.waited,
+            stall=choice.stall,
+            queue=choice.queue,
+            prefill=choice.prefill,
+            overflow=choice.overflow,
+            part_used=dispatch.fit.part_used,
+        )
+
+    def _give_back(self, permit: Permit) -> None:
+        now = self._clock.now()
+        self._permits.pop(permit.request, None)
+        self._allowances.give_back(permit.slot, now)
+        produced = permit.read_position()
+        dispatcher = self._dispatchers[permit.model]
+        dispatcher.record_tokens(permit.request, produced)
+        dispatcher.record_stop(permit.request, Tokens(produced), permit.stop)
+        self._pump(permit.model, now)
+
+    def _refresh_rooms(self, model: ModelId, now: float) -> None:
+        dispatcher = self._dispatchers[model]
+        share = _divide(dispatcher.queued, len(dispatcher.books))
+        for target in dispatcher.books:
+            self._allowances.want(target, share, now)
+            self._refresh_room(dispatcher, target, now)
+
+    def _refresh_room(
+        self,
+        dispatcher: Dispatcher,
+        target: TargetId,
+        now: float,
+    ) -> None:
+        dispatcher.set_room(target, self._find_room(target, now))
+
+    def _find_room(self, target_id: TargetId, now: float) -> Room:
+        config = self._config
+        target = None if config is None else config.targets.get(target_id)
+        if config is None or target is None or not is_serving(config, target):
+            return Closed('out')
+        if self._lost_until.get(target_id, 0) > now:
+            return Closed('lost')
+        return Leased(
+            self._allowances.find_slack(target_id, now),
+            Limit(target.concurrent, target.memory_tokens),
+        )
+
+    def _find_route(self, target: TargetId) -> Route:
+        assert self._config is not None
+        return Route(target, self._config.targets[target].address)
+
+
+def _build_ask(wanted: GenerationRequest, config: Config) -> Ask:
+    body = wanted.body
+    return Ask(
+        wanted.request,
+        Kind(wanted.team, wanted.model, classify(body.max_tokens)),
+        body.prompt_tokens,
+        body.max_tokens,
+        body.priority,
+        config.teams[wanted.team].weight,
+        body.prefix,
+    )
+
+
+def _divide(work: int, parts: int) -> int:
+    return -(-work // max(1, parts))
