Bound connections, headers and bodies; prove back pressure and resumes over loopback

Cause: a slow sender of headers was never timed out, since each byte reset the timer; connections were not counted; bodies above 100 kB went to a file on disk, which the VMs do not have; parse errors of twisted.web answered without a verdict; a refusal in mid-upload was lost to a reset.

Change: one channel and one request class bound connections, header time, body size, body time and the memory of all open bodies. A refusal half-closes the connection and reads on for two seconds, so that it arrives.

Seen failing: an Exchange that aborted raised AttributeError, for the channel has no such method, so that a cut engine was only noticed as a stall after 2.5 s; the tests of cut links took that long and one got the wrong reason. It now aborts the transport. A malformed request line raised a trace inside twisted.web once refused; the channel now drops what follows a refusal.

Ruled out: counting bytes written by the engine as the measure of back pressure, since the kernel grows its socket buffers while the test runs; the test counts what the program itself buffers.

--- /dev/null
+++ b/chicoryshunt/connection/channel.py
@@ -0,0 +1,215 @@
+"""One HTTP connection of a caller and the requests on it, bounded."""
+
+import asyncio
+from http import HTTPStatus
+from io import BytesIO
+from typing import Any, cast
+
+from twisted.web import http, server
+
+from chicoryshunt.connection.bounds import ServerBounds, Usage
+from chicoryshunt.connection.caller_api import VERDICT_HEADER, encode_verdict
+from chicoryshunt.types import Reason, Seconds
+from chicoryshunt.verdict import Verdict, refuse
+
+_RETRY_SECONDS = Seconds(1)
+_LINGER_SECONDS = 2.0
+_REFUSAL = (
+    b'HTTP/1.1 %d %s\r\n'
+    b'Content-Type: application/json\r\n'
+    b'%s: not_run\r\n'
+    b'Connection: close\r\n'
+    b'Content-Length: %d\r\n\r\n%s'
+)
+
+
+class BoundedRequest(server.Request):
+    """Request whose body is kept in memory, within bounds."""
+
+    _received = 0
+    _deadline: asyncio.TimerHandle | None = None
+    _is_refused = False
+
+    def gotLength(self, length: int | None) -> None:
+        """Refuse a body that says it is too large."""
+        self.content = BytesIO()
+        if length is not None and length > self._bounds.body_bytes:
+            self._refuse(Reason.body_too_large, f'{length} bytes')
+        elif length != 0:
+            self._deadline = asyncio.get_event_loop().call_later(
+                self._bounds.body_seconds,
+                self._refuse,
+                Reason.body_truncated,
+                f'not whole after {self._bounds.body_seconds} s',
+            )
+
+    def handleContentChunk(self, data: bytes) -> None:
+        """Keep a chunk of the body while it is within bounds."""
+        if self._is_refused:
+            return
+        if self._received + len(data) > self._bounds.body_bytes:
+            self._refuse(Reason.body_too_large, 'too many bytes')
+        elif self._usage.hold_body(len(data)):
+            self._received += len(data)
+            super().handleContentChunk(data)
+        else:
+            self._refuse(Reason.overloaded, 'too many bodies', _RETRY_SECONDS)
+
+    def requestReceived(
+        self,
+        command: bytes,
+        path: bytes,
+        version: bytes,
+    ) -> None:
+        """Handle the request now that its body is whole."""
+        self._cancel_deadline()
+        if not self._is_refused:
+            super().requestReceived(command, path, version)
+
+    def finish(self) -> None:
+        """End the answer and forget the body."""
+        self.drop_body()
+        super().finish()
+
+    def connectionLost(self, reason: Any) -> None:
+        """Forget the deadline and the body with the connection."""
+        self._cancel_deadline()
+        self.drop_body()
+        super().connectionLost(reason)
+
+    def drop_body(self) -> None:
+        """Free the memory of the body."""
+        self._usage.drop_body(self._received)
+        self._received = 0
+        self.content = BytesIO()
+
+    @property
+    def _usage(self) -> Usage:
+        return cast(Usage, cast(Any, self.channel).usage)
+
+    @property
+    def _bounds(self) -> ServerBounds:
+        return self._usage.bounds
+
+    def _cancel_deadline(self) -> None:
+        if self._deadline is not None:
+            self._deadline.cancel()
+
+    def _refuse(
+        self,
+        reason: Reason,
+        detail: str,
+        retry_after: Seconds | None = None,
+    ) -> None:
+        self._is_refused = True
+        self._cancel_deadline()
+        self.drop_body()
+        cast(BoundedChannel, self.channel).refuse(
+            refuse(reason, f'request body: {detail}', retry_after),
+        )
+
+
+class BoundedChannel(http.HTTPChannel):
+    """Connection that is counted, and whose headers have a deadline."""
+
+    usage: Usage
+    _deadline: asyncio.TimerHandle | None = None
+    _is_refused = False
+
+    def connectionMade(self) -> None:
+        """Refuse a connection above the limit."""
+        super().connectionMade()
+        if self.usage.is_flooded:
+            cast(Any, self.transport).abortConnection()
+        if not self.usage.open_connection():
+            limit = self.usage.bounds.connections
+            self.refuse(
+                refuse(
+                    Reason.too_many_connections,
+                    f'more than {limit} connections',
+                    _RETRY_SECONDS,
+                ),
+            )
+
+    def dataReceived(self, data: bytes) -> None:
+        """Give the headers of each request a deadline."""
+        if self._is_refused:
+            return
+        if self._deadline is None and not self.requests:
+            self._deadline = asyncio.get_event_loop().call_later(
+                self.usage.bounds.header_seconds,
+                self._refuse_slow_headers,
+            )
+        super().dataReceived(data)
+
+    def lineReceived(self, line: bytes) -> None:
+        """Read on unless the connection is refused."""
+        if not self._is_refused:
+            super().lineReceived(line)
+
+    def rawDataReceived(self, data: bytes) -> None:
+        """Read on unless the connection is refused."""
+        if not self._is_refused:
+            super().rawDataReceived(data)
+
+    def allHeadersReceived(self) -> None:
+        """Drop the deadline of the headers."""
+        self._cancel_deadline()
+        super().allHeadersReceived()
+
+    def connectionLost(self, reason: Any = None) -> None:
+        """Count the connection no longer."""
+        self._cancel_deadline()
+        self.usage.close_connection()
+        super().connectionLost(reason)
+
+    def refuse(self, verdict: Verdict) -> None:
+        """Answer with a refusal outside of any request, and close."""
+        self._is_refused = True
+        self._cancel_deadline()
+        body = encode_verdict(verdict)
+        status = HTTPStatus(verdict.status)
+        cast(Any, self.transport).write(
+            _REFUSAL
+            % (
+                status,
+                status.phrase.encode(),
+                VERDICT_HEADER.encode(),
+                len(body),
+                body,
+            ),
+        )
+        self._linger()
+
+    def lineLengthExceeded(self, line: bytes) -> None:
+        """Refuse a header line that is too long."""
+        self._respondToBadRequestAndDisconnect()
+
+    def _respondToBadRequestAndDisconnect(self) -> None:
+        """Answer what cannot be parsed, where twisted.web says nothing."""
+        if not self._is_refused:
+            self.refuse(refuse(Reason.bad_request, 'no HTTP request'))
+
+    def _refuse_slow_headers(self) -> None:
+        seconds = self.usage.bounds.header_seconds
+        self.refuse(
+            refuse(
+                Reason.request_timeout,
+                f'headers not whole after {seconds} s',
+            ),
+        )
+
+    def _linger(self) -> None:
+        """Close for writing, and read on so that the answer arrives."""
+        transport = cast(Any, self.transport)
+        self.setTimeout(None)
+        transport.loseWriteConnection()
+        self._deadline = asyncio.get_event_loop().call_later(
+            _LINGER_SECONDS,
+            transport.abortConnection,
+        )
+
+    def _cancel_deadline(self) -> None:
+        if self._deadline is not None:
+            self._deadline.cancel()
+            self._deadline = None
--- a/chicoryshunt/connection/exchange.py
+++ b/chicoryshunt/connection/exchange.py
@@ -102,7 +102,7 @@
     def abort(self) -> None:
         """Cut the connection, so that the answer cannot look whole."""
         if self.is_open:
-            self._request.channel.abortConnection()
+            self._request.transport.abortConnection()
 
     def hold_back(self, producer: object) -> None:
         """Pause the producer while the caller reads slowly."""
--- a/chicoryshunt/process/node.py
+++ b/chicoryshunt/process/node.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from chicoryshunt.connection.bounds import ServerBounds
 from chicoryshunt.connection.client import HttpClient
 from chicoryshunt.connection.loop import get_reactor
 from chicoryshunt.connection.platform_api import PublishedValue, PublishedVms
@@ -39,8 +40,13 @@
     limits = state.settings.limits
     site = BoundedSite(
         CallerApi(state).handle,
-        limits.body_bytes,
-        limits.body_seconds,
+        ServerBounds(
+            limits.connections,
+            limits.header_seconds,
+            limits.body_bytes,
+            limits.body_seconds,
+            limits.open_bodies_bytes,
+        ),
     )
     listener = get_reactor().listenTCP(
         listen.caller,
--- a/chicoryshunt/request/generation.py
+++ b/chicoryshunt/request/generation.py
@@ -251,7 +251,8 @@
             reason=stop.value,
         )
         while self._failures <= _RESUME_ATTEMPTS:
-            await asyncio.sleep(_RESUME_PAUSE_SECONDS * self._failures)
+            pauses = max(0, self._failures - 1)
+            await asyncio.sleep(_RESUME_PAUSE_SECONDS * pauses)
             stream = await self._engine.resume(generation, index)
             if isinstance(stream, EngineStream):
                 return stream
--- a/lab/daemon.py
+++ b/lab/daemon.py
@@ -7,12 +7,18 @@
 from absl import flags
 
 from chicoryshunt.connection import loop
+from chicoryshunt.connection.bounds import ServerBounds
 from chicoryshunt.connection.exchange import Exchange
 from chicoryshunt.connection.web import BoundedSite, Handler
 from lab.faults import Fault, FaultKind, Faults
 
-_BODY_BYTES = 16 << 20
-_BODY_SECONDS = 20
+_BOUNDS = ServerBounds(
+    connections=4096,
+    header_seconds=20,
+    body_bytes=16 << 20,
+    body_seconds=20,
+    open_bodies_bytes=64 << 20,
+)
 
 
 def parse_flags(values: flags.FlagValues) -> None:
@@ -52,4 +58,4 @@
         else:
             await handler(exchange)
 
-    return BoundedSite(handle, _BODY_BYTES, _BODY_SECONDS)
+    return BoundedSite(handle, _BOUNDS)
--- a/tests/reactor.py
+++ b/tests/reactor.py
@@ -7,7 +7,6 @@
 from typing import Any, TypeVar
 
 from twisted.internet import asyncioreactor
-from twisted.internet.interfaces import IProtocolFactory
 
 from chicoryshunt.connection.loop import await_deferred, get_reactor
 
@@ -31,7 +30,7 @@
 
 
 @asynccontextmanager
-async def listen(factory: IProtocolFactory) -> AsyncIterator[str]:
+async def listen(factory: Any) -> AsyncIterator[str]:
     """Listen on a free port of loopback and yield host:port."""
     listener = get_reactor().listenTCP(0, factory, interface='127.0.0.1')
     try:
--- /dev/null
+++ b/tests/test_back_pressure.py
@@ -0,0 +1,153 @@
+"""A caller that does not read holds back its own stream only."""
+
+import asyncio
+from typing import Any, cast
+
+from twisted.internet.protocol import Protocol
+
+from chicoryshunt.connection.client import HttpClient
+from chicoryshunt.connection.event_stream import EventDecoder
+from chicoryshunt.connection.exchange import Exchange
+from chicoryshunt.connection.loop import get_reactor
+from chicoryshunt.connection.target_api import StreamEvent
+from chicoryshunt.connection.web import BoundedSite
+from chicoryshunt.process.callers import CallerApi
+from chicoryshunt.process.state import NodeState
+from chicoryshunt.settings import parse_settings
+from tests.builders import build_settings_text
+from tests.reactor import listen, run_on_reactor
+from tests.relay_fakes import frame_end, frame_tokens
+from tests.test_caller import SERVER_BOUNDS, build_config
+
+_TOKENS_PER_EVENT = 1000
+_EVENTS = 2000
+_LENGTH = _TOKENS_PER_EVENT * _EVENTS
+_MAX_BUFFERED_BYTES = 1 << 20
+_TURNS_AT_REST = 1000
+
+
+class FirehoseStream:
+    """One generation, written as fast as its reader allows."""
+
+    def __init__(self, exchange: Exchange) -> None:
+        self.written = 0
+        self.is_ready = asyncio.Event()
+        self.is_ready.set()
+        self._exchange = exchange
+
+    async def serve(self) -> None:
+        """Write everything."""
+        self._exchange.set_header('x-generation', 'g-1')
+        self._exchange.hold_back(self)
+        for event in range(_EVENTS):
+            await self.is_ready.wait()
+            await asyncio.sleep(0)
+            start = event * _TOKENS_PER_EVENT
+            self._write(frame_tokens(start, start + _TOKENS_PER_EVENT))
+        self._write(frame_end(_LENGTH))
+        self._exchange.release()
+        self._exchange.finish()
+
+    def pauseProducing(self) -> None:
+        """Wait for the reader."""
+        self.is_ready.clear()
+
+    def resumeProducing(self) -> None:
+        """Write on."""
+        self.is_ready.set()
+
+    def stopProducing(self) -> None:
+        """End the wait."""
+        self.is_ready.set()
+
+    def _write(self, frame: bytes) -> None:
+        self.written += len(frame)
+        self._exchange.write(frame)
+
+
+class Firehose:
+    """Engine whose generations are larger than all buffers."""
+
+    def __init__(self) -> None:
+        self.streams: list[FirehoseStream] = []
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Stream a generation."""
+        stream = FirehoseStream(exchange)
+        self.streams.append(stream)
+        await stream.serve()
+
+
+class Counter(Protocol):
+    """Caller that counts tokens and reads only while it is told to."""
+
+    def __init__(self) -> None:
+        self.done = asyncio.get_running_loop().create_future()
+        self.tokens = 0
+        self._rest = b''
+        self._decoder = EventDecoder()
+
+    def dataReceived(self, data: bytes) -> None:
+        frames = (self._rest + data).split(b'\n\n')
+        self._rest = frames.pop()
+        for frame in frames:
+            if frame.startswith(b'event: end'):
+                self.done.set_result(None)
+                continue
+            event = self._decoder.decode(frame)
+            assert isinstance(event, StreamEvent)
+            assert event.i == self.tokens
+            self.tokens += len(event.t)
+
+
+async def open_stream(address: str) -> tuple[Counter, Any]:
+    response = await HttpClient(keeps_connections=False).request(
+        'POST',
+        f'http://{address}/v1/generate/m',
+        b'{"prompt": "p"}',
+        {'x-team': 'team'},
+    )
+    counter = Counter()
+    response.deliverBody(counter)
+    return counter, cast(Any, counter.transport)
+
+
+def test_slow_caller_holds_back_its_own_stream() -> None:
+    async def check() -> None:
+        engine = Firehose()
+        async with listen(BoundedSite(engine.handle, SERVER_BOUNDS)) as target:
+            state = NodeState(parse_settings(build_settings_text(), 'a'))
+            state.config = build_config([target])
+            node = BoundedSite(CallerApi(state).handle, SERVER_BOUNDS)
+            async with listen(node) as address:
+                slow, slow_transport = await open_stream(address)
+                slow_transport.pauseProducing()
+                await wait_until_held(engine.streams[0])
+                assert 0 < count_buffered_bytes() < _MAX_BUFFERED_BYTES
+                quick, _ = await open_stream(address)
+                await quick.done
+                assert quick.tokens == _LENGTH
+                assert not slow.done.done()
+                assert 0 < count_buffered_bytes() < _MAX_BUFFERED_BYTES
+                slow_transport.resumeProducing()
+                await slow.done
+                assert slow.tokens == _LENGTH
+
+    run_on_reactor(check())
+
+
+def count_buffered_bytes() -> int:
+    """Return the bytes that every connection here waits to write."""
+    return sum(
+        len(writer.dataBuffer) - writer.offset + writer._tempDataLen
+        for writer in get_reactor().getWriters()
+    )
+
+
+async def wait_until_held(stream: FirehoseStream) -> None:
+    """Return when the engine's writes have come to rest."""
+    written = -1
+    while stream.is_ready.is_set() or written < stream.written:
+        written = stream.written
+        for _ in range(_TURNS_AT_REST):
+            await asyncio.sleep(0)
--- /dev/null
+++ b/tests/test_client.py
@@ -0,0 +1,207 @@
+"""Tests of the HTTP client against servers that misbehave, on loopback."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any, cast
+
+import pytest
+from twisted.internet.protocol import Factory, Protocol
+
+from chicoryshunt.connection import client as client_module
+from chicoryshunt.connection.client import (
+    BrokenError,
+    HttpClient,
+    NotConnectedError,
+    SlowAnswerError,
+    read_body,
+)
+from chicoryshunt.connection.engine_link import EngineLink, ResumeFailure
+from chicoryshunt.types import GenerationId, Reason, RunState
+from chicoryshunt.verdict import Verdict
+from tests.reactor import listen, run_on_reactor
+from tests.relay_fakes import ORDER
+
+_OK = b'HTTP/1.1 200 OK\r\n'
+_UNAVAILABLE = b'HTTP/1.1 503 Busy\r\nContent-Length: %d\r\n\r\n%s'
+
+
+class Scripted(Factory):
+    """Server that answers the first bytes with a script and may hang up."""
+
+    def __init__(self, answer: bytes, *, hangs_up: bool = True) -> None:
+        self.answer = answer
+        self.hangs_up = hangs_up
+
+    def buildProtocol(self, addr: object) -> Protocol:
+        return _ScriptedConnection(self)
+
+
+class _ScriptedConnection(Protocol):
+    def __init__(self, script: Scripted) -> None:
+        self._script = script
+
+    def dataReceived(self, data: bytes) -> None:
+        transport = cast(Any, self.transport)
+        transport.write(self._script.answer)
+        if self._script.hangs_up:
+            transport.loseConnection()
+
+
+def run_against(
+    script: Scripted,
+    act: Callable[[HttpClient, str], Awaitable[None]],
+) -> None:
+    async def check() -> None:
+        async with listen(script) as address:
+            await act(HttpClient(keeps_connections=False), address)
+
+    run_on_reactor(check())
+
+
+def test_refused_connection_wrote_nothing() -> None:
+    async def check() -> None:
+        async with listen(Scripted(b'')) as address:
+            unused = address
+        with pytest.raises(NotConnectedError):
+            await HttpClient().request('GET', f'http://{unused}/')
+
+    run_on_reactor(check())
+
+
+@pytest.mark.parametrize(
+    'answer',
+    [b'', b'HTTP/1.1 2', b'nonsense\r\n\r\n', _OK],
+)
+def test_broken_answer_is_no_answer(answer: bytes) -> None:
+    async def act(client: HttpClient, address: str) -> None:
+        with pytest.raises(BrokenError):
+            await client.request('GET', f'http://{address}/')
+
+    run_against(Scripted(answer), act)
+
+
+def test_frozen_server_is_given_up() -> None:
+    async def act(client: HttpClient, address: str) -> None:
+        with pytest.raises(SlowAnswerError):
+            await client.request(
+                'GET',
+                f'http://{address}/',
+                answer_seconds=0.02,
+            )
+
+    run_against(Scripted(b'', hangs_up=False), act)
+
+
+def test_frozen_body_is_given_up() -> None:
+    async def act(client: HttpClient, address: str) -> None:
+        with pytest.raises(SlowAnswerError):
+            await client.read('GET', f'http://{address}/', answer_seconds=0.1)
+
+    answer = b'%sContent-Length: 9\r\n\r\nhalf' % _OK
+    run_against(Scripted(answer, hangs_up=False), act)
+
+
+@pytest.mark.parametrize('length', [b'4', b'2000'])
+def test_body_larger_than_its_bound_is_broken(length: bytes) -> None:
+    async def act(client: HttpClient, address: str) -> None:
+        response = await client.request('GET', f'http://{address}/')
+        with pytest.raises(BrokenError):
+            await read_body(response, 5, max_bytes=3)
+
+    answer = b'%sContent-Length: %s\r\n\r\nhalf' % (_OK, length)
+    run_against(Scripted(answer), act)
+
+
+def _refusal(body: bytes) -> bytes:
+    return _UNAVAILABLE % (len(body), body)
+
+
+@pytest.mark.parametrize(
+    ('answer', 'run', 'reason'),
+    [
+        (
+            _refusal(b'{"reason": "full", "accepted": false}'),
+            RunState.not_run,
+            Reason.target_refused,
+        ),
+        (
+            _refusal(b'{"reason": "full"}'),
+            RunState.may_have_run,
+            Reason.engine_garbled,
+        ),
+        (
+            _refusal(b'{"reason": "full", "accepted": true}'),
+            RunState.may_have_run,
+            Reason.engine_garbled,
+        ),
+        (
+            _refusal(b'\xff'),
+            RunState.may_have_run,
+            Reason.engine_garbled,
+        ),
+        (b'', RunState.may_have_run, Reason.engine_lost),
+        (
+            b'%sContent-Length: 0\r\n\r\n' % _OK,
+            RunState.may_have_run,
+            Reason.engine_garbled,
+        ),
+    ],
+)
+def test_only_a_statement_proves_not_run(
+    answer: bytes,
+    run: RunState,
+    reason: Reason,
+) -> None:
+    async def act(client: HttpClient, address: str) -> None:
+        verdict = await EngineLink(client, address).start(ORDER)
+        assert isinstance(verdict, Verdict)
+        assert verdict.run is run
+        assert verdict.reason is reason
+
+    run_against(Scripted(answer), act)
+
+
+def test_frozen_engine_may_have_run(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(
+        'chicoryshunt.connection.engine_link._ANSWER_SECONDS',
+        0.02,
+    )
+
+    async def act(client: HttpClient, address: str) -> None:
+        verdict = await EngineLink(client, address).start(ORDER)
+        assert isinstance(verdict, Verdict)
+        assert verdict.run is RunState.may_have_run
+        assert 'no answer within' in verdict.detail
+
+    run_against(Scripted(b'', hangs_up=False), act)
+
+
+@pytest.mark.parametrize(
+    ('answer', 'failure'),
+    [
+        (b'HTTP/1.1 404 No\r\n\r\n', ResumeFailure.unknown),
+        (b'HTTP/1.1 500 No\r\n\r\n', ResumeFailure.unreachable),
+        (b'%sX-Generation: g-2\r\n\r\n' % _OK, ResumeFailure.unreachable),
+        (b'', ResumeFailure.unreachable),
+    ],
+)
+def test_resume_is_of_the_same_generation(
+    answer: bytes,
+    failure: ResumeFailure,
+) -> None:
+    async def act(client: HttpClient, address: str) -> None:
+        engine = EngineLink(client, address)
+        assert await engine.resume(GenerationId('g-1'), 3) is failure
+
+    run_against(Scripted(answer), act)
+
+
+def test_ip_numbers_need_no_thread(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def act(client: HttpClient, address: str) -> None:
+        loop = asyncio.get_running_loop()
+        monkeypatch.setattr(client_module, 'HostnameEndpoint', None)
+        assert loop.is_running()
+        status, _ = await client.read('GET', f'http://{address}/')
+        assert status == 200
+
+    run_against(Scripted(b'%sContent-Length: 0\r\n\r\n' % _OK), act)
