Stop the node that relayed a generation before its caller resumed

Cause: a node cancels a generation at its engine when its caller is gone past the grace period. A caller that had resumed through another node would then have lost the rest of its answer.

Change: the resuming node shows the token to the node named in it, which stops relaying and does not cancel. The token is the proof, so that no other right is needed. Ruled out: a gRPC call between nodes, which needs the same round trip and a second proof.

--- a/chicoryshunt/connection/caller_api.py
+++ b/chicoryshunt/connection/caller_api.py
@@ -53,6 +53,12 @@
     detail: str = ''
 
 
+class Released(msgspec.Struct, frozen=True):
+    """Say whether this node relayed the generation that was resumed."""
+
+    released: bool
+
+
 def encode_verdict(verdict: Verdict) -> bytes:
     """Return the JSON form of a verdict."""
     return msgspec.json.encode(
--- a/chicoryshunt/process/callers.py
+++ b/chicoryshunt/process/callers.py
@@ -34,8 +34,8 @@
                 exchange.respond_json(self._state.list_entries())
             case ('POST', 'v1', 'generate', model):
                 await self._generations.generate(exchange, ModelId(model))
-            case ('POST', 'v1', 'resume'):
-                await self._generations.resume(exchange)
+            case ('POST', 'v1', 'resume', *action):
+                await self._generations.handle_resume(exchange, action)
             case (_, 'v1', 'call', service, *path):
                 await self._call(exchange, ServiceId(service), '/'.join(path))
             case ('GET', 'v1', 'status'):
--- a/chicoryshunt/process/generations.py
+++ b/chicoryshunt/process/generations.py
@@ -2,11 +2,20 @@
 
 import msgspec
 
-from chicoryshunt.connection.caller_api import RESUME_HEADER, TEAM_HEADER
-from chicoryshunt.connection.client import HttpClient
+from chicoryshunt.connection.caller_api import (
+    RESUME_HEADER,
+    RESUME_PATH,
+    TEAM_HEADER,
+    Released,
+)
+from chicoryshunt.connection.client import (
+    BrokenError,
+    HttpClient,
+    NotConnectedError,
+)
 from chicoryshunt.connection.engine_link import EngineLink
 from chicoryshunt.connection.exchange import Exchange
-from chicoryshunt.events import log_event
+from chicoryshunt.events import log_event, log_problem
 from chicoryshunt.process.router import Route
 from chicoryshunt.process.seal import Purpose, Seal
 from chicoryshunt.process.state import NodeState
@@ -44,6 +53,7 @@
 from chicoryshunt.verdict import Verdict, refuse
 
 _MAX_STARTS = 3
+_RELEASE_SECONDS = 1.0
 
 
 class GenerationApi:
@@ -75,11 +85,6 @@
         )
         self._requests = 0
 
-    @property
-    def handovers(self) -> Handovers:
-        """Return the generations that other nodes may take over."""
-        return self._relay.handovers
-
     async def generate(self, exchange: Exchange, model: ModelId) -> None:
         """Answer a caller with a new generation."""
         wanted = self._parse(exchange, model)
@@ -96,6 +101,22 @@
         )
         _end_answer(sink, outcome)
 
+    async def handle_resume(
+        self,
+        exchange: Exchange,
+        action: list[str],
+    ) -> None:
+        """Serve the paths under the resume path."""
+        match action:
+            case []:
+                await self.resume(exchange)
+            case ['taken']:
+                self.release(exchange)
+            case _:
+                exchange.respond_verdict(
+                    refuse(Reason.unknown_path, f'no path {exchange.path!r}'),
+                )
+
     async def resume(self, exchange: Exchange) -> None:
         """Continue a generation from the caller's next index."""
         index = parse_index(exchange.get_query('from', '0'))
@@ -110,7 +131,7 @@
         if isinstance(route, Verdict):
             exchange.respond_verdict(route)
             return
-        self._relay.handovers.take(token.generation)
+        await self._take_over(token)
         sink = Sink(exchange)
         with self._state.router.hold(route):
             outcome = await self._build(route, sink, token).resume(
@@ -125,6 +146,37 @@
         )
         _end_answer(sink, outcome)
 
+    def release(self, exchange: Exchange) -> None:
+        """Stop relaying a generation that another node resumed."""
+        token = decode_token(exchange.get_header(RESUME_HEADER), self._sign)
+        if isinstance(token, Verdict):
+            exchange.respond_verdict(token)
+            return
+        is_taken = self._relay.handovers.take(token.generation)
+        exchange.respond_json(Released(is_taken))
+
+    async def _take_over(self, token: ResumeToken) -> None:
+        """Make the node that relays the generation stop, and not cancel."""
+        if self._relay.handovers.take(token.generation):
+            return
+        address = self._state.find_caller_address(token.vm)
+        if token.vm == self._state.settings.vm or not address:
+            return
+        try:
+            await self._client.read(
+                'POST',
+                f'http://{address}{RESUME_PATH}/taken',
+                headers={RESUME_HEADER: encode_token(token, self._sign)},
+                answer_seconds=_RELEASE_SECONDS,
+            )
+        except (NotConnectedError, BrokenError) as error:
+            log_problem(
+                'release_failed',
+                request=token.request,
+                vm=token.vm,
+                error=str(error),
+            )
+
     async def _start_until_delivered(
         self,
         wanted: GenerationRequest,
--- a/chicoryshunt/process/state.py
+++ b/chicoryshunt/process/state.py
@@ -69,6 +69,11 @@
             _KEEP_SECONDS,
         )
 
+    def find_caller_address(self, wanted: VmId) -> str:
+        """Return where a VM listens for callers, empty when unknown."""
+        found = (one.caller for one in self.vms if one.vm == wanted)
+        return next(found, '')
+
     def describe(self) -> NodeStatus:
         """Return what this node knows."""
         version = ConfigVersion(0)
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -1,5 +1,6 @@
 """Tests of callers, nodes and an engine together, over loopback."""
 
+import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from contextlib import AsyncExitStack, asynccontextmanager
 from typing import Any
@@ -11,14 +12,19 @@
 from chicoryshunt.caller.caller import Caller
 from chicoryshunt.connection.bounds import ServerBounds
 from chicoryshunt.connection.caller_api import Entries, Entry, VerdictBody
-from chicoryshunt.connection.client import HttpClient, read_body
+from chicoryshunt.connection.client import (
+    BrokenError,
+    HttpClient,
+    read_body,
+)
 from chicoryshunt.connection.exchange import Exchange
+from chicoryshunt.connection.platform_api import PublishedVm
 from chicoryshunt.connection.target_api import GenerateOrder, NotAccepted
 from chicoryshunt.connection.web import BoundedSite
 from chicoryshunt.process.callers import CallerApi
 from chicoryshunt.process.state import NodeState
 from chicoryshunt.settings import parse_settings
-from chicoryshunt.types import RunState, VmId
+from chicoryshunt.types import DataCentreId, RunState, VmId
 from chicoryshunt.version.config import Config
 from tests.builders import build_settings_text
 from tests.reactor import listen, run_on_reactor
@@ -26,6 +32,7 @@
 
 SERVER_BOUNDS = ServerBounds(64, 5, 10_000, 5, 100_000)
 _LENGTH = 6
+_HELD_AT = 3
 _CALLER_CUTS = (
     ((1,), ()),
     ((2, 0, 1), ()),
@@ -42,22 +49,24 @@
         self.refusals = 0
         self.deaths = 0
         self.starts = 0
+        self.may_go_on = asyncio.Event()
+        self.may_go_on.set()
         self.resumed_from: list[int] = []
         self.cancelled: list[str] = []
 
     async def handle(self, exchange: Exchange) -> None:
         match (exchange.method, *exchange.segments):
             case ('POST', 'generate'):
-                self._start(exchange)
+                await self._start(exchange)
             case ('GET', 'generations', str()):
                 index = int(exchange.get_query('from', ''))
                 self.resumed_from.append(index)
-                self._stream(exchange, index)
+                await self._stream(exchange, index)
             case (_, 'generations', name):
                 self.cancelled.append(name)
                 exchange.respond_json({})
 
-    def _start(self, exchange: Exchange) -> None:
+    async def _start(self, exchange: Exchange) -> None:
         msgspec.json.decode(exchange.body, type=GenerateOrder)
         if self.refusals:
             self.refusals -= 1
@@ -67,13 +76,15 @@
             exchange.abort()
         else:
             self.starts += 1
-            self._stream(exchange, 0)
+            await self._stream(exchange, 0)
 
-    def _stream(self, exchange: Exchange, index: int) -> None:
+    async def _stream(self, exchange: Exchange, index: int) -> None:
         stop = self.cuts.pop(0) if self.cuts else _LENGTH
         exchange.set_header('x-generation', OWN)
         exchange.write(b': accepted\n\n')
         for position in range(index, stop):
+            if position >= _HELD_AT:
+                await self.may_go_on.wait()
             exchange.write(frame_tokens(position, position + 1))
         if stop < _LENGTH:
             hang_up(exchange)
@@ -153,13 +164,22 @@
         headers: Mapping[str, str],
     ) -> tuple[Any, bytes]:
         """Send one request past the caller library."""
-        response = await HttpClient(keeps_connections=False).request(
+        response = await self.open(node, path, headers)
+        return response, await read_body(response)
+
+    async def open(
+        self,
+        node: int,
+        path: str,
+        headers: Mapping[str, str],
+    ) -> Any:
+        """Return a response whose body can be read."""
+        return await HttpClient(keeps_connections=False).request(
             'POST',
             f'http://{self.addresses[node]}/v1/{path}',
             b'{"prompt": "p"}',
             headers,
         )
-        return response, await read_body(response)
 
 
 def build_config(addresses: list[str]) -> Config:
@@ -204,6 +224,10 @@
         )
         for node in fleet.nodes:
             node.entries = Entries(entries, 60)
+            node.state.vms = tuple(
+                PublishedVm(one.vm, DataCentreId('a'), one.address, '', '')
+                for one in entries
+            )
         yield fleet
 
 
@@ -295,6 +319,28 @@
     run_fleet_test(test, engines=2)
 
 
+def test_node_that_relayed_before_stops() -> None:
+    async def test(fleet: Fleet) -> None:
+        engine = fleet.engines[0]
+        engine.may_go_on.clear()
+        live = await fleet.open(0, 'generate/m', {'x-team': 'team'})
+        token = live.headers.getRawHeaders('x-resume')[0]
+        headers = {'x-resume': token}
+        resumed = asyncio.ensure_future(
+            fleet.post(1, f'resume?from={_HELD_AT}', headers),
+        )
+        with pytest.raises(BrokenError):
+            await read_body(live)
+        assert 'resume/taken' in fleet.nodes[0].seen
+        engine.may_go_on.set()
+        _, body = await resumed
+        assert body.startswith(frame_tokens(_HELD_AT, _HELD_AT + 1))
+        assert b'"tokens":6' in body
+        assert not engine.cancelled
+
+    run_fleet_test(test)
+
+
 def test_any_node_resumes_with_the_token() -> None:
     async def test(fleet: Fleet) -> None:
         first, _ = await fleet.post(0, 'generate/m', {'x-team': 'team'})
