Admit generations through the policy's dispatcher

A generation waits in the fair queue of its model until a target has room by the predicted memory, takes a slot right before the write, and is refused with a time to retry when it would wait past its use. Restarts of what was lost spend a budget per team. Slots come from local shares until leases do.

explain shows admissions with the parts of the predicted stall.

--- a/chicoryshunt/process/callers.py
+++ b/chicoryshunt/process/callers.py
@@ -9,6 +9,7 @@
 )
 from chicoryshunt.connection.exchange import Exchange
 from chicoryshunt.process.generations import GenerationApi
+from chicoryshunt.process.journal import Explanation
 from chicoryshunt.process.router import Route
 from chicoryshunt.process.state import NodeState
 from chicoryshunt.types import (
@@ -51,6 +52,8 @@
                 exchange.respond_json(self._state.describe())
             case ('POST', 'v1', 'trial', 'cut') if self._state.settings.trials:
                 self._cut(exchange)
+            case ('GET', 'v1', 'explain', request):
+                self._explain(exchange, request)
             case ('GET', 'metrics'):
                 exchange.respond(
                     self._state.metrics.render(),
@@ -61,6 +64,12 @@
                     refuse(Reason.unknown_path, f'no path {exchange.path!r}'),
                 )
 
+    def _explain(self, exchange: Exchange, request: str) -> None:
+        explanation = self._state.journal.explain(request)
+        if explanation is None:
+            explanation = Explanation(request, ())
+        exchange.respond_json(explanation)
+
     def _cut(self, exchange: Exchange) -> None:
         try:
             order = msgspec.json.decode(exchange.body, type=CutOrder)
--- a/chicoryshunt/process/generations.py
+++ b/chicoryshunt/process/generations.py
@@ -1,7 +1,5 @@
 """The interface for generations: start, restart, resume."""
 
-import msgspec
-
 from chicoryshunt.connection.caller_api import (
     RESUME_HEADER,
     RESUME_PATH,
@@ -13,15 +11,18 @@
     HttpClient,
     NotConnectedError,
 )
-from chicoryshunt.connection.engine_link import EngineLink
 from chicoryshunt.connection.exchange import Exchange
 from chicoryshunt.events import log_event, log_problem
 from chicoryshunt.process.router import Route
 from chicoryshunt.process.seal import Purpose, Seal
+from chicoryshunt.process.starter import (
+    GenerationBuilder,
+    Starter,
+    name_reason,
+)
 from chicoryshunt.process.state import NodeState
 from chicoryshunt.request.cancels import Cancels
 from chicoryshunt.request.generation import (
-    Generation,
     Outcome,
     Relay,
     RelayLimits,
@@ -29,7 +30,6 @@
 from chicoryshunt.request.handover import Handovers
 from chicoryshunt.request.order import (
     GenerationRequest,
-    build_order,
     parse_generation,
     parse_index,
 )
@@ -40,9 +40,9 @@
 )
 from chicoryshunt.request.sink import HoldBudget, Sink, describe_end
 from chicoryshunt.request.stall import StallWatch
+from chicoryshunt.settings import Settings
 from chicoryshunt.types import (
     Delivery,
-    GenerationId,
     Incarnation,
     ModelId,
     Reason,
@@ -51,6 +51,7 @@
     TeamId,
 )
 from chicoryshunt.verdict import Verdict, refuse
+from chicoryshunt.version.config import Team
 
 _MAX_STARTS = 3
 _RELEASE_SECONDS = 1.0
@@ -70,14 +71,17 @@
             Incarnation(0),
             Purpose.token,
         ).sign
-        self._relay = Relay(
-            StallWatch(),
-            Handovers(),
-            Cancels(),
-            RelayLimits(
-                settings.limits.stream_buffer_bytes,
-                settings.limits.caller_grace_seconds,
-            ),
+        self._relay = _build_relay(settings)
+        self._builder = GenerationBuilder(
+            settings.vm,
+            self._relay,
+            self._client,
+            self._sign,
+        )
+        self._starter = Starter(
+            self._builder,
+            state.scheduler,
+            state.journal,
         )
         self._budget = HoldBudget(
             settings.limits.whole_buffer_bytes,
@@ -92,12 +96,10 @@
             exchange.respond_verdict(wanted)
             return
         sink = Sink(exchange, self._choose_budget(wanted))
-        outcome = await self._start_until_delivered(wanted, sink)
-        log_event(
-            'generation_ended',
-            request=wanted.request,
-            tokens=outcome.tokens,
-            reason=_name_reason(outcome),
+        outcome = await self._starter.start(
+            wanted,
+            sink,
+            self._find_team(wanted).retry_ratio,
         )
         _end_answer(sink, outcome)
 
@@ -134,7 +136,7 @@
         await self._take_over(token)
         sink = Sink(exchange)
         with self._state.router.hold(route):
-            outcome = await self._build(route, sink, token).resume(
+            outcome = await self._builder.build(route, sink, token).resume(
                 token.generation,
                 index,
             )
@@ -142,7 +144,7 @@
             'resumed_generation_ended',
             request=token.request,
             tokens=outcome.tokens,
-            reason=_name_reason(outcome),
+            reason=name_reason(outcome),
         )
         _end_answer(sink, outcome)
 
@@ -177,68 +179,6 @@
                 error=str(error),
             )
 
-    async def _start_until_delivered(
-        self,
-        wanted: GenerationRequest,
-        sink: Sink,
-    ) -> Outcome:
-        failed: frozenset[TargetId] = frozenset()
-        outcome = Outcome(0, '', None, delivered=False)
-        for _ in range(_MAX_STARTS):
-            route = self._state.route(wanted.model, failed)
-            if isinstance(route, Verdict):
-                last = outcome.verdict or route
-                return Outcome(outcome.tokens, '', last, delivered=False)
-            outcome = await self._start_at(route, wanted, sink)
-            repeatable = wanted.body.repeatable
-            if not outcome.may_start_anew(repeatable=repeatable):
-                break
-            log_event(
-                'generation_restarted',
-                request=wanted.request,
-                target=route.target,
-                reason=_name_reason(outcome),
-            )
-            sink.discard()
-            failed |= {route.target}
-        return outcome
-
-    async def _start_at(
-        self,
-        route: Route,
-        wanted: GenerationRequest,
-        sink: Sink,
-    ) -> Outcome:
-        token = ResumeToken(
-            self._state.settings.vm,
-            route.target,
-            GenerationId(''),
-            wanted.model,
-            wanted.team,
-            wanted.request,
-        )
-        with self._state.router.hold(route):
-            return await self._build(route, sink, token).start(
-                build_order(wanted),
-            )
-
-    def _build(
-        self,
-        route: Route,
-        sink: Sink,
-        token: ResumeToken,
-    ) -> Generation:
-        def make_token(generation: GenerationId) -> str:
-            own = msgspec.structs.replace(
-                token,
-                vm=self._state.settings.vm,
-                generation=generation,
-            )
-            return encode_token(own, self._sign)
-
-        engine = EngineLink(self._client, route.address)
-        return Generation(self._relay, engine, sink, make_token)
-
     def _find_route(self, target: TargetId) -> Route | Verdict:
         config = self._state.config
         if config is None:
@@ -248,12 +188,14 @@
         return Route(target, config.targets[target].address)
 
     def _choose_budget(self, wanted: GenerationRequest) -> HoldBudget | None:
-        delivery = wanted.body.delivery
-        config = self._state.config
-        if delivery is None and config is not None:
-            delivery = config.teams[wanted.team].delivery
+        delivery = wanted.body.delivery or self._find_team(wanted).delivery
         return self._budget if delivery is Delivery.whole else None
 
+    def _find_team(self, wanted: GenerationRequest) -> Team:
+        config = self._state.config
+        known = None if config is None else config.teams.get(wanted.team)
+        return known or Team()
+
     def _parse(
         self,
         exchange: Exchange,
@@ -275,9 +217,16 @@
         return RequestId(f'{self._state.settings.vm}-{self._requests}')
 
 
-def _name_reason(outcome: Outcome) -> str:
-    verdict = outcome.verdict
-    return outcome.ending if verdict is None else verdict.reason.value
+def _build_relay(settings: Settings) -> Relay:
+    return Relay(
+        StallWatch(),
+        Handovers(),
+        Cancels(),
+        RelayLimits(
+            settings.limits.stream_buffer_bytes,
+            settings.limits.caller_grace_seconds,
+        ),
+    )
 
 
 def _end_answer(sink: Sink, outcome: Outcome) -> None:
--- a/chicoryshunt/process/links.py
+++ b/chicoryshunt/process/links.py
@@ -36,6 +36,11 @@
         known = self._find(vm)
         return None if known is None else parse_address(known.gossip)
 
+    def find_caller(self, vm: VmId) -> str:
+        """Return where a VM listens for callers, empty when unknown."""
+        known = self._find(vm)
+        return '' if known is None else known.caller
+
     def find_peer(self, vm: VmId) -> str | None:
         """Return the gRPC address of a VM that can be reached."""
         known = self._find(vm)
--- a/chicoryshunt/process/node.py
+++ b/chicoryshunt/process/node.py
@@ -65,6 +65,7 @@
     client = HttpClient()
     await asyncio.gather(
         state.fleet.run(mesh, client),
+        state.scheduler.run(),
         read_platform(state, client),
     )
 
@@ -85,5 +86,5 @@
     published = msgspec.json.decode(body, type=PublishedValue)
     config = msgspec.json.decode(published.value, type=Config)
     if state.config is None or config.version > state.config.version:
-        state.config = config
+        state.apply(config)
         log_event('version_in_force', version=config.version)
--- a/chicoryshunt/process/scheduler.py
+++ b/chicoryshunt/process/scheduler.py
@@ -79,6 +79,10 @@
         self._permits: dict[RequestId, Permit] = {}
         self._lost_until: dict[TargetId, float] = {}
 
+    def now(self) -> float:
+        """Return the time that decisions are taken by, in seconds."""
+        return self._clock.now()
+
     async def run(self) -> None:
         """Tick for as long as the process lives."""
         while True:
--- /dev/null
+++ b/chicoryshunt/process/starter.py
@@ -0,0 +1,171 @@
+"""Starts generations on targets until one delivers, within a budget."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from chicoryshunt.connection.client import HttpClient
+from chicoryshunt.connection.engine_link import EngineLink
+from chicoryshunt.process.journal import Journal
+from chicoryshunt.process.policy.budget import Denial, Granted, RetryBudget
+from chicoryshunt.process.policy.dispatcher import Stop
+from chicoryshunt.process.router import Route
+from chicoryshunt.process.scheduler import Permit, Scheduler
+from chicoryshunt.request.generation import Generation, Outcome, Relay
+from chicoryshunt.request.order import GenerationRequest, build_order
+from chicoryshunt.request.resume_token import ResumeToken, encode_token
+from chicoryshunt.request.sink import Sink
+from chicoryshunt.types import GenerationId, Reason, VmId
+from chicoryshunt.verdict import Verdict
+
+_MAX_STARTS = 3
+_CALLER_REASONS = frozenset((Reason.cancelled, Reason.resumed_elsewhere))
+
+
+@dataclass(frozen=True, slots=True)
+class GenerationBuilder:
+    """Builds the relay of a generation on a target."""
+
+    vm: VmId
+    relay: Relay
+    client: HttpClient
+    sign: Callable[[bytes], bytes]
+
+    def build(
+        self,
+        route: Route,
+        sink: Sink,
+        token: ResumeToken,
+    ) -> Generation:
+        """Bind a target, a caller and what a resume token names."""
+
+        def make_token(generation: GenerationId) -> str:
+            own = msgspec.structs.replace(
+                token,
+                vm=self.vm,
+                generation=generation,
+            )
+            return encode_token(own, self.sign)
+
+        engine = EngineLink(self.client, route.address)
+        return Generation(self.relay, engine, sink, make_token)
+
+
+class Starter:
+    """Starts generations under permits and restarts what was lost."""
+
+    def __init__(
+        self,
+        builder: GenerationBuilder,
+        scheduler: Scheduler,
+        journal: Journal,
+    ) -> None:
+        """Start with full retry budgets."""
+        self._builder = builder
+        self._scheduler = scheduler
+        self._journal = journal
+        self._budget = RetryBudget()
+
+    async def start(
+        self,
+        wanted: GenerationRequest,
+        sink: Sink,
+        retry_ratio: float,
+    ) -> Outcome:
+        """Run a generation until its caller has it or it cannot be had."""
+        now = self._scheduler.now()
+        self._budget.record_first(wanted.team, retry_ratio, now)
+        outcome = await self._start_once(wanted, sink)
+        for _ in range(_MAX_STARTS - 1):
+            if not self._may_restart(wanted, outcome):
+                break
+            sink.discard()
+            again = await self._start_once(wanted, sink)
+            outcome = _choose_outcome(outcome, again)
+        return outcome
+
+    def _may_restart(
+        self,
+        wanted: GenerationRequest,
+        outcome: Outcome,
+    ) -> bool:
+        if not outcome.may_start_anew(repeatable=wanted.body.repeatable):
+            return False
+        spent = self._budget.spend(wanted.team, self._scheduler.now())
+        match spent:
+            case Denial():
+                event, reason = 'restart_denied', spent.value
+            case Granted():
+                event, reason = 'generation_restarted', name_reason(outcome)
+        self._journal.note(wanted.request, event, reason)
+        return isinstance(spent, Granted)
+
+    async def _start_once(
+        self,
+        wanted: GenerationRequest,
+        sink: Sink,
+    ) -> Outcome:
+        permit = await self._scheduler.admit(wanted, sink.wait_gone())
+        if isinstance(permit, Verdict):
+            return Outcome(0, '', permit, delivered=False)
+        with self._scheduler.hold(permit):
+            outcome = await self._run(permit, wanted, sink)
+        self._note_end(permit, outcome)
+        return outcome
+
+    async def _run(
+        self,
+        permit: Permit,
+        wanted: GenerationRequest,
+        sink: Sink,
+    ) -> Outcome:
+        token = ResumeToken(
+            self._builder.vm,
+            permit.route.target,
+            GenerationId(''),
+            wanted.model,
+            wanted.team,
+            wanted.request,
+        )
+        generation = self._builder.build(permit.route, sink, token)
+        permit.read_position = lambda: generation.position
+        outcome = await generation.start(build_order(wanted))
+        permit.stop = _classify_stop(outcome)
+        if permit.stop is Stop.lost:
+            self._scheduler.record_loss(permit.route.target)
+        return outcome
+
+    def _note_end(self, permit: Permit, outcome: Outcome) -> None:
+        self._journal.note(
+            permit.request,
+            'generation_ended',
+            name_reason(outcome),
+            target=permit.route.target,
+            tokens=outcome.tokens,
+        )
+
+
+def name_reason(outcome: Outcome) -> str:
+    """Return why a relay ended, for logs."""
+    verdict = outcome.verdict
+    return outcome.ending if verdict is None else verdict.reason.value
+
+
+def _classify_stop(outcome: Outcome) -> Stop:
+    if outcome.verdict is None:
+        return Stop.ended if outcome.ending == 'stop' else Stop.bounded
+    if outcome.verdict.reason in _CALLER_REASONS:
+        return Stop.cancelled
+    return Stop.lost
+
+
+def _choose_outcome(first: Outcome, again: Outcome) -> Outcome:
+    """Keep what was lost when the restart was not even admitted.
+
+    The first try may have run, so the refusal of the second is no answer.
+    """
+    is_refused = again.verdict is not None and not again.tokens
+    if is_refused and not again.delivered:
+        return first
+    return again
--- a/chicoryshunt/process/state.py
+++ b/chicoryshunt/process/state.py
@@ -4,11 +4,15 @@
 
 import msgspec
 
+from chicoryshunt.clock import SystemClock
 from chicoryshunt.connection.caller_api import Entries, Entry
 from chicoryshunt.process.entries import KEEP_SECONDS, order_entries
 from chicoryshunt.process.fleet import Fleet
+from chicoryshunt.process.journal import Journal
+from chicoryshunt.process.local_shares import LocalShares
 from chicoryshunt.process.metrics import Metrics
 from chicoryshunt.process.router import Route, Router
+from chicoryshunt.process.scheduler import Scheduler
 from chicoryshunt.settings import Settings
 from chicoryshunt.types import (
     ConfigVersion,
@@ -50,8 +54,26 @@
         self.settings = settings
         self.metrics = Metrics()
         self.router = Router(settings.data_centre)
-        self.config: Config | None = None
         self.fleet = Fleet(settings, self.metrics)
+        self.clock = SystemClock()
+        self.journal = Journal(self.clock, self.metrics)
+        self.scheduler = Scheduler(
+            settings.data_centre,
+            LocalShares(lambda: self.config, self._count_nodes),
+            self.clock,
+            self.journal,
+        )
+        self._config: Config | None = None
+
+    @property
+    def config(self) -> Config | None:
+        """Return the configuration in force."""
+        return self._config
+
+    def apply(self, config: Config) -> None:
+        """Put a configuration in force."""
+        self._config = config
+        self.scheduler.apply(config)
 
     def route(
         self,
@@ -83,8 +105,7 @@
 
     def find_caller_address(self, wanted: VmId) -> str:
         """Return where a VM listens for callers, empty when unknown."""
-        found = (one.caller for one in self.vms if one.vm == wanted)
-        return next(found, '')
+        return self.fleet.links.find_caller(wanted)
 
     def describe(self) -> NodeStatus:
         """Return what this node knows."""
@@ -104,3 +125,6 @@
                 for one in self.fleet.membership.roster
             ),
         )
+
+    def _count_nodes(self) -> int:
+        return self.fleet.membership.roster.published_count
--- a/chicoryshunt/request/generation.py
+++ b/chicoryshunt/request/generation.py
@@ -88,6 +88,11 @@
         self._failures = 0
         self._progressed = asyncio.get_running_loop().time()
 
+    @property
+    def position(self) -> int:
+        """Return the number of tokens relayed or skipped so far."""
+        return self._assembler.next_index
+
     async def start(self, order: GenerateOrder) -> Outcome:
         """Start the generation and relay it until it ends or is lost."""
         stream = await self._engine.start(order)
--- a/tests/test_back_pressure.py
+++ b/tests/test_back_pressure.py
@@ -117,7 +117,7 @@
         engine = Firehose()
         async with listen(BoundedSite(engine.handle, SERVER_BOUNDS)) as target:
             state = NodeState(parse_settings(build_settings_text(), 'a'))
-            state.config = build_config([target])
+            state.apply(build_config([target]))
             node = BoundedSite(CallerApi(state).handle, SERVER_BOUNDS)
             async with listen(node) as address:
                 slow, slow_transport = await open_stream(address)
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -102,7 +102,7 @@
             'settings',
         )
         self.state = NodeState(settings)
-        self.state.config = config
+        self.state.apply(config)
         self.entries = Entries((), 60)
         self.cuts: list[int] = []
         self.seen: list[str] = []
@@ -194,6 +194,7 @@
                 'data_centre': 'a',
                 'model': 'm',
                 'concurrent': 4,
+                'memory_tokens': 60_000,
             }
             for number, address in enumerate(addresses)
         },
@@ -224,7 +225,7 @@
         )
         for node in fleet.nodes:
             node.entries = Entries(entries, 60)
-            node.state.vms = tuple(
+            node.state.fleet.links.learn(
                 PublishedVm(one.vm, DataCentreId('a'), one.address, '', '')
                 for one in entries
             )
