Test admission; survive a team that is removed while its request waits

A configuration that dropped the team between parsing and admission ended in a KeyError, and a target without declared memory in a division by zero.

--- a/chicoryshunt/process/local_shares.py
+++ b/chicoryshunt/process/local_shares.py
@@ -7,6 +7,8 @@
 from chicoryshunt.types import TargetId
 from chicoryshunt.version.config import Config
 
+_UNDECLARED_TOKENS = 2_147_483_647
+
 
 class LocalShares:
     """Gives out this node's equal part of what each target declares."""
@@ -30,9 +32,10 @@
         if declared is None:
             return Slack(0, 0)
         nodes = max(1, self._count_nodes())
+        memory = declared.memory_tokens or _UNDECLARED_TOKENS
         return Slack(
             max(0, declared.concurrent // nodes - self._slots[target]),
-            max(0, declared.memory_tokens // nodes - self._memory[target]),
+            max(0, memory // nodes - self._memory[target]),
         )
 
     def take(
--- a/chicoryshunt/process/scheduler.py
+++ b/chicoryshunt/process/scheduler.py
@@ -31,11 +31,12 @@
     Tokens,
 )
 from chicoryshunt.verdict import Verdict, refuse
-from chicoryshunt.version.config import Config
+from chicoryshunt.version.config import Config, Team
 
 TICK_SECONDS = 0.05
 _RETRY_SECONDS = Seconds(1)
 _LOST_SECONDS = 5.0
+_UNDECLARED_TOKENS = 2_147_483_647
 
 
 @dataclass(slots=True)
@@ -112,11 +113,11 @@
     async def admit(
         self,
         wanted: GenerationRequest,
-        gone: Awaitable[None],
+        wait_gone: Callable[[], Awaitable[None]],
     ) -> Permit | Verdict:
         """Wait until a target can bear the request, or refuse it.
 
-        ``gone`` ends when the caller has left.
+        ``wait_gone`` returns when the caller has left.
         """
         config = self._config
         if config is None or wanted.model not in self._dispatchers:
@@ -129,7 +130,7 @@
         refusal = self._offer(_build_ask(wanted, config), now)
         if refusal is not None:
             return refusal
-        return await self._wait(wanted, gone)
+        return await self._wait(wanted, wait_gone)
 
     def record_loss(self, target: TargetId) -> None:
         """Send a target nothing for a while, for it was lost."""
@@ -185,13 +186,13 @@
     async def _wait(
         self,
         wanted: GenerationRequest,
-        gone: Awaitable[None],
+        wait_gone: Callable[[], Awaitable[None]],
     ) -> Permit | Verdict:
         answer: asyncio.Future[Permit | Verdict] = (
             asyncio.get_running_loop().create_future()
         )
         self._queued[wanted.request] = answer
-        leaving = asyncio.ensure_future(gone)
+        leaving = asyncio.ensure_future(wait_gone())
         self._pump(wanted.model, self._clock.now())
         try:
             await asyncio.wait(
@@ -300,7 +301,10 @@
             return Closed('lost')
         return Leased(
             self._allowances.find_slack(target_id, now),
-            Limit(target.concurrent, target.memory_tokens),
+            Limit(
+                target.concurrent,
+                target.memory_tokens or _UNDECLARED_TOKENS,
+            ),
         )
 
     def _find_route(self, target: TargetId) -> Route:
@@ -316,7 +320,7 @@
         body.prompt_tokens,
         body.max_tokens,
         body.priority,
-        config.teams[wanted.team].weight,
+        config.teams.get(wanted.team, Team()).weight,
         body.prefix,
     )
 
--- a/chicoryshunt/process/starter.py
+++ b/chicoryshunt/process/starter.py
@@ -106,7 +106,7 @@
         wanted: GenerationRequest,
         sink: Sink,
     ) -> Outcome:
-        permit = await self._scheduler.admit(wanted, sink.wait_gone())
+        permit = await self._scheduler.admit(wanted, sink.wait_gone)
         if isinstance(permit, Verdict):
             return Outcome(0, '', permit, delivered=False)
         with self._scheduler.hold(permit):
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -25,6 +25,7 @@
     Config,
     DataCentre,
     Model,
+    Presence,
     Service,
     Target,
     Team,
@@ -146,3 +147,18 @@
 def build_set_team(name: str, weight: float) -> dict[str, object]:
     """Return the operation that sets a team."""
     return {'op': 'set_team', 'name': name, 'value': {'weight': weight}}
+
+
+def take_out(config: Config, what: str) -> Config:
+    """Return the configuration with its data centre or targets out."""
+    if what == 'data_centre':
+        centres = {
+            name: msgspec.structs.replace(one, presence=Presence.out)
+            for name, one in config.data_centres.items()
+        }
+        return msgspec.structs.replace(config, data_centres=centres)
+    targets = {
+        name: msgspec.structs.replace(one, presence=Presence.out)
+        for name, one in config.targets.items()
+    }
+    return msgspec.structs.replace(config, targets=targets)
--- /dev/null
+++ b/tests/test_scheduler.py
@@ -0,0 +1,195 @@
+"""Tests of admission: waiting, placing, refusing."""
+
+import asyncio
+from collections import Counter
+
+import pytest
+
+from chicoryshunt.clock import ManualClock
+from chicoryshunt.process.allowance import Shortage, Slack, Slot
+from chicoryshunt.process.journal import Journal
+from chicoryshunt.process.metrics import Metrics
+from chicoryshunt.process.policy.dispatcher import Stop
+from chicoryshunt.process.scheduler import Permit, Scheduler
+from chicoryshunt.request.order import GenerationBody, GenerationRequest
+from chicoryshunt.types import (
+    DataCentreId,
+    ModelId,
+    Reason,
+    RequestId,
+    RunState,
+    TargetId,
+    TeamId,
+)
+from chicoryshunt.verdict import Verdict
+from chicoryshunt.version.config import Config
+from tests.builders import build_config, take_out
+from tests.virtual_loop import on_virtual_loop
+
+_FIRST = TargetId('target-0')
+_SECOND = TargetId('target-1')
+_PATIENCE_SECONDS = 60
+
+
+class FakeAllowances:
+    """Slots as a test sets them."""
+
+    def __init__(self) -> None:
+        self.slots = Counter({_FIRST: 1, _SECOND: 1})
+        self.refuses = False
+        self.wanted: Counter[TargetId] = Counter()
+
+    def find_slack(self, target: TargetId, now: float) -> Slack:
+        return Slack(self.slots[target], 100_000)
+
+    def take(
+        self, target: TargetId, memory_tokens: int, now: float
+    ) -> Slot | Shortage:
+        if self.refuses or not self.slots[target]:
+            return Shortage.no_lease
+        self.slots[target] -= 1
+        return Slot(target, 1, memory_tokens)
+
+    def give_back(self, slot: Slot, now: float) -> None:
+        self.slots[slot.target] += 1
+
+    def want(self, target: TargetId, slots: int, now: float) -> None:
+        self.wanted[target] = slots
+
+
+class Bench:
+    """A scheduler on a virtual clock."""
+
+    def __init__(self, config: Config | None = None) -> None:
+        self.clock = ManualClock(100)
+        self.allowances = FakeAllowances()
+        self.metrics = Metrics()
+        self.journal = Journal(self.clock, self.metrics)
+        self.scheduler = Scheduler(
+            DataCentreId('luzon-a'),
+            self.allowances,
+            self.clock,
+            self.journal,
+        )
+        self.scheduler.apply(config or build_config())
+        self.left = asyncio.Event()
+
+    async def ask(self, name: str) -> 'asyncio.Task[Permit | Verdict]':
+        wanted = GenerationRequest(
+            RequestId(name),
+            TeamId('team-0'),
+            ModelId('kibitzer-llm'),
+            GenerationBody('prompt'),
+        )
+        task = asyncio.ensure_future(
+            self.scheduler.admit(wanted, self._wait_left),
+        )
+        await settle()
+        return task
+
+    async def tick(self, seconds: float = 0.2) -> None:
+        self.clock.advance(seconds)
+        self.scheduler.tick(self.clock.now())
+        await settle()
+
+    async def _wait_left(self) -> None:
+        await self.left.wait()
+
+
+def get_permit(asked: 'asyncio.Task[Permit | Verdict]') -> Permit:
+    """Return the permit that was given."""
+    answer = asked.result()
+    assert isinstance(answer, Permit)
+    return answer
+
+
+def get_refusal(asked: 'asyncio.Task[Permit | Verdict]') -> Verdict:
+    """Return the refusal that was given."""
+    answer = asked.result()
+    assert isinstance(answer, Verdict)
+    return answer
+
+
+async def settle() -> None:
+    """Let every ready task run."""
+    for _ in range(8):
+        await asyncio.sleep(0)
+
+
+@on_virtual_loop
+async def test_requests_wait_for_a_slot() -> None:
+    bench = Bench()
+    asked = [await bench.ask(f'r{number}') for number in range(3)]
+    permits = [get_permit(task) for task in asked[:2]]
+    assert {permit.route.target for permit in permits} == {_FIRST, _SECOND}
+    assert not asked[2].done()
+    with bench.scheduler.hold(permits[0]):
+        permits[0].stop = Stop.ended
+    await settle()
+    assert get_permit(asked[2]).route.target == permits[0].route.target
+    admitted = bench.journal.explain('r2')
+    assert admitted is not None
+    assert admitted.decisions[0].event == 'request_admitted'
+
+
+@on_virtual_loop
+async def test_long_wait_ends_in_a_true_refusal() -> None:
+    bench = Bench()
+    bench.allowances.slots.clear()
+    asked = await bench.ask('r')
+    await bench.tick(_PATIENCE_SECONDS)
+    refusal = get_refusal(asked)
+    assert refusal.run is RunState.not_run
+    assert refusal.reason is Reason.queue_timeout
+    assert refusal.retry_after
+    assert bench.allowances.wanted[_FIRST] > 0
+
+
+@on_virtual_loop
+async def test_lease_lost_before_the_write_requeues() -> None:
+    bench = Bench()
+    bench.allowances.refuses = True
+    asked = await bench.ask('r')
+    await bench.tick()
+    assert not asked.done()
+    bench.allowances.refuses = False
+    await bench.tick()
+    assert isinstance(asked.result(), Permit)
+
+
+@on_virtual_loop
+async def test_caller_that_left_takes_no_slot() -> None:
+    bench = Bench()
+    bench.allowances.slots.clear()
+    asked = await bench.ask('r')
+    bench.left.set()
+    await settle()
+    assert get_refusal(asked).reason is Reason.cancelled
+    bench.allowances.slots[_FIRST] = 1
+    await bench.tick()
+    assert bench.allowances.slots[_FIRST] == 1
+
+
+@on_virtual_loop
+async def test_lost_target_rests() -> None:
+    bench = Bench()
+    bench.scheduler.record_loss(_FIRST)
+    first = await bench.ask('r0')
+    assert get_permit(first).route.target == _SECOND
+    await bench.tick(4)
+    second = await bench.ask('r1')
+    assert not second.done()
+    await bench.tick(1.1)
+    assert get_permit(second).route.target == _FIRST
+
+
+@pytest.mark.parametrize('out', ['data_centre', 'target'])
+@on_virtual_loop
+async def test_what_is_out_takes_nothing(out: str) -> None:
+    bench = Bench(take_out(build_config(), out))
+    asked = await bench.ask('r')
+    await bench.tick()
+    assert not asked.done()
+    bench.scheduler.apply(build_config())
+    await bench.tick()
+    assert isinstance(asked.result(), Permit)
--- a/tests/virtual_loop.py
+++ b/tests/virtual_loop.py
@@ -1,11 +1,13 @@
 """An event loop whose time jumps to the next timer."""
 
 import asyncio
+import functools
 import selectors
-from collections.abc import Coroutine
-from typing import Any, TypeVar
+from collections.abc import Callable, Coroutine
+from typing import Any, ParamSpec, TypeVar
 
 _Result = TypeVar('_Result')
+_Arguments = ParamSpec('_Arguments')
 
 
 class VirtualLoop(asyncio.SelectorEventLoop):
@@ -44,3 +46,15 @@
         return loop.run_until_complete(main)
     finally:
         loop.close()
+
+
+def on_virtual_loop(
+    test: Callable[_Arguments, Coroutine[Any, Any, None]],
+) -> Callable[_Arguments, None]:
+    """Make a coroutine test one that runs on a fresh virtual loop."""
+
+    @functools.wraps(test)
+    def run(*args: _Arguments.args, **kwargs: _Arguments.kwargs) -> None:
+        run_virtual(test(*args, **kwargs))
+
+    return run
