--- a/chicoryshunt/caller/answer.py
+++ b/chicoryshunt/caller/answer.py
@@ -6,6 +6,14 @@
 from chicoryshunt.types import RunState
 
 
+@dataclass(frozen=True, slots=True)
+class Arrived:
+    """Tokens that came at one time, in seconds of the loop's clock."""
+
+    at: float
+    tokens: int
+
+
 @dataclass(slots=True)
 class Answer:
     """Tokens of one generation or the body of one call.
@@ -20,6 +28,7 @@
     retry_after: float | None = None
     generation: str = ''
     tokens: list[str] = field(default_factory=list)
+    arrivals: list[Arrived] = field(default_factory=list)
     ending: str = ''
     status: int = 0
     body: bytes = b''
--- a/chicoryshunt/caller/stream.py
+++ b/chicoryshunt/caller/stream.py
@@ -6,7 +6,7 @@
 import msgspec
 from twisted.internet.protocol import Protocol
 
-from chicoryshunt.caller.answer import Answer, parse_run_state
+from chicoryshunt.caller.answer import Answer, Arrived, parse_run_state
 from chicoryshunt.connection.caller_api import AnswerEnd
 from chicoryshunt.connection.event_stream import (
     EventDecoder,
@@ -53,11 +53,16 @@
         start = self.assembler.next_index
         match self.assembler.accept(event):
             case Arrival.fresh | Arrival.overlap:
-                self.answer.tokens.extend(event.t[start - event.i :])
+                self._collect(event.t[start - event.i :])
             case Arrival.gap:
                 return False
         return True
 
+    def _collect(self, tokens: tuple[str, ...]) -> None:
+        now = asyncio.get_running_loop().time()
+        self.answer.arrivals.append(Arrived(now, len(tokens)))
+        self.answer.tokens.extend(tokens)
+
     def _take_end(self, body: bytes) -> bool:
         try:
             end = msgspec.json.decode(body, type=AnswerEnd)
--- a/lab/engine.py
+++ b/lab/engine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 from collections import deque
 from http import HTTPStatus
 
@@ -23,6 +24,7 @@
 from lab.daemon import parse_flags, serve_stand_in
 from lab.engine_stream import Generation, TokenStream
 from lab.faults import FaultKind, Faults
+from lab.runs import RunLedger
 
 _FLAGS = flags.FlagValues()
 flags.DEFINE_integer('port', 0, 'port on loopback', flag_values=_FLAGS)
@@ -40,6 +42,8 @@
 _IDLE_SECONDS = 0.002
 _CACHE_GAP_CHANCE = 0.1
 _LENGTH_MARK = 'length='
+_KEY_MARK = 'key='
+_MICROSECOND_NS = 1000
 
 
 class Engine:
@@ -60,7 +64,8 @@
         self.role = 'both'
         self.model_version = ''
         self.adapters: tuple[str, ...] = ()
-        self.start_count = self._rng.getrandbits(32)
+        self.start_count = time.time_ns() // _MICROSECOND_NS
+        self.ledger = RunLedger()
         self._generations: dict[str, Generation] = {}
         self._events: deque[CacheEvent] = deque(maxlen=1024)
         self._reports: deque[LoadReport] = deque(maxlen=1024)
@@ -80,6 +85,8 @@
                 exchange.respond_json(self._find_report())
             case ('GET', 'cache-events'):
                 exchange.respond_json(CacheEvents(tuple(self._events)))
+            case ('GET', 'ledger'):
+                exchange.respond_json(self.ledger)
             case ('POST', 'orders'):
                 self._obey(exchange)
             case _:
@@ -101,6 +108,7 @@
             generation = self._generations[emitted.name]
             generation.append(f't{emitted.produced - 1}')
         for finished in step.finished:
+            self.ledger.end()
             self._generations[finished.name].end(_find_ending(finished))
         for cached in step.cached:
             self._publish_cache(cached, held=True)
@@ -167,6 +175,7 @@
         generation = Generation(name, job)
         self._generations[name] = generation
         self._forget_old()
+        self.ledger.begin(_find_key(order.prompt))
         self.batch.submit(job)
         return generation
 
@@ -196,7 +205,8 @@
         await self._stream(exchange, generation, start)
 
     def _cancel(self, exchange: Exchange, name: str) -> None:
-        self.batch.cancel(name)
+        if self.batch.cancel(name):
+            self.ledger.end()
         generation = self._generations.get(name)
         if generation is not None:
             generation.end(Ending.cancelled)
@@ -228,6 +238,11 @@
         exchange.respond_json(OrderAnswer(accepted=True, fence=self.fence))
 
 
+def _find_key(prompt: str) -> str:
+    _, _, rest = prompt.partition(_KEY_MARK)
+    return rest.split(maxsplit=1)[0] if rest else ''
+
+
 def _find_ending(job: Job) -> Ending:
     return Ending.length if job.length > job.max_tokens else Ending.stop
 
