Spread the configuration by gossip from a few readers

Purpose: a patch has to be in force everywhere within seconds although the service allows few reads, is stale or down for long, and nodes keep nothing.

Two nodes of each data centre, chosen by rendezvous hash, watch the log. The others hear of it: each node asks one random published VM a second with its position and digest, sends new lines to three at once, and pulls what does not fit a datagram by a call. Partners are taken from the published list, not from the live members, so that a healed cut is noticed without waiting for the membership. When no read has been heard of for six seconds every node reads with a chance that leaves ten readers on average.

A node without a configuration asks peers for three seconds before it takes what the service says, longer while a peer has offered more. After a pause it asks again before it routes. Another log at the same position is an alarm; what is in force stays.

Seen failing, one change at a time on a scratch copy: - no wait for peers: test_fresh_node_starts_from_peers - no stand-in readers: test_others_read_when_no_reader_succeeds - no periodic questions: test_patch_is_in_force_within_the_bound[360] - digests not compared: test_forked_service_is_only_reported - unfinished line taken: SpreadMachine, replicas disagree - every node a reader: test_reads_do_not_grow_with_the_fleet

--- a/chicoryshunt/connection/platform_api.py
+++ b/chicoryshunt/connection/platform_api.py
@@ -5,14 +5,6 @@
 from chicoryshunt.types import DataCentreId, VmId
 
 
-class PublishedValue(msgspec.Struct, frozen=True):
-    """One key of the configuration service with its revision."""
-
-    key: str
-    revision: int
-    value: msgspec.Raw
-
-
 class PublishedVm(msgspec.Struct, frozen=True):
     """One VM of the platform's lagging list; addresses are host:port."""
 
--- /dev/null
+++ b/chicoryshunt/process/config_assembly.py
@@ -0,0 +1,65 @@
+"""Puts the parts of the configuration together."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from chicoryshunt.connection.platform import ConfigService
+from chicoryshunt.process.config_joining import Joining
+from chicoryshunt.process.config_messages import PULL, PullAnswer, PullRequest
+from chicoryshunt.process.config_readers import ReaderChoice
+from chicoryshunt.process.config_reading import ServiceReader, pull_offers
+from chicoryshunt.process.config_spread import ConfigSpread
+from chicoryshunt.process.configuration import Configuration
+from chicoryshunt.process.members import Members
+from chicoryshunt.process.metrics import Metrics
+from chicoryshunt.process.peers import PeerClient, PeerServer
+from chicoryshunt.process.service_log import ServiceLog
+from chicoryshunt.types import DataCentreId, VmId
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigParts:
+    """What keeps the configuration in force up to date."""
+
+    spread: ConfigSpread
+    log: ServiceLog
+
+
+def build_configuration(
+    configuration: Configuration,
+    own: VmId,
+    data_centre: DataCentreId,
+    members: Members,
+    rng: random.Random,
+    metrics: Metrics,
+) -> ConfigParts:
+    """Build the core and what it shares with the reader."""
+    joining = Joining(configuration)
+    readers = ReaderChoice(own, data_centre, members, rng)
+    return ConfigParts(
+        ConfigSpread(own, configuration, joining, readers, members, rng),
+        ServiceLog(configuration, joining, readers, metrics),
+    )
+
+
+def register_pull(server: PeerServer, spread: ConfigSpread) -> None:
+    """Answer the pulls of other nodes."""
+
+    async def answer(sender: VmId, request: PullRequest) -> PullAnswer:
+        return spread.answer_pull(request)
+
+    server.register(PULL, answer)
+
+
+async def keep_configuration(
+    parts: ConfigParts,
+    service: ConfigService,
+    peers: PeerClient,
+    metrics: Metrics,
+    now: Callable[[], float],
+) -> None:
+    """Read the service and pull from peers while the process lives."""
+    reader = ServiceReader(service, parts.log, metrics, now)
+    await asyncio.gather(reader.run(), pull_offers(parts.spread, peers))
--- /dev/null
+++ b/chicoryshunt/process/config_reading.py
@@ -0,0 +1,126 @@
+"""Reads the configuration service and pulls from peers, as tasks."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from chicoryshunt.connection.platform import (
+    Absence,
+    ConfigService,
+    PublishedValue,
+)
+from chicoryshunt.events import log_problem
+from chicoryshunt.exceptions import PlatformError
+from chicoryshunt.process.config_messages import PULL
+from chicoryshunt.process.config_spread import ConfigSpread
+from chicoryshunt.process.metrics import Metrics
+from chicoryshunt.process.peers import PeerClient, PeerError
+from chicoryshunt.process.service_log import BaseNeeded, ServiceLog, Use
+from chicoryshunt.version.published import LOG_KEY, LogHeader
+
+WATCH_SECONDS = 2.0
+PAUSE_SECONDS = 0.5
+PULL_SECONDS = 5.0
+_PULL_POLL_SECONDS = 0.05
+
+Now = Callable[[], float]
+
+
+@dataclass(slots=True)
+class ServiceReader:
+    """Watches the log while this node is a reader."""
+
+    service: ConfigService
+    log: ServiceLog
+    metrics: Metrics
+    now: Now
+    _known: int | None = None
+
+    async def run(self) -> None:
+        """Read for as long as the process lives."""
+        while True:
+            if self.log.readers.choose(self.now()):
+                await self.read_once()
+            else:
+                await asyncio.sleep(PAUSE_SECONDS)
+
+    async def read_once(self) -> None:
+        """Wait for a change of the log and use it."""
+        try:
+            is_used = await self._watch()
+        except PlatformError as error:
+            self._count('failed')
+            log_problem('platform_unreadable', error=error)
+            is_used = False
+        if not is_used:
+            await asyncio.sleep(PAUSE_SECONDS)
+
+    async def _watch(self) -> bool:
+        published = await self._read(LOG_KEY, self._known, WATCH_SECONDS)
+        match published:
+            case Absence.unchanged:
+                self.log.readers.note_read(self.now())
+                return True
+            case Absence.missing:
+                return False
+            case PublishedValue(revision=revision, text=text):
+                if not await self._learn(text):
+                    return False
+                self._known = revision
+        return True
+
+    async def _learn(self, text: bytes) -> bool:
+        use = self.log.learn_log(text, self.now())
+        if isinstance(use, BaseNeeded) and await self._read_base(use.header):
+            use = self.log.learn_log(text, self.now())
+        return use is Use.whole
+
+    async def _read_base(self, header: LogHeader) -> bool:
+        values = []
+        for key in header.keys:
+            published = await self._read(key)
+            if not isinstance(published, PublishedValue):
+                return False
+            values.append(published.text)
+        return self.log.learn_base(header, values)
+
+    async def _read(
+        self,
+        key: str,
+        known: int | None = None,
+        wait: float = 0,
+    ) -> PublishedValue | Absence:
+        published = await self.service.read(key, known, wait)
+        match published:
+            case Absence():
+                self._count(published.value)
+            case PublishedValue():
+                self._count('changed')
+        return published
+
+    def _count(self, outcome: str) -> None:
+        self.metrics.count(
+            'config_reads',
+            'Reads of the configuration service, by outcome',
+            outcome=outcome,
+        )
+
+
+async def pull_offers(spread: ConfigSpread, peers: PeerClient) -> None:
+    """Pull from peers that offered, for as long as the process lives."""
+    while True:
+        peer = spread.take_offer()
+        if peer is None:
+            await asyncio.sleep(_PULL_POLL_SECONDS)
+            continue
+        try:
+            answer = await peers.call(
+                peer,
+                PULL,
+                spread.ask_pull(),
+                PULL_SECONDS,
+            )
+        except PeerError as error:
+            log_problem('config_pull_failed', peer=peer, error=error)
+            continue
+        spread.learn_pull(peer, answer)
--- /dev/null
+++ b/chicoryshunt/process/config_serving.py
@@ -0,0 +1,90 @@
+"""Builds what a node that is behind gets of the log."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from chicoryshunt.process.config_messages import (
+    MAX_LINES_BYTES,
+    ConfigLines,
+    ConfigOffer,
+    PullAnswer,
+)
+from chicoryshunt.types import LogPosition
+from chicoryshunt.version.chain import Head
+from chicoryshunt.version.replica import NO_HEAD, Replica, Segment
+
+MAX_PUSH_BYTES = 32768
+MAX_PULL_BYTES = 1048576
+_LINE_OVERHEAD_BYTES = 5
+
+
+def build_push(
+    replica: Replica,
+    position: LogPosition,
+) -> ConfigLines | ConfigOffer | None:
+    """Return the next lines after a position, or the offer of a call."""
+    head = replica.head
+    if head.position <= position:
+        return None
+    segment = replica.list_after(position)
+    if segment is None or _measure(segment.lines) > MAX_PUSH_BYTES:
+        return ConfigOffer(head)
+    lines = _fit(segment.lines)
+    if not lines:
+        return ConfigOffer(head)
+    return ConfigLines(position, segment.digest, lines, head.position)
+
+
+class PullServer:
+    """Answers calls; keeps one encoded snapshot for a short time."""
+
+    def __init__(self) -> None:
+        """Start without a snapshot."""
+        self._snapshot = b''
+        self._head = NO_HEAD
+
+    def answer(self, replica: Replica, head: Head) -> PullAnswer:
+        """Return everything that the other node misses."""
+        segment = replica.list_after(head.position)
+        if (
+            segment is not None
+            and segment.digest == head.digest
+            and _measure(segment.lines) <= MAX_PULL_BYTES
+        ):
+            return _answer_lines(segment)
+        own = replica.head
+        return PullAnswer(own.position, own.digest, (), self._encode(replica))
+
+    def drop(self) -> None:
+        """Free the encoded snapshot."""
+        self._snapshot = b''
+        self._head = NO_HEAD
+
+    def _encode(self, replica: Replica) -> bytes:
+        snapshot = replica.take_snapshot()
+        if snapshot is None:
+            return b''
+        if self._head != replica.head:
+            self._snapshot = msgspec.msgpack.encode(snapshot)
+            self._head = replica.head
+        return self._snapshot
+
+
+def _answer_lines(segment: Segment) -> PullAnswer:
+    return PullAnswer(segment.position, segment.digest, tuple(segment.lines))
+
+
+def _measure(lines: Iterable[bytes]) -> int:
+    return sum(len(line) + _LINE_OVERHEAD_BYTES for line in lines)
+
+
+def _fit(lines: Iterable[bytes]) -> tuple[bytes, ...]:
+    chosen: list[bytes] = []
+    left = MAX_LINES_BYTES
+    for line in lines:
+        left -= len(line) + _LINE_OVERHEAD_BYTES
+        if left < 0:
+            break
+        chosen.append(line)
+    return tuple(chosen)
--- a/chicoryshunt/process/state.py
+++ b/chicoryshunt/process/state.py
@@ -1,13 +1,21 @@
 """What the parts of a node share while the process lives."""
 
+import time
+from random import Random
+
 import msgspec
 
+from chicoryshunt.clock import SystemClock
 from chicoryshunt.connection.platform_api import PublishedVm
+from chicoryshunt.process.configuration import Configuration
+from chicoryshunt.process.links import Links
 from chicoryshunt.process.metrics import Metrics
+from chicoryshunt.process.pause import Pulse
 from chicoryshunt.process.router import Route, Router
 from chicoryshunt.settings import Settings
 from chicoryshunt.types import (
     ConfigVersion,
+    Incarnation,
     ModelId,
     Reason,
     Seconds,
@@ -18,6 +26,7 @@
 from chicoryshunt.version.config import Config
 
 _KEEP_SECONDS = 5
+_MILLISECOND_NS = 1_000_000
 
 
 class Entry(msgspec.Struct, frozen=True):
@@ -50,8 +59,17 @@
         self.settings = settings
         self.metrics = Metrics()
         self.router = Router(settings.data_centre)
-        self.config: Config | None = None
+        self.configuration = Configuration(self.metrics)
         self.vms: tuple[PublishedVm, ...] = ()
+        self.incarnation = Incarnation(time.time_ns() // _MILLISECOND_NS)
+        self.rng = Random(self.incarnation)
+        self.links = Links()
+        self.pulse = Pulse(SystemClock())
+
+    @property
+    def config(self) -> Config | None:
+        """Return the configuration in force."""
+        return self.configuration.current
 
     def route(self, wanted: ModelId | ServiceId) -> Route | Verdict:
         """Return a target for the model or service."""
@@ -61,6 +79,12 @@
                 'no configuration is known',
                 Seconds(1),
             )
+        if not self.configuration.is_confirmed:
+            return refuse(
+                Reason.paused,
+                'the configuration is being confirmed after a pause',
+                Seconds(1),
+            )
         return self.router.choose(self.config, wanted)
 
     def list_entries(self) -> Entries:
@@ -77,11 +101,8 @@
 
     def describe(self) -> NodeStatus:
         """Return what this node knows."""
-        version = ConfigVersion(0)
-        if self.config is not None:
-            version = self.config.version
         return NodeStatus(
             self.settings.vm,
-            version,
+            self.configuration.version,
             tuple(vm.vm for vm in self.vms),
         )
--- a/chicoryshunt/version/published.py
+++ b/chicoryshunt/version/published.py
@@ -101,6 +101,7 @@
     shard_invalid = 'shard_invalid'
     base_invalid = 'base_invalid'
     oversized = 'oversized'
+    truncated = 'truncated'
 
 
 @dataclass(frozen=True, slots=True)
--- a/chicoryshunt/version/replica.py
+++ b/chicoryshunt/version/replica.py
@@ -44,6 +44,14 @@
     digest: Digest
     lines: Sequence[bytes]
 
+    def find_end(self) -> Head:
+        """Return position and digest of the last line; no version is known."""
+        digest = self.digest
+        for line in self.lines:
+            digest = chain_digest(digest, line)
+        position = LogPosition(self.position + len(self.lines))
+        return Head(ConfigVersion(0), position, digest)
+
 
 class Replica:
     """Configuration in force, digests, latest lines and rulings."""
--- /dev/null
+++ b/lab/config_fleet.py
@@ -0,0 +1,265 @@
+"""Configuration cores of several nodes over a fake network and service."""
+
+import heapq
+import itertools
+import random
+from collections import Counter
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+import msgspec
+
+from chicoryshunt.process.config_assembly import (
+    ConfigParts,
+    build_configuration,
+)
+from chicoryshunt.process.configuration import Configuration
+from chicoryshunt.process.core import Message, Send
+from chicoryshunt.process.metrics import Metrics
+from chicoryshunt.process.service_log import BaseNeeded
+from chicoryshunt.types import DataCentreId, LogPosition, VmId
+from chicoryshunt.version.config import Config
+from chicoryshunt.version.fold import fold_line
+from chicoryshunt.version.published import format_log, split_base
+
+TICK_SECONDS = 0.1
+_READ_SECONDS = 0.5
+
+
+class FakeService:
+    """What operators published, and how much of it a read shows."""
+
+    def __init__(self, base: Config) -> None:
+        """Publish a base with an empty log."""
+        self.configs = [base]
+        self.lines: list[bytes] = []
+        self.is_down = False
+        self.shown: int | None = None
+        self.cut_bytes = 0
+        self.unreachable: frozenset[VmId] = frozenset()
+        self.reads = 0
+        self.base = LogPosition(0)
+
+    def append(self, line: bytes) -> None:
+        """Append a patch."""
+        self.lines.append(line)
+        self.configs.append(fold_line(self.configs[-1], line).config)
+
+    def compact(self) -> None:
+        """Publish the latest version as base of an empty log."""
+        self.base = LogPosition(len(self.lines))
+
+    def read(self, reader: VmId) -> tuple[bytes, tuple[bytes, ...]] | None:
+        """Return the log and the shards of its base as a read shows them."""
+        self.reads += 1
+        if self.is_down or reader in self.unreachable:
+            return None
+        shown = len(self.lines) if self.shown is None else self.shown
+        start = min(self.base, shown)
+        earlier = tuple(config.digest for config in self.configs[:start])
+        header, values = split_base(self.configs[start], earlier)
+        text = format_log(header, self.lines[start:shown])
+        return text[: max(0, len(text) - self.cut_bytes)], values
+
+
+@dataclass(slots=True)
+class FakeNode:
+    """One node's configuration core."""
+
+    vm: VmId
+    data_centre: DataCentreId
+    configuration: Configuration
+    parts: ConfigParts
+    is_up: bool = True
+    next_read: float = 0
+
+
+@dataclass(slots=True)
+class FakeLinks:
+    """Faults of the links; seconds and chances of each message."""
+
+    delay: float = 0.005
+    jitter: float = 0
+    loss: float = 0
+    duplication: float = 0
+    cut: frozenset[VmId] = frozenset()
+
+    def is_cut(self, one: VmId, other: VmId) -> bool:
+        """Say whether a cut lies between two nodes."""
+        return (one in self.cut) != (other in self.cut)
+
+
+class _Flight(NamedTuple):
+    """One message on its way; the number keeps equal times in order."""
+
+    at: float
+    number: int
+    sender: VmId
+    receiver: VmId
+    message: Message
+
+
+@dataclass(slots=True)
+class FakeFleet:
+    """Nodes, links and the service on a virtual clock."""
+
+    service: FakeService
+    rng: random.Random
+    links: FakeLinks = field(default_factory=FakeLinks)
+    nodes: dict[VmId, FakeNode] = field(default_factory=dict)
+    now: float = 0
+    sent_bytes: Counter[VmId] = field(default_factory=Counter)
+    _queue: list[_Flight] = field(
+        default_factory=list,
+    )
+    _numbers: 'itertools.count[int]' = field(default_factory=itertools.count)
+
+    def start(self, vm: VmId, data_centre: DataCentreId) -> None:
+        """Start a node, or start it again without memory."""
+        metrics = Metrics()
+        configuration = Configuration(metrics)
+        parts = build_configuration(
+            configuration,
+            vm,
+            data_centre,
+            _FakeMembers(self, vm),
+            random.Random(self.rng.random()),
+            metrics,
+        )
+        offset = self.rng.uniform(0, _READ_SECONDS)
+        self.nodes[vm] = FakeNode(
+            vm,
+            data_centre,
+            configuration,
+            parts,
+            next_read=self.now + offset,
+        )
+
+    def stop(self, vm: VmId) -> None:
+        """Kill a node."""
+        self.nodes[vm].is_up = False
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now += TICK_SECONDS
+            for node in tuple(self.nodes.values()):
+                if node.is_up:
+                    self._tick(node)
+            self._deliver()
+
+    def count_behind(self) -> int:
+        """Return how many live nodes miss something that was published."""
+        position = len(self.service.lines)
+        return sum(
+            node.configuration.head.position < position
+            for node in self.nodes.values()
+            if node.is_up
+        )
+
+    def _tick(self, node: FakeNode) -> None:
+        self._send(node.vm, node.parts.spread.tick(self.now))
+        peer = node.parts.spread.take_offer()
+        if peer is not None:
+            self._pull(node, peer)
+        if self.now >= node.next_read:
+            node.next_read = self.now + _READ_SECONDS
+            if node.parts.log.readers.choose(self.now):
+                self._read(node)
+
+    def _read(self, node: FakeNode) -> None:
+        published = self.service.read(node.vm)
+        if published is None:
+            return
+        text, values = published
+        use = node.parts.log.learn_log(text, self.now)
+        if isinstance(use, BaseNeeded):
+            node.parts.log.learn_base(use.header, values)
+            node.parts.log.learn_log(text, self.now)
+
+    def _pull(self, node: FakeNode, peer: VmId) -> None:
+        other = self.nodes[peer]
+        if not other.is_up or self.links.is_cut(node.vm, peer):
+            return
+        request = node.parts.spread.ask_pull()
+        answer = other.parts.spread.answer_pull(request)
+        self.sent_bytes[peer] += len(msgspec.msgpack.encode(answer))
+        node.parts.spread.learn_pull(peer, answer)
+
+    def _send(self, sender: VmId, sends: Iterable[Send]) -> None:
+        for one in sends:
+            encoded = msgspec.msgpack.encode(one.message)
+            self.sent_bytes[sender] += len(encoded)
+            if self.rng.random() < self.links.loss:
+                continue
+            self._enqueue(sender, one)
+            if self.rng.random() < self.links.duplication:
+                self._enqueue(sender, one)
+
+    def _enqueue(self, sender: VmId, one: Send) -> None:
+        delay = self.links.delay + self.rng.uniform(0, self.links.jitter)
+        heapq.heappush(
+            self._queue,
+            _Flight(
+                self.now + delay,
+                next(self._numbers),
+                sender,
+                one.receiver,
+                one.message,
+            ),
+        )
+
+    def _deliver(self) -> None:
+        while self._queue and self._queue[0].at <= self.now:
+            flight = heapq.heappop(self._queue)
+            node = self.nodes[flight.receiver]
+            is_cut = self.links.is_cut(flight.sender, flight.receiver)
+            if node.is_up and not is_cut:
+                spread = node.parts.spread
+                self._send(
+                    node.vm,
+                    spread.receive(flight.sender, flight.message, flight.at),
+                )
+
+
+@dataclass(frozen=True, slots=True)
+class _FakeMembers:
+    """Members as one node sees them."""
+
+    fleet: FakeFleet
+    own: VmId
+
+    def list_live(
+        self,
+        data_centre: DataCentreId | None = None,
+    ) -> Sequence[VmId]:
+        """Return the nodes that are up and can be reached."""
+        return [
+            node.vm
+            for node in self.fleet.nodes.values()
+            if node.is_up
+            and data_centre in {None, node.data_centre}
+            and not self.fleet.links.is_cut(self.own, node.vm)
+        ]
+
+    def list_published(self) -> Sequence[VmId]:
+        """Return every node, up or not."""
+        return list(self.fleet.nodes)
+
+
+def build_fleet(
+    base: Config,
+    nodes: int,
+    data_centres: int,
+    seed: int,
+) -> FakeFleet:
+    """Return a fleet of nodes that have all just started."""
+    fleet = FakeFleet(FakeService(base), random.Random(seed))
+    for number in range(nodes):
+        fleet.start(
+            VmId(f'vm-{number}'),
+            DataCentreId(f'data-centre-{number % data_centres}'),
+        )
+    return fleet
--- a/lab/config_service.py
+++ b/lab/config_service.py
@@ -4,18 +4,17 @@
 import time
 from http import HTTPStatus
 
-import msgspec
 from absl import flags
 
 from chicoryshunt.connection.exchange import Exchange
-from chicoryshunt.connection.platform_api import PublishedValue
+from chicoryshunt.connection.platform import PublishedValue
+from chicoryshunt.version.published import MAX_VALUE_BYTES
 from lab.daemon import parse_flags, serve_stand_in
 from lab.faults import FaultKind, Faults
 
 _FLAGS = flags.FlagValues()
 flags.DEFINE_integer('port', 0, 'port on loopback', flag_values=_FLAGS)
 
-_MAX_VALUE_BYTES = 1 << 20
 _MAX_WAIT_SECONDS = 30
 _SLOW_SECONDS = 3
 
@@ -51,22 +50,29 @@
 
     async def _read(self, exchange: Exchange, key: str) -> None:
         self._calls += 1
-        after = int(exchange.get_query('after', '0'))
+        known = int(exchange.get_query('known', '-1'))
         wait = float(exchange.get_query('wait', '0'))
         deadline = time.monotonic() + min(wait, _MAX_WAIT_SECONDS)
         published = self._find(key)
-        while published is None or published.revision <= after:
+        while published is None or published.revision == known:
             left = deadline - time.monotonic()
             if left <= 0:
                 break
             await self._wait_change(left)
             published = self._find(key)
         if published is None:
-            exchange.respond_json(None, status=HTTPStatus.NOT_FOUND)
-        elif published.revision <= after:
-            exchange.respond_json(None, status=HTTPStatus.NOT_MODIFIED)
+            exchange.respond(b'', status=HTTPStatus.NOT_FOUND)
+        elif published.revision == known:
+            exchange.respond(b'', status=HTTPStatus.NOT_MODIFIED)
         else:
-            exchange.respond_json(published)
+            self._respond(exchange, published)
+
+    def _respond(self, exchange: Exchange, published: PublishedValue) -> None:
+        text = published.text
+        if self._faults.is_on(FaultKind.truncate):
+            text = text[: len(text) // 2]
+        exchange.set_header('x-revision', str(published.revision))
+        exchange.respond(text)
 
     async def _wait_change(self, seconds: float) -> None:
         try:
@@ -79,21 +85,24 @@
             return self._stale.get(key)
         return self._values.get(key)
 
+    def _find_revision(self, key: str) -> str:
+        published = self._values.get(key)
+        return '0' if published is None else str(published.revision)
+
     def _put(self, exchange: Exchange, key: str) -> None:
         body = exchange.body
-        created_only = exchange.get_header('if-none-match') == '*'
-        if created_only and key in self._values:
+        expected = exchange.get_header('if-match')
+        if expected and expected != self._find_revision(key):
             exchange.respond_json(None, status=HTTPStatus.PRECONDITION_FAILED)
             return
-        if len(body) > _MAX_VALUE_BYTES:
+        if len(body) > MAX_VALUE_BYTES:
             exchange.respond_json(
                 None,
                 status=HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
             )
             return
         self._revision += 1
-        published = PublishedValue(key, self._revision, msgspec.Raw(body))
-        self._values[key] = published
+        self._values[key] = PublishedValue(self._revision, body)
         self._changed.set()
         self._changed = asyncio.Event()
         exchange.respond_json({'revision': self._revision})
--- a/lab/demo.py
+++ b/lab/demo.py
@@ -5,7 +5,11 @@
 import tempfile
 from pathlib import Path
 
-from lab.fleet import Fleet, Started, run_fleet, send
+import msgspec
+
+from chicoryshunt.version.config import Config
+from lab.fleet import Fleet, Started, run_fleet, send, wait_version
+from lab.publish import Publisher
 
 _FIRST_PORT = 18100
 _NODES = 3
@@ -42,12 +46,7 @@
         for number in range(2)
     ]
     service = fleet.start_stand_in('service', 'arbiter')
-    send(
-        config.url,
-        'PUT',
-        '/v1/values/base',
-        _build_config(engines, service),
-    )
+    Publisher(config.url).publish_base(_build_config(engines, service))
     settings = [
         _build_settings(fleet, number, config, vm_list)
         for number in range(_NODES)
@@ -58,7 +57,9 @@
         '/v1/vms',
         {'vms': [_publish_vm(one) for one in settings]},
     )
-    return [fleet.start_node(str(one['vm']), one) for one in settings]
+    nodes = [fleet.start_node(str(one['vm']), one) for one in settings]
+    wait_version(nodes, 1)
+    return nodes
 
 
 def _call(addresses: str, *options: str) -> int:
@@ -76,7 +77,7 @@
     ).returncode
 
 
-def _build_config(engines: list[Started], service: Started) -> object:
+def _build_config(engines: list[Started], service: Started) -> Config:
     targets: dict[str, object] = {
         engine.name: {
             'address': f'127.0.0.1:{engine.port}',
@@ -93,14 +94,17 @@
         'service': 'arbiter-api',
         'concurrent': 64,
     }
-    return {
-        'version': 1,
-        'data_centres': {'luzon-a': {'region': 'ph-luzon'}},
-        'teams': {'olongapo': {}},
-        'models': {'kibitzer-llm': {}},
-        'services': {'arbiter-api': {}},
-        'targets': targets,
-    }
+    return msgspec.convert(
+        {
+            'version': 1,
+            'data_centres': {'luzon-a': {'region': 'ph-luzon'}},
+            'teams': {'olongapo': {}},
+            'models': {'kibitzer-llm': {}},
+            'services': {'arbiter-api': {}},
+            'targets': targets,
+        },
+        Config,
+    )
 
 
 def _build_settings(
--- a/lab/faults.py
+++ b/lab/faults.py
@@ -22,6 +22,7 @@
     slow = 'slow'
     cold = 'cold'
     stale = 'stale'
+    truncate = 'truncate'
 
 
 class Fault(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -5,7 +5,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -110,6 +110,18 @@
     raise RuntimeError(f'{started.name} did not start')
 
 
+def wait_version(nodes: Iterable[Started], version: int) -> None:
+    """Wait until nodes have a version of the configuration in force."""
+    deadline = time.monotonic() + _READY_SECONDS
+    for node in nodes:
+        while json.loads(send(node.url, 'GET', '/v1/status'))['version'] < (
+            version
+        ):
+            if time.monotonic() > deadline:
+                raise RuntimeError(f'{node.name} has not version {version}')
+            time.sleep(_POLL_SECONDS)
+
+
 def send(
     base: str,
     method: str,
