--- a/chicoryshunt/process/fleet.py
+++ b/chicoryshunt/process/fleet.py
@@ -17,6 +17,7 @@
 from chicoryshunt.process.mesh import Mesh
 from chicoryshunt.process.metrics import Metrics
 from chicoryshunt.process.pause import Pulse
+from chicoryshunt.process.peers import PeerClient
 from chicoryshunt.process.seal import Purpose, Seal
 from chicoryshunt.process.watch import VmWatch
 from chicoryshunt.settings import Settings
@@ -46,6 +47,14 @@
             self.links,
         )
         self.cores: list[Core] = [self.membership]
+        self.call_seal = Seal(
+            settings.key,
+            settings.vm,
+            self.incarnation,
+            Purpose.call,
+        )
+        self.membership.on_raise(self.call_seal.raise_incarnation)
+        self.peer_client = PeerClient(self.call_seal, self.links)
         self._settings = settings
         self._metrics = metrics
 
--- a/chicoryshunt/process/node.py
+++ b/chicoryshunt/process/node.py
@@ -1,34 +1,45 @@
-"""The daemon: opens the ports, reads the platform, runs until told."""
+"""The daemon: opens the ports, drives every part, runs until told."""
 
 import asyncio
-from collections.abc import Iterator
-from contextlib import contextmanager
-
-import msgspec
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager
 
 from chicoryshunt.connection.bounds import ServerBounds
 from chicoryshunt.connection.client import HttpClient
 from chicoryshunt.connection.loop import get_reactor
-from chicoryshunt.connection.platform_api import PublishedValue
+from chicoryshunt.connection.platform import HttpConfigService
 from chicoryshunt.connection.web import BoundedSite
-from chicoryshunt.events import log_event, log_problem
-from chicoryshunt.exceptions import ChicoryshuntError
+from chicoryshunt.events import log_event
 from chicoryshunt.process.callers import CallerApi
+from chicoryshunt.process.config_assembly import (
+    ConfigParts,
+    build_configuration,
+    keep_configuration,
+    register_pull,
+)
+from chicoryshunt.process.members import RosterMembers
 from chicoryshunt.process.mesh import Mesh
+from chicoryshunt.process.peers import PeerServer
 from chicoryshunt.process.state import NodeState
 from chicoryshunt.settings import Settings
-from chicoryshunt.version.config import Config
-
-_POLL_SECONDS = 1.0
 
 
 def run_node(settings: Settings) -> None:
     """Run a node until SIGTERM."""
     reactor = get_reactor()
     state = NodeState(settings)
+    parts = build_configuration(
+        state.configuration,
+        settings.vm,
+        settings.data_centre,
+        RosterMembers(state.fleet.membership.roster),
+        state.fleet.rng,
+        state.metrics,
+    )
+    state.fleet.cores.append(parts.spread)
     with serve_callers(state), state.fleet.serve() as mesh:
         reactor.callWhenRunning(
-            lambda: asyncio.ensure_future(run_tasks(state, mesh)),
+            lambda: asyncio.ensure_future(run_tasks(state, mesh, parts)),
         )
         log_event('node_started', vm=settings.vm)
         reactor.run()
@@ -60,31 +71,34 @@
         listener.stopListening()
 
 
-async def run_tasks(state: NodeState, mesh: Mesh) -> None:
-    """Read the platform and talk to the other nodes."""
-    client = HttpClient()
-    await asyncio.gather(
-        state.fleet.run(mesh, client),
-        state.scheduler.run(),
-        read_platform(state, client),
-    )
-
-
-async def read_platform(state: NodeState, client: HttpClient) -> None:
-    """Keep the configuration up to date."""
-    while True:
-        try:
-            await _read_once(state, client)
-        except (ChicoryshuntError, msgspec.DecodeError) as error:
-            log_problem('platform_unreadable', error=str(error))
-        await asyncio.sleep(_POLL_SECONDS)
+@asynccontextmanager
+async def serve_peers(
+    state: NodeState,
+    parts: ConfigParts,
+) -> AsyncIterator[None]:
+    """Listen for the calls of other nodes."""
+    listen = state.settings.listen
+    server = PeerServer(state.fleet.call_seal, state.fleet.links)
+    register_pull(server, parts.spread)
+    listening = await server.start(f'{listen.host}:{listen.peer}')
+    try:
+        yield
+    finally:
+        await listening.stop(None)
 
 
-async def _read_once(state: NodeState, client: HttpClient) -> None:
-    platform = state.settings.platform
-    _, body = await client.read('GET', f'{platform.config}/v1/values/base')
-    published = msgspec.json.decode(body, type=PublishedValue)
-    config = msgspec.json.decode(published.value, type=Config)
-    if state.config is None or config.version > state.config.version:
-        state.apply(config)
-        log_event('version_in_force', version=config.version)
+async def run_tasks(state: NodeState, mesh: Mesh, parts: ConfigParts) -> None:
+    """Read the platform and talk to the other nodes."""
+    client = HttpClient()
+    async with serve_peers(state, parts):
+        await asyncio.gather(
+            state.fleet.run(mesh, client),
+            state.scheduler.run(),
+            keep_configuration(
+                parts,
+                HttpConfigService(state.settings.platform.config, client),
+                state.fleet.peer_client,
+                state.metrics,
+                state.fleet.pulse.check,
+            ),
+        )
--- a/chicoryshunt/process/state.py
+++ b/chicoryshunt/process/state.py
@@ -6,6 +6,7 @@
 
 from chicoryshunt.clock import SystemClock
 from chicoryshunt.connection.caller_api import Entries, Entry
+from chicoryshunt.process.configuration import Configuration
 from chicoryshunt.process.entries import KEEP_SECONDS, order_entries
 from chicoryshunt.process.fleet import Fleet
 from chicoryshunt.process.journal import Journal
@@ -63,17 +64,13 @@
             self.clock,
             self.journal,
         )
-        self._config: Config | None = None
+        self.configuration = Configuration(self.metrics)
+        self.configuration.subscribe(self.scheduler.apply)
 
     @property
     def config(self) -> Config | None:
         """Return the configuration in force."""
-        return self._config
-
-    def apply(self, config: Config) -> None:
-        """Put a configuration in force."""
-        self._config = config
-        self.scheduler.apply(config)
+        return self.configuration.current
 
     def route(
         self,
@@ -87,6 +84,12 @@
                 'no configuration is known',
                 Seconds(1),
             )
+        if not self.configuration.is_confirmed:
+            return refuse(
+                Reason.paused,
+                'the configuration is being confirmed after a pause',
+                Seconds(1),
+            )
         return self.router.choose(self.config, wanted, excluded)
 
     def list_entries(self) -> Entries:
@@ -109,12 +112,9 @@
 
     def describe(self) -> NodeStatus:
         """Return what this node knows."""
-        version = ConfigVersion(0)
-        if self.config is not None:
-            version = self.config.version
         return NodeStatus(
             self.settings.vm,
-            version,
+            self.configuration.version,
             tuple(
                 MemberStatus(
                     one.published.vm,
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -10,6 +10,7 @@
 from chicoryshunt.process.policy.queue import Ask
 from chicoryshunt.process.policy.survival import Kind, classify
 from chicoryshunt.process.seal import Purpose, Seal
+from chicoryshunt.process.state import NodeState
 from chicoryshunt.types import (
     ConfigVersion,
     DataCentreId,
@@ -31,6 +32,7 @@
     Team,
 )
 from chicoryshunt.version.published import split_base
+from chicoryshunt.version.replica import Replica, Snapshot
 
 FLEET_KEY = '5a' * 32
 
@@ -162,3 +164,10 @@
         for name, one in config.targets.items()
     }
     return msgspec.structs.replace(config, targets=targets)
+
+
+def put_in_force(state: NodeState, config: Config) -> None:
+    """Let a node start with a configuration."""
+    replica = Replica()
+    replica.adopt(Snapshot(config, (), ()))
+    state.configuration.start_from(replica)
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -26,7 +26,7 @@
 from chicoryshunt.settings import parse_settings
 from chicoryshunt.types import DataCentreId, RunState, VmId
 from chicoryshunt.version.config import Config
-from tests.builders import build_settings_text
+from tests.builders import build_settings_text, put_in_force
 from tests.reactor import listen, run_on_reactor
 from tests.relay_fakes import OWN, frame_end, frame_tokens
 
@@ -102,7 +102,7 @@
             'settings',
         )
         self.state = NodeState(settings)
-        self.state.apply(config)
+        put_in_force(self.state, config)
         self.entries = Entries((), 60)
         self.cuts: list[int] = []
         self.seen: list[str] = []
