--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,6 @@
 
 demo: venv  ## a small fleet on loopback, one stream, one filing
 	$(BIN)/python -m lab.demo
+
+trials: venv  ## nine nodes under failures, promises counted
+	$(BIN)/python -m lab.trials
--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 from urllib import error, request
 
-_READY_SECONDS = 20
+READY_SECONDS = 20
 _STOP_SECONDS = 20
 _POLL_SECONDS = 0.1
 _ROOT = Path(__file__).resolve().parent.parent
@@ -48,12 +48,18 @@
 
     def start_stand_in(self, kind: str, name: str, *options: str) -> Started:
         """Start a stand-in and wait until it answers."""
+        started = self.launch_stand_in(kind, name, *options)
+        wait_ready(started)
+        return started
+
+    def launch_stand_in(self, kind: str, name: str, *options: str) -> Started:
+        """Start a stand-in without waiting for it."""
         port = self.reserve_ports(1)
         module = f'lab.{kind}'
         return self._start(name, port, '-m', module, f'--port={port}', *options)
 
-    def start_node(self, name: str, settings: dict[str, object]) -> Started:
-        """Start a node and wait until it answers."""
+    def launch_node(self, name: str, settings: dict[str, object]) -> Started:
+        """Start a node without waiting for it."""
         path = self.folder / f'{name}.json'
         path.write_text(json.dumps(settings), encoding='utf-8')
         listen = settings['listen']
@@ -89,13 +95,12 @@
         )
         started = Started(name, process, port)
         self.started[name] = started
-        wait_ready(started)
         return started
 
 
 def wait_ready(started: Started) -> None:
     """Wait until a process answers on its port."""
-    deadline = time.monotonic() + _READY_SECONDS
+    deadline = time.monotonic() + READY_SECONDS
     while time.monotonic() < deadline:
         if started.process.poll() is not None:
             break
@@ -112,7 +117,7 @@
 
 def wait_version(nodes: Iterable[Started], version: int) -> None:
     """Wait until nodes have a version of the configuration in force."""
-    deadline = time.monotonic() + _READY_SECONDS
+    deadline = time.monotonic() + READY_SECONDS
     for node in nodes:
         while json.loads(send(node.url, 'GET', '/v1/status'))['version'] < (
             version
@@ -127,11 +132,12 @@
     method: str,
     path: str,
     message: object = None,
+    seconds: float = READY_SECONDS,
 ) -> bytes:
     """Send one JSON request and return the body of the answer."""
     body = None if message is None else json.dumps(message).encode()
     sent = request.Request(base + path, body, method=method)
-    with request.urlopen(sent, timeout=_READY_SECONDS) as answer:
+    with request.urlopen(sent, timeout=seconds) as answer:
         return bytes(answer.read())
 
 
--- a/lab/service.py
+++ b/lab/service.py
@@ -10,6 +10,7 @@
 from chicoryshunt.connection.target_api import NotAccepted
 from lab.daemon import parse_flags, serve_stand_in
 from lab.faults import FaultKind, Faults
+from lab.runs import RunLedger
 
 _FLAGS = flags.FlagValues()
 flags.DEFINE_integer('port', 0, 'port on loopback', flag_values=_FLAGS)
@@ -23,12 +24,19 @@
         """Start with nothing run."""
         self._faults = faults
         self._runs: Counter[str] = Counter()
+        self._ledger = RunLedger()
 
     async def handle(self, exchange: Exchange) -> None:
         """Serve one request."""
         if exchange.segments == ('runs',):
             exchange.respond_json(dict(self._runs))
             return
+        if exchange.segments == ('ready',):
+            exchange.respond_json({'ready': True})
+            return
+        if exchange.segments == ('ledger',):
+            exchange.respond_json(self._ledger)
+            return
         if self._faults.is_on(FaultKind.refuse):
             exchange.respond_json(
                 NotAccepted('told to refuse'),
@@ -36,11 +44,12 @@
             )
             return
         key = exchange.get_header('idempotency-key')
-        if key:
-            self._runs[key] += 1
+        self._ledger.begin(key)
+        self._runs[key] += 1
         await asyncio.sleep(_FLAGS.work)
         while self._faults.is_on(FaultKind.stall):
             await asyncio.sleep(_FLAGS.work)
+        self._ledger.end()
         exchange.respond_json({'done': key, 'run': self._runs[key]})
 
 
