--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -29,7 +29,7 @@
         services={'service': RunLedger([Run('f-1', 100)], peak=1)},
         versions=[Versions('vm-1', (0, 1, 1, 2))],
         limits={'engine': 1, 'service': 1},
-        outages=[Outage('engine', 90, 101)],
+        outages=[Outage('engine', 96, 200)],
         leavings=[Outage('service', 96, 200)],
         graceful=True,
         exits={'vm-1': 0},
@@ -43,7 +43,6 @@
 
 def test_nothing_is_broken() -> None:
     evidence = build_evidence()
-    evidence.outages = [Outage('engine', 96, 200)]
     counts = count_promises(evidence)
     assert not find_broken(evidence)
     assert {one.promise for one in counts} == set(Promise)
