Relay on the loop's own transports; measure against a bare TCP relay

Each write registered the socket for writing, waited for another turn of the loop and unregistered it; each read passed through the reactor's layers in Python.

Change: Twisted's HTTP protocols run on the event loop's transports, which send at once and read in the loop. The reactor stays for datagrams, timers and everything else. uvloop is no longer used: its libuv 1.52 opens an io_uring for epoll control, whatever UV_USE_IO_URING says (seen with strace), and processes here may use none.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 SOURCES = chicoryshunt lab tests
 
-.PHONY: help venv test unit check format lint types demo
+.PHONY: bench-relay help venv test unit check format lint types demo
 
 help:  ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -32,5 +32,8 @@
 
 test: lint types unit  ## everything CI asks for
 
+bench-relay: venv  ## processor time of a relayed token, appended to benchmarks/
+	$(BIN)/python -m lab.relay_bench
+
 demo: venv  ## a small fleet on loopback, one stream, one filing
 	$(BIN)/python -m lab.demo
--- a/chicoryshunt/connection/client.py
+++ b/chicoryshunt/connection/client.py
@@ -5,11 +5,7 @@
 from io import BytesIO
 from typing import Any, cast
 
-from twisted.internet.endpoints import (
-    HostnameEndpoint,
-    TCP4ClientEndpoint,
-    TCP6ClientEndpoint,
-)
+from twisted.internet.endpoints import HostnameEndpoint
 from twisted.internet.error import (
     ConnectError,
     ConnectionDone,
@@ -31,6 +27,7 @@
 from zope.interface import implementer
 
 from chicoryshunt.connection.loop import await_deferred, get_reactor
+from chicoryshunt.connection.loop_transport import LoopClientEndpoint
 from chicoryshunt.exceptions import ChicoryshuntError
 from chicoryshunt.settings import is_ip_number
 
@@ -199,12 +196,14 @@
     def endpointForURI(self, uri: URI) -> IStreamClientEndpoint:
         """Return the endpoint of a URL's host and port."""
         host = uri.host.decode().strip('[]')
-        kind: Any = HostnameEndpoint
         if is_ip_number(host):
-            kind = TCP6ClientEndpoint if ':' in host else TCP4ClientEndpoint
+            return cast(
+                IStreamClientEndpoint,
+                LoopClientEndpoint(host, uri.port, self._seconds),
+            )
         return cast(
             IStreamClientEndpoint,
-            kind(get_reactor(), host, uri.port, self._seconds),
+            HostnameEndpoint(get_reactor(), host, uri.port, self._seconds),
         )
 
 
--- a/chicoryshunt/connection/loop.py
+++ b/chicoryshunt/connection/loop.py
@@ -1,4 +1,4 @@
-"""The one event loop: Twisted's reactor on asyncio, uvloop where it runs."""
+"""The one event loop: Twisted's reactor on asyncio."""
 
 import asyncio
 from typing import Any, TypeVar
@@ -6,8 +6,6 @@
 from twisted.internet import asyncioreactor
 from twisted.internet.defer import Deferred
 
-from chicoryshunt import env
-
 _Result = TypeVar('_Result')
 
 
@@ -29,11 +27,6 @@
 
 
 def _create_loop() -> asyncio.AbstractEventLoop:
-    if env.DISABLE_UVLOOP:
-        event_loop = asyncio.new_event_loop()
-    else:
-        import uvloop
-
-        event_loop = uvloop.new_event_loop()
+    event_loop = asyncio.SelectorEventLoop()
     asyncio.set_event_loop(event_loop)
     return event_loop
--- a/chicoryshunt/env.py
+++ b/chicoryshunt/env.py
@@ -5,4 +5,3 @@
 
 PYTHON = sys.version_info[:3]
 PROCESS_ID = os.getpid()
-DISABLE_UVLOOP = os.environ.get('CHICORYSHUNT_NO_UVLOOP', '') == '1'
--- a/chicoryshunt/process/node.py
+++ b/chicoryshunt/process/node.py
@@ -9,6 +9,7 @@
 from chicoryshunt.connection.bounds import ServerBounds
 from chicoryshunt.connection.client import HttpClient
 from chicoryshunt.connection.loop import get_reactor
+from chicoryshunt.connection.loop_transport import open_server
 from chicoryshunt.connection.platform_api import PublishedValue
 from chicoryshunt.connection.web import BoundedSite
 from chicoryshunt.events import log_event, log_problem
@@ -49,15 +50,13 @@
             limits.open_bodies_bytes,
         ),
     )
-    listener = get_reactor().listenTCP(
-        listen.caller,
-        site,
-        interface=listen.host,
+    server = asyncio.get_event_loop().run_until_complete(
+        open_server(site, listen.host, listen.caller),
     )
     try:
         yield
     finally:
-        listener.stopListening()
+        server.close()
 
 
 async def run_tasks(state: NodeState, mesh: Mesh) -> None:
--- a/chicoryshunt/process/state.py
+++ b/chicoryshunt/process/state.py
@@ -83,8 +83,8 @@
 
     def find_caller_address(self, wanted: VmId) -> str:
         """Return where a VM listens for callers, empty when unknown."""
-        found = (one.caller for one in self.vms if one.vm == wanted)
-        return next(found, '')
+        member = self.fleet.membership.roster.find(wanted)
+        return '' if member is None else member.published.caller
 
     def describe(self) -> NodeStatus:
         """Return what this node knows."""
--- /dev/null
+++ b/lab/bare_relay.py
@@ -0,0 +1,118 @@
+"""A bare TCP relay on the same reactor, the yardstick of the benchmark."""
+
+from itertools import cycle
+from typing import Any, cast
+
+from absl import flags
+from twisted.internet.protocol import ClientFactory, Factory, Protocol
+
+from chicoryshunt.connection import loop
+from lab.daemon import parse_flags
+
+_FLAGS = flags.FlagValues()
+flags.DEFINE_integer('port', 0, 'port on loopback', flag_values=_FLAGS)
+flags.DEFINE_list('targets', [], 'ports to relay to', flag_values=_FLAGS)
+
+
+class Downstream(Protocol):
+    """Connection of a caller; what arrives before the engine is kept."""
+
+    def __init__(self, port: int) -> None:
+        """Relay to a port on loopback."""
+        self.upstream: Any = None
+        self._port = port
+        self._early = b''
+
+    def connectionMade(self) -> None:
+        """Connect to the engine."""
+        _set_nodelay(self)
+        loop.get_reactor().connectTCP(
+            '127.0.0.1',
+            self._port,
+            UpstreamFactory(self),
+        )
+
+    def dataReceived(self, data: bytes) -> None:
+        """Pass on to the engine."""
+        if self.upstream is None:
+            self._early += data
+        else:
+            self.upstream.write(data)
+
+    def connectionLost(self, reason: Any = None) -> None:
+        """Close the engine's connection."""
+        if self.upstream is not None:
+            self.upstream.loseConnection()
+
+    def open(self, upstream: Any) -> None:
+        """Start passing on in both directions."""
+        self.upstream = upstream
+        upstream.registerProducer(self.transport, True)
+        cast(Any, self.transport).registerProducer(upstream, True)
+        upstream.write(self._early)
+
+
+class Upstream(Protocol):
+    """Connection to an engine."""
+
+    def __init__(self, downstream: Downstream) -> None:
+        """Relay to a caller."""
+        self._downstream = downstream
+
+    def connectionMade(self) -> None:
+        """Start the relay."""
+        _set_nodelay(self)
+        self._caller = cast(Any, self._downstream.transport)
+        self._downstream.open(self.transport)
+
+    def dataReceived(self, data: bytes) -> None:
+        """Pass on to the caller."""
+        self._caller.write(data)
+
+    def connectionLost(self, reason: Any = None) -> None:
+        """Close the caller's connection."""
+        self._caller.loseConnection()
+
+
+class UpstreamFactory(ClientFactory):
+    """Builds the engine's side for one caller."""
+
+    noisy = False
+
+    def __init__(self, downstream: Downstream) -> None:
+        """Serve one caller."""
+        self._downstream = downstream
+
+    def buildProtocol(self, addr: object) -> Protocol:
+        """Return the engine's side."""
+        return Upstream(self._downstream)
+
+
+class RelayFactory(Factory):
+    """Spreads callers over the targets in turn."""
+
+    def __init__(self, ports: list[int]) -> None:
+        """Relay to these ports."""
+        self._ports = cycle(ports)
+
+    def buildProtocol(self, addr: object) -> Protocol:
+        """Return the caller's side."""
+        return Downstream(next(self._ports))
+
+
+def _set_nodelay(protocol: Protocol) -> None:
+    cast(Any, protocol.transport).setTcpNoDelay(True)
+
+
+def main() -> None:
+    """Run the relay."""
+    parse_flags(_FLAGS)
+    loop.install_reactor()
+    reactor = loop.get_reactor()
+    ports = [int(port) for port in _FLAGS.targets]
+    reactor.listenTCP(_FLAGS.port, RelayFactory(ports), interface='127.0.0.1')
+    reactor.run()
+
+
+if __name__ == '__main__':
+    main()
--- a/lab/demo.py
+++ b/lab/demo.py
@@ -50,14 +50,14 @@
         _build_config(engines, service),
     )
     settings = [
-        _build_settings(fleet, number, config, vm_list)
+        build_settings(fleet, number, config, vm_list)
         for number in range(_NODES)
     ]
     send(
         vm_list.url,
         'PUT',
         '/v1/vms',
-        {'vms': [_publish_vm(one) for one in settings]},
+        {'vms': [publish_vm(one) for one in settings]},
     )
     return [fleet.start_node(str(one['vm']), one) for one in settings]
 
@@ -104,12 +104,13 @@
     }
 
 
-def _build_settings(
+def build_settings(
     fleet: Fleet,
     number: int,
     config: Started,
     vm_list: Started,
 ) -> dict[str, object]:
+    """Return the settings of one node."""
     port = fleet.reserve_ports(_PORTS_PER_NODE)
     return {
         'vm': f'vm-{number}',
@@ -124,7 +125,8 @@
     }
 
 
-def _publish_vm(settings: dict[str, object]) -> dict[str, object]:
+def publish_vm(settings: dict[str, object]) -> dict[str, object]:
+    """Return a node's line in the VM list."""
     listen = settings['listen']
     assert isinstance(listen, dict)
     host = listen['host']
--- /dev/null
+++ b/lab/metronome.py
@@ -0,0 +1,91 @@
+"""An engine that sends one event a stream at a fixed beat, one process."""
+
+import asyncio
+import time
+from dataclasses import dataclass
+
+from absl import flags
+
+from chicoryshunt.connection.caller_api import GENERATION_HEADER
+from chicoryshunt.connection.exchange import Exchange
+from lab.daemon import parse_flags, serve_stand_in
+from lab.faults import Faults
+
+_FLAGS = flags.FlagValues()
+flags.DEFINE_integer('port', 0, 'port on loopback', flag_values=_FLAGS)
+flags.DEFINE_float('beat', 0.028, 'seconds between events', flag_values=_FLAGS)
+
+_EVENT = b'data: {"g":"%s","i":%d,"t":["%d"]}'
+_EVENT_BYTES = 57
+
+
+@dataclass(eq=False, slots=True)
+class Stream:
+    """One reader and the index of its next token."""
+
+    exchange: Exchange
+    name: bytes
+    index: int = 0
+
+    def step(self, now: int) -> None:
+        """Send the next token, which is the time in microseconds."""
+        self.exchange.write(build_event(self.name, self.index, now))
+        self.index += 1
+
+
+class Metronome:
+    """Steps all its streams together."""
+
+    def __init__(self, faults: Faults) -> None:
+        """Start the beat."""
+        self._streams: set[Stream] = set()
+        self._names = 0
+        asyncio.get_event_loop().call_soon(self._spawn)
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Serve one request."""
+        if exchange.method != 'POST':
+            exchange.respond_json({})
+            return
+        self._names += 1
+        name = f'g{self._names:05}'
+        exchange.set_header('content-type', 'text/event-stream')
+        exchange.set_header(GENERATION_HEADER, name)
+        exchange.write(b': accepted\n\n')
+        stream = Stream(exchange, name.encode())
+        self._streams.add(stream)
+        await exchange.wait_gone()
+        self._streams.discard(stream)
+
+    def _spawn(self) -> None:
+        self._beat = asyncio.ensure_future(self._step_forever())
+
+    async def _step_forever(self) -> None:
+        loop = asyncio.get_running_loop()
+        due = loop.time()
+        while True:
+            due += _FLAGS.beat
+            await asyncio.sleep(due - loop.time())
+            now = time.monotonic_ns() // 1000
+            for stream in tuple(self._streams):
+                stream.step(now)
+
+
+def build_event(name: bytes, index: int, now: int) -> bytes:
+    """Return an event of 57 bytes."""
+    event = _EVENT % (name, index, now)
+    return b'%s\n\n' % event.ljust(_EVENT_BYTES - len(b'\n\n'))
+
+
+def main() -> None:
+    """Run the engine."""
+    parse_flags(_FLAGS)
+    serve_stand_in(
+        'metronome',
+        _FLAGS.port,
+        lambda faults: Metronome(faults).handle,
+    )
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/lab/relay_load.py
@@ -0,0 +1,117 @@
+"""Callers that read many streams and count what arrives, one process."""
+
+import asyncio
+import re
+import sys
+import time
+from functools import partial
+from typing import cast
+
+import msgspec
+from absl import flags
+from hdrh.histogram import HdrHistogram
+
+from lab.daemon import parse_flags
+
+_FLAGS = flags.FlagValues()
+flags.DEFINE_string('host', '127.0.0.1', 'host', flag_values=_FLAGS)
+flags.DEFINE_integer('port', 0, 'port of the relay', flag_values=_FLAGS)
+flags.DEFINE_integer('streams', 190, 'streams', flag_values=_FLAGS)
+flags.DEFINE_float('warm', 1.0, 'seconds before counting', flag_values=_FLAGS)
+flags.DEFINE_float('seconds', 5.0, 'seconds of counting', flag_values=_FLAGS)
+
+_REQUEST = (
+    b'POST /v1/generate/m HTTP/1.1\r\nHost: a\r\nX-Team: t\r\n'
+    b'Content-Length: 15\r\n\r\n{"prompt": "p"}'
+)
+_INDEX_AND_TIME = re.compile(rb'"i":(\d+),"t":\["(\d+)"\]')
+_MAX_DELAY_US = 10_000_000
+
+
+class LoadReading(msgspec.Struct, frozen=True):
+    """What one run of callers saw; times are in milliseconds."""
+
+    tokens: int
+    seconds: float
+    wrong: int
+    p50_ms: float
+    p99_ms: float
+
+
+class Load:
+    """All streams of one run."""
+
+    def __init__(self) -> None:
+        """Start with nothing counted."""
+        self.tokens = 0
+        self.wrong = 0
+        self.delays = HdrHistogram(1, _MAX_DELAY_US, 3)
+        self.is_counting = False
+
+    def note(self, delays: list[int]) -> None:
+        """Count tokens that arrived with these delays."""
+        self.tokens += len(delays)
+        for delay in delays:
+            self.delays.record_value(max(1, delay))
+
+
+class Caller(asyncio.Protocol):
+    """One stream, checked for each token once and in order."""
+
+    def __init__(self, load: Load) -> None:
+        """Count into the load."""
+        self._load = load
+        self._next = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Send the request."""
+        cast(asyncio.Transport, transport).write(_REQUEST)
+
+    def data_received(self, data: bytes) -> None:
+        """Check indexes and note delays."""
+        now = time.monotonic_ns() // 1000
+        found = _INDEX_AND_TIME.findall(data)
+        for index, _ in found:
+            if int(index) != self._next:
+                self._load.wrong += 1
+            self._next += 1
+        if self._load.is_counting:
+            self._load.note([now - int(sent) for _, sent in found])
+
+
+async def run_load() -> LoadReading:
+    """Open the streams, warm up, count, and return the reading."""
+    load = Load()
+    loop = asyncio.get_running_loop()
+    for _ in range(_FLAGS.streams):
+        await loop.create_connection(
+            partial(Caller, load),
+            _FLAGS.host,
+            _FLAGS.port,
+        )
+    await asyncio.sleep(_FLAGS.warm)
+    print('counting', flush=True)
+    load.is_counting = True
+    started = time.monotonic()
+    await asyncio.sleep(_FLAGS.seconds)
+    seconds = time.monotonic() - started
+    load.is_counting = False
+    return LoadReading(
+        load.tokens,
+        seconds,
+        load.wrong,
+        load.delays.get_value_at_percentile(50) / 1000,
+        load.delays.get_value_at_percentile(99) / 1000,
+    )
+
+
+def main() -> None:
+    """Print one reading as JSON."""
+    parse_flags(_FLAGS)
+    reading = asyncio.run(run_load())
+    sys.stdout.write(msgspec.json.encode(reading).decode())
+    sys.stdout.flush()
+
+
+if __name__ == '__main__':
+    main()
--- a/tests/reactor.py
+++ b/tests/reactor.py
@@ -8,7 +8,7 @@
 
 from twisted.internet import asyncioreactor
 
-from chicoryshunt.connection.loop import await_deferred, get_reactor
+from chicoryshunt.connection.loop_transport import open_server
 
 _LIMIT_SECONDS = 30
 _Result = TypeVar('_Result')
@@ -32,8 +32,10 @@
 @asynccontextmanager
 async def listen(factory: Any) -> AsyncIterator[str]:
     """Listen on a free port of loopback and yield host:port."""
-    listener = get_reactor().listenTCP(0, factory, interface='127.0.0.1')
+    server = await open_server(factory, '127.0.0.1', 0)
+    host, port = server.sockets[0].getsockname()
     try:
-        yield f'127.0.0.1:{listener.getHost().port}'
+        yield f'{host}:{port}'
     finally:
-        await await_deferred(listener.stopListening())
+        server.close()
+        factory.doStop()
--- a/tests/test_back_pressure.py
+++ b/tests/test_back_pressure.py
@@ -1,14 +1,16 @@
 """A caller that does not read holds back its own stream only."""
 
 import asyncio
+from collections.abc import Iterable
 from typing import Any, cast
 
+import pytest
 from twisted.internet.protocol import Protocol
 
 from chicoryshunt.connection.client import HttpClient
 from chicoryshunt.connection.event_stream import EventDecoder
 from chicoryshunt.connection.exchange import Exchange
-from chicoryshunt.connection.loop import get_reactor
+from chicoryshunt.connection.loop_transport import LoopTransport
 from chicoryshunt.connection.target_api import StreamEvent
 from chicoryshunt.connection.web import BoundedSite
 from chicoryshunt.process.callers import CallerApi
@@ -112,7 +114,25 @@
     return counter, cast(Any, counter.transport)
 
 
-def test_slow_caller_holds_back_its_own_stream() -> None:
+@pytest.fixture
+def transports(
+    monkeypatch: pytest.MonkeyPatch,
+) -> list[asyncio.Transport]:
+    """Return every transport that a test opens."""
+    opened: list[asyncio.Transport] = []
+    connection_made = LoopTransport.connection_made
+
+    def remember(self: LoopTransport, transport: Any) -> None:
+        opened.append(transport)
+        connection_made(self, transport)
+
+    monkeypatch.setattr(LoopTransport, 'connection_made', remember)
+    return opened
+
+
+def test_slow_caller_holds_back_its_own_stream(
+    transports: list[asyncio.Transport],
+) -> None:
     async def check() -> None:
         engine = Firehose()
         async with listen(BoundedSite(engine.handle, SERVER_BOUNDS)) as target:
@@ -123,12 +143,16 @@
                 slow, slow_transport = await open_stream(address)
                 slow_transport.pauseProducing()
                 await wait_until_held(engine.streams[0])
-                assert 0 < count_buffered_bytes() < _MAX_BUFFERED_BYTES
+                assert (
+                    0 < count_buffered_bytes(transports) < _MAX_BUFFERED_BYTES
+                )
                 quick, _ = await open_stream(address)
                 await quick.done
                 assert quick.tokens == _LENGTH
                 assert not slow.done.done()
-                assert 0 < count_buffered_bytes() < _MAX_BUFFERED_BYTES
+                assert (
+                    0 < count_buffered_bytes(transports) < _MAX_BUFFERED_BYTES
+                )
                 slow_transport.resumeProducing()
                 await slow.done
                 assert slow.tokens == _LENGTH
@@ -136,12 +160,9 @@
     run_on_reactor(check())
 
 
-def count_buffered_bytes() -> int:
+def count_buffered_bytes(transports: Iterable[asyncio.Transport]) -> int:
     """Return the bytes that every connection here waits to write."""
-    return sum(
-        len(writer.dataBuffer) - writer.offset + writer._tempDataLen
-        for writer in get_reactor().getWriters()
-    )
+    return sum(one.get_write_buffer_size() for one in transports)
 
 
 async def wait_until_held(stream: FirehoseStream) -> None:
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -224,9 +224,12 @@
         )
         for node in fleet.nodes:
             node.entries = Entries(entries, 60)
-            node.state.vms = tuple(
-                PublishedVm(one.vm, DataCentreId('a'), one.address, '', '')
-                for one in entries
+            node.state.fleet.membership.learn(
+                [
+                    PublishedVm(one.vm, DataCentreId('a'), one.address, '', '')
+                    for one in entries
+                ],
+                now=0,
             )
         yield fleet
 
