--- a/lab/scenarios.py
+++ b/lab/scenarios.py
@@ -88,15 +88,15 @@
     """Take the configuration service down, then bring it back stale."""
     user = trial.user
     set_weight(user, 2)
-    send(user.config_service.url, 'POST', '/v1/snapshot')
+    send(user.platform.config.url, 'POST', '/v1/snapshot')
     set_weight(user, 3)
     wait_start(trial)
-    order_fault(user.config_service.url, 'down')
+    order_fault(user.platform.config.url, 'down')
     wait_start(trial)
-    order_fault(user.config_service.url, 'none')
-    order_fault(user.config_service.url, 'stale')
+    order_fault(user.platform.config.url, 'none')
+    order_fault(user.platform.config.url, 'stale')
     kill_node(trial)
-    order_fault(user.config_service.url, 'none')
+    order_fault(user.platform.config.url, 'none')
     set_weight(user, 4)
 
 
--- a/lab/topology.py
+++ b/lab/topology.py
@@ -2,6 +2,7 @@
 
 import json
 import subprocess
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
 import msgspec
@@ -90,6 +91,22 @@
         return self.started.process
 
 
+@dataclass(frozen=True, slots=True)
+class Platform:
+    """The stand-ins of the platform's services."""
+
+    config: Started
+    vm_list: Started
+
+
+def start_platform(fleet: Fleet) -> Platform:
+    """Start the configuration service and the VM list."""
+    return Platform(
+        fleet.start_stand_in('config_service', 'config'),
+        fleet.start_stand_in('vm_list', 'vms'),
+    )
+
+
 class UserFleet:
     """Every process of one user, with the platform beside it."""
 
@@ -97,13 +114,12 @@
         """Start the platform, the targets and the nodes."""
         self.fleet = fleet
         self.plan = plan
-        self.config_service = fleet.start_stand_in('config_service', 'config')
-        self.vm_list = fleet.start_stand_in('vm_list', 'vms')
+        self.platform = start_platform(fleet)
         self.engines = self._launch_targets('engine', plan.engines)
         self.services = self._launch_targets('service', plan.services)
         for target in (*self.engines, *self.services):
             wait_ready(target.started)
-        self.publisher = Publisher(self.config_service.url)
+        self.publisher = Publisher(self.platform.config.url)
         self.publisher.publish_base(msgspec.convert(self._describe(), Config))
         self.nodes = self._launch_nodes()
         wait_version((node.started for node in self.nodes), 1)
@@ -115,8 +131,8 @@
 
     def publish_vms(self, *leaving: str) -> None:
         """Publish every node, some of them with the leaving mark."""
-        vms = [_publish_vm(node, node.name in leaving) for node in self.nodes]
-        send(self.vm_list.url, 'PUT', '/v1/vms', {'vms': vms})
+        settings = (node.settings for node in self.nodes)
+        publish_vms(self.platform, settings, leaving)
 
     def find_limit(self, target: Placed) -> int:
         """Return how many requests a target declares to bear."""
@@ -149,7 +165,12 @@
         self.nodes = []
         for data_centre in self.plan.data_centres:
             for number in range(self.plan.nodes):
-                settings = self._build_settings(data_centre, number)
+                settings = build_settings(
+                    self.fleet,
+                    f'vm-{data_centre}-{number}',
+                    data_centre,
+                    self.platform,
+                )
                 launched = self.fleet.launch_node(
                     str(settings['vm']),
                     settings,
@@ -160,29 +181,6 @@
             wait_ready(node.started)
         return self.nodes
 
-    def _build_settings(
-        self,
-        data_centre: str,
-        number: int,
-    ) -> dict[str, object]:
-        port = self.fleet.reserve_ports(_PORTS_PER_NODE)
-        return {
-            'vm': f'vm-{data_centre}-{number}',
-            'data_centre': data_centre,
-            'listen': {
-                'host': '127.0.0.1',
-                'caller': port,
-                'peer': port + 1,
-                'gossip': port + 2,
-            },
-            'platform': {
-                'config': self.config_service.url,
-                'vms': self.vm_list.url,
-            },
-            'fleet_key': _FLEET_KEY,
-            'trials': True,
-        }
-
     def _describe(self) -> dict[str, object]:
         plan = self.plan
         return {
@@ -227,17 +225,56 @@
     )
 
 
-def _publish_vm(node: Placed, is_leaving: bool) -> dict[str, object]:
-    listen = node.settings['listen']
+def build_settings(
+    fleet: Fleet,
+    vm: str,
+    data_centre: str,
+    platform: Platform,
+) -> dict[str, object]:
+    """Return the settings of one node on ports of its own."""
+    port = fleet.reserve_ports(_PORTS_PER_NODE)
+    return {
+        'vm': vm,
+        'data_centre': data_centre,
+        'listen': {
+            'host': '127.0.0.1',
+            'caller': port,
+            'peer': port + 1,
+            'gossip': port + 2,
+        },
+        'platform': {
+            'config': platform.config.url,
+            'vms': platform.vm_list.url,
+        },
+        'fleet_key': _FLEET_KEY,
+        'trials': True,
+    }
+
+
+def publish_vms(
+    platform: Platform,
+    settings: Iterable[dict[str, object]],
+    leaving: Collection[str] = (),
+) -> None:
+    """Publish nodes on the VM list, some of them with the leaving mark."""
+    vms = [_describe_vm(one, leaving) for one in settings]
+    send(platform.vm_list.url, 'PUT', '/v1/vms', {'vms': vms})
+
+
+def _describe_vm(
+    settings: dict[str, object],
+    leaving: Collection[str],
+) -> dict[str, object]:
+    listen = settings['listen']
     assert isinstance(listen, dict)
     host = listen['host']
     return {
-        'vm': node.settings['vm'],
-        'data_centre': node.data_centre,
+        'vm': settings['vm'],
+        'data_centre': settings['data_centre'],
         'caller': f'{host}:{listen["caller"]}',
         'peer': f'{host}:{listen["peer"]}',
         'gossip': f'{host}:{listen["gossip"]}',
-        'leaving': is_leaving,
+        'leaving': settings['vm'] in leaving,
     }
 
 
