--- a/chicoryshunt/process/config_spread.py
+++ b/chicoryshunt/process/config_spread.py
@@ -183,9 +183,7 @@
             yield self._build_head(peer, now, is_question=True)
 
     def _choose_peers(self, count: int) -> list[VmId]:
-        others = [
-            vm for vm in self._members.list_published() if vm != self._own
-        ]
+        others = [vm for vm in self._members.published if vm != self._own]
         return self._rng.sample(others, min(count, len(others)))
 
     def _build_head(
--- a/chicoryshunt/process/members.py
+++ b/chicoryshunt/process/members.py
@@ -1,6 +1,6 @@
 """What other parts need to know of the fleet's members."""
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from typing import Protocol
 
 from chicoryshunt.types import DataCentreId, VmId
@@ -15,5 +15,6 @@
     ) -> Sequence[VmId]:
         """Return live VMs, this one included, of one data centre or all."""
 
-    def list_published(self) -> Sequence[VmId]:
+    @property
+    def published(self) -> Collection[VmId]:
         """Return the VMs of the platform's list."""
--- a/chicoryshunt/process/state.py
+++ b/chicoryshunt/process/state.py
@@ -1,46 +1,43 @@
 """What the parts of a node share while the process lives."""
 
-import time
-from random import Random
+from collections.abc import Collection
 
 import msgspec
 
 from chicoryshunt.clock import SystemClock
-from chicoryshunt.connection.platform_api import PublishedVm
+from chicoryshunt.connection.caller_api import Entries, Entry
+from chicoryshunt.process.config_assembly import build_configuration
 from chicoryshunt.process.configuration import Configuration
-from chicoryshunt.process.links import Links
+from chicoryshunt.process.entries import KEEP_SECONDS, order_entries
+from chicoryshunt.process.fleet import Fleet
+from chicoryshunt.process.journal import Journal
+from chicoryshunt.process.local_shares import LocalShares
 from chicoryshunt.process.metrics import Metrics
-from chicoryshunt.process.pause import Pulse
 from chicoryshunt.process.router import Route, Router
+from chicoryshunt.process.scheduler import Scheduler
 from chicoryshunt.settings import Settings
 from chicoryshunt.types import (
     ConfigVersion,
-    Incarnation,
+    DataCentreId,
     ModelId,
     Reason,
     Seconds,
     ServiceId,
+    TargetId,
     VmId,
+    VmState,
 )
 from chicoryshunt.verdict import Verdict, refuse
 from chicoryshunt.version.config import Config
 
-_KEEP_SECONDS = 5
-_MILLISECOND_NS = 1_000_000
 
-
-class Entry(msgspec.Struct, frozen=True):
-    """One address a caller may use."""
+class MemberStatus(msgspec.Struct, frozen=True):
+    """What a node knows of one VM."""
 
     vm: VmId
-    address: str
-
-
-class Entries(msgspec.Struct, frozen=True):
-    """Addresses in order of preference and how long to keep them."""
-
-    entries: tuple[Entry, ...]
-    keep_seconds: float
+    data_centre: DataCentreId
+    state: VmState
+    load: int
 
 
 class NodeStatus(msgspec.Struct, frozen=True):
@@ -48,7 +45,7 @@
 
     vm: VmId
     version: ConfigVersion
-    members: tuple[VmId, ...]
+    members: tuple[MemberStatus, ...]
 
 
 class NodeState:
@@ -59,19 +56,43 @@
         self.settings = settings
         self.metrics = Metrics()
         self.router = Router(settings.data_centre)
+        self.fleet = Fleet(settings, self.metrics)
+        self.clock = SystemClock()
+        self.journal = Journal(self.clock, self.metrics)
+        self.scheduler = Scheduler(
+            settings.data_centre,
+            LocalShares(lambda: self.config, self._count_nodes),
+            self.clock,
+            self.journal,
+        )
+        self._config: Config | None = None
         self.configuration = Configuration(self.metrics)
-        self.vms: tuple[PublishedVm, ...] = ()
-        self.incarnation = Incarnation(time.time_ns() // _MILLISECOND_NS)
-        self.rng = Random(self.incarnation)
-        self.links = Links()
-        self.pulse = Pulse(SystemClock())
+        self.config_parts = build_configuration(
+            self.configuration,
+            settings.vm,
+            settings.data_centre,
+            self.fleet.membership.roster,
+            self.fleet.rng,
+            self.metrics,
+        )
+        self.fleet.cores.append(self.config_parts.spread)
+        self.configuration.subscribe(self.apply)
 
     @property
     def config(self) -> Config | None:
         """Return the configuration in force."""
-        return self.configuration.current
-
-    def route(self, wanted: ModelId | ServiceId) -> Route | Verdict:
+        return self._config
+
+    def apply(self, config: Config) -> None:
+        """Put a configuration in force."""
+        self._config = config
+        self.scheduler.apply(config)
+
+    def route(
+        self,
+        wanted: ModelId | ServiceId,
+        excluded: Collection[TargetId] = (),
+    ) -> Route | Verdict:
         """Return a target for the model or service."""
         if self.config is None:
             return refuse(
@@ -85,24 +106,41 @@
                 'the configuration is being confirmed after a pause',
                 Seconds(1),
             )
-        return self.router.choose(self.config, wanted)
+        return self.router.choose(self.config, wanted, excluded)
 
     def list_entries(self) -> Entries:
         """Return addresses, the caller's data centre first."""
-        own = self.settings.data_centre
-        ordered = sorted(
-            (vm for vm in self.vms if not vm.leaving),
-            key=lambda vm: vm.data_centre != own,
+        ordered = order_entries(
+            self.fleet.membership.roster,
+            self.settings.data_centre,
+            self.fleet.rng,
         )
         return Entries(
-            tuple(Entry(vm.vm, vm.caller) for vm in ordered),
-            _KEEP_SECONDS,
+            tuple(
+                Entry(one.published.vm, one.published.caller) for one in ordered
+            ),
+            KEEP_SECONDS,
         )
 
+    def find_caller_address(self, wanted: VmId) -> str:
+        """Return where a VM listens for callers, empty when unknown."""
+        return self.fleet.links.find_caller(wanted)
+
     def describe(self) -> NodeStatus:
         """Return what this node knows."""
         return NodeStatus(
             self.settings.vm,
             self.configuration.version,
-            tuple(vm.vm for vm in self.vms),
+            tuple(
+                MemberStatus(
+                    one.published.vm,
+                    one.published.data_centre,
+                    one.state,
+                    one.load,
+                )
+                for one in self.fleet.membership.roster
+            ),
         )
+
+    def _count_nodes(self) -> int:
+        return self.fleet.membership.roster.published_count
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,15 +1,21 @@
 """Builders of test data."""
 
 import json
+from random import Random
 
 import msgspec
 
+from chicoryshunt.connection.platform_api import PublishedVm
+from chicoryshunt.process.membership import Membership
+from chicoryshunt.process.policy.queue import Ask
+from chicoryshunt.process.policy.survival import Kind, classify
 from chicoryshunt.process.seal import Purpose, Seal
 from chicoryshunt.types import (
     ConfigVersion,
     DataCentreId,
     Incarnation,
     ModelId,
+    RequestId,
     ServiceId,
     TargetId,
     TeamId,
@@ -60,6 +66,50 @@
     )
 
 
+def build_vm(
+    name: str,
+    data_centre: str = 'luzon-a',
+    *,
+    leaving: bool = False,
+) -> PublishedVm:
+    """Return one VM of the platform's list."""
+    return PublishedVm(
+        VmId(name),
+        DataCentreId(data_centre),
+        caller=f'{name}:1',
+        peer=f'{name}:2',
+        gossip='127.0.0.1:3',
+        leaving=leaving,
+    )
+
+
+def build_membership(vms: list[PublishedVm]) -> Membership:
+    """Return the membership of the first of some VMs."""
+    membership = Membership(vms[0], Incarnation(1), Random(1), 0)
+    membership.learn(vms, 0)
+    return membership
+
+
+def build_ask(
+    request: str = 'request-1',
+    team: str = 'team-1',
+    *,
+    prompt_tokens: int = 100,
+    max_tokens: int = 30_000,
+    priority: int = 0,
+    weight: float = 1,
+) -> Ask:
+    """Return what a caller asks for."""
+    return Ask(
+        RequestId(request),
+        Kind(TeamId(team), ModelId('kibitzer-llm'), classify(max_tokens)),
+        prompt_tokens,
+        max_tokens,
+        priority,
+        weight,
+    )
+
+
 def build_config(teams: int = 2, targets: int = 2) -> Config:
     """Return a base of one data centre, one model and one service."""
     data_centre = DataCentreId('luzon-a')
