Check patches beforehand and show what became of them

`patch check FILE` gives a node the patch and prints what its fold would make of it: the same function on the version in force, so the reason is the same too. `patch status NUMBER` asks every VM that a node knows, and tells the ruling, on how many nodes it is in force, who is behind, silent or on another log. `/v1/config` and `/v1/status` show version, position, digest, rejected patches and forks.

Counting from gossip was ruled out: a node hears of each other one only every few minutes at 360 nodes, one call each is exact and needs no state.

--- a/chicoryshunt/cmdline.py
+++ b/chicoryshunt/cmdline.py
@@ -3,7 +3,15 @@
 import sys
 from collections.abc import Sequence
 
-from chicoryshunt.commands import call, check, explain, node, report, status
+from chicoryshunt.commands import (
+    call,
+    check,
+    explain,
+    node,
+    patch,
+    report,
+    status,
+)
 from chicoryshunt.events import configure_logging
 from chicoryshunt.exceptions import ChicoryshuntError, UsageError
 
@@ -16,6 +24,8 @@
     check.COMMAND,
     call.COMMAND,
     status.COMMAND,
+    patch.CHECK,
+    patch.STATUS,
     explain.COMMAND,
     report.COMMAND,
 )
--- a/chicoryshunt/connection/platform.py
+++ b/chicoryshunt/connection/platform.py
@@ -1,20 +1,16 @@
 """Client of the configuration service, which can only be read and watched."""
 
-import asyncio
 from dataclasses import dataclass
 from enum import Enum
 from http import HTTPStatus
 from typing import Any, Protocol
 
-from twisted.internet.error import ConnectionDone, ConnectionLost
-from twisted.web.client import ResponseFailed, readBody
-
 from chicoryshunt.connection.client import (
     BrokenError,
     HttpClient,
     NotConnectedError,
+    read_body,
 )
-from chicoryshunt.connection.loop import await_deferred
 from chicoryshunt.exceptions import PlatformError
 from chicoryshunt.version.published import MAX_VALUE_BYTES
 
@@ -74,18 +70,21 @@
         if known is not None:
             url = f'{url}&known={known}'
         try:
-            return await asyncio.wait_for(
-                self._read(url),
-                wait + _ANSWER_SECONDS,
-            )
-        except TimeoutError as error:
-            raise PlatformError(f'{url}: no answer in time') from error
+            return await self._read(url, wait + _ANSWER_SECONDS)
         except (NotConnectedError, BrokenError) as error:
             raise PlatformError(str(error)) from error
 
-    async def _read(self, url: str) -> PublishedValue | Absence:
-        response = await self._client.request('GET', url)
-        text = await _read_bounded(url, response)
+    async def _read(
+        self,
+        url: str,
+        seconds: float,
+    ) -> PublishedValue | Absence:
+        response = await self._client.request(
+            'GET',
+            url,
+            answer_seconds=seconds,
+        )
+        text = await read_body(response, _ANSWER_SECONDS, MAX_VALUE_BYTES)
         match response.code:
             case HTTPStatus.OK:
                 return PublishedValue(_parse_revision(url, response), text)
@@ -97,18 +96,6 @@
                 raise PlatformError(f'{url}: status {status}')
 
 
-async def _read_bounded(url: str, response: Any) -> bytes:
-    body = readBody(response)
-    if isinstance(response.length, int) and response.length > MAX_VALUE_BYTES:
-        body.addErrback(lambda _: b'')
-        body.cancel()
-        raise PlatformError(f'{url}: {response.length} bytes are too many')
-    try:
-        return await await_deferred(body)
-    except (ResponseFailed, ConnectionDone, ConnectionLost) as error:
-        raise PlatformError(f'{url}: value cut short') from error
-
-
 def _parse_revision(url: str, response: Any) -> int:
     header = response.headers.getRawHeaders(_REVISION, [''])[0]
     try:
--- a/chicoryshunt/process/callers.py
+++ b/chicoryshunt/process/callers.py
@@ -8,6 +8,7 @@
     NotConnectedError,
 )
 from chicoryshunt.connection.exchange import Exchange
+from chicoryshunt.process.config_api import ConfigApi
 from chicoryshunt.process.generations import GenerationApi
 from chicoryshunt.process.journal import Explanation
 from chicoryshunt.process.router import Route
@@ -36,6 +37,11 @@
         self._state = state
         self._client = HttpClient()
         self._generations = GenerationApi(state)
+        self._config = ConfigApi(
+            state.settings.vm,
+            state.configuration,
+            state.fleet.list_vms,
+        )
 
     async def handle(self, exchange: Exchange) -> None:
         """Serve one request."""
@@ -48,6 +54,8 @@
                 await self._generations.handle_resume(exchange, action)
             case (_, 'v1', 'call', service, *path):
                 await self._call(exchange, ServiceId(service), '/'.join(path))
+            case (_, 'v1', 'config', *path):
+                self._config.handle(exchange, path)
             case ('GET', 'v1', 'status'):
                 exchange.respond_json(self._state.describe())
             case ('POST', 'v1', 'trial', 'cut') if self._state.settings.trials:
--- /dev/null
+++ b/chicoryshunt/process/config_api.py
@@ -0,0 +1,148 @@
+"""What a node tells operators of the configuration, over HTTP."""
+
+from collections.abc import Callable
+from http import HTTPStatus
+
+import msgspec
+
+from chicoryshunt.connection.exchange import Exchange
+from chicoryshunt.connection.platform_api import PublishedVms
+from chicoryshunt.process.configuration import Configuration
+from chicoryshunt.types import (
+    ConfigVersion,
+    Digest,
+    LogPosition,
+    Reason,
+    Seconds,
+    VmId,
+)
+from chicoryshunt.verdict import refuse
+from chicoryshunt.version.chain import Head
+from chicoryshunt.version.fold import Rejected, Ruling, judge_patch
+from chicoryshunt.version.patch import Flaw, Rejection
+
+MAX_LISTED_REJECTIONS = 16
+
+
+class ForkStatus(msgspec.Struct, frozen=True):
+    """Another log than the one in force, and who showed it."""
+
+    source: str
+    position: LogPosition
+    digest: Digest
+
+
+class ConfigStatus(msgspec.Struct, frozen=True):
+    """What a node has in force; ``rejected`` holds the latest patches."""
+
+    version: ConfigVersion
+    position: LogPosition
+    digest: Digest
+    is_confirmed: bool
+    rejected: tuple[Rejected, ...]
+    forks: tuple[ForkStatus, ...]
+
+
+class PatchStatus(msgspec.Struct, frozen=True):
+    """What became of one patch on a node.
+
+    ``digest`` is that of the log up to the patch. ``ruling`` is missing when
+    the patch has not arrived or was folded too long ago.
+    """
+
+    vm: VmId
+    patch: LogPosition
+    is_folded: bool
+    digest: Digest | None = None
+    ruling: Ruling | None = None
+
+
+class CheckAnswer(msgspec.Struct, frozen=True):
+    """What the fold would make of a patch if it came next."""
+
+    version: ConfigVersion
+    is_accepted: bool
+    rejection: Rejection | None = None
+    detail: str = ''
+
+
+def describe_config(configuration: Configuration) -> ConfigStatus:
+    """Return what is in force and what was refused."""
+    head = configuration.head
+    return ConfigStatus(
+        head.version,
+        head.position,
+        head.digest,
+        configuration.is_confirmed,
+        configuration.rejected[-MAX_LISTED_REJECTIONS:],
+        tuple(
+            _describe_fork(source, other)
+            for source, other in configuration.forks.list_all().items()
+        ),
+    )
+
+
+class ConfigApi:
+    """Answers operators about the configuration."""
+
+    def __init__(
+        self,
+        vm: VmId,
+        configuration: Configuration,
+        list_vms: Callable[[], PublishedVms],
+    ) -> None:
+        """Serve what one node has in force."""
+        self._vm = vm
+        self._list_vms = list_vms
+        self._configuration = configuration
+
+    def handle(self, exchange: Exchange, path: list[str]) -> None:
+        """Serve one request under ``/v1/config``."""
+        match (exchange.method, *path):
+            case ('GET',):
+                exchange.respond_json(describe_config(self._configuration))
+            case ('GET', 'vms'):
+                exchange.respond_json(self._list_vms())
+            case ('GET', 'patches', number) if number.isdecimal():
+                exchange.respond_json(self._find_patch(int(number)))
+            case ('POST', 'check'):
+                self._check(exchange)
+            case _:
+                exchange.respond_verdict(
+                    refuse(Reason.unknown_path, f'no path {exchange.path!r}'),
+                )
+
+    def _find_patch(self, number: int) -> PatchStatus:
+        patch = LogPosition(number)
+        replica = self._configuration.replica
+        rulings = (one for one in replica.rulings if one.position == patch)
+        return PatchStatus(
+            self._vm,
+            patch,
+            replica.head.position >= patch,
+            replica.find_digest(patch),
+            next(rulings, None),
+        )
+
+    def _check(self, exchange: Exchange) -> None:
+        config = self._configuration.current
+        if config is None:
+            exchange.respond_verdict(
+                refuse(
+                    Reason.config_missing,
+                    'no configuration is known',
+                    Seconds(1),
+                ),
+            )
+            return
+        judged = judge_patch(config, exchange.body)
+        match judged:
+            case Flaw(rejection=rejection, detail=detail):
+                answer = CheckAnswer(config.version, False, rejection, detail)
+            case _:
+                answer = CheckAnswer(config.version, is_accepted=True)
+        exchange.respond_json(answer, HTTPStatus.OK)
+
+
+def _describe_fork(source: str, other: Head) -> ForkStatus:
+    return ForkStatus(source, other.position, other.digest)
--- a/chicoryshunt/process/config_reading.py
+++ b/chicoryshunt/process/config_reading.py
@@ -34,6 +34,7 @@
     log: ServiceLog
     metrics: Metrics
     now: Now
+    pause_seconds: float = PAUSE_SECONDS
     _known: int | None = None
 
     async def run(self) -> None:
@@ -42,7 +43,7 @@
             if self.log.readers.choose(self.now()):
                 await self.read_once()
             else:
-                await asyncio.sleep(PAUSE_SECONDS)
+                await asyncio.sleep(self.pause_seconds)
 
     async def read_once(self) -> None:
         """Wait for a change of the log and use it."""
@@ -53,7 +54,7 @@
             log_problem('platform_unreadable', error=error)
             is_used = False
         if not is_used:
-            await asyncio.sleep(PAUSE_SECONDS)
+            await asyncio.sleep(self.pause_seconds)
 
     async def _watch(self) -> bool:
         published = await self._read(LOG_KEY, self._known, WATCH_SECONDS)
--- a/chicoryshunt/process/fleet.py
+++ b/chicoryshunt/process/fleet.py
@@ -9,7 +9,7 @@
 from chicoryshunt.clock import SystemClock
 from chicoryshunt.connection.client import HttpClient
 from chicoryshunt.connection.loop import get_reactor
-from chicoryshunt.connection.platform_api import PublishedVm
+from chicoryshunt.connection.platform_api import PublishedVm, PublishedVms
 from chicoryshunt.process.core import Core
 from chicoryshunt.process.driver import drive_cores
 from chicoryshunt.process.links import Links
@@ -65,6 +65,11 @@
         finally:
             port.stopListening()
 
+    def list_vms(self) -> PublishedVms:
+        """Return the VMs of the fleet with their addresses."""
+        roster = self.membership.roster
+        return PublishedVms(tuple(one.published for one in roster))
+
     def build_seal(self, purpose: Purpose) -> Seal:
         """Return a seal that follows the incarnation of this node."""
         settings = self._settings
--- a/chicoryshunt/process/state.py
+++ b/chicoryshunt/process/state.py
@@ -6,6 +6,7 @@
 
 from chicoryshunt.clock import SystemClock
 from chicoryshunt.connection.caller_api import Entries, Entry
+from chicoryshunt.process.config_api import ConfigStatus, describe_config
 from chicoryshunt.process.config_assembly import build_configuration
 from chicoryshunt.process.configuration import Configuration
 from chicoryshunt.process.entries import KEEP_SECONDS, order_entries
@@ -45,6 +46,7 @@
 
     vm: VmId
     version: ConfigVersion
+    config: ConfigStatus
     members: tuple[MemberStatus, ...]
 
 
@@ -131,6 +133,7 @@
         return NodeStatus(
             self.settings.vm,
             self.configuration.version,
+            describe_config(self.configuration),
             tuple(
                 MemberStatus(
                     one.published.vm,
--- a/chicoryshunt/version/patch.py
+++ b/chicoryshunt/version/patch.py
@@ -201,6 +201,8 @@
             Rejection.too_large,
             f'{len(line)} bytes, more than {MAX_PATCH_BYTES}',
         )
+    if b'\n' in line:
+        return Flaw(Rejection.not_json, 'a patch is one line')
     try:
         return _DECODER.decode(line)
     except msgspec.ValidationError as error:
--- a/chicoryshunt/version/replica.py
+++ b/chicoryshunt/version/replica.py
@@ -85,6 +85,10 @@
             return Relation.unknown
         return self._chain.compare(head.position, head.digest)
 
+    def find_digest(self, position: LogPosition) -> Digest | None:
+        """Return the digest of the log up to a position, if it is known."""
+        return None if self._chain is None else self._chain.find(position)
+
     def extend(self, segment: Segment) -> Outcome:
         """Fold the lines that are new, unless they belong to another log."""
         if self._chain is None or segment.position > self._chain.position:
