--- a/chicoryshunt/process/fleet.py
+++ b/chicoryshunt/process/fleet.py
@@ -17,6 +17,7 @@
 from chicoryshunt.process.mesh import Mesh
 from chicoryshunt.process.metrics import Metrics
 from chicoryshunt.process.pause import Pulse
+from chicoryshunt.process.peers import PeerClient
 from chicoryshunt.process.seal import Purpose, Seal
 from chicoryshunt.process.watch import VmWatch
 from chicoryshunt.settings import Settings
@@ -48,6 +49,8 @@
         self.cores: list[Core] = [self.membership]
         self._settings = settings
         self._metrics = metrics
+        self.call_seal = self.build_seal(Purpose.call)
+        self.peer_client = PeerClient(self.call_seal, self.links)
 
     @contextmanager
     def serve(self) -> Iterator[Mesh]:
--- a/chicoryshunt/process/node.py
+++ b/chicoryshunt/process/node.py
@@ -1,4 +1,4 @@
-"""The daemon: opens the ports, reads the platform, runs until told."""
+"""The daemon: opens the ports, drives every part, runs until told."""
 
 import asyncio
 from collections.abc import AsyncIterator, Iterator
@@ -12,12 +12,13 @@
 from chicoryshunt.events import log_event
 from chicoryshunt.process.callers import CallerApi
 from chicoryshunt.process.config_assembly import (
+    ConfigParts,
+    build_configuration,
     keep_configuration,
     register_pull,
 )
 from chicoryshunt.process.mesh import Mesh
-from chicoryshunt.process.peers import PeerClient, PeerServer
-from chicoryshunt.process.seal import Purpose, Seal
+from chicoryshunt.process.peers import PeerServer
 from chicoryshunt.process.state import NodeState
 from chicoryshunt.settings import Settings
 
@@ -26,9 +27,18 @@
     """Run a node until SIGTERM."""
     reactor = get_reactor()
     state = NodeState(settings)
+    parts = build_configuration(
+        state.configuration,
+        settings.vm,
+        settings.data_centre,
+        state.fleet.membership.roster,
+        state.fleet.rng,
+        state.metrics,
+    )
+    state.fleet.cores.append(parts.spread)
     with serve_callers(state), state.fleet.serve() as mesh:
         reactor.callWhenRunning(
-            lambda: asyncio.ensure_future(run_tasks(state, mesh)),
+            lambda: asyncio.ensure_future(run_tasks(state, mesh, parts)),
         )
         log_event('node_started', vm=settings.vm)
         reactor.run()
@@ -60,33 +70,34 @@
         listener.stopListening()
 
 
-async def run_tasks(state: NodeState, mesh: Mesh) -> None:
+@asynccontextmanager
+async def serve_peers(
+    state: NodeState,
+    parts: ConfigParts,
+) -> AsyncIterator[None]:
+    """Listen for the calls of other nodes."""
+    listen = state.settings.listen
+    server = PeerServer(state.fleet.call_seal, state.fleet.links)
+    register_pull(server, parts.spread)
+    listening = await server.start(f'{listen.host}:{listen.peer}')
+    try:
+        yield
+    finally:
+        await listening.stop(None)
+
+
+async def run_tasks(state: NodeState, mesh: Mesh, parts: ConfigParts) -> None:
     """Read the platform and talk to the other nodes."""
-    settings = state.settings
     client = HttpClient()
-    seal = state.fleet.build_seal(Purpose.call)
-    async with serve_peers(state, seal):
+    async with serve_peers(state, parts):
         await asyncio.gather(
             state.fleet.run(mesh, client),
             state.scheduler.run(),
             keep_configuration(
-                state.config_parts,
-                HttpConfigService(settings.platform.config, client),
-                PeerClient(seal, state.fleet.links),
+                parts,
+                HttpConfigService(state.settings.platform.config, client),
+                state.fleet.peer_client,
                 state.metrics,
                 state.fleet.pulse.check,
             ),
         )
-
-
-@asynccontextmanager
-async def serve_peers(state: NodeState, seal: Seal) -> AsyncIterator[None]:
-    """Listen for the calls of other nodes."""
-    listen = state.settings.listen
-    server = PeerServer(seal, state.fleet.links)
-    register_pull(server, state.config_parts.spread)
-    listening = await server.start(f'{listen.host}:{listen.peer}')
-    try:
-        yield
-    finally:
-        await listening.stop(None)
--- a/chicoryshunt/process/state.py
+++ b/chicoryshunt/process/state.py
@@ -7,7 +7,6 @@
 from chicoryshunt.clock import SystemClock
 from chicoryshunt.connection.caller_api import Entries, Entry
 from chicoryshunt.process.config_api import ConfigStatus, describe_config
-from chicoryshunt.process.config_assembly import build_configuration
 from chicoryshunt.process.configuration import Configuration
 from chicoryshunt.process.entries import KEEP_SECONDS, order_entries
 from chicoryshunt.process.fleet import Fleet
@@ -67,28 +66,13 @@
             self.clock,
             self.journal,
         )
-        self._config: Config | None = None
         self.configuration = Configuration(self.metrics)
-        self.config_parts = build_configuration(
-            self.configuration,
-            settings.vm,
-            settings.data_centre,
-            self.fleet.membership.roster,
-            self.fleet.rng,
-            self.metrics,
-        )
-        self.fleet.cores.append(self.config_parts.spread)
-        self.configuration.subscribe(self.apply)
+        self.configuration.subscribe(self.scheduler.apply)
 
     @property
     def config(self) -> Config | None:
         """Return the configuration in force."""
-        return self._config
-
-    def apply(self, config: Config) -> None:
-        """Put a configuration in force."""
-        self._config = config
-        self.scheduler.apply(config)
+        return self.configuration.current
 
     def route(
         self,
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -10,6 +10,7 @@
 from chicoryshunt.process.policy.queue import Ask
 from chicoryshunt.process.policy.survival import Kind, classify
 from chicoryshunt.process.seal import Purpose, Seal
+from chicoryshunt.process.state import NodeState
 from chicoryshunt.types import (
     ConfigVersion,
     DataCentreId,
@@ -25,11 +26,13 @@
     Config,
     DataCentre,
     Model,
+    Presence,
     Service,
     Target,
     Team,
 )
 from chicoryshunt.version.published import split_base
+from chicoryshunt.version.replica import Replica, Snapshot
 
 FLEET_KEY = '5a' * 32
 
@@ -146,3 +149,25 @@
 def build_set_team(name: str, weight: float) -> dict[str, object]:
     """Return the operation that sets a team."""
     return {'op': 'set_team', 'name': name, 'value': {'weight': weight}}
+
+
+def take_out(config: Config, what: str) -> Config:
+    """Return the configuration with its data centre or targets out."""
+    if what == 'data_centre':
+        centres = {
+            name: msgspec.structs.replace(one, presence=Presence.out)
+            for name, one in config.data_centres.items()
+        }
+        return msgspec.structs.replace(config, data_centres=centres)
+    targets = {
+        name: msgspec.structs.replace(one, presence=Presence.out)
+        for name, one in config.targets.items()
+    }
+    return msgspec.structs.replace(config, targets=targets)
+
+
+def put_in_force(state: NodeState, config: Config) -> None:
+    """Let a node start with a configuration."""
+    replica = Replica()
+    replica.adopt(Snapshot(config, (), ()))
+    state.configuration.start_from(replica)
