--- a/chicoryshunt/process/node.py
+++ b/chicoryshunt/process/node.py
@@ -18,7 +18,6 @@
     keep_configuration,
     register_pull,
 )
-from chicoryshunt.process.members import RosterMembers
 from chicoryshunt.process.mesh import Mesh
 from chicoryshunt.process.peers import PeerServer
 from chicoryshunt.process.state import NodeState
@@ -33,7 +32,7 @@
         state.configuration,
         settings.vm,
         settings.data_centre,
-        RosterMembers(state.fleet.membership.roster),
+        state.fleet.membership.roster,
         state.fleet.rng,
         state.metrics,
     )
