Run calls that may not be repeated under owner grants

Purpose: a call by a method that a service does not list as repeatable ran as often as it was sent. It now runs only under a grant of one process, whose table of records decides: the first arrival runs, a repeat gets the same outcome, another request under the same key is refused.

- process/grants.py mints and reads the tokens; process/records.py is the table, which refuses new work rather than forget a record that a grant could still reach.
- A leaving owner seals its table at once, lets what runs finish, and hands the records to a successor (process/handoff.py, holdings.py, drain.py).
A sealed table is never opened again, so a copy is read-only and cannot disagree with another copy; nobody runs anything under a grant of an owner that left.
- A pause voids the grants made before it.

--- a/chicoryshunt/caller.py
+++ b/chicoryshunt/caller.py
@@ -9,6 +9,7 @@
 from absl import flags
 from twisted.internet.protocol import Protocol
 
+from chicoryshunt.connection.caller_api import Entries, GrantOffer
 from chicoryshunt.connection.client import (
     BrokenError,
     HttpClient,
@@ -17,7 +18,6 @@
 from chicoryshunt.connection.loop import get_reactor
 from chicoryshunt.connection.target_api import StreamEvent
 from chicoryshunt.exceptions import CallError
-from chicoryshunt.process.state import Entries
 from chicoryshunt.request.assembler import Assembler
 from chicoryshunt.types import GenerationId
 
@@ -41,6 +41,7 @@
         """Start from any addresses of nodes, host:port each."""
         self._addresses = list(seeds)
         self._team = team
+        self._grant: GrantOffer | None = None
         self._client = HttpClient()
 
     async def refresh(self) -> None:
@@ -53,8 +54,9 @@
                 )
             except (NotConnectedError, BrokenError):
                 continue
-            entries = msgspec.json.decode(body, type=Entries).entries
-            self._addresses = [entry.address for entry in entries]
+            entries = msgspec.json.decode(body, type=Entries)
+            self._addresses = [entry.address for entry in entries.entries]
+            self._grant = entries.grant
             return
         raise CallError(f'no node answers at {self._addresses}')
 
@@ -69,11 +71,17 @@
 
     async def file(self, service: str, path: str, key: str) -> Answer:
         """Send one call that may not be repeated."""
+        if self._grant is None:
+            return Answer('not_run', detail='no grant was offered')
         status, body = await self._client.read(
             'POST',
-            f'http://{self._addresses[0]}/v1/call/{service}/{path}',
+            f'http://{self._grant.address}/v1/call/{service}/{path}',
             b'{}',
-            {'idempotency-key': key, 'x-team': self._team},
+            {
+                'idempotency-key': key,
+                'x-team': self._team,
+                'x-grant': self._grant.token,
+            },
         )
         return Answer('ran', detail=f'{status} {body.decode()}')
 
--- /dev/null
+++ b/chicoryshunt/connection/caller_api.py
@@ -0,0 +1,87 @@
+"""Messages of the interface that callers use."""
+
+from typing import Final
+
+import msgspec
+
+from chicoryshunt.types import VmId
+from chicoryshunt.verdict import Verdict
+
+TEAM_HEADER: Final = 'x-team'
+VERDICT_HEADER: Final = 'x-verdict'
+GENERATION_HEADER: Final = 'x-generation'
+RESUME_HEADER: Final = 'x-resume'
+RETRY_HEADER: Final = 'retry-after'
+GRANT_HEADER: Final = 'x-grant'
+GRANT_OWNER_HEADER: Final = 'x-grant-owner'
+ENTRIES_HEADER: Final = 'x-entries'
+KEY_HEADER: Final = 'idempotency-key'
+RESUME_PATH: Final = '/v1/resume'
+INCOMPLETE: Final = 'incomplete'
+
+
+class Entry(msgspec.Struct, frozen=True):
+    """One address a caller may use, host:port."""
+
+    vm: VmId
+    address: str
+
+
+class GrantOffer(msgspec.Struct, frozen=True):
+    """Grant for requests that may not be repeated.
+
+    ``address`` is where its owner listens; the caller begins requests under
+    it for ``keep_seconds``.
+    """
+
+    token: str
+    address: str
+    keep_seconds: float
+
+
+class Entries(msgspec.Struct, frozen=True):
+    """Addresses in order of preference and how long to keep them."""
+
+    entries: tuple[Entry, ...]
+    keep_seconds: float
+    grant: GrantOffer | None = None
+
+
+class VerdictBody(msgspec.Struct, frozen=True, omit_defaults=True):
+    """JSON form of a verdict; ``retry_after`` is in seconds."""
+
+    verdict: str
+    reason: str
+    detail: str
+    retry_after: float | None = None
+
+
+class AnswerEnd(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Last event of an answer.
+
+    ``ending`` is ``stop``, ``length`` or ``incomplete``; ``tokens`` counts
+    the tokens of the generation; the reason is set when it is incomplete.
+    """
+
+    ending: str
+    tokens: int
+    verdict: str
+    reason: str = ''
+    detail: str = ''
+
+
+def encode_verdict(verdict: Verdict) -> bytes:
+    """Return the JSON form of a verdict."""
+    return msgspec.json.encode(
+        VerdictBody(
+            verdict.run.value,
+            verdict.reason.value,
+            verdict.detail,
+            verdict.retry_after,
+        ),
+    )
+
+
+def encode_answer_end(end: AnswerEnd) -> bytes:
+    """Return the server-sent event that ends an answer."""
+    return b'event: end\ndata: %s\n\n' % msgspec.json.encode(end)
--- a/chicoryshunt/connection/client.py
+++ b/chicoryshunt/connection/client.py
@@ -1,26 +1,41 @@
 """HTTP client for targets and the platform, on twisted.web."""
 
+import asyncio
+from collections.abc import Mapping
 from io import BytesIO
-from typing import Any
+from typing import Any, cast
 
+from twisted.internet.endpoints import (
+    HostnameEndpoint,
+    TCP4ClientEndpoint,
+    TCP6ClientEndpoint,
+)
 from twisted.internet.error import (
     ConnectError,
     ConnectionDone,
     ConnectionLost,
 )
+from twisted.internet.interfaces import IStreamClientEndpoint
+from twisted.internet.protocol import Protocol
 from twisted.web.client import (
+    URI,
     Agent,
     FileBodyProducer,
     HTTPConnectionPool,
+    ResponseDone,
     ResponseFailed,
-    readBody,
 )
+from twisted.web.http import PotentialDataLoss
 from twisted.web.http_headers import Headers
+from twisted.web.iweb import IAgentEndpointFactory
+from zope.interface import implementer
 
 from chicoryshunt.connection.loop import await_deferred, get_reactor
 from chicoryshunt.exceptions import ChicoryshuntError
+from chicoryshunt.settings import is_ip_number
 
 _MAX_IDLE_PER_HOST = 64
+_MAX_BODY_BYTES = 16_777_216
 
 
 class NotConnectedError(ChicoryshuntError):
@@ -31,19 +46,35 @@
     """The connection broke after bytes of the request were written."""
 
 
+class SlowAnswerError(BrokenError):
+    """No answer came in time; the connection was closed."""
+
+
 class HttpClient:
-    """Sends requests over kept connections."""
+    """Sends requests; connections are kept for later requests or closed.
 
-    def __init__(self, connect_seconds: float = 2) -> None:
+    A kept connection may have been closed by the other side, which only
+    shows after bytes were written.
+    """
+
+    def __init__(
+        self,
+        connect_seconds: float = 2,
+        *,
+        keeps_connections: bool = True,
+    ) -> None:
         """Create the pool; it has no retries of its own."""
         reactor = get_reactor()
-        self._pool = HTTPConnectionPool(reactor, persistent=True)
+        self._pool = HTTPConnectionPool(
+            reactor,
+            persistent=keeps_connections,
+        )
         self._pool.retryAutomatically = False
         self._pool.maxPersistentPerHost = _MAX_IDLE_PER_HOST
-        self._agent = Agent(
+        self._agent = Agent.usingEndpointFactory(
             reactor,
-            connectTimeout=connect_seconds,
-            pool=self._pool,
+            _EndpointFactory(connect_seconds),
+            self._pool,
         )
 
     async def request(
@@ -51,50 +82,137 @@
         method: str,
         url: str,
         body: bytes = b'',
-        headers: dict[str, str] | None = None,
+        headers: Mapping[str, str] | None = None,
+        *,
+        answer_seconds: float | None = None,
     ) -> Any:
         """Send a request and return the response without its body.
 
+        ``answer_seconds`` bounds the wait for the response's headers.
         Raises ``NotConnectedError`` or ``BrokenError``.
         """
+        answer = await_deferred(
+            self._agent.request(
+                method.encode(),
+                url.encode(),
+                _build_headers(headers),
+                _build_body(body),
+            ),
+        )
         try:
-            return await await_deferred(
-                self._agent.request(
-                    method.encode(),
-                    url.encode(),
-                    _build_headers(headers),
-                    _build_body(body),
-                ),
-            )
+            return await asyncio.wait_for(answer, answer_seconds)
         except ConnectError as error:
             raise NotConnectedError(f'{url}: {error}') from error
         except (ResponseFailed, ConnectionDone, ConnectionLost) as error:
             raise BrokenError(f'{url}: {error}') from error
+        except TimeoutError as error:
+            raise SlowAnswerError(
+                f'{url}: no answer within {answer_seconds} s',
+            ) from error
 
     async def read(
         self,
         method: str,
         url: str,
         body: bytes = b'',
-        headers: dict[str, str] | None = None,
+        headers: Mapping[str, str] | None = None,
+        *,
+        answer_seconds: float | None = None,
     ) -> tuple[int, bytes]:
-        """Send a request and return its status and whole body."""
-        response = await self.request(method, url, body, headers)
-        try:
-            return response.code, await await_deferred(readBody(response))
-        except (ResponseFailed, ConnectionDone, ConnectionLost) as error:
-            raise BrokenError(f'{url}: {error}') from error
+        """Send a request and return its status and whole body.
+
+        ``answer_seconds`` bounds the wait for the headers and again the
+        wait for the body.
+        """
+        response = await self.request(
+            method,
+            url,
+            body,
+            headers,
+            answer_seconds=answer_seconds,
+        )
+        return response.code, await read_body(response, answer_seconds)
 
     async def close(self) -> None:
         """Close the idle connections."""
         await await_deferred(self._pool.closeCachedConnections())
 
 
+async def read_body(
+    response: Any,
+    seconds: float | None = None,
+    max_bytes: int = _MAX_BODY_BYTES,
+) -> bytes:
+    """Return the whole body of a response; raise ``BrokenError``."""
+    reader = _BodyReader(max_bytes)
+    response.deliverBody(reader)
+    try:
+        return await asyncio.wait_for(reader.body, seconds)
+    except TimeoutError as error:
+        reader.close()
+        raise SlowAnswerError(f'body not whole after {seconds} s') from error
+
+
+class _BodyReader(Protocol):
+    """Collects a body within a bound."""
+
+    def __init__(self, max_bytes: int) -> None:
+        self.body: asyncio.Future[bytes] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._max_bytes = max_bytes
+        self._received = bytearray()
+
+    def close(self) -> None:
+        """Drop the connection."""
+        if self.transport is not None:
+            cast(Any, self.transport).loseConnection()
+
+    def dataReceived(self, data: bytes) -> None:
+        """Keep a part of the body."""
+        self._received += data
+        if len(self._received) > self._max_bytes:
+            self._fail(f'body is larger than {self._max_bytes} bytes')
+            self._received.clear()
+            self.close()
+
+    def connectionLost(self, reason: Any = None) -> None:
+        """Deliver the body if it is whole."""
+        if reason is None or reason.check(ResponseDone, PotentialDataLoss):
+            if not self.body.done():
+                self.body.set_result(bytes(self._received))
+            return
+        self._fail(str(reason.value))
+
+    def _fail(self, detail: str) -> None:
+        if not self.body.done():
+            self.body.set_exception(BrokenError(detail))
+
+
+@implementer(IAgentEndpointFactory)
+class _EndpointFactory:
+    """Connects to IP numbers without a thread for name resolution."""
+
+    def __init__(self, connect_seconds: float) -> None:
+        self._seconds = connect_seconds
+
+    def endpointForURI(self, uri: URI) -> IStreamClientEndpoint:
+        """Return the endpoint of a URL's host and port."""
+        host = uri.host.decode().strip('[]')
+        kind: Any = HostnameEndpoint
+        if is_ip_number(host):
+            kind = TCP6ClientEndpoint if ':' in host else TCP4ClientEndpoint
+        return cast(
+            IStreamClientEndpoint,
+            kind(get_reactor(), host, uri.port, self._seconds),
+        )
+
+
 def _build_body(body: bytes) -> Any:
     return FileBodyProducer(BytesIO(body)) if body else None
 
 
-def _build_headers(headers: dict[str, str] | None) -> Headers:
+def _build_headers(headers: Mapping[str, str] | None) -> Headers:
     return Headers(
         {name: [text] for name, text in (headers or {}).items()},
     )
--- a/chicoryshunt/connection/exchange.py
+++ b/chicoryshunt/connection/exchange.py
@@ -7,33 +7,17 @@
 import msgspec
 from twisted.web import server
 
+from chicoryshunt.connection.caller_api import (
+    RETRY_HEADER,
+    VERDICT_HEADER,
+    encode_verdict,
+)
 from chicoryshunt.types import RunState
 from chicoryshunt.verdict import Verdict
 
 JSON_TYPE = 'application/json'
 
 
-class VerdictBody(msgspec.Struct, frozen=True, omit_defaults=True):
-    """JSON form of a verdict; ``retry_after`` is in seconds."""
-
-    verdict: str
-    reason: str
-    detail: str
-    retry_after: float | None = None
-
-
-def encode_verdict(verdict: Verdict) -> bytes:
-    """Return the JSON form of a verdict."""
-    return msgspec.json.encode(
-        VerdictBody(
-            verdict.run.value,
-            verdict.reason.value,
-            verdict.detail,
-            verdict.retry_after,
-        ),
-    )
-
-
 class Exchange:
     """Typed view of a request and the answer to it."""
 
@@ -58,6 +42,12 @@
         """Return the path's segments."""
         return tuple(self.path.split('/')[1:])
 
+    @property
+    def query(self) -> str:
+        """Return the query as it was sent, empty when absent."""
+        uri = cast(bytes, self._request.uri)
+        return uri.partition(b'?')[2].decode('ascii', 'replace')
+
     @property
     def body(self) -> bytes:
         """Return the whole body."""
@@ -89,7 +79,7 @@
 
     def set_verdict(self, run: RunState) -> None:
         """Set the header that carries the verdict."""
-        self.set_header('x-verdict', run.value)
+        self.set_header(VERDICT_HEADER, run.value)
 
     def set_status(self, status: int) -> None:
         """Set the status of the answer."""
@@ -150,7 +140,7 @@
         """Answer with a verdict in header and body."""
         self.set_verdict(verdict.run)
         if verdict.retry_after is not None:
-            self.set_header('retry-after', f'{verdict.retry_after:.3f}')
+            self.set_header(RETRY_HEADER, f'{verdict.retry_after:.3f}')
         self.respond(encode_verdict(verdict), JSON_TYPE, verdict.status)
 
     def _mark_gone(self, _: object) -> None:
--- a/chicoryshunt/connection/target_api.py
+++ b/chicoryshunt/connection/target_api.py
@@ -97,3 +97,19 @@
 
     accepted: bool
     fence: int
+
+
+class _Statement(msgspec.Struct, frozen=True):
+    """A refusal in which both fields must be present."""
+
+    reason: str
+    accepted: bool
+
+
+def decode_not_accepted(body: bytes) -> NotAccepted | None:
+    """Return a target's explicit refusal, ``None`` for anything else."""
+    try:
+        statement = msgspec.json.decode(body, type=_Statement)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+    return None if statement.accepted else NotAccepted(statement.reason)
--- a/chicoryshunt/connection/web.py
+++ b/chicoryshunt/connection/web.py
@@ -7,7 +7,9 @@
 from twisted.web import http, server
 from twisted.web.resource import Resource
 
-from chicoryshunt.connection.exchange import Exchange, encode_verdict
+from chicoryshunt.connection.caller_api import encode_verdict
+from chicoryshunt.connection.channels import TrackedChannel
+from chicoryshunt.connection.exchange import Exchange
 from chicoryshunt.events import log_problem
 from chicoryshunt.types import Reason
 from chicoryshunt.verdict import doubt, refuse
@@ -101,6 +103,8 @@
             HandlerResource(handler),
             requestFactory=BoundedRequest,
         )
+        cast(Any, self).protocol = TrackedChannel
+        self.channels: set[TrackedChannel] = set()
         self.body_bytes = body_bytes
         self.body_seconds = body_seconds
 
--- a/chicoryshunt/process/callers.py
+++ b/chicoryshunt/process/callers.py
@@ -2,15 +2,16 @@
 
 import msgspec
 
+from chicoryshunt.connection.caller_api import encode_verdict
 from chicoryshunt.connection.client import (
-    BrokenError,
     HttpClient,
-    NotConnectedError,
 )
-from chicoryshunt.connection.exchange import Exchange, encode_verdict
+from chicoryshunt.connection.exchange import Exchange
 from chicoryshunt.connection.target_api import EndEvent
 from chicoryshunt.events import log_event
-from chicoryshunt.process.router import Route
+from chicoryshunt.process.calls import CallApi
+from chicoryshunt.process.drain import Drain
+from chicoryshunt.process.ownership import refuse_draining
 from chicoryshunt.process.state import NodeState
 from chicoryshunt.request.generation import Generation, Outcome
 from chicoryshunt.request.order import GenerationRequest, parse_generation
@@ -18,31 +19,49 @@
     ModelId,
     Reason,
     RequestId,
-    RunState,
     ServiceId,
     TeamId,
 )
-from chicoryshunt.verdict import Verdict, doubt, refuse
+from chicoryshunt.verdict import Verdict, refuse
 
 
 class CallerApi:
     """Answers callers and operators."""
 
-    def __init__(self, state: NodeState) -> None:
+    def __init__(
+        self,
+        state: NodeState,
+        calls: CallApi,
+        drain: Drain,
+    ) -> None:
         """Serve with the state of the node."""
         self._state = state
+        self._drain = drain
+        self._calls = calls
         self._client = HttpClient()
         self._requests = 0
 
     async def handle(self, exchange: Exchange) -> None:
-        """Serve one request."""
+        """Serve one request and count it while it runs."""
+        with self._drain.count():
+            await self._serve(exchange)
+
+    async def _serve(self, exchange: Exchange) -> None:
         match (exchange.method, *exchange.segments):
             case ('GET', 'v1', 'entries'):
-                exchange.respond_json(self._state.list_entries())
+                exchange.respond_json(self._calls.list_entries())
+            case ('POST', 'v1', 'generate' | 'resume', *_) if (
+                not self._drain.is_serving
+            ):
+                self._calls.respond(exchange, refuse_draining())
             case ('POST', 'v1', 'generate', model):
                 await self._generate(exchange, ModelId(model))
             case (_, 'v1', 'call', service, *path):
-                await self._call(exchange, ServiceId(service), '/'.join(path))
+                await self._calls.handle(
+                    exchange,
+                    ServiceId(service),
+                    '/'.join(path),
+                )
             case ('GET', 'v1', 'status'):
                 exchange.respond_json(self._state.describe())
             case ('GET', 'metrics'):
@@ -99,42 +118,6 @@
         body = exchange.body
         return parse_generation(self._name_request(), team, model, body)
 
-    async def _call(
-        self,
-        exchange: Exchange,
-        service: ServiceId,
-        path: str,
-    ) -> None:
-        route = self._state.route(service)
-        if isinstance(route, Verdict):
-            exchange.respond_verdict(route)
-            return
-        with self._state.router.hold(route):
-            verdict = await self._relay(exchange, route, path)
-        if verdict is not None:
-            exchange.respond_verdict(verdict)
-
-    async def _relay(
-        self,
-        exchange: Exchange,
-        route: Route,
-        path: str,
-    ) -> Verdict | None:
-        try:
-            status, body = await self._client.read(
-                exchange.method,
-                f'http://{route.address}/{path}',
-                exchange.body,
-                {'idempotency-key': exchange.get_header('idempotency-key')},
-            )
-        except NotConnectedError as error:
-            return refuse(Reason.target_unreachable, str(error))
-        except BrokenError as error:
-            return doubt(Reason.target_unreachable, str(error))
-        exchange.set_verdict(RunState.ran)
-        exchange.respond(body, status=status)
-        return None
-
 
 def _end_generation(exchange: Exchange, outcome: Outcome) -> None:
     if not exchange.is_started and outcome.verdict is not None:
--- /dev/null
+++ b/chicoryshunt/process/ownership.py
@@ -0,0 +1,243 @@
+"""Decides on this node whether an owned request runs, and waits for it."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import TypeAlias
+
+import msgspec
+
+from chicoryshunt.connection.caller_api import GrantOffer
+from chicoryshunt.events import log_problem
+from chicoryshunt.process.grants import (
+    GRANT_KEEP_SECONDS,
+    GrantDamage,
+    Mint,
+    Origin,
+    RequestName,
+    SignedGrant,
+    parse_grant,
+)
+from chicoryshunt.process.handoff import SealedRecords
+from chicoryshunt.process.holdings import Holdings
+from chicoryshunt.process.metrics import Metrics
+from chicoryshunt.process.pause import Pulse
+from chicoryshunt.process.records import Ask, Begin, Done, RecordTable, Wait
+from chicoryshunt.request.outcome import CallOutcome, NoAnswer, TargetAnswer
+from chicoryshunt.types import IdempotencyKey, Reason, Seconds
+from chicoryshunt.verdict import doubt, refuse
+
+Run: TypeAlias = Callable[[], Awaitable[CallOutcome]]
+
+
+class OwnedRequest(msgspec.Struct, frozen=True):
+    """A request under a grant, named by the caller's key."""
+
+    signed: SignedGrant
+    key: IdempotencyKey
+    fingerprint: bytes
+
+    @property
+    def origin(self) -> Origin:
+        """Return whose grant it is."""
+        return self.signed.grant.origin
+
+    @property
+    def ask(self) -> Ask:
+        """Return what the owner's table is asked."""
+        return Ask(
+            self.signed.name_request(self.key),
+            self.fingerprint,
+            self.signed.grant.minted,
+        )
+
+
+class Owner:
+    """The grants of this process, and the tables it holds for others."""
+
+    def __init__(
+        self,
+        mint: Mint,
+        table: RecordTable,
+        holdings: Holdings,
+        pulse: Pulse,
+        metrics: Metrics,
+    ) -> None:
+        """Own nothing yet."""
+        self.holdings = holdings
+        self._mint = mint
+        self._table = table
+        self._pulse = pulse
+        self._metrics = metrics
+        self._runs: dict[RequestName, asyncio.Task[CallOutcome]] = {}
+        pulse.subscribe(self._wake)
+
+    @property
+    def origin(self) -> Origin:
+        """Return the identity under which this process grants."""
+        return self._mint.origin
+
+    @property
+    def running(self) -> int:
+        """Return how many owned requests run now."""
+        return self._table.running
+
+    def offer(self, address: str) -> GrantOffer | None:
+        """Mint a grant unless this process is leaving."""
+        now = self._pulse.check()
+        if self._table.is_sealed:
+            return None
+        return GrantOffer(self._mint.mint(now), address, GRANT_KEEP_SECONDS)
+
+    def is_holding(self, origin: Origin) -> bool:
+        """Say whether this process can answer for an owner's grants."""
+        now = self._pulse.check()
+        self.holdings.forget(now)
+        held = self.holdings.find(origin)
+        return origin == self.origin or held is not None
+
+    async def decide(self, request: OwnedRequest, run: Run) -> CallOutcome:
+        """Run the request if it is new; return how it ended.
+
+        Ask ``is_holding`` first: for an owner that is not held the outcome
+        is a doubt.
+        """
+        now = self._pulse.check()
+        if request.origin == self.origin:
+            outcome = await self._decide_own(request, run, now)
+        else:
+            outcome = self._answer_held(request, now)
+        self._count(outcome)
+        return outcome
+
+    async def wait_idle(self) -> None:
+        """Wait, without a limit, until no owned request runs."""
+        while self._runs:
+            await asyncio.wait(tuple(self._runs.values()))
+
+    def seal(self) -> None:
+        """Let no owned request begin any more, here or anywhere."""
+        self._table.seal()
+
+    def list_sealed(self) -> tuple[SealedRecords, ...]:
+        """Return the tables to hand off; nothing may be running."""
+        own = SealedRecords(
+            self.origin,
+            self._mint.key,
+            self._table.list_records(),
+        )
+        held = (
+            SealedRecords(
+                table.head.origin,
+                table.head.key,
+                table.list_records(),
+                table.offset,
+            )
+            for table in self.holdings.list_tables()
+        )
+        return (own, *held)
+
+    def report(self) -> None:
+        """Set the gauges that tell how full the tables are."""
+        self._metrics.set_gauge(
+            'owned_records',
+            'Records of owned requests',
+            len(self._table),
+        )
+        self._metrics.set_gauge(
+            'owned_bytes',
+            'Bytes of records, own and held for others',
+            self._table.size + self.holdings.size,
+        )
+
+    async def _decide_own(
+        self,
+        request: OwnedRequest,
+        run: Run,
+        now: float,
+    ) -> CallOutcome:
+        if not request.signed.is_genuine(self._mint.key):
+            return refuse_forged(self._metrics, 'forged')
+        ask = request.ask
+        match self._table.arrive(ask, now):
+            case Begin():
+                running = asyncio.ensure_future(self._run(ask, run))
+                self._runs[ask.name] = running
+                return await asyncio.shield(running)
+            case Wait():
+                return await asyncio.shield(self._runs[ask.name])
+            case Done(outcome):
+                return outcome
+
+    def _answer_held(self, request: OwnedRequest, now: float) -> CallOutcome:
+        table = self.holdings.find(request.origin)
+        if table is None:
+            return doubt_owner('its records are not here')
+        if not request.signed.is_genuine(table.head.key):
+            return refuse_forged(self._metrics, 'forged')
+        return table.answer(request.ask, now)
+
+    async def _run(self, ask: Ask, run: Run) -> CallOutcome:
+        try:
+            outcome = await run()
+        except Exception as error:
+            log_problem('owned_request_failed', error=repr(error))
+            outcome = NoAnswer(doubt(Reason.internal_error, repr(error)))
+        finally:
+            self._runs.pop(ask.name, None)
+        return self._table.end(ask.name, outcome, self._pulse.check())
+
+    def _wake(self, now: float, paused_seconds: float) -> None:
+        self._table.void_grants(now)
+
+    def _count(self, outcome: CallOutcome) -> None:
+        match outcome:
+            case TargetAnswer():
+                verdict = 'ran'
+                reason = 'answered'
+            case NoAnswer(verdict=ended):
+                verdict = ended.run.value
+                reason = ended.reason.value
+        self._metrics.count(
+            'owned_requests',
+            'Arrivals of owned requests, by verdict and reason',
+            verdict=verdict,
+            reason=reason,
+        )
+
+
+def read_request(
+    token: str,
+    key: IdempotencyKey,
+    fingerprint: bytes,
+    metrics: Metrics,
+) -> OwnedRequest | NoAnswer:
+    """Read the grant of a request; refuse a token that cannot be read."""
+    signed = parse_grant(token)
+    if isinstance(signed, GrantDamage):
+        return refuse_forged(metrics, signed.value)
+    return OwnedRequest(signed, key, fingerprint)
+
+
+def refuse_forged(metrics: Metrics, damage: str) -> NoAnswer:
+    """Refuse and count a grant that its owner did not mint."""
+    metrics.count(
+        'grants_refused',
+        'Grants that were not accepted, by damage',
+        damage=damage,
+    )
+    log_problem('grant_refused', damage=damage)
+    return NoAnswer(refuse(Reason.grant_forged, f'the grant is {damage}'))
+
+
+def doubt_owner(detail: str) -> NoAnswer:
+    """Say that the owner of a grant could not be asked."""
+    return NoAnswer(
+        doubt(Reason.owner_unreachable, f'the owner cannot say: {detail}'),
+    )
+
+
+def refuse_draining() -> NoAnswer:
+    """Refuse new work on a node that is leaving."""
+    return NoAnswer(
+        refuse(Reason.draining, 'this node is leaving', Seconds(0)),
+    )
--- a/chicoryshunt/process/peers.py
+++ b/chicoryshunt/process/peers.py
@@ -1,7 +1,9 @@
 """Calls between nodes over gRPC, sealed like the datagrams."""
 
+import asyncio
+from collections import OrderedDict
 from collections.abc import Awaitable, Callable
-from typing import Any, Generic, TypeVar, cast
+from typing import Any, Generic, Protocol, TypeVar, cast
 
 import msgspec
 from grpc import (
@@ -14,15 +16,25 @@
 from chicoryshunt.events import log_problem
 from chicoryshunt.exceptions import ChicoryshuntError
 from chicoryshunt.process.links import Links
-from chicoryshunt.process.seal import Damage, Seal
+from chicoryshunt.process.metrics import Metrics
+from chicoryshunt.process.pause import Pulse
+from chicoryshunt.process.seal import Damage, Envelope, Seal
 from chicoryshunt.types import VmId
 
+MAX_CHANNELS = 64
+
 _SERVICE = 'chicoryshunt.Peer'
 _MAX_MESSAGE_BYTES = 16777216
+_MAX_CONCURRENT_CALLS = 512
 _OPTIONS = (
     ('grpc.max_receive_message_length', _MAX_MESSAGE_BYTES),
     ('grpc.max_send_message_length', _MAX_MESSAGE_BYTES),
     ('grpc.use_local_subchannel_pool', 1),
+    ('grpc.initial_reconnect_backoff_ms', 100),
+    ('grpc.min_reconnect_backoff_ms', 100),
+    ('grpc.max_reconnect_backoff_ms', 1000),
+    ('grpc.enable_retries', 0),
+    ('grpc.so_reuseport', 0),
 )
 
 _Request = TypeVar('_Request')
@@ -46,13 +58,34 @@
     response: type[_Response]
 
 
+class PeerCaller(Protocol):
+    """Calls other nodes."""
+
+    async def call(
+        self,
+        vm: VmId,
+        method: Method[_Request, _Response],
+        request: _Request,
+        seconds: float,
+    ) -> _Response:
+        """Call a node and return its answer; raise ``PeerError``."""
+
+
 class PeerServer:
     """Answers the calls of other nodes."""
 
-    def __init__(self, seal: Seal, links: Links) -> None:
+    def __init__(
+        self,
+        seal: Seal,
+        links: Links,
+        pulse: Pulse,
+        metrics: Metrics,
+    ) -> None:
         """Start without methods."""
         self._seal = seal
         self._links = links
+        self._pulse = pulse
+        self._metrics = metrics
         self._handlers: dict[str, Any] = {}
 
     def register(
@@ -61,22 +94,19 @@
         handle: Callable[[VmId, _Request], Awaitable[_Response]],
     ) -> None:
         """Answer a method with a coroutine."""
+        decoder = msgspec.msgpack.Decoder(method.request)
 
         async def answer(sealed: bytes, context: Any) -> bytes:
-            envelope = self._seal.open(sealed)
-            if isinstance(envelope, Damage):
-                log_problem('call_dropped', reason=envelope.value)
+            self._pulse.check()
+            envelope = await self._open(sealed, context)
+            try:
+                request = decoder.decode(envelope.body)
+            except msgspec.DecodeError:
+                self._count_drop('undecodable')
                 await context.abort(
-                    StatusCode.UNAUTHENTICATED,
-                    envelope.value,
+                    StatusCode.INVALID_ARGUMENT,
+                    'undecodable',
                 )
-                raise AssertionError('abort returns never')
-            if self._links.is_cut(envelope.sender):
-                await context.abort(StatusCode.UNAVAILABLE, 'cut')
-            request = msgspec.msgpack.decode(
-                envelope.body,
-                type=method.request,
-            )
             response = await handle(envelope.sender, request)
             return self._seal.seal(
                 envelope.sender,
@@ -89,7 +119,10 @@
 
     async def start(self, address: str) -> aio.Server:
         """Listen on host:port; the caller stops the server."""
-        server = aio.server(options=_OPTIONS)
+        server = aio.server(
+            options=_OPTIONS,
+            maximum_concurrent_rpcs=_MAX_CONCURRENT_CALLS,
+        )
         server.add_generic_rpc_handlers(
             (
                 method_handlers_generic_handler(
@@ -103,6 +136,23 @@
         await server.start()
         return server
 
+    async def _open(self, sealed: bytes, context: Any) -> Envelope:
+        envelope = self._seal.open(sealed)
+        if isinstance(envelope, Damage):
+            self._count_drop(envelope.value)
+            await context.abort(StatusCode.UNAUTHENTICATED, envelope.value)
+        elif self._links.is_cut(envelope.sender):
+            await context.abort(StatusCode.UNAVAILABLE, 'cut')
+        return cast(Envelope, envelope)
+
+    def _count_drop(self, reason: str) -> None:
+        self._metrics.count(
+            'calls_dropped',
+            'Calls of other nodes that were dropped, by reason',
+            reason=reason,
+        )
+        log_problem('call_dropped', reason=reason)
+
 
 class PeerClient:
     """Calls other nodes over kept channels."""
@@ -111,7 +161,7 @@
         """Start without channels."""
         self._seal = seal
         self._links = links
-        self._channels: dict[str, aio.Channel] = {}
+        self._channels: OrderedDict[str, _Channel] = OrderedDict()
 
     async def call(
         self,
@@ -125,30 +175,71 @@
         if address is None:
             raise PeerError(f'no address of {vm!r}', sent=False)
         sealed = self._seal.seal(vm, msgspec.msgpack.encode(request))
-        unary: Any = self._get_channel(address).unary_unary(
-            f'/{_SERVICE}/{method.name}',
-        )
+        channel = self._get_channel(address)
+        channel.calls += 1
         try:
-            answer = await unary(sealed, timeout=seconds)
+            answer = await channel.send(method.name, sealed, seconds)
         except aio.AioRpcError as error:
             raise PeerError(
                 f'{vm}: {error.code().name}: {error.details()}',
                 sent=True,
             ) from error
-        envelope = self._seal.open(cast(bytes, answer))
-        if isinstance(envelope, Damage):
-            raise PeerError(f'{vm}: {envelope.value} answer', sent=True)
-        return msgspec.msgpack.decode(envelope.body, type=method.response)
+        finally:
+            channel.calls -= 1
+        return self._decode(vm, method, answer)
 
     async def close(self) -> None:
         """Close every channel."""
         for channel in self._channels.values():
-            await channel.close()
+            await channel.grpc.close()
         self._channels.clear()
 
-    def _get_channel(self, address: str) -> aio.Channel:
+    def _decode(
+        self,
+        vm: VmId,
+        method: Method[_Request, _Response],
+        answer: bytes,
+    ) -> _Response:
+        envelope = self._seal.open(answer)
+        if isinstance(envelope, Damage):
+            raise PeerError(f'{vm}: {envelope.value} answer', sent=True)
+        if envelope.sender != vm or self._links.is_cut(vm):
+            raise PeerError(f'{vm}: answer of another node', sent=True)
+        try:
+            return msgspec.msgpack.decode(envelope.body, type=method.response)
+        except msgspec.DecodeError as error:
+            raise PeerError(f'{vm}: undecodable answer', sent=True) from error
+
+    def _get_channel(self, address: str) -> '_Channel':
         channel = self._channels.get(address)
         if channel is None:
-            channel = aio.insecure_channel(address, options=_OPTIONS)
+            channel = _Channel(address)
             self._channels[address] = channel
+            self._drop_idle_channel()
+        self._channels.move_to_end(address)
         return channel
+
+    def _drop_idle_channel(self) -> None:
+        if len(self._channels) <= MAX_CHANNELS:
+            return
+        for address, channel in self._channels.items():
+            if not channel.calls:
+                channel.close_soon()
+                self._channels.pop(address)
+                return
+
+
+class _Channel:
+    """One channel and the number of calls that use it."""
+
+    def __init__(self, address: str) -> None:
+        self.calls = 0
+        self.grpc = aio.insecure_channel(address, options=_OPTIONS)
+        self._closing: asyncio.Task[None] | None = None
+
+    async def send(self, name: str, sealed: bytes, seconds: float) -> bytes:
+        unary: Any = self.grpc.unary_unary(f'/{_SERVICE}/{name}')
+        return cast(bytes, await unary(sealed, timeout=seconds))
+
+    def close_soon(self) -> None:
+        self._closing = asyncio.ensure_future(self.grpc.close())
--- a/chicoryshunt/process/router.py
+++ b/chicoryshunt/process/router.py
@@ -1,7 +1,7 @@
 """Chooses targets and counts what this node has running on each."""
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Container, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
 
@@ -36,6 +36,7 @@
         self,
         config: Config,
         wanted: ModelId | ServiceId,
+        excluded: Container[TargetId] = (),
     ) -> Route | Verdict:
         """Return the least loaded target that serves what is wanted."""
         usable = {
@@ -43,6 +44,7 @@
             for target_id, target in config.targets.items()
             if wanted in {target.model, target.service}
             and is_serving(config, target)
+            and target_id not in excluded
         }
         if not usable:
             return refuse(Reason.no_target, f'no target serves {wanted!r}')
--- a/chicoryshunt/types.py
+++ b/chicoryshunt/types.py
@@ -31,6 +31,8 @@
 class Reason(Enum):
     """Name why a request, message or patch was refused."""
 
+    already_ran = 'already_ran'
+    answer_too_large = 'answer_too_large'
     bad_request = 'bad_request'
     body_too_large = 'body_too_large'
     body_truncated = 'body_truncated'
@@ -41,6 +43,7 @@
     grant_expired = 'grant_expired'
     grant_forged = 'grant_forged'
     grant_missing = 'grant_missing'
+    grant_of_other_node = 'grant_of_other_node'
     internal_error = 'internal_error'
     key_reused = 'key_reused'
     no_capacity = 'no_capacity'
@@ -52,6 +55,7 @@
     retry_budget = 'retry_budget'
     table_full = 'table_full'
     target_refused = 'target_refused'
+    target_timeout = 'target_timeout'
     target_unreachable = 'target_unreachable'
     unknown_generation = 'unknown_generation'
     unknown_model = 'unknown_model'
--- a/chicoryshunt/verdict.py
+++ b/chicoryshunt/verdict.py
@@ -8,12 +8,15 @@
 
 _STATUS_BY_REASON = MappingProxyType(
     {
+        Reason.already_ran: HTTPStatus.CONFLICT,
+        Reason.answer_too_large: HTTPStatus.BAD_GATEWAY,
         Reason.bad_request: HTTPStatus.BAD_REQUEST,
         Reason.body_truncated: HTTPStatus.BAD_REQUEST,
         Reason.body_too_large: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
         Reason.grant_expired: HTTPStatus.CONFLICT,
         Reason.grant_forged: HTTPStatus.FORBIDDEN,
         Reason.grant_missing: HTTPStatus.PRECONDITION_REQUIRED,
+        Reason.grant_of_other_node: HTTPStatus.MISDIRECTED_REQUEST,
         Reason.key_reused: HTTPStatus.CONFLICT,
         Reason.unknown_generation: HTTPStatus.NOT_FOUND,
         Reason.unknown_model: HTTPStatus.NOT_FOUND,
@@ -21,6 +24,7 @@
         Reason.unknown_service: HTTPStatus.NOT_FOUND,
         Reason.unknown_team: HTTPStatus.FORBIDDEN,
         Reason.engine_lost: HTTPStatus.BAD_GATEWAY,
+        Reason.target_timeout: HTTPStatus.GATEWAY_TIMEOUT,
         Reason.target_unreachable: HTTPStatus.BAD_GATEWAY,
         Reason.internal_error: HTTPStatus.INTERNAL_SERVER_ERROR,
     }
