--- a/chicoryshunt/process/calls.py
+++ b/chicoryshunt/process/calls.py
@@ -33,8 +33,8 @@
 from chicoryshunt.process.state import NodeState
 from chicoryshunt.request.call import (
     CallRules,
-    CallRunner,
     PlainCall,
+    Runner,
     compute_fingerprint,
 )
 from chicoryshunt.request.outcome import CallOutcome, NoAnswer, TargetAnswer
@@ -80,7 +80,7 @@
         state: NodeState,
         owner: Owner,
         forwarder: Forwarder,
-        runner: CallRunner,
+        runner: Runner,
         drain: Drain,
     ) -> None:
         """Decide with the owner, run with the runner."""
@@ -111,7 +111,7 @@
         else:
             token = exchange.get_header(GRANT_HEADER)
             owned = OwnedCall(token, key, call)
-            outcome = await self._run_owned(owned, rules)
+            outcome = await self.run_owned(owned, rules)
         self.respond(exchange, outcome)
 
     async def submit(self, sender: VmId, owned: OwnedCall) -> OwnerAnswer:
@@ -126,6 +126,30 @@
             return OwnerAnswer(None)
         return OwnerAnswer(await self._decide(request, owned, rules))
 
+    async def run_owned(
+        self,
+        owned: OwnedCall,
+        rules: CallRules,
+    ) -> CallOutcome:
+        """Take a call that may not be repeated to whoever owns it."""
+        if not 0 < len(owned.key) <= MAX_KEY_CHARACTERS:
+            return NoAnswer(
+                refuse(
+                    Reason.bad_request,
+                    f'{KEY_HEADER} has 1 to {MAX_KEY_CHARACTERS} characters',
+                ),
+            )
+        if not owned.token:
+            return self._refuse_without_grant()
+        request = self._read(owned)
+        if isinstance(request, NoAnswer):
+            return request
+        if self._owner.is_holding(request.origin):
+            return await self._decide(request, owned, rules)
+        if not self._drain.is_serving:
+            return refuse_draining()
+        return await self._forwarder.forward(request, owned, rules.seconds)
+
     def respond(self, exchange: Exchange, outcome: CallOutcome) -> None:
         """Answer a caller with an outcome."""
         match outcome:
@@ -154,29 +178,6 @@
             return refuse_draining()
         return await self._runner.run(call, key, rules)
 
-    async def _run_owned(
-        self,
-        owned: OwnedCall,
-        rules: CallRules,
-    ) -> CallOutcome:
-        if not 0 < len(owned.key) <= MAX_KEY_CHARACTERS:
-            return NoAnswer(
-                refuse(
-                    Reason.bad_request,
-                    f'{KEY_HEADER} has 1 to {MAX_KEY_CHARACTERS} characters',
-                ),
-            )
-        if not owned.token:
-            return self._refuse_without_grant()
-        request = self._read(owned)
-        if isinstance(request, NoAnswer):
-            return request
-        if self._owner.is_holding(request.origin):
-            return await self._decide(request, owned, rules)
-        if not self._drain.is_serving:
-            return refuse_draining()
-        return await self._forwarder.forward(request, owned, rules.seconds)
-
     def _refuse_without_grant(self) -> NoAnswer:
         if not self._drain.is_serving:
             return refuse_draining()
--- a/chicoryshunt/process/node.py
+++ b/chicoryshunt/process/node.py
@@ -4,7 +4,8 @@
 import signal
 import time
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
+from typing import Any
 
 import msgspec
 
@@ -69,7 +70,7 @@
         )
         log_event('node_started', vm=state.settings.vm)
         await parts.departure.wait()
-        reading.cancel()
+        await _cancel(reading)
     log_event('node_left', vm=state.settings.vm)
 
 
@@ -152,6 +153,12 @@
         parts.departure.start('vm_list')
 
 
+async def _cancel(running: 'asyncio.Future[Any]') -> None:
+    running.cancel()
+    with suppress(asyncio.CancelledError):
+        await running
+
+
 async def _keep_pulse(pulse: Pulse) -> None:
     while True:
         pulse.check()
--- a/chicoryshunt/request/call.py
+++ b/chicoryshunt/request/call.py
@@ -84,6 +84,18 @@
         """Return the target's answer or the verdict on this attempt."""
 
 
+class Runner(Protocol):
+    """Runs a call on a target."""
+
+    async def run(
+        self,
+        call: PlainCall,
+        key: IdempotencyKey,
+        rules: 'CallRules',
+    ) -> CallOutcome:
+        """Return the target's answer, or why there is none."""
+
+
 SpendRetry: TypeAlias = Callable[[TeamId], bool]
 
 
