--- a/chicoryshunt/connection/client.py
+++ b/chicoryshunt/connection/client.py
@@ -35,7 +35,7 @@
 from chicoryshunt.settings import is_ip_number
 
 _MAX_IDLE_PER_HOST = 64
-_MAX_BODY_BYTES = 16_777_216
+_MAX_BODY_BYTES = 16777216
 
 
 class NotConnectedError(ChicoryshuntError):
--- a/chicoryshunt/connection/exchange.py
+++ b/chicoryshunt/connection/exchange.py
@@ -1,5 +1,6 @@
 """One HTTP request and its answer."""
 
+import asyncio
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any, cast
@@ -24,8 +25,8 @@
     def __init__(self, request: server.Request) -> None:
         """Wrap a request whose body is whole."""
         self._request = cast(Any, request)
-        self.is_gone = False
-        request.notifyFinish().addErrback(self._mark_gone)
+        self._gone = asyncio.Event()
+        self.on_gone(self._gone.set)
 
     @property
     def method(self) -> str:
@@ -64,6 +65,15 @@
         """Say whether more of the answer can be written."""
         return not (self.is_gone or self._request.finished)
 
+    @property
+    def is_gone(self) -> bool:
+        """Say whether the caller left before the end of the answer."""
+        return self._gone.is_set()
+
+    async def wait_gone(self) -> None:
+        """Return when the caller leaves before the end of the answer."""
+        await self._gone.wait()
+
     def get_header(self, name: str) -> str:
         """Return a request header, empty when absent."""
         return self._request.getHeader(name) or ''
@@ -77,14 +87,14 @@
         """Set a header of the answer."""
         self._request.setHeader(name, text)
 
+    def remove_header(self, name: str) -> None:
+        """Drop a header of the answer."""
+        self._request.responseHeaders.removeHeader(name)
+
     def set_verdict(self, run: RunState) -> None:
         """Set the header that carries the verdict."""
         self.set_header(VERDICT_HEADER, run.value)
 
-    def set_status(self, status: int) -> None:
-        """Set the status of the answer."""
-        self._request.setResponseCode(status)
-
     def write(self, chunk: bytes) -> None:
         """Write a part of the answer while the caller is there."""
         if self.is_open:
@@ -98,7 +108,7 @@
     def abort(self) -> None:
         """Cut the connection, so that the answer cannot look whole."""
         if self.is_open:
-            self._request.channel.abortConnection()
+            self._request.transport.abortConnection()
 
     def hold_back(self, producer: object) -> None:
         """Pause the producer while the caller reads slowly."""
@@ -122,7 +132,7 @@
         status: int = HTTPStatus.OK,
     ) -> None:
         """Answer with a whole body."""
-        self.set_status(status)
+        self._request.setResponseCode(status)
         self.set_header('content-type', content_type)
         self.set_header('content-length', str(len(body)))
         self.write(body)
@@ -142,6 +152,3 @@
         if verdict.retry_after is not None:
             self.set_header(RETRY_HEADER, f'{verdict.retry_after:.3f}')
         self.respond(encode_verdict(verdict), JSON_TYPE, verdict.status)
-
-    def _mark_gone(self, _: object) -> None:
-        self.is_gone = True
--- a/chicoryshunt/process/calls.py
+++ b/chicoryshunt/process/calls.py
@@ -1,8 +1,8 @@
 """The HTTP interface of plain services."""
 
-from collections.abc import Container
+from collections.abc import Collection
 from contextlib import AbstractContextManager
-from typing import Any
+from typing import Any, Protocol
 
 from msgspec.structs import replace
 
@@ -23,6 +23,7 @@
     OwnerAnswer,
 )
 from chicoryshunt.process.grants import MAX_KEY_CHARACTERS
+from chicoryshunt.process.metrics import Metrics
 from chicoryshunt.process.ownership import (
     OwnedRequest,
     Owner,
@@ -38,6 +39,7 @@
     compute_fingerprint,
 )
 from chicoryshunt.request.outcome import CallOutcome, NoAnswer, TargetAnswer
+from chicoryshunt.settings import Settings
 from chicoryshunt.types import (
     IdempotencyKey,
     Reason,
@@ -48,10 +50,30 @@
     VmId,
 )
 from chicoryshunt.verdict import Verdict, refuse
+from chicoryshunt.version.config import Config
 
 _MAX_ENTRIES = 3
 
 
+class CallState(Protocol):
+    """What a node knows that a call depends on."""
+
+    @property
+    def settings(self) -> Settings:
+        """Return the settings."""
+
+    @property
+    def metrics(self) -> Metrics:
+        """Return the metrics."""
+
+    @property
+    def config(self) -> Config | None:
+        """Return the configuration in force."""
+
+    def list_entries(self) -> Entries:
+        """Return the addresses that callers may use."""
+
+
 class ServiceTargets:
     """Targets of plain services, by the node's router."""
 
@@ -62,7 +84,7 @@
     def choose(
         self,
         service: ServiceId,
-        tried: Container[TargetId],
+        tried: Collection[TargetId],
     ) -> Route | Verdict:
         """Return a target that was not tried yet."""
         return self._state.route(service, tried)
@@ -77,7 +99,7 @@
 
     def __init__(
         self,
-        state: NodeState,
+        state: CallState,
         owner: Owner,
         forwarder: Forwarder,
         runner: Runner,
--- a/chicoryshunt/process/drain.py
+++ b/chicoryshunt/process/drain.py
@@ -7,9 +7,9 @@
 
 from chicoryshunt.clock import Clock
 from chicoryshunt.events import log_event, log_problem
-from chicoryshunt.process.forwarding import Members
 from chicoryshunt.process.handoff import Handoff, HandoffState, SealedRecords
 from chicoryshunt.process.holdings import PartAnswer, TablePart
+from chicoryshunt.process.members import Members
 from chicoryshunt.process.metrics import Metrics
 from chicoryshunt.process.ownership import Owner
 from chicoryshunt.process.peers import Method, PeerCaller, PeerError
@@ -82,6 +82,11 @@
         self._begun = asyncio.Event()
         self._leaving: asyncio.Task[None] | None = None
 
+    @property
+    def is_begun(self) -> bool:
+        """Say whether the node was told to leave."""
+        return self._leaving is not None
+
     def start(self, cause: str) -> None:
         """Begin to leave; a second call changes nothing."""
         if self._leaving is None:
@@ -143,7 +148,7 @@
         """Send a sealed table until a successor has it or none is left."""
         handoff = Handoff(
             sealed,
-            rank_successors(sealed.origin, self._members.list_members()),
+            rank_successors(sealed.origin, self._members),
         )
         while handoff.state is HandoffState.sending:
             await self._send_part(handoff)
--- a/chicoryshunt/process/forwarding.py
+++ b/chicoryshunt/process/forwarding.py
@@ -1,20 +1,19 @@
 """Takes an owned request to the node whose memory decides on it."""
 
 from collections import OrderedDict
-from collections.abc import Iterable
-from typing import Protocol
 
 import msgspec
 
 from chicoryshunt.events import log_problem
 from chicoryshunt.process.grants import Origin
+from chicoryshunt.process.members import Members
 from chicoryshunt.process.ownership import (
     OwnedRequest,
     Owner,
     doubt_owner,
 )
 from chicoryshunt.process.peers import Method, PeerCaller, PeerError
-from chicoryshunt.process.succession import Member, rank_successors
+from chicoryshunt.process.succession import rank_successors
 from chicoryshunt.request.call import PlainCall
 from chicoryshunt.request.outcome import CallOutcome
 from chicoryshunt.types import IdempotencyKey, VmId
@@ -42,13 +41,6 @@
 SUBMIT = Method('submit', OwnedCall, OwnerAnswer)
 
 
-class Members(Protocol):
-    """Tells which VMs are live."""
-
-    def list_members(self) -> Iterable[Member]:
-        """Return the live VMs, leaving ones too."""
-
-
 class Forwarder:
     """Asks the owner, then those that would hold its records.
 
@@ -91,11 +83,10 @@
         return doubt_owner(f'{origin.vm} or a successor did not answer')
 
     def _list_asked(self, origin: Origin) -> list[VmId]:
-        members = self._members.list_members()
         known = self._holders.get(origin)
         asked = [] if known is None else [known]
         asked.append(origin.vm)
-        asked.extend(rank_successors(origin, members))
+        asked.extend(rank_successors(origin, self._members))
         own = self._owner.origin.vm
         return [vm for vm in dict.fromkeys(asked) if vm != own]
 
--- a/chicoryshunt/process/node.py
+++ b/chicoryshunt/process/node.py
@@ -1,36 +1,34 @@
-"""The daemon: opens the ports, reads the platform, runs until told."""
+"""The daemon: opens the ports, drives every part, runs until told."""
 
 import asyncio
 import signal
-import time
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager, suppress
-from typing import Any
+from contextlib import asynccontextmanager
+from functools import partial
 
-import msgspec
-
-from chicoryshunt.clock import SystemClock
-from chicoryshunt.connection.channels import close_channels
+from chicoryshunt.connection.bounds import ServerBounds
 from chicoryshunt.connection.client import HttpClient
 from chicoryshunt.connection.loop import await_deferred, get_reactor
-from chicoryshunt.connection.platform_api import PublishedValue, PublishedVms
-from chicoryshunt.connection.web import BoundedSite
+from chicoryshunt.connection.platform import HttpConfigService
+from chicoryshunt.connection.web import BoundedSite, close_connections
 from chicoryshunt.events import log_event, log_problem
-from chicoryshunt.exceptions import ChicoryshuntError
-from chicoryshunt.process.assembly import OwnerParts, build_owner, build_peers
+from chicoryshunt.process.assembly import OwnerParts, build_owner
 from chicoryshunt.process.callers import CallerApi
-from chicoryshunt.process.driver import TICK_SECONDS
-from chicoryshunt.process.links import Links
-from chicoryshunt.process.pause import Pulse
+from chicoryshunt.process.config_assembly import (
+    ConfigParts,
+    build_configuration,
+    keep_configuration,
+    register_pull,
+)
+from chicoryshunt.process.drain import Departure
+from chicoryshunt.process.members import RosterMembers
+from chicoryshunt.process.mesh import Mesh
 from chicoryshunt.process.peers import PeerServer
 from chicoryshunt.process.state import NodeState
 from chicoryshunt.settings import Settings
-from chicoryshunt.types import Incarnation
-from chicoryshunt.version.config import Config
+from chicoryshunt.types import VmId, VmState
 
-_POLL_SECONDS = 1.0
 _GRACE_SECONDS = 1.0
-_NS_PER_MS = 1_000_000
 
 
 def run_node(settings: Settings) -> None:
@@ -44,7 +42,7 @@
         reactor.stop()
 
     def start() -> None:
-        asyncio.ensure_future(_run(state)).add_done_callback(stop)
+        asyncio.ensure_future(_serve(state)).add_done_callback(stop)
 
     reactor.callWhenRunning(start)
     reactor.run()
@@ -53,53 +51,94 @@
             raise failure
 
 
-async def _run(state: NodeState) -> None:
-    incarnation = Incarnation(time.time_ns() // _NS_PER_MS)
-    links = Links()
-    peers = build_peers(state, incarnation, links, SystemClock())
-    parts = build_owner(state, incarnation, peers, state.leave)
+async def _serve(state: NodeState) -> None:
+    settings = state.settings
+    config = build_configuration(
+        state.configuration,
+        settings.vm,
+        settings.data_centre,
+        RosterMembers(state.fleet.membership.roster),
+        state.fleet.rng,
+        state.metrics,
+    )
+    state.fleet.cores.append(config.spread)
+    server = PeerServer(
+        state.fleet.call_seal,
+        state.fleet.links,
+        state.fleet.pulse,
+        state.metrics,
+    )
+    register_pull(server, config.spread)
+    with state.fleet.serve() as mesh:
+        owning = build_owner(
+            state,
+            server,
+            partial(state.fleet.leave, mesh),
+        )
+        async with serve_peers(settings, server):
+            async with serve_callers(state, owning):
+                log_event('node_started', vm=settings.vm)
+                await _run_until_left(state, mesh, config, owning)
+    log_event('node_left', vm=settings.vm)
+
+
+async def _run_until_left(
+    state: NodeState,
+    mesh: Mesh,
+    config: ConfigParts,
+    owning: OwnerParts,
+) -> None:
+    running = asyncio.ensure_future(run_tasks(state, mesh, config))
+    running.add_done_callback(_log_end)
+    start_departure_on_signal(owning.departure)
+    state.fleet.membership.subscribe(
+        partial(_note_own_state, state.settings.vm, owning.departure),
+    )
+    await owning.departure.wait()
+    running.cancel()
+
+
+def start_departure_on_signal(departure: Departure) -> None:
+    """Begin a planned stop at each SIGTERM."""
     asyncio.get_running_loop().add_signal_handler(
         signal.SIGTERM,
-        parts.departure.start,
+        departure.start,
         'SIGTERM',
     )
-    async with serve_peers(state, peers.server), serve_callers(state, parts):
-        reading = asyncio.gather(
-            read_platform(state, links, parts),
-            _keep_pulse(peers.pulse),
-        )
-        log_event('node_started', vm=state.settings.vm)
-        await parts.departure.wait()
-        await _cancel(reading)
-    log_event('node_left', vm=state.settings.vm)
 
 
-@asynccontextmanager
-async def serve_peers(
-    state: NodeState,
-    server: PeerServer,
-) -> AsyncIterator[None]:
-    """Listen for other nodes."""
-    listen = state.settings.listen
-    listening = await server.start(f'{listen.host}:{listen.peer}')
-    try:
-        yield
-    finally:
-        await listening.stop(_GRACE_SECONDS)
+def _note_own_state(
+    own: VmId,
+    departure: Departure,
+    vm: VmId,
+    state: VmState,
+) -> None:
+    if vm == own and state is VmState.leaving and not departure.is_begun:
+        departure.start('vm_list')
+
+
+def _log_end(running: 'asyncio.Future[None]') -> None:
+    if not running.cancelled() and running.exception() is not None:
+        log_problem('task_failed', error=repr(running.exception()))
 
 
 @asynccontextmanager
 async def serve_callers(
     state: NodeState,
-    parts: OwnerParts,
+    owning: OwnerParts,
 ) -> AsyncIterator[None]:
     """Listen for callers; let every answer leave before the end."""
     listen = state.settings.listen
     limits = state.settings.limits
     site = BoundedSite(
-        CallerApi(state, parts.calls, parts.drain).handle,
-        limits.body_bytes,
-        limits.body_seconds,
+        CallerApi(state, owning.calls, owning.drain).handle,
+        ServerBounds(
+            limits.connections,
+            limits.header_seconds,
+            limits.body_bytes,
+            limits.body_seconds,
+            limits.open_bodies_bytes,
+        ),
     )
     listener = get_reactor().listenTCP(
         listen.caller,
@@ -110,73 +149,34 @@
         yield
     finally:
         await await_deferred(listener.stopListening())
-        await close_channels(site.channels)
-
+        await close_connections(site)
 
-async def read_platform(
-    state: NodeState,
-    links: Links,
-    parts: OwnerParts,
-) -> None:
-    """Keep the configuration and the VM list up to date."""
-    client = HttpClient()
-    while True:
-        try:
-            await _read_once(state, links, parts, client)
-        except (ChicoryshuntError, msgspec.DecodeError) as error:
-            log_problem('platform_unreadable', error=str(error))
-        await asyncio.sleep(_POLL_SECONDS)
-
-
-async def _read_once(
-    state: NodeState,
-    links: Links,
-    parts: OwnerParts,
-    client: HttpClient,
-) -> None:
-    await _read_vms(state, links, parts, client)
-    await _read_config(state, client)
-
-
-async def _read_vms(
-    state: NodeState,
-    links: Links,
-    parts: OwnerParts,
-    client: HttpClient,
-) -> None:
-    was_marked = _is_marked(state)
-    platform = state.settings.platform
-    _, body = await client.read('GET', f'{platform.vms}/v1/vms')
-    state.vms = msgspec.json.decode(body, type=PublishedVms).vms
-    links.learn(state.vms)
-    if _is_marked(state) and was_marked is False:
-        parts.departure.start('vm_list')
-
-
-async def _cancel(running: 'asyncio.Future[Any]') -> None:
-    running.cancel()
-    with suppress(asyncio.CancelledError):
-        await running
 
-
-async def _keep_pulse(pulse: Pulse) -> None:
-    while True:
-        pulse.check()
-        await asyncio.sleep(TICK_SECONDS)
-
-
-def _is_marked(state: NodeState) -> bool | None:
-    for vm in state.vms:
-        if vm.vm == state.settings.vm:
-            return vm.leaving
-    return None
+@asynccontextmanager
+async def serve_peers(
+    settings: Settings,
+    server: PeerServer,
+) -> AsyncIterator[None]:
+    """Listen for the calls of other nodes."""
+    listen = settings.listen
+    listening = await server.start(f'{listen.host}:{listen.peer}')
+    try:
+        yield
+    finally:
+        await listening.stop(_GRACE_SECONDS)
 
 
-async def _read_config(state: NodeState, client: HttpClient) -> None:
-    platform = state.settings.platform
-    _, body = await client.read('GET', f'{platform.config}/v1/values/base')
-    published = msgspec.json.decode(body, type=PublishedValue)
-    config = msgspec.json.decode(published.value, type=Config)
-    if state.config is None or config.version > state.config.version:
-        state.config = config
-        log_event('version_in_force', version=config.version)
+async def run_tasks(state: NodeState, mesh: Mesh, parts: ConfigParts) -> None:
+    """Read the platform and talk to the other nodes."""
+    client = HttpClient()
+    await asyncio.gather(
+        state.fleet.run(mesh, client),
+        state.scheduler.run(),
+        keep_configuration(
+            parts,
+            HttpConfigService(state.settings.platform.config, client),
+            state.fleet.peer_client,
+            state.metrics,
+            state.fleet.pulse.check,
+        ),
+    )
--- a/chicoryshunt/process/ownership.py
+++ b/chicoryshunt/process/ownership.py
@@ -18,12 +18,12 @@
     parse_grant,
 )
 from chicoryshunt.process.handoff import SealedRecords
-from chicoryshunt.process.holdings import Holdings
+from chicoryshunt.process.holdings import Holdings, PartAnswer, TablePart
 from chicoryshunt.process.metrics import Metrics
 from chicoryshunt.process.pause import Pulse
 from chicoryshunt.process.records import Ask, Begin, Done, RecordTable, Wait
 from chicoryshunt.request.outcome import CallOutcome, NoAnswer, TargetAnswer
-from chicoryshunt.types import IdempotencyKey, Reason, Seconds
+from chicoryshunt.types import IdempotencyKey, Reason, Seconds, VmId
 from chicoryshunt.verdict import doubt, refuse
 
 Run: TypeAlias = Callable[[], Awaitable[CallOutcome]]
@@ -109,6 +109,10 @@
         self._count(outcome)
         return outcome
 
+    async def take_part(self, sender: VmId, part: TablePart) -> PartAnswer:
+        """Take a part of a leaving node's sealed table."""
+        return self.holdings.receive(part, self._pulse.check())
+
     async def wait_idle(self) -> None:
         """Wait, without a limit, until no owned request runs."""
         while self._runs:
--- a/chicoryshunt/process/router.py
+++ b/chicoryshunt/process/router.py
@@ -1,7 +1,7 @@
 """Chooses targets and counts what this node has running on each."""
 
 from collections import Counter
-from collections.abc import Container, Iterator
+from collections.abc import Collection, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
 
@@ -36,15 +36,15 @@
         self,
         config: Config,
         wanted: ModelId | ServiceId,
-        excluded: Container[TargetId] = (),
+        excluded: Collection[TargetId] = (),
     ) -> Route | Verdict:
         """Return the least loaded target that serves what is wanted."""
         usable = {
             target_id: target
             for target_id, target in config.targets.items()
-            if wanted in {target.model, target.service}
+            if target_id not in excluded
+            and wanted in {target.model, target.service}
             and is_serving(config, target)
-            and target_id not in excluded
         }
         if not usable:
             return refuse(Reason.no_target, f'no target serves {wanted!r}')
--- a/chicoryshunt/process/state.py
+++ b/chicoryshunt/process/state.py
@@ -1,27 +1,42 @@
 """What the parts of a node share while the process lives."""
 
-from collections.abc import Container
+from collections.abc import Collection
 
 import msgspec
 
+from chicoryshunt.clock import SystemClock
 from chicoryshunt.connection.caller_api import Entries, Entry
-from chicoryshunt.connection.platform_api import PublishedVm
+from chicoryshunt.process.configuration import Configuration
+from chicoryshunt.process.entries import KEEP_SECONDS, order_entries
+from chicoryshunt.process.fleet import Fleet
+from chicoryshunt.process.journal import Journal
+from chicoryshunt.process.local_shares import LocalShares
 from chicoryshunt.process.metrics import Metrics
 from chicoryshunt.process.router import Route, Router
+from chicoryshunt.process.scheduler import Scheduler
 from chicoryshunt.settings import Settings
 from chicoryshunt.types import (
     ConfigVersion,
+    DataCentreId,
     ModelId,
     Reason,
     Seconds,
     ServiceId,
     TargetId,
     VmId,
+    VmState,
 )
 from chicoryshunt.verdict import Verdict, refuse
 from chicoryshunt.version.config import Config
 
-_KEEP_SECONDS = 5
+
+class MemberStatus(msgspec.Struct, frozen=True):
+    """What a node knows of one VM."""
+
+    vm: VmId
+    data_centre: DataCentreId
+    state: VmState
+    load: int
 
 
 class NodeStatus(msgspec.Struct, frozen=True):
@@ -29,7 +44,7 @@
 
     vm: VmId
     version: ConfigVersion
-    members: tuple[VmId, ...]
+    members: tuple[MemberStatus, ...]
 
 
 class NodeState:
@@ -40,14 +55,27 @@
         self.settings = settings
         self.metrics = Metrics()
         self.router = Router(settings.data_centre)
-        self.config: Config | None = None
-        self.is_leaving = False
-        self.vms: tuple[PublishedVm, ...] = ()
+        self.fleet = Fleet(settings, self.metrics)
+        self.clock = SystemClock()
+        self.journal = Journal(self.clock, self.metrics)
+        self.scheduler = Scheduler(
+            settings.data_centre,
+            LocalShares(lambda: self.config, self._count_nodes),
+            self.clock,
+            self.journal,
+        )
+        self.configuration = Configuration(self.metrics)
+        self.configuration.subscribe(self.scheduler.apply)
+
+    @property
+    def config(self) -> Config | None:
+        """Return the configuration in force."""
+        return self.configuration.current
 
     def route(
         self,
         wanted: ModelId | ServiceId,
-        excluded: Container[TargetId] = (),
+        excluded: Collection[TargetId] = (),
     ) -> Route | Verdict:
         """Return a target for the model or service."""
         if self.config is None:
@@ -56,39 +84,47 @@
                 'no configuration is known',
                 Seconds(1),
             )
+        if not self.configuration.is_confirmed:
+            return refuse(
+                Reason.paused,
+                'the configuration is being confirmed after a pause',
+                Seconds(1),
+            )
         return self.router.choose(self.config, wanted, excluded)
 
     def list_entries(self) -> Entries:
         """Return addresses, the caller's data centre first."""
-        own = self.settings
-        ordered = sorted(
-            (
-                vm
-                for vm in self.vms
-                if not vm.leaving and not (self.is_leaving and vm.vm == own.vm)
-            ),
-            key=lambda vm: vm.data_centre != own.data_centre,
+        ordered = order_entries(
+            self.fleet.membership.roster,
+            self.settings.data_centre,
+            self.fleet.rng,
         )
         return Entries(
-            tuple(Entry(vm.vm, vm.caller) for vm in ordered),
-            _KEEP_SECONDS,
+            tuple(
+                Entry(one.published.vm, one.published.caller) for one in ordered
+            ),
+            KEEP_SECONDS,
         )
 
-    def leave(self) -> None:
-        """Drop out of the address answers."""
-        self.is_leaving = True
-
-    def list_members(self) -> tuple[PublishedVm, ...]:
-        """Return the VMs that are taken to be live."""
-        return self.vms
+    def find_caller_address(self, wanted: VmId) -> str:
+        """Return where a VM listens for callers, empty when unknown."""
+        return self.fleet.links.find_caller(wanted)
 
     def describe(self) -> NodeStatus:
         """Return what this node knows."""
-        version = ConfigVersion(0)
-        if self.config is not None:
-            version = self.config.version
         return NodeStatus(
             self.settings.vm,
-            version,
-            tuple(vm.vm for vm in self.vms),
+            self.configuration.version,
+            tuple(
+                MemberStatus(
+                    one.published.vm,
+                    one.published.data_centre,
+                    one.state,
+                    one.load,
+                )
+                for one in self.fleet.membership.roster
+            ),
         )
+
+    def _count_nodes(self) -> int:
+        return self.fleet.membership.roster.published_count
--- a/chicoryshunt/request/call.py
+++ b/chicoryshunt/request/call.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import hashlib
-from collections.abc import Callable, Container
+from collections.abc import Callable, Collection
 from contextlib import AbstractContextManager
 from dataclasses import dataclass, replace
 from http import HTTPStatus
@@ -63,7 +63,7 @@
     def choose(
         self,
         service: ServiceId,
-        tried: Container[TargetId],
+        tried: Collection[TargetId],
     ) -> Destination | Verdict:
         """Return a target that was not tried yet."""
 
--- a/chicoryshunt/settings.py
+++ b/chicoryshunt/settings.py
@@ -50,9 +50,12 @@
 
     body_bytes: PositiveInt = 4 << 20
     body_seconds: PositiveSeconds = 20
+    header_seconds: PositiveSeconds = 10
+    open_bodies_bytes: PositiveInt = 32 << 20
     connections: PositiveInt = 4096
     stream_buffer_bytes: PositiveInt = 256 << 10
     whole_buffer_bytes: PositiveInt = 8 << 20
+    whole_buffers_bytes: PositiveInt = 32 << 20
     caller_grace_seconds: PositiveSeconds = 5
 
 
@@ -64,6 +67,7 @@
     listen: Listen
     platform: Platform
     fleet_key: str = ''
+    trials: bool = False
     limits: Limits = msgspec.field(default_factory=Limits)
 
     @property
@@ -148,3 +152,14 @@
     except ValueError:
         return False
     return True
+
+
+def is_address(text: str) -> bool:
+    """Say whether the text is an IP number, a colon and a port."""
+    host, _, port = text.rpartition(':')
+    return (
+        is_ip_number(host)
+        and port.isascii()
+        and port.isdecimal()
+        and int(port) <= _MAX_PORT
+    )
--- a/chicoryshunt/types.py
+++ b/chicoryshunt/types.py
@@ -14,6 +14,7 @@
 IdempotencyKey = NewType('IdempotencyKey', str)
 Incarnation = NewType('Incarnation', int)
 ConfigVersion = NewType('ConfigVersion', int)
+LogPosition = NewType('LogPosition', int)
 Digest = NewType('Digest', str)
 
 Seconds = NewType('Seconds', float)
@@ -39,6 +40,7 @@
     cancelled = 'cancelled'
     config_missing = 'config_missing'
     draining = 'draining'
+    engine_garbled = 'engine_garbled'
     engine_lost = 'engine_lost'
     grant_expired = 'grant_expired'
     grant_forged = 'grant_forged'
@@ -52,11 +54,15 @@
     owner_unreachable = 'owner_unreachable'
     paused = 'paused'
     queue_timeout = 'queue_timeout'
+    request_timeout = 'request_timeout'
+    resumed_elsewhere = 'resumed_elsewhere'
     retry_budget = 'retry_budget'
     table_full = 'table_full'
     target_refused = 'target_refused'
     target_timeout = 'target_timeout'
     target_unreachable = 'target_unreachable'
+    token_forged = 'token_forged'
+    too_many_connections = 'too_many_connections'
     unknown_generation = 'unknown_generation'
     unknown_model = 'unknown_model'
     unknown_path = 'unknown_path'
--- a/lab/faults.py
+++ b/lab/faults.py
@@ -21,7 +21,10 @@
     down = 'down'
     slow = 'slow'
     cold = 'cold'
+    cut = 'cut'
+    garble = 'garble'
     stale = 'stale'
+    truncate = 'truncate'
 
 
 class Fault(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,9 +1,41 @@
 """Builders of test data."""
 
 import json
+from random import Random
 
+import msgspec
+
+from chicoryshunt.connection.platform_api import PublishedVm
+from chicoryshunt.process.assembly import build_owner
+from chicoryshunt.process.callers import CallerApi
+from chicoryshunt.process.membership import Membership
+from chicoryshunt.process.peers import PeerServer
+from chicoryshunt.process.policy.queue import Ask
+from chicoryshunt.process.policy.survival import Kind, classify
 from chicoryshunt.process.seal import Purpose, Seal
-from chicoryshunt.types import Incarnation, VmId
+from chicoryshunt.process.state import NodeState
+from chicoryshunt.types import (
+    ConfigVersion,
+    DataCentreId,
+    Incarnation,
+    ModelId,
+    RequestId,
+    ServiceId,
+    TargetId,
+    TeamId,
+    VmId,
+)
+from chicoryshunt.version.config import (
+    Config,
+    DataCentre,
+    Model,
+    Presence,
+    Service,
+    Target,
+    Team,
+)
+from chicoryshunt.version.published import split_base
+from chicoryshunt.version.replica import Replica, Snapshot
 
 FLEET_KEY = '5a' * 32
 
@@ -38,3 +70,123 @@
         Incarnation(incarnation),
         Purpose.datagram,
     )
+
+
+def build_vm(
+    name: str,
+    data_centre: str = 'luzon-a',
+    *,
+    leaving: bool = False,
+) -> PublishedVm:
+    """Return one VM of the platform's list."""
+    return PublishedVm(
+        VmId(name),
+        DataCentreId(data_centre),
+        caller=f'{name}:1',
+        peer=f'{name}:2',
+        gossip='127.0.0.1:3',
+        leaving=leaving,
+    )
+
+
+def build_membership(vms: list[PublishedVm]) -> Membership:
+    """Return the membership of the first of some VMs."""
+    membership = Membership(vms[0], Incarnation(1), Random(1), 0)
+    membership.learn(vms, 0)
+    return membership
+
+
+def build_ask(
+    request: str = 'request-1',
+    team: str = 'team-1',
+    *,
+    prompt_tokens: int = 100,
+    max_tokens: int = 30_000,
+    priority: int = 0,
+    weight: float = 1,
+) -> Ask:
+    """Return what a caller asks for."""
+    return Ask(
+        RequestId(request),
+        Kind(TeamId(team), ModelId('kibitzer-llm'), classify(max_tokens)),
+        prompt_tokens,
+        max_tokens,
+        priority,
+        weight,
+    )
+
+
+def build_config(teams: int = 2, targets: int = 2) -> Config:
+    """Return a base of one data centre, one model and one service."""
+    data_centre = DataCentreId('luzon-a')
+    model = ModelId('kibitzer-llm')
+    built = Config(
+        version=ConfigVersion(1),
+        data_centres={data_centre: DataCentre('ph-luzon')},
+        teams={TeamId(f'team-{one}'): Team() for one in range(teams)},
+        models={model: Model()},
+        services={ServiceId('arbiter-api'): Service()},
+        targets={
+            TargetId(f'target-{one}'): Target(
+                f'127.0.0.1:{7000 + one}',
+                data_centre,
+                64,
+                model=model,
+            )
+            for one in range(targets)
+        },
+    )
+    return msgspec.structs.replace(
+        built,
+        digest=split_base(built)[0].digest,
+    )
+
+
+def build_patch(base: int, *operations: dict[str, object]) -> bytes:
+    """Return one line of the patch log; it sets a team by default."""
+    if not operations:
+        operations = (build_set_team('baguio', 2),)
+    return msgspec.json.encode({'base': base, 'operations': operations})
+
+
+def build_set_team(name: str, weight: float) -> dict[str, object]:
+    """Return the operation that sets a team."""
+    return {'op': 'set_team', 'name': name, 'value': {'weight': weight}}
+
+
+def take_out(config: Config, what: str) -> Config:
+    """Return the configuration with its data centre or targets out."""
+    if what == 'data_centre':
+        centres = {
+            name: msgspec.structs.replace(one, presence=Presence.out)
+            for name, one in config.data_centres.items()
+        }
+        return msgspec.structs.replace(config, data_centres=centres)
+    targets = {
+        name: msgspec.structs.replace(one, presence=Presence.out)
+        for name, one in config.targets.items()
+    }
+    return msgspec.structs.replace(config, targets=targets)
+
+
+def put_in_force(state: NodeState, config: Config) -> None:
+    """Let a node start with a configuration."""
+    replica = Replica()
+    replica.adopt(Snapshot(config, (), ()))
+    state.configuration.start_from(replica)
+
+
+def build_caller_api(state: NodeState) -> CallerApi:
+    """Return the interface of a node that no other node reaches."""
+    fleet = state.fleet
+    owning = build_owner(
+        state,
+        PeerServer(
+            fleet.call_seal,
+            fleet.links,
+            fleet.pulse,
+            state.metrics,
+        ),
+        lambda: None,
+    )
+    return CallerApi(state, owning.calls, owning.drain)
--- a/tests/owner_fleet.py
+++ b/tests/owner_fleet.py
@@ -9,17 +9,17 @@
 import msgspec
 
 from chicoryshunt.clock import ManualClock
-from chicoryshunt.connection.platform_api import PublishedVm
+from chicoryshunt.connection.caller_api import Entries
 from chicoryshunt.process.calls import CallApi
 from chicoryshunt.process.drain import TAKE_TABLE, Drain
 from chicoryshunt.process.forwarding import SUBMIT, Forwarder, OwnedCall
 from chicoryshunt.process.grants import Mint, Origin
 from chicoryshunt.process.holdings import Holdings, TablePart
+from chicoryshunt.process.metrics import Metrics
 from chicoryshunt.process.ownership import Owner
 from chicoryshunt.process.pause import PAUSE_SECONDS, Pulse
 from chicoryshunt.process.peers import Method, PeerError
 from chicoryshunt.process.records import Bounds, RecordTable
-from chicoryshunt.process.state import NodeState
 from chicoryshunt.request.call import CallRules, PlainCall
 from chicoryshunt.request.outcome import CallOutcome
 from chicoryshunt.settings import parse_settings
@@ -95,6 +95,18 @@
         return await ended
 
 
+class FakeState:
+    """What a node of the fleet knows."""
+
+    def __init__(self, vm: VmId) -> None:
+        self.settings = parse_settings(build_settings_text(vm=vm), vm)
+        self.metrics = Metrics()
+        self.config: Config | None = CONFIG
+
+    def list_entries(self) -> Entries:
+        return Entries((), 3)
+
+
 class NodeClock:
     """Clock of one node, ahead of the shared one by a fixed amount."""
 
@@ -110,7 +122,7 @@
 class FakeNode:
     """One process of the fleet."""
 
-    state: NodeState
+    state: FakeState
     clock: NodeClock
     pulse: Pulse
     owner: Owner
@@ -141,9 +153,7 @@
     def start(self, vm: VmId) -> FakeNode:
         """Start a fresh process on a VM."""
         self._incarnations += 1
-        text = build_settings_text(vm=vm)
-        state = NodeState(parse_settings(text, vm))
-        state.config = CONFIG
+        state = FakeState(vm)
         clock = NodeClock(self.clock, 37.5 * self._incarnations)
         pulse = Pulse(clock)
         origin = Origin(
@@ -162,31 +172,25 @@
         calls = CallApi(
             state,
             owner,
-            Forwarder(owner, FakePeers(self, vm), state),
+            Forwarder(owner, FakePeers(self, vm), self),
             target,
             Drain(),
         )
         node = FakeNode(state, clock, pulse, owner, calls, target)
         self.nodes[vm] = node
         self.leaving.discard(vm)
-        self.publish()
         return node
 
-    def publish(self) -> None:
-        """Tell every node which VMs are live."""
-        vms = tuple(
-            PublishedVm(
-                vm,
-                DataCentreId('luzon-a'),
-                '127.0.0.1:1',
-                '127.0.0.1:2',
-                '127.0.0.1:3',
-                vm in self.leaving,
-            )
-            for vm in self.nodes
-        )
-        for node in self.nodes.values():
-            node.state.vms = vms
+    def list_live(
+        self,
+        data_centre: DataCentreId | None = None,
+    ) -> list[VmId]:
+        """Return the VMs that every node takes to be live."""
+        return [vm for vm in self.nodes if vm not in self.leaving]
+
+    def list_published(self) -> list[VmId]:
+        """Return the VMs that run."""
+        return list(self.nodes)
 
     def advance(self, seconds: float) -> None:
         """Let time pass for all; only frozen nodes miss it."""
@@ -201,7 +205,6 @@
         """End a process; what its targets run goes on unseen."""
         node = self.nodes.pop(vm)
         self.leaving.discard(vm)
-        self.publish()
         for run in node.target.pending:
             run.ended.cancel()
 
@@ -245,6 +248,6 @@
                 return await node.calls.submit(self._sender, request)
             case TAKE_TABLE.name:
                 assert isinstance(request, TablePart)
-                return node.owner.holdings.receive(request, node.pulse.check())
+                return await node.owner.take_part(self._sender, request)
             case _:
                 raise AssertionError(method.name)
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -214,7 +214,6 @@
         node = self.find_awake(vm)
         if node is not None:
             self.fleet.leaving.add(vm)
-            self.fleet.publish()
             node.owner.seal()
 
     @precondition(is_leaving)
@@ -235,7 +234,7 @@
 
     def start_handoff(self, node: FakeNode) -> Handoff:
         sealed = node.owner.list_sealed()[0]
-        ranked = rank_successors(sealed.origin, node.state.vms)
+        ranked = rank_successors(sealed.origin, self.fleet)
         handoff = Handoff(sealed, ranked)
         self.handoffs[sealed.origin.vm] = handoff
         return handoff
