--- a/chicoryshunt/caller/answer.py
+++ b/chicoryshunt/caller/answer.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from chicoryshunt.connection.caller_api import INCOMPLETE
+from chicoryshunt.connection.caller_api import INCOMPLETE, GrantOffer
 from chicoryshunt.types import RunState
 
 
@@ -32,6 +32,7 @@
     ending: str = ''
     status: int = 0
     body: bytes = b''
+    grant: GrantOffer | None = None
 
     @property
     def is_whole(self) -> bool:
--- a/chicoryshunt/connection/web.py
+++ b/chicoryshunt/connection/web.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from typing import Any, cast
+from weakref import WeakSet
 
 from twisted.web import http, server
 from twisted.web.resource import Resource
@@ -14,6 +15,8 @@
 from chicoryshunt.types import Reason
 from chicoryshunt.verdict import doubt
 
+_CLOSE_POLL_SECONDS = 0.05
+
 Handler = Callable[[Exchange], Awaitable[None]]
 
 
@@ -29,17 +32,31 @@
             requestFactory=BoundedRequest,
         )
         self.usage = Usage(bounds)
+        self.channels: WeakSet[BoundedChannel] = WeakSet()
 
     def buildProtocol(self, addr: Any) -> Any:
         """Return a connection that counts on this site."""
         channel = cast(Any, super().buildProtocol(addr))
         channel.usage = self.usage
+        self.channels.add(channel)
         return channel
 
     def log(self, request: http.Request) -> None:
         """Write no access log; events tell what happened."""
 
 
+async def close_connections(site: BoundedSite) -> None:
+    """Close each connection once it is idle and its answers are sent.
+
+    There is no time limit: a request that is under way is not cut.
+    """
+    while site.usage.connections:
+        for channel in tuple(site.channels):
+            if not channel.requests:
+                channel.loseConnection()
+        await asyncio.sleep(_CLOSE_POLL_SECONDS)
+
+
 class HandlerResource(Resource):
     """Resource that gives every request to one coroutine."""
 
--- a/chicoryshunt/verdict.py
+++ b/chicoryshunt/verdict.py
@@ -8,6 +8,9 @@
 
 _STATUS_BY_REASON = MappingProxyType(
     {
+        Reason.already_ran: HTTPStatus.CONFLICT,
+        Reason.answer_too_large: HTTPStatus.BAD_GATEWAY,
+        Reason.grant_of_other_node: HTTPStatus.MISDIRECTED_REQUEST,
         Reason.bad_request: HTTPStatus.BAD_REQUEST,
         Reason.body_truncated: HTTPStatus.BAD_REQUEST,
         Reason.body_too_large: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
@@ -24,6 +27,7 @@
         Reason.engine_lost: HTTPStatus.BAD_GATEWAY,
         Reason.request_timeout: HTTPStatus.REQUEST_TIMEOUT,
         Reason.token_forged: HTTPStatus.FORBIDDEN,
+        Reason.target_timeout: HTTPStatus.GATEWAY_TIMEOUT,
         Reason.target_unreachable: HTTPStatus.BAD_GATEWAY,
         Reason.internal_error: HTTPStatus.INTERNAL_SERVER_ERROR,
     }
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -6,7 +6,10 @@
 import msgspec
 
 from chicoryshunt.connection.platform_api import PublishedVm
+from chicoryshunt.process.assembly import build_owner
+from chicoryshunt.process.callers import CallerApi
 from chicoryshunt.process.membership import Membership
+from chicoryshunt.process.peers import PeerServer
 from chicoryshunt.process.policy.queue import Ask
 from chicoryshunt.process.policy.survival import Kind, classify
 from chicoryshunt.process.seal import Purpose, Seal
@@ -171,3 +174,19 @@
     replica = Replica()
     replica.adopt(Snapshot(config, (), ()))
     state.configuration.start_from(replica)
+
+
+def build_caller_api(state: NodeState) -> CallerApi:
+    """Return the interface of a node that no other node reaches."""
+    fleet = state.fleet
+    owning = build_owner(
+        state,
+        PeerServer(
+            fleet.call_seal,
+            fleet.links,
+            fleet.pulse,
+            state.metrics,
+        ),
+        lambda: None,
+    )
+    return CallerApi(state, owning.calls, owning.drain)
--- a/tests/test_back_pressure.py
+++ b/tests/test_back_pressure.py
@@ -13,10 +13,9 @@
 from chicoryshunt.connection.loop_transport import LoopTransport
 from chicoryshunt.connection.target_api import StreamEvent
 from chicoryshunt.connection.web import BoundedSite
-from chicoryshunt.process.callers import CallerApi
 from chicoryshunt.process.state import NodeState
 from chicoryshunt.settings import parse_settings
-from tests.builders import build_settings_text, put_in_force
+from tests.builders import build_caller_api, build_settings_text, put_in_force
 from tests.reactor import listen, run_on_reactor
 from tests.relay_fakes import frame_end, frame_tokens
 from tests.test_caller import SERVER_BOUNDS, build_config
@@ -138,7 +137,7 @@
         async with listen(BoundedSite(engine.handle, SERVER_BOUNDS)) as target:
             state = NodeState(parse_settings(build_settings_text(), 'a'))
             put_in_force(state, build_config([target]))
-            node = BoundedSite(CallerApi(state).handle, SERVER_BOUNDS)
+            node = BoundedSite(build_caller_api(state).handle, SERVER_BOUNDS)
             async with listen(node) as address:
                 slow, slow_transport = await open_stream(address)
                 slow_transport.pauseProducing()
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -21,12 +21,11 @@
 from chicoryshunt.connection.platform_api import PublishedVm
 from chicoryshunt.connection.target_api import GenerateOrder, NotAccepted
 from chicoryshunt.connection.web import BoundedSite
-from chicoryshunt.process.callers import CallerApi
 from chicoryshunt.process.state import NodeState
 from chicoryshunt.settings import parse_settings
 from chicoryshunt.types import DataCentreId, RunState, VmId
 from chicoryshunt.version.config import Config
-from tests.builders import build_settings_text, put_in_force
+from tests.builders import build_caller_api, build_settings_text, put_in_force
 from tests.reactor import listen, run_on_reactor
 from tests.relay_fakes import OWN, frame_end, frame_tokens
 
@@ -106,7 +105,7 @@
         self.entries = Entries((), 60)
         self.cuts: list[int] = []
         self.seen: list[str] = []
-        self._api = CallerApi(self.state)
+        self._api = build_caller_api(self.state)
 
     async def handle(self, exchange: Exchange) -> None:
         self.seen.append('/'.join(exchange.segments[1:]))
