--- a/chicoryshunt/process/bearings.py
+++ b/chicoryshunt/process/bearings.py
@@ -4,11 +4,13 @@
 
 from chicoryshunt.process.allowance import Slack
 from chicoryshunt.process.ledger import Bearing
+from chicoryshunt.process.router import is_serving
 from chicoryshunt.types import TargetId
-from chicoryshunt.version.config import Config, Presence, Target
+from chicoryshunt.version.config import Config, Target
 
 _MS_PER_SECOND = 1000
 _RUN_MARGIN = 4
+_UNDECLARED_TOKENS = 2_147_483_647
 
 AdjustLimit = Callable[[TargetId, Slack], Slack]
 
@@ -36,8 +38,9 @@
         if config is None or declared is None:
             return Bearing(Slack(0, 0), _RUN_MARGIN)
         slack = Slack(0, 0)
-        if _is_serving(config, declared):
-            slack = Slack(declared.concurrent, declared.memory_tokens)
+        if is_serving(config, declared):
+            memory = declared.memory_tokens or _UNDECLARED_TOKENS
+            slack = Slack(declared.concurrent, memory)
         for adjust in self._adjustments:
             lowered = adjust(target, slack)
             slack = Slack(
@@ -47,15 +50,6 @@
         return Bearing(slack, _find_run_seconds(config, declared))
 
 
-def _is_serving(config: Config, target: Target) -> bool:
-    data_centre = config.data_centres.get(target.data_centre)
-    return (
-        target.presence is Presence.serving
-        and data_centre is not None
-        and data_centre.presence is Presence.serving
-    )
-
-
 def _find_run_seconds(config: Config, target: Target) -> float:
     """Return how long a request may run that nobody hears of."""
     if target.service is not None and target.service in config.services:
--- a/chicoryshunt/process/callers.py
+++ b/chicoryshunt/process/callers.py
@@ -2,28 +2,21 @@
 
 import msgspec
 
-from chicoryshunt.connection.client import (
-    BrokenError,
-    HttpClient,
-    NotConnectedError,
-)
-from chicoryshunt.connection.exchange import Exchange, encode_verdict
-from chicoryshunt.connection.target_api import EndEvent
-from chicoryshunt.events import log_event
-from chicoryshunt.process.router import Route
+from chicoryshunt.connection.exchange import Exchange
+from chicoryshunt.process.calls import CallApi
+from chicoryshunt.process.config_api import ConfigApi
+from chicoryshunt.process.drain import Drain
+from chicoryshunt.process.generations import GenerationApi
+from chicoryshunt.process.journal import Explanation
+from chicoryshunt.process.ownership import refuse_draining
 from chicoryshunt.process.state import NodeState
-from chicoryshunt.request.generation import Generation, Outcome
-from chicoryshunt.request.order import GenerationRequest, parse_generation
 from chicoryshunt.types import (
     ModelId,
     Reason,
-    RequestId,
-    RunState,
     ServiceId,
-    TeamId,
     VmId,
 )
-from chicoryshunt.verdict import Verdict, doubt, refuse
+from chicoryshunt.verdict import refuse
 
 
 class CutOrder(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -35,25 +28,52 @@
 class CallerApi:
     """Answers callers and operators."""
 
-    def __init__(self, state: NodeState) -> None:
+    def __init__(
+        self,
+        state: NodeState,
+        calls: CallApi,
+        drain: Drain,
+    ) -> None:
         """Serve with the state of the node."""
         self._state = state
-        self._client = HttpClient()
-        self._requests = 0
+        self._calls = calls
+        self._drain = drain
+        self._generations = GenerationApi(state)
+        self._config = ConfigApi(
+            state.settings.vm,
+            state.configuration,
+            state.fleet.list_vms,
+        )
 
     async def handle(self, exchange: Exchange) -> None:
-        """Serve one request."""
+        """Serve one request and count it while it runs."""
+        with self._drain.count():
+            await self._serve(exchange)
+
+    async def _serve(self, exchange: Exchange) -> None:
         match (exchange.method, *exchange.segments):
             case ('GET', 'v1', 'entries'):
-                exchange.respond_json(self._state.list_entries())
+                exchange.respond_json(self._calls.list_entries())
+            case ('POST', 'v1', 'generate', _) if not self._drain.is_serving:
+                self._calls.respond(exchange, refuse_draining())
             case ('POST', 'v1', 'generate', model):
-                await self._generate(exchange, ModelId(model))
+                await self._generations.generate(exchange, ModelId(model))
+            case ('POST', 'v1', 'resume', *action):
+                await self._generations.handle_resume(exchange, action)
             case (_, 'v1', 'call', service, *path):
-                await self._call(exchange, ServiceId(service), '/'.join(path))
+                await self._calls.handle(
+                    exchange,
+                    ServiceId(service),
+                    '/'.join(path),
+                )
+            case (_, 'v1', 'config', *path):
+                self._config.handle(exchange, path)
             case ('GET', 'v1', 'status'):
                 exchange.respond_json(self._state.describe())
             case ('POST', 'v1', 'trial', 'cut') if self._state.settings.trials:
                 self._cut(exchange)
+            case ('GET', 'v1', 'explain', request):
+                self._explain(exchange, request)
             case ('GET', 'metrics'):
                 exchange.respond(
                     self._state.metrics.render(),
@@ -64,6 +84,12 @@
                     refuse(Reason.unknown_path, f'no path {exchange.path!r}'),
                 )
 
+    def _explain(self, exchange: Exchange, request: str) -> None:
+        explanation = self._state.journal.explain(request)
+        if explanation is None:
+            explanation = Explanation(request, ())
+        exchange.respond_json(explanation)
+
     def _cut(self, exchange: Exchange) -> None:
         try:
             order = msgspec.json.decode(exchange.body, type=CutOrder)
@@ -72,97 +98,3 @@
             return
         self._state.fleet.links.cut(order.vms)
         exchange.respond_json(order)
-
-    def _name_request(self) -> RequestId:
-        self._requests += 1
-        return RequestId(f'{self._state.settings.vm}-{self._requests}')
-
-    async def _generate(self, exchange: Exchange, model: ModelId) -> None:
-        wanted = self._parse(exchange, model)
-        if isinstance(wanted, Verdict):
-            exchange.respond_verdict(wanted)
-            return
-        route = self._state.route(wanted.model)
-        if isinstance(route, Verdict):
-            exchange.respond_verdict(route)
-            return
-        with self._state.router.hold(route):
-            outcome = await Generation(
-                self._client,
-                route.address,
-                wanted,
-                exchange,
-            ).run()
-        log_event(
-            'generation_ended',
-            request=wanted.request,
-            target=route.target,
-            tokens=outcome.tokens,
-        )
-        _end_generation(exchange, outcome)
-
-    def _parse(
-        self,
-        exchange: Exchange,
-        model: ModelId,
-    ) -> GenerationRequest | Verdict:
-        config = self._state.config
-        if config is None:
-            return refuse(Reason.config_missing, 'no configuration is known')
-        if model not in config.models:
-            return refuse(Reason.unknown_model, f'no model {model!r}')
-        team = TeamId(exchange.get_header('x-team'))
-        if team not in config.teams:
-            return refuse(Reason.unknown_team, f'no team {team!r}')
-        body = exchange.body
-        return parse_generation(self._name_request(), team, model, body)
-
-    async def _call(
-        self,
-        exchange: Exchange,
-        service: ServiceId,
-        path: str,
-    ) -> None:
-        route = self._state.route(service)
-        if isinstance(route, Verdict):
-            exchange.respond_verdict(route)
-            return
-        with self._state.router.hold(route):
-            verdict = await self._relay(exchange, route, path)
-        if verdict is not None:
-            exchange.respond_verdict(verdict)
-
-    async def _relay(
-        self,
-        exchange: Exchange,
-        route: Route,
-        path: str,
-    ) -> Verdict | None:
-        try:
-            status, body = await self._client.read(
-                exchange.method,
-                f'http://{route.address}/{path}',
-                exchange.body,
-                {'idempotency-key': exchange.get_header('idempotency-key')},
-            )
-        except NotConnectedError as error:
-            return refuse(Reason.target_unreachable, str(error))
-        except BrokenError as error:
-            return doubt(Reason.target_unreachable, str(error))
-        exchange.set_verdict(RunState.ran)
-        exchange.respond(body, status=status)
-        return None
-
-
-def _end_generation(exchange: Exchange, outcome: Outcome) -> None:
-    if not exchange.is_started and outcome.verdict is not None:
-        exchange.respond_verdict(outcome.verdict)
-        return
-    if exchange.is_gone:
-        return
-    if outcome.verdict is None:
-        end = msgspec.json.encode(EndEvent('', outcome.tokens, 'stop'))
-    else:
-        end = encode_verdict(outcome.verdict)
-    exchange.write(b'event: end\ndata: %s\n\n' % end)
-    exchange.finish()
--- /dev/null
+++ b/chicoryshunt/process/generations.py
@@ -0,0 +1,238 @@
+"""The interface for generations: start, restart, resume."""
+
+from chicoryshunt.connection.caller_api import (
+    RESUME_HEADER,
+    RESUME_PATH,
+    TEAM_HEADER,
+    Released,
+)
+from chicoryshunt.connection.client import (
+    BrokenError,
+    HttpClient,
+    NotConnectedError,
+)
+from chicoryshunt.connection.exchange import Exchange
+from chicoryshunt.events import log_event, log_problem
+from chicoryshunt.process.router import Route
+from chicoryshunt.process.seal import Purpose, Seal
+from chicoryshunt.process.starter import (
+    GenerationBuilder,
+    Starter,
+    name_reason,
+)
+from chicoryshunt.process.state import NodeState
+from chicoryshunt.request.cancels import Cancels
+from chicoryshunt.request.generation import (
+    Outcome,
+    Relay,
+    RelayLimits,
+)
+from chicoryshunt.request.handover import Handovers
+from chicoryshunt.request.order import (
+    GenerationRequest,
+    parse_generation,
+    parse_index,
+)
+from chicoryshunt.request.resume_token import (
+    ResumeToken,
+    decode_token,
+    encode_token,
+)
+from chicoryshunt.request.sink import HoldBudget, Sink, describe_end
+from chicoryshunt.request.stall import StallWatch
+from chicoryshunt.settings import Settings
+from chicoryshunt.types import (
+    Delivery,
+    Incarnation,
+    ModelId,
+    Reason,
+    RequestId,
+    TargetId,
+    TeamId,
+)
+from chicoryshunt.verdict import Verdict, refuse
+from chicoryshunt.version.config import Team
+
+_MAX_STARTS = 3
+_RELEASE_SECONDS = 1.0
+
+
+class GenerationApi:
+    """Relays generations for callers."""
+
+    def __init__(self, state: NodeState) -> None:
+        """Serve with the state of the node."""
+        settings = state.settings
+        self._state = state
+        self._client = HttpClient(keeps_connections=False)
+        self._sign = Seal(
+            settings.key,
+            settings.vm,
+            Incarnation(0),
+            Purpose.token,
+        ).sign
+        self._relay = _build_relay(settings)
+        self._builder = GenerationBuilder(
+            settings.vm,
+            self._relay,
+            self._client,
+            self._sign,
+        )
+        self._starter = Starter(
+            self._builder,
+            state.scheduler,
+            state.journal,
+        )
+        self._budget = HoldBudget(
+            settings.limits.whole_buffer_bytes,
+            settings.limits.whole_buffers_bytes,
+        )
+        self._requests = 0
+
+    async def generate(self, exchange: Exchange, model: ModelId) -> None:
+        """Answer a caller with a new generation."""
+        wanted = self._parse(exchange, model)
+        if isinstance(wanted, Verdict):
+            exchange.respond_verdict(wanted)
+            return
+        sink = Sink(exchange, self._choose_budget(wanted))
+        outcome = await self._starter.start(
+            wanted,
+            sink,
+            self._find_team(wanted).retry_ratio,
+        )
+        _end_answer(sink, outcome)
+
+    async def handle_resume(
+        self,
+        exchange: Exchange,
+        action: list[str],
+    ) -> None:
+        """Serve the paths under the resume path."""
+        match action:
+            case []:
+                await self.resume(exchange)
+            case ['taken']:
+                self.release(exchange)
+            case _:
+                exchange.respond_verdict(
+                    refuse(Reason.unknown_path, f'no path {exchange.path!r}'),
+                )
+
+    async def resume(self, exchange: Exchange) -> None:
+        """Continue a generation from the caller's next index."""
+        index = parse_index(exchange.get_query('from', '0'))
+        if isinstance(index, Verdict):
+            exchange.respond_verdict(index)
+            return
+        token = decode_token(exchange.get_header(RESUME_HEADER), self._sign)
+        if isinstance(token, Verdict):
+            exchange.respond_verdict(token)
+            return
+        route = self._find_route(token.target)
+        if isinstance(route, Verdict):
+            exchange.respond_verdict(route)
+            return
+        await self._take_over(token)
+        sink = Sink(exchange)
+        with self._state.router.hold(route):
+            outcome = await self._builder.build(route, sink, token).resume(
+                token.generation,
+                index,
+            )
+        log_event(
+            'resumed_generation_ended',
+            request=token.request,
+            tokens=outcome.tokens,
+            reason=name_reason(outcome),
+        )
+        _end_answer(sink, outcome)
+
+    def release(self, exchange: Exchange) -> None:
+        """Stop relaying a generation that another node resumed."""
+        token = decode_token(exchange.get_header(RESUME_HEADER), self._sign)
+        if isinstance(token, Verdict):
+            exchange.respond_verdict(token)
+            return
+        is_taken = self._relay.handovers.take(token.generation)
+        exchange.respond_json(Released(is_taken))
+
+    async def _take_over(self, token: ResumeToken) -> None:
+        """Make the node that relays the generation stop, and not cancel."""
+        if self._relay.handovers.take(token.generation):
+            return
+        address = self._state.find_caller_address(token.vm)
+        if token.vm == self._state.settings.vm or not address:
+            return
+        try:
+            await self._client.read(
+                'POST',
+                f'http://{address}{RESUME_PATH}/taken',
+                headers={RESUME_HEADER: encode_token(token, self._sign)},
+                answer_seconds=_RELEASE_SECONDS,
+            )
+        except (NotConnectedError, BrokenError) as error:
+            log_problem(
+                'release_failed',
+                request=token.request,
+                vm=token.vm,
+                error=str(error),
+            )
+
+    def _find_route(self, target: TargetId) -> Route | Verdict:
+        config = self._state.config
+        if config is None:
+            return refuse(Reason.config_missing, 'no configuration is known')
+        if target not in config.targets:
+            return refuse(Reason.no_target, f'no target {target!r}')
+        return Route(target, config.targets[target].address)
+
+    def _choose_budget(self, wanted: GenerationRequest) -> HoldBudget | None:
+        delivery = wanted.body.delivery or self._find_team(wanted).delivery
+        return self._budget if delivery is Delivery.whole else None
+
+    def _find_team(self, wanted: GenerationRequest) -> Team:
+        config = self._state.config
+        known = None if config is None else config.teams.get(wanted.team)
+        return known or Team()
+
+    def _parse(
+        self,
+        exchange: Exchange,
+        model: ModelId,
+    ) -> GenerationRequest | Verdict:
+        config = self._state.config
+        if config is None:
+            return refuse(Reason.config_missing, 'no configuration is known')
+        if model not in config.models:
+            return refuse(Reason.unknown_model, f'no model {model!r}')
+        team = TeamId(exchange.get_header(TEAM_HEADER))
+        if team not in config.teams:
+            return refuse(Reason.unknown_team, f'no team {team!r}')
+        body = exchange.body
+        return parse_generation(self._name_request(), team, model, body)
+
+    def _name_request(self) -> RequestId:
+        self._requests += 1
+        return RequestId(f'{self._state.settings.vm}-{self._requests}')
+
+
+def _build_relay(settings: Settings) -> Relay:
+    return Relay(
+        StallWatch(),
+        Handovers(),
+        Cancels(),
+        RelayLimits(
+            settings.limits.stream_buffer_bytes,
+            settings.limits.caller_grace_seconds,
+        ),
+    )
+
+
+def _end_answer(sink: Sink, outcome: Outcome) -> None:
+    if outcome.verdict is None or outcome.delivered:
+        sink.finish(
+            describe_end(outcome.tokens, outcome.ending, outcome.verdict),
+        )
+    else:
+        sink.respond_verdict(outcome.verdict)
--- a/chicoryshunt/process/ledger.py
+++ b/chicoryshunt/process/ledger.py
@@ -184,6 +184,8 @@
         limit = self.bearing.limit
         worths = [seat.compute_worth(limit) for seat in claim.seats]
         holder.cover = min(worths, default=0)
+        if not claim.is_fresh:
+            self._orphans.drop(holder.vm, _EARLIER)
         sent = holder.answers.get(claim.answer)
         if sent is None or not claim.seats:
             return
--- a/chicoryshunt/process/state.py
+++ b/chicoryshunt/process/state.py
@@ -1,11 +1,20 @@
 """What the parts of a node share while the process lives."""
 
+from collections.abc import Collection
+
 import msgspec
 
+from chicoryshunt.clock import SystemClock
+from chicoryshunt.connection.caller_api import Entries, Entry
+from chicoryshunt.process.allowance import Allowances
+from chicoryshunt.process.config_api import ConfigStatus, describe_config
+from chicoryshunt.process.configuration import Configuration
 from chicoryshunt.process.entries import KEEP_SECONDS, order_entries
 from chicoryshunt.process.fleet import Fleet
+from chicoryshunt.process.journal import Journal
 from chicoryshunt.process.metrics import Metrics
 from chicoryshunt.process.router import Route, Router
+from chicoryshunt.process.scheduler import Scheduler
 from chicoryshunt.settings import Settings
 from chicoryshunt.types import (
     ConfigVersion,
@@ -22,20 +31,6 @@
 from chicoryshunt.version.config import Config
 
 
-class Entry(msgspec.Struct, frozen=True):
-    """One address a caller may use."""
-
-    vm: VmId
-    address: str
-
-
-class Entries(msgspec.Struct, frozen=True):
-    """Addresses in order of preference and how long to keep them."""
-
-    entries: tuple[Entry, ...]
-    keep_seconds: float
-
-
 class MemberStatus(msgspec.Struct, frozen=True):
     """What a node knows of one VM."""
 
@@ -59,6 +54,7 @@
 
     vm: VmId
     version: ConfigVersion
+    config: ConfigStatus
     members: tuple[MemberStatus, ...]
     leases: tuple[LeaseStatus, ...]
 
@@ -66,30 +62,43 @@
 class NodeState:
     """Configuration in force, members and targets of this node."""
 
-    def __init__(self, settings: Settings) -> None:
-        """Start without a configuration."""
+    def __init__(
+        self,
+        settings: Settings,
+        allowances: Allowances | None = None,
+    ) -> None:
+        """Start without a configuration; leases are the usual allowances."""
         self.settings = settings
         self.metrics = Metrics()
-        self._config: Config | None = None
         self.fleet = Fleet(settings, self.metrics)
+        allowed = allowances or self.fleet.leases.tenures
         self.router = Router(
             settings.data_centre,
-            self.fleet.leases.tenures,
+            allowed,
             self.fleet.pulse,
         )
+        self.clock = SystemClock()
+        self.journal = Journal(self.clock, self.metrics)
+        self.scheduler = Scheduler(
+            settings.data_centre,
+            allowed,
+            self.clock,
+            self.journal,
+        )
+        self.configuration = Configuration(self.metrics)
+        self.configuration.subscribe(self.fleet.learn_config)
+        self.configuration.subscribe(self.scheduler.apply)
 
     @property
     def config(self) -> Config | None:
         """Return the configuration in force."""
-        return self._config
+        return self.configuration.current
 
-    @config.setter
-    def config(self, config: Config) -> None:
-        """Put a configuration in force."""
-        self._config = config
-        self.fleet.learn_config(config)
-
-    def route(self, wanted: ModelId | ServiceId) -> Route | Verdict:
+    def route(
+        self,
+        wanted: ModelId | ServiceId,
+        excluded: Collection[TargetId] = (),
+    ) -> Route | Verdict:
         """Return a target for the model or service."""
         if self.config is None:
             return refuse(
@@ -97,7 +106,13 @@
                 'no configuration is known',
                 Seconds(1),
             )
-        return self.router.choose(self.config, wanted)
+        if not self.configuration.is_confirmed:
+            return refuse(
+                Reason.paused,
+                'the configuration is being confirmed after a pause',
+                Seconds(1),
+            )
+        return self.router.choose(self.config, wanted, excluded)
 
     def list_entries(self) -> Entries:
         """Return addresses, the caller's data centre first."""
@@ -113,14 +128,17 @@
             KEEP_SECONDS,
         )
 
+    def find_caller_address(self, wanted: VmId) -> str:
+        """Return where a VM listens for callers, empty when unknown."""
+        member = self.fleet.membership.roster.find(wanted)
+        return '' if member is None else member.published.caller
+
     def describe(self) -> NodeStatus:
         """Return what this node knows."""
-        version = ConfigVersion(0)
-        if self.config is not None:
-            version = self.config.version
         return NodeStatus(
             self.settings.vm,
-            version,
+            self.configuration.version,
+            describe_config(self.configuration),
             tuple(
                 MemberStatus(
                     one.published.vm,
--- a/chicoryshunt/types.py
+++ b/chicoryshunt/types.py
@@ -14,6 +14,7 @@
 IdempotencyKey = NewType('IdempotencyKey', str)
 Incarnation = NewType('Incarnation', int)
 ConfigVersion = NewType('ConfigVersion', int)
+LogPosition = NewType('LogPosition', int)
 Digest = NewType('Digest', str)
 
 Seconds = NewType('Seconds', float)
@@ -31,16 +32,20 @@
 class Reason(Enum):
     """Name why a request, message or patch was refused."""
 
+    already_ran = 'already_ran'
+    answer_too_large = 'answer_too_large'
     bad_request = 'bad_request'
     body_too_large = 'body_too_large'
     body_truncated = 'body_truncated'
     cancelled = 'cancelled'
     config_missing = 'config_missing'
     draining = 'draining'
+    engine_garbled = 'engine_garbled'
     engine_lost = 'engine_lost'
     grant_expired = 'grant_expired'
     grant_forged = 'grant_forged'
     grant_missing = 'grant_missing'
+    grant_of_other_node = 'grant_of_other_node'
     internal_error = 'internal_error'
     key_reused = 'key_reused'
     no_capacity = 'no_capacity'
@@ -49,10 +54,15 @@
     owner_unreachable = 'owner_unreachable'
     paused = 'paused'
     queue_timeout = 'queue_timeout'
+    request_timeout = 'request_timeout'
+    resumed_elsewhere = 'resumed_elsewhere'
     retry_budget = 'retry_budget'
     table_full = 'table_full'
     target_refused = 'target_refused'
+    target_timeout = 'target_timeout'
     target_unreachable = 'target_unreachable'
+    token_forged = 'token_forged'
+    too_many_connections = 'too_many_connections'
     unknown_generation = 'unknown_generation'
     unknown_model = 'unknown_model'
     unknown_path = 'unknown_path'
