Let scarce slots go on at a measured pace

Cause: with seven slots and nine nodes that want more, every slot went on after two renewals, since whoever had none came first as soon as another had some.

Ruled out: the time that an answer takes (0.2 s a round here), and the account that voters have to know first. Change: a holder that has just lost its slots comes last for two renewals, so only as many slots go on as there are holders that wait.

--- a/chicoryshunt/process/holders.py
+++ b/chicoryshunt/process/holders.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from dataclasses import dataclass, field
+from enum import IntEnum
 
 from chicoryshunt.process.claims import Claim
 from chicoryshunt.types import VmId
@@ -11,6 +12,15 @@
 _SMOOTHING = 0.3
 
 
+class Turn(IntEnum):
+    """Order in which holders get scarce slots."""
+
+    kept = 0
+    waiting = 1
+    due = 2
+    emptied = 3
+
+
 @dataclass(frozen=True, slots=True)
 class Mark:
     """What one claim told, which was sent after a second."""
@@ -41,6 +51,7 @@
     expires: float = 0
     turn: float = 0
     raised_at: float = 0
+    emptied_at: float = 0
     account_told: int = 0
     next_push: float = 0
     curve: tuple[int, ...] = ()
@@ -71,19 +82,27 @@
         """Remember what was granted and when."""
         if slots > self.told:
             self.raised_at = now
+        if self.told and not slots:
+            self.emptied_at = now
         self.told = slots
         self.occupied = max(self.occupied, slots)
         self.answers[number] = now
         if len(self.answers) > _KEPT_ANSWERS:
             self.answers.pop(next(iter(self.answers)))
 
-    def find_turn(self, settled: float) -> tuple[bool, float, VmId]:
+    def find_turn(self, settled: float) -> tuple[Turn, float, VmId]:
         """Return the order in which holders get scarce slots.
 
-        Those that got some a moment ago come first, then those that had few.
+        What changed after ``settled`` stays as it is, so that a slot is used
+        before it goes on.
         """
-        is_new = self.told > 0 and self.raised_at >= settled
-        return not is_new, self.turn, self.vm
+        if self.told:
+            is_kept = self.raised_at >= settled
+            turn = Turn.kept if is_kept else Turn.due
+        else:
+            is_waiting = self.emptied_at < settled
+            turn = Turn.waiting if is_waiting else Turn.emptied
+        return turn, self.turn, self.vm
 
     def find_low(self, start: float, end: float) -> int:
         """Return the least requests that ran at any time of a span."""
