Compare leases with local shares; spread what is left evenly

What was left of a limit went to the same first nodes, and a request that waited asked for a slot on all six targets at once, so every node seemed to want six times what it could use. Changes: the rest is spread evenly by position, a caller of the bench asks on as many targets as it has requests waiting; iteration no longer follows the order of sets, which made runs differ from process to process.

The fakes move to the lab, where the bench and the tests share them.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 SOURCES = chicoryshunt lab tests
 
-.PHONY: bench-relay bench-scale help venv test unit check format lint types demo
+.PHONY: bench-leases bench-relay bench-scale help venv test unit check format lint types demo
 
 help:  ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -32,6 +32,9 @@
 
 test: lint types unit  ## everything CI asks for
 
+bench-leases: venv  ## leases against local shares and a central count
+	$(BIN)/python -m lab.lease_bench
+
 bench-scale: venv  ## cost of control as the fleet grows, appended to benchmarks/
 	$(BIN)/python -m lab.scale_bench
 
--- a/chicoryshunt/process/composer.py
+++ b/chicoryshunt/process/composer.py
@@ -87,7 +87,7 @@
 
     def _list_loads(self) -> tuple[LoadNote, ...]:
         notes = []
-        for vm in (self._roster.own, *set(self._recent)):
+        for vm in (self._roster.own, *dict.fromkeys(self._recent)):
             member = self._roster.find(vm)
             if member is not None:
                 notes.append(LoadNote(vm, member.beat, member.load))
--- a/chicoryshunt/process/keeping.py
+++ b/chicoryshunt/process/keeping.py
@@ -39,10 +39,10 @@
     ) -> Iterator[tuple[VmId, Release]]:
         """Keep exactly these targets; release the votes of the others."""
         wanted = set(kept)
-        for dropped in self._ledgers.keys() - wanted:
+        for dropped in sorted(self._ledgers.keys() - wanted):
             log_event('target_released', target=dropped)
             yield from self._ledgers.pop(dropped).release()
-        for added in wanted - self._ledgers.keys():
+        for added in sorted(wanted - self._ledgers.keys()):
             self._epoch += 1
             log_event('target_kept', target=added, epoch=self._epoch)
             self._ledgers[added] = Ledger(added, self._times, self._epoch)
--- a/chicoryshunt/process/ledger.py
+++ b/chicoryshunt/process/ledger.py
@@ -24,7 +24,7 @@
 
 _EARLIER = 0
 _PUSH_SECONDS = 0.2
-_TRIM_SECONDS = 30.0
+_TRIM_SECONDS = 120.0
 _STEPS = 16
 _MS_PER_SECOND = 1000
 _US_PER_MS = 1000
@@ -212,7 +212,7 @@
             key=lambda vm: self.holders[vm].find_turn(settled),
         )
         fair = share_slots(capacity, demands, turns)
-        return spread_evenly(capacity, fair, sorted(self.holders))
+        return spread_evenly(capacity, dict(sorted(fair.items())))
 
     def _grant(self, holder: Holder, known_account: int, now: float) -> Grant:
         target = self._find_targets(now)[holder.vm]
--- a/chicoryshunt/process/roster.py
+++ b/chicoryshunt/process/roster.py
@@ -139,11 +139,11 @@
         """Set how many requests run on this node."""
         self.get_own().load = load
 
-    def learn(self, vms: Iterable[PublishedVm], now: float) -> tuple[VmId, ...]:
+    def learn(self, vms: Iterable[PublishedVm], now: float) -> list[VmId]:
         """Follow the published list; return the VMs that it dropped."""
         listed = {vm.vm: vm for vm in vms}
         self._published = frozenset(listed)
-        dropped = tuple(set(self._members) - set(listed) - {self.own})
+        dropped = sorted(set(self._members) - set(listed) - {self.own})
         for vm in dropped:
             self.digest ^= _hash_update(self._members.pop(vm).update)
         for published in listed.values():
--- a/chicoryshunt/process/sharing.py
+++ b/chicoryshunt/process/sharing.py
@@ -32,10 +32,11 @@
 def spread_evenly(
     total: int,
     shares: Mapping[_Key, int],
-    order: Sequence[_Key],
 ) -> dict[_Key, int]:
     """Return the shares raised by what is left of a total, evenly."""
-    left = max(0, total - sum(shares.values()))
-    each, rest = divmod(left, len(order)) if order else (0, 0)
-    first = set(order[:rest])
-    return {key: shares[key] + each + int(key in first) for key in order}
+    rest = max(0, total - sum(shares.values()))
+    count = len(shares)
+    return {
+        key: share + rest * (place + 1) // count - rest * place // count
+        for place, (key, share) in enumerate(shares.items())
+    }
--- a/chicoryshunt/process/tenures.py
+++ b/chicoryshunt/process/tenures.py
@@ -98,11 +98,11 @@
     def build_claims(self, now: float) -> dict[VmId, list[Claim]]:
         """Return the claims that are due, by keeper."""
         soon = now + self._times.interval / 2
-        due = {
+        due = dict.fromkeys(
             tenure.keeper
             for tenure in self._tenures.values()
             if tenure.next_claim <= now
-        }
+        )
         return {
             keeper: self._claim_of(keeper, soon, now)
             for keeper in due
--- a/tests/leasing.py
+++ b/lab/lease_fleet.py
@@ -13,8 +13,7 @@
 from chicoryshunt.process.membership import Membership
 from chicoryshunt.process.roster import Roster
 from chicoryshunt.types import DataCentreId, Incarnation, TargetId, VmId
-from tests.builders import build_vm
-from tests.network import Host, Network
+from lab.network import Host, Network
 
 CENTRES = ('luzon-a', 'luzon-b', 'luzon-c')
 TARGET = TargetId('engine-1')
@@ -92,7 +91,7 @@
         self.network = Network(self.clock, Random(seed))
         self.starts = 0
         self.vms = [
-            build_vm(f'vm-{number}', CENTRES[number % len(CENTRES)])
+            _build_vm(f'vm-{number}', CENTRES[number % len(CENTRES)])
             for number in range(count)
         ]
         names = [TargetId(f'engine-{one + 1}') for one in range(targets)]
@@ -137,7 +136,6 @@
         now = self.network.hosts[vm].check()
         slot = node.leases.tenures.take(target, 0, now)
         if isinstance(slot, Shortage):
-            node.leases.tenures.want(target, 1, now)
             return False
         key = (vm, node.epoch, slot.number)
         self.fakes[target].running[key] = slot
@@ -164,17 +162,23 @@
                 tenures.give_back(slot, self.clock.now())
         return len(ended)
 
+    def want(self, vm: VmId, target: TargetId, slots: int) -> None:
+        """Say how many more slots a node could use."""
+        tenures = self.nodes[vm].leases.tenures
+        tenures.want(target, slots, self.clock.now())
+
     def count_bound(self, target: TargetId = TARGET) -> int:
         """Return live leases plus requests that run without one."""
         now = self.clock.now()
         total = 0
-        for vm, node in self.nodes.items():
+        for node in self.nodes.values():
             tenure = node.leases.tenures.find(target)
             slots = 0 if tenure is None else tenure.count_slots(now)
-            total += max(slots, self.count_running(vm, node.epoch, target))
-        live = {(vm, node.epoch) for vm, node in self.nodes.items()}
-        running = self.fakes[target].running
-        return total + sum(1 for key in running if key[:2] not in live)
+            running = self.count_running(node.vm, node.epoch, target)
+            total += max(slots, running)
+        live = {(one.vm, one.epoch) for one in self.nodes.values()}
+        running_keys = self.fakes[target].running
+        return total + sum(1 for key in running_keys if key[:2] not in live)
 
     def count_running(self, vm: VmId, epoch: int, target: TargetId) -> int:
         running = self.fakes[target].running
@@ -220,3 +224,13 @@
             for ledger in node.leases.keeping:
                 report = self.fakes[ledger.target].report(now)
                 ledger.take_load(report, now)
+
+
+def _build_vm(name: str, data_centre: str) -> PublishedVm:
+    return PublishedVm(
+        VmId(name),
+        DataCentreId(data_centre),
+        caller=f'{name}:1',
+        peer=f'{name}:2',
+        gossip='127.0.0.1:3',
+    )
--- a/tests/network.py
+++ b/lab/network.py
@@ -1,5 +1,6 @@
 """A fake network that carries messages between the cores of nodes."""
 
+from collections import Counter
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from random import Random
@@ -52,7 +53,7 @@
         self.clock = clock
         self.hosts: dict[VmId, Host] = {}
         self.loss: float = 0
-        self.bytes_sent = 0
+        self.messages: Counter[str] = Counter()
         self._rng = rng
         self._flights: list[Flight] = []
         self._sides: list[frozenset[VmId]] = []
@@ -69,6 +70,7 @@
     def send(self, sender: VmId, sends: Iterable[Send]) -> None:
         for one in sends:
             flight = Flight(sender, one.receiver, one.message)
+            self.messages[type(one.message).__name__] += 1
             if self._rng.random() >= self.loss:
                 self._flights.append(flight)
             if self._rng.random() < self.loss:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -17,8 +17,8 @@
 from chicoryshunt.connection.platform_api import PublishedVm
 from chicoryshunt.process.membership import Membership
 from chicoryshunt.types import DataCentreId, Incarnation, VmId, VmState
+from lab.network import Host, Network
 from tests.builders import build_vm
-from tests.network import Host, Network
 
 _COUNT = 5
 _SETTLE_SECONDS = 20
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -47,7 +47,7 @@
     short = [key for key in order if shares[key] < demands[key]]
     for key in short:
         assert shares[key] >= max(shares.values()) - 1
-    spread = spread_evenly(total, shares, order)
+    spread = spread_evenly(total, shares)
     assert sum(spread.values()) == max(0, total)
 
 
