--- a/chicoryshunt/request/assembler.py
+++ b/chicoryshunt/request/assembler.py
@@ -18,6 +18,9 @@
     end = 'end'
 
 
+_FRESH = Arrival.fresh
+
+
 @dataclass(slots=True)
 class Assembler:
     """Position in one generation's stream."""
@@ -45,7 +48,7 @@
             return Arrival.duplicate
         is_whole = event.i == self.next_index
         self.next_index = stop
-        return Arrival.fresh if is_whole else Arrival.overlap
+        return _FRESH if is_whole else Arrival.overlap
 
     def _accept_end(self, event: StreamEvent) -> Arrival:
         if event.i < self.next_index:
--- a/chicoryshunt/request/reader.py
+++ b/chicoryshunt/request/reader.py
@@ -17,6 +17,7 @@
 from chicoryshunt.request.sink import Sink
 
 _DECODE = EventDecoder().decode
+_FRESH = Arrival.fresh
 
 
 class Stop(Enum):
@@ -58,11 +59,11 @@
         self.heard = True
         if self.stopped.done():
             return
-        match self._buffer.cut(data):
-            case StreamDamage.oversized | StreamDamage.garbled:
-                self._stop(Stop.oversized)
-            case list(frames):
-                self._pass_on(frames)
+        frames = self._buffer.cut(data)
+        if isinstance(frames, StreamDamage):
+            self._stop(Stop.oversized)
+        else:
+            self._pass_on(frames)
 
     def connectionLost(self, reason: Any = None) -> None:
         """End the reading."""
@@ -94,9 +95,11 @@
         if isinstance(event, StreamDamage):
             return Stop.garbled
         start = self._assembler.next_index
-        match self._assembler.accept(event):
-            case Arrival.fresh:
-                fresh.append(frame)
+        arrival = self._assembler.accept(event)
+        if arrival is _FRESH:
+            fresh.append(frame)
+            return None
+        match arrival:
             case Arrival.overlap:
                 fresh.append(encode_tail(event, start))
             case Arrival.gap:
--- a/lab/metronome.py
+++ b/lab/metronome.py
@@ -13,10 +13,10 @@
 
 _FLAGS = flags.FlagValues()
 flags.DEFINE_integer('port', 0, 'port on loopback', flag_values=_FLAGS)
+flags.DEFINE_integer('size', 57, 'bytes an event', flag_values=_FLAGS)
 flags.DEFINE_float('beat', 0.028, 'seconds between events', flag_values=_FLAGS)
 
 _EVENT = b'data: {"g":"%s","i":%d,"t":["%d"]}'
-_EVENT_BYTES = 57
 
 
 @dataclass(eq=False, slots=True)
@@ -72,9 +72,9 @@
 
 
 def build_event(name: bytes, index: int, now: int) -> bytes:
-    """Return an event of 57 bytes."""
+    """Return an event, padded with spaces to its size."""
     event = _EVENT % (name, index, now)
-    return b'%s\n\n' % event.ljust(_EVENT_BYTES - len(b'\n\n'))
+    return b'%s\n\n' % event.ljust(_FLAGS.size - len(b'\n\n'))
 
 
 def main() -> None:
--- a/lab/relay_bench.py
+++ b/lab/relay_bench.py
@@ -21,13 +21,13 @@
 _FLAGS = flags.FlagValues()
 flags.DEFINE_integer('rounds', 5, 'rounds of both relays', flag_values=_FLAGS)
 flags.DEFINE_integer('streams', 190, 'streams at once', flag_values=_FLAGS)
+flags.DEFINE_integer('slow', 0, 'more that read nothing', flag_values=_FLAGS)
+flags.DEFINE_integer('size', 57, 'bytes an event', flag_values=_FLAGS)
 flags.DEFINE_float('seconds', 5, 'seconds of counting', flag_values=_FLAGS)
 flags.DEFINE_integer('engines', 6, 'engines', flag_values=_FLAGS)
 flags.DEFINE_boolean('record', True, 'append the result', flag_values=_FLAGS)
 
 _FIRST_PORT = 18400
-_MEMORY_LIMIT_MB = 128
-_RATIO_LIMIT = 1.5
 _BYTES_PER_MB = 1 << 20
 
 
@@ -51,6 +51,7 @@
         f'--port={relay.port}',
         f'--streams={_FLAGS.streams}',
         f'--seconds={_FLAGS.seconds}',
+        f'--slow={_FLAGS.slow}',
     ]
     with subprocess.Popen(command, stdout=subprocess.PIPE) as load:
         assert load.stdout is not None
@@ -75,7 +76,11 @@
     config = fleet.start_stand_in('config_service', 'config')
     vm_list = fleet.start_stand_in('vm_list', 'vms')
     engines = [
-        fleet.start_stand_in('metronome', f'engine-{number}')
+        fleet.start_stand_in(
+            'metronome',
+            f'engine-{number}',
+            f'--size={_FLAGS.size}',
+        )
         for number in range(_FLAGS.engines)
     ]
     ports = ','.join(str(engine.port) for engine in engines)
@@ -119,6 +124,8 @@
         'ratio_max': round(max(ratios), 3),
         'wrong': sum(one['node'].load.wrong for one in rounds),
         'streams': _FLAGS.streams,
+        'slow': _FLAGS.slow,
+        'event_bytes': _FLAGS.size,
         'rounds': len(rounds),
     }
     for name in ('bare', 'node'):
