--- a/Makefile
+++ b/Makefile
@@ -40,3 +40,6 @@
 
 demo: venv  ## a small fleet on loopback, one stream, one filing
 	$(BIN)/python -m lab.demo
+
+trials: venv  ## nine nodes under failures, promises counted
+	$(BIN)/python -m lab.trials
--- a/chicoryshunt/process/callers.py
+++ b/chicoryshunt/process/callers.py
@@ -8,7 +8,9 @@
     NotConnectedError,
 )
 from chicoryshunt.connection.exchange import Exchange
+from chicoryshunt.process.config_api import ConfigApi
 from chicoryshunt.process.generations import GenerationApi
+from chicoryshunt.process.journal import Explanation
 from chicoryshunt.process.router import Route
 from chicoryshunt.process.state import NodeState
 from chicoryshunt.types import (
@@ -35,6 +37,11 @@
         self._state = state
         self._client = HttpClient()
         self._generations = GenerationApi(state)
+        self._config = ConfigApi(
+            state.settings.vm,
+            state.configuration,
+            state.fleet.list_vms,
+        )
 
     async def handle(self, exchange: Exchange) -> None:
         """Serve one request."""
@@ -47,10 +54,14 @@
                 await self._generations.handle_resume(exchange, action)
             case (_, 'v1', 'call', service, *path):
                 await self._call(exchange, ServiceId(service), '/'.join(path))
+            case (_, 'v1', 'config', *path):
+                self._config.handle(exchange, path)
             case ('GET', 'v1', 'status'):
                 exchange.respond_json(self._state.describe())
             case ('POST', 'v1', 'trial', 'cut') if self._state.settings.trials:
                 self._cut(exchange)
+            case ('GET', 'v1', 'explain', request):
+                self._explain(exchange, request)
             case ('GET', 'metrics'):
                 exchange.respond(
                     self._state.metrics.render(),
@@ -61,6 +72,12 @@
                     refuse(Reason.unknown_path, f'no path {exchange.path!r}'),
                 )
 
+    def _explain(self, exchange: Exchange, request: str) -> None:
+        explanation = self._state.journal.explain(request)
+        if explanation is None:
+            explanation = Explanation(request, ())
+        exchange.respond_json(explanation)
+
     def _cut(self, exchange: Exchange) -> None:
         try:
             order = msgspec.json.decode(exchange.body, type=CutOrder)
--- a/chicoryshunt/process/fleet.py
+++ b/chicoryshunt/process/fleet.py
@@ -9,7 +9,7 @@
 from chicoryshunt.clock import SystemClock
 from chicoryshunt.connection.client import HttpClient
 from chicoryshunt.connection.loop import get_reactor
-from chicoryshunt.connection.platform_api import PublishedVm
+from chicoryshunt.connection.platform_api import PublishedVm, PublishedVms
 from chicoryshunt.process.core import Core
 from chicoryshunt.process.driver import drive_cores
 from chicoryshunt.process.links import Links
@@ -17,6 +17,7 @@
 from chicoryshunt.process.mesh import Mesh
 from chicoryshunt.process.metrics import Metrics
 from chicoryshunt.process.pause import Pulse
+from chicoryshunt.process.peers import PeerClient
 from chicoryshunt.process.seal import Purpose, Seal
 from chicoryshunt.process.watch import VmWatch
 from chicoryshunt.settings import Settings
@@ -48,18 +49,14 @@
         self.cores: list[Core] = [self.membership]
         self._settings = settings
         self._metrics = metrics
+        self.call_seal = self.build_seal(Purpose.call)
+        self.peer_client = PeerClient(self.call_seal, self.links)
 
     @contextmanager
     def serve(self) -> Iterator[Mesh]:
         """Listen for datagrams of other nodes; cores must be complete."""
         settings = self._settings
-        seal = Seal(
-            settings.key,
-            settings.vm,
-            self.incarnation,
-            Purpose.datagram,
-        )
-        self.membership.on_raise(seal.raise_incarnation)
+        seal = self.build_seal(Purpose.datagram)
         mesh = Mesh(seal, self.links, self.pulse, self._metrics, self.cores)
         port = get_reactor().listenUDP(
             settings.listen.gossip,
@@ -71,6 +68,18 @@
         finally:
             port.stopListening()
 
+    def list_vms(self) -> PublishedVms:
+        """Return the VMs of the fleet with their addresses."""
+        roster = self.membership.roster
+        return PublishedVms(tuple(one.published for one in roster))
+
+    def build_seal(self, purpose: Purpose) -> Seal:
+        """Return a seal that follows the incarnation of this node."""
+        settings = self._settings
+        seal = Seal(settings.key, settings.vm, self.incarnation, purpose)
+        self.membership.on_raise(seal.raise_incarnation)
+        return seal
+
     async def run(self, mesh: Mesh, client: HttpClient) -> None:
         """Read the list and drive the cores while the process lives."""
         await asyncio.gather(
--- a/chicoryshunt/process/state.py
+++ b/chicoryshunt/process/state.py
@@ -4,11 +4,17 @@
 
 import msgspec
 
+from chicoryshunt.clock import SystemClock
 from chicoryshunt.connection.caller_api import Entries, Entry
+from chicoryshunt.process.config_api import ConfigStatus, describe_config
+from chicoryshunt.process.configuration import Configuration
 from chicoryshunt.process.entries import KEEP_SECONDS, order_entries
 from chicoryshunt.process.fleet import Fleet
+from chicoryshunt.process.journal import Journal
+from chicoryshunt.process.local_shares import LocalShares
 from chicoryshunt.process.metrics import Metrics
 from chicoryshunt.process.router import Route, Router
+from chicoryshunt.process.scheduler import Scheduler
 from chicoryshunt.settings import Settings
 from chicoryshunt.types import (
     ConfigVersion,
@@ -39,6 +45,7 @@
 
     vm: VmId
     version: ConfigVersion
+    config: ConfigStatus
     members: tuple[MemberStatus, ...]
 
 
@@ -50,8 +57,22 @@
         self.settings = settings
         self.metrics = Metrics()
         self.router = Router(settings.data_centre)
-        self.config: Config | None = None
         self.fleet = Fleet(settings, self.metrics)
+        self.clock = SystemClock()
+        self.journal = Journal(self.clock, self.metrics)
+        self.scheduler = Scheduler(
+            settings.data_centre,
+            LocalShares(lambda: self.config, self._count_nodes),
+            self.clock,
+            self.journal,
+        )
+        self.configuration = Configuration(self.metrics)
+        self.configuration.subscribe(self.scheduler.apply)
+
+    @property
+    def config(self) -> Config | None:
+        """Return the configuration in force."""
+        return self.configuration.current
 
     def route(
         self,
@@ -65,6 +86,12 @@
                 'no configuration is known',
                 Seconds(1),
             )
+        if not self.configuration.is_confirmed:
+            return refuse(
+                Reason.paused,
+                'the configuration is being confirmed after a pause',
+                Seconds(1),
+            )
         return self.router.choose(self.config, wanted, excluded)
 
     def list_entries(self) -> Entries:
@@ -88,12 +115,10 @@
 
     def describe(self) -> NodeStatus:
         """Return what this node knows."""
-        version = ConfigVersion(0)
-        if self.config is not None:
-            version = self.config.version
         return NodeStatus(
             self.settings.vm,
-            version,
+            self.configuration.version,
+            describe_config(self.configuration),
             tuple(
                 MemberStatus(
                     one.published.vm,
@@ -104,3 +129,6 @@
                 for one in self.fleet.membership.roster
             ),
         )
+
+    def _count_nodes(self) -> int:
+        return self.fleet.membership.roster.published_count
--- a/chicoryshunt/version/replica.py
+++ b/chicoryshunt/version/replica.py
@@ -44,6 +44,14 @@
     digest: Digest
     lines: Sequence[bytes]
 
+    def find_end(self) -> Head:
+        """Return position and digest of the last line; no version is known."""
+        digest = self.digest
+        for line in self.lines:
+            digest = chain_digest(digest, line)
+        position = LogPosition(self.position + len(self.lines))
+        return Head(ConfigVersion(0), position, digest)
+
 
 class Replica:
     """Configuration in force, digests, latest lines and rulings."""
@@ -77,6 +85,10 @@
             return Relation.unknown
         return self._chain.compare(head.position, head.digest)
 
+    def find_digest(self, position: LogPosition) -> Digest | None:
+        """Return the digest of the log up to a position, if it is known."""
+        return None if self._chain is None else self._chain.find(position)
+
     def extend(self, segment: Segment) -> Outcome:
         """Fold the lines that are new, unless they belong to another log."""
         if self._chain is None or segment.position > self._chain.position:
--- a/lab/faults.py
+++ b/lab/faults.py
@@ -24,6 +24,7 @@
     cut = 'cut'
     garble = 'garble'
     stale = 'stale'
+    truncate = 'truncate'
 
 
 class Fault(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/lab/relay_bench.py
+++ b/lab/relay_bench.py
@@ -12,11 +12,13 @@
 import psutil
 from absl import flags
 
+from chicoryshunt.version.config import Config
 from lab.daemon import parse_flags
-from lab.demo import build_settings, publish_vm
-from lab.fleet import Fleet, Started, run_fleet, send
+from lab.fleet import Fleet, Started, run_fleet, wait_ready, wait_version
+from lab.publish import Publisher
 from lab.relay_load import LoadReading
 from lab.results import append_result
+from lab.topology import build_settings, publish_vms, start_platform
 
 _FLAGS = flags.FlagValues()
 flags.DEFINE_integer('rounds', 5, 'rounds of both relays', flag_values=_FLAGS)
@@ -73,8 +75,7 @@
 
 def start_relays(fleet: Fleet) -> dict[str, Started]:
     """Start the engines, the bare relay and one node."""
-    config = fleet.start_stand_in('config_service', 'config')
-    vm_list = fleet.start_stand_in('vm_list', 'vms')
+    platform = start_platform(fleet)
     engines = [
         fleet.start_stand_in(
             'metronome',
@@ -84,16 +85,16 @@
         for number in range(_FLAGS.engines)
     ]
     ports = ','.join(str(engine.port) for engine in engines)
-    send(config.url, 'PUT', '/v1/values/base', _build_config(engines))
-    settings = build_settings(fleet, 0, config, vm_list)
+    base = msgspec.convert(_build_config(engines), Config)
+    Publisher(platform.config.url).publish_base(base)
+    settings = build_settings(fleet, 'vm-0', 'luzon-a', platform)
     settings['limits'] = {'caller_grace_seconds': 0.1}
-    send(vm_list.url, 'PUT', '/v1/vms', {'vms': [publish_vm(settings)]})
-    return {
-        'bare': fleet.start_stand_in(
-            'bare_relay', 'bare', f'--targets={ports}'
-        ),
-        'node': fleet.start_node('vm-0', settings),
-    }
+    publish_vms(platform, (settings,))
+    bare = fleet.start_stand_in('bare_relay', 'bare', f'--targets={ports}')
+    node = fleet.launch_node('vm-0', settings)
+    wait_ready(node)
+    wait_version((node,), 1)
+    return {'bare': bare, 'node': node}
 
 
 def _build_config(engines: list[Started]) -> object:
