Record the pace of every answer for the burn report

The caller's side of a generation notes when tokens arrive; the sample of the whole request (waiting, restarts and all) goes to the windows that the report reads at /v1/service-levels.

--- a/chicoryshunt/process/callers.py
+++ b/chicoryshunt/process/callers.py
@@ -72,6 +72,10 @@
                 exchange.respond_json(self._state.describe())
             case ('POST', 'v1', 'trial', 'cut') if self._state.settings.trials:
                 self._cut(exchange)
+            case ('GET', 'v1', 'service-levels'):
+                exchange.respond_json(
+                    self._state.levels.export(self._state.settings.vm),
+                )
             case ('GET', 'v1', 'explain', request):
                 self._explain(exchange, request)
             case ('GET', 'metrics'):
--- a/chicoryshunt/process/generations.py
+++ b/chicoryshunt/process/generations.py
@@ -96,12 +96,13 @@
             exchange.respond_verdict(wanted)
             return
         sink = Sink(exchange, self._choose_budget(wanted))
-        outcome = await self._starter.start(
+        attempt = await self._starter.start(
             wanted,
             sink,
             self._find_team(wanted).retry_ratio,
         )
-        _end_answer(sink, outcome)
+        self._state.levels.record_generation(wanted, sink.pace, attempt)
+        _end_answer(sink, attempt.outcome)
 
     async def handle_resume(
         self,
--- /dev/null
+++ b/chicoryshunt/process/levels.py
@@ -0,0 +1,104 @@
+"""Samples of finished requests, as the configuration judges them."""
+
+from chicoryshunt.clock import Clock
+from chicoryshunt.process.configuration import Configuration
+from chicoryshunt.process.service_levels import (
+    Sample,
+    ServiceLevelRecorder,
+    ServiceLevels,
+)
+from chicoryshunt.process.starter import Attempt
+from chicoryshunt.request.order import GenerationRequest
+from chicoryshunt.request.pace import Pace
+from chicoryshunt.types import (
+    ConfigVersion,
+    DataCentreId,
+    Reason,
+    RunState,
+    ServiceId,
+    TargetId,
+    TeamId,
+)
+from chicoryshunt.verdict import Verdict
+from chicoryshunt.version.config import Config, Model, Service
+
+_NOTHING = Config(ConfigVersion(0))
+_CALLER_REASONS = frozenset((Reason.cancelled, Reason.resumed_elsewhere))
+
+
+class Levels:
+    """Records requests by team, by what served them and where."""
+
+    def __init__(
+        self,
+        data_centre: DataCentreId,
+        configuration: Configuration,
+        clock: Clock,
+    ) -> None:
+        """Count refusals where this node is."""
+        self.recorder = ServiceLevelRecorder(clock.now())
+        self._data_centre = data_centre
+        self._configuration = configuration
+        self._clock = clock
+
+    def record_generation(
+        self,
+        wanted: GenerationRequest,
+        pace: Pace,
+        attempt: Attempt,
+    ) -> None:
+        """Record one generation, unless its caller left."""
+        verdict = attempt.outcome.verdict
+        if verdict is not None and verdict.reason in _CALLER_REASONS:
+            return
+        model = self._read().models.get(wanted.model, Model())
+        sample = Sample(
+            wanted.team,
+            wanted.model,
+            self._find_data_centre(attempt.target),
+            refused=_is_refused(verdict),
+            incomplete=verdict is not None and not _is_refused(verdict),
+            first_ms=pace.first_ms,
+            first_limit_ms=model.first_token_ms,
+            gap_limit_ms=model.token_gap_ms,
+            gaps_ms=pace.gaps_ms,
+        )
+        self.recorder.record(sample, self._clock.now())
+
+    def record_call(
+        self,
+        team: TeamId,
+        service: ServiceId,
+        target: TargetId | None,
+        answer_ms: float,
+        verdict: Verdict | None,
+    ) -> None:
+        """Record one call of a plain service, answered after some time."""
+        known = self._read().services.get(service, Service())
+        sample = Sample(
+            team,
+            service,
+            self._find_data_centre(target),
+            refused=_is_refused(verdict),
+            incomplete=verdict is not None and not _is_refused(verdict),
+            first_ms=answer_ms,
+            first_limit_ms=known.answer_ms,
+        )
+        self.recorder.record(sample, self._clock.now())
+
+    def export(self, vm: str) -> ServiceLevels:
+        """Return everything recorded."""
+        return self.recorder.export(vm, self._clock.now())
+
+    def _read(self) -> Config:
+        return self._configuration.current or _NOTHING
+
+    def _find_data_centre(self, target: TargetId | None) -> DataCentreId:
+        known = None
+        if target is not None:
+            known = self._read().targets.get(target)
+        return self._data_centre if known is None else known.data_centre
+
+
+def _is_refused(verdict: Verdict | None) -> bool:
+    return verdict is not None and verdict.run is RunState.not_run
--- a/chicoryshunt/process/starter.py
+++ b/chicoryshunt/process/starter.py
@@ -16,7 +16,7 @@
 from chicoryshunt.request.order import GenerationRequest, build_order
 from chicoryshunt.request.resume_token import ResumeToken, encode_token
 from chicoryshunt.request.sink import Sink
-from chicoryshunt.types import GenerationId, Reason, VmId
+from chicoryshunt.types import GenerationId, Reason, TargetId, VmId
 from chicoryshunt.verdict import Verdict
 
 _MAX_STARTS = 3
@@ -52,6 +52,14 @@
         return Generation(self.relay, engine, sink, make_token)
 
 
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """One start of a generation; ``target`` is ``None`` if none took it."""
+
+    outcome: Outcome
+    target: TargetId | None = None
+
+
 class Starter:
     """Starts generations under permits and restarts what was lost."""
 
@@ -72,18 +80,18 @@
         wanted: GenerationRequest,
         sink: Sink,
         retry_ratio: float,
-    ) -> Outcome:
+    ) -> Attempt:
         """Run a generation until its caller has it or it cannot be had."""
         now = self._scheduler.now()
         self._budget.record_first(wanted.team, retry_ratio, now)
-        outcome = await self._start_once(wanted, sink)
+        attempt = await self._start_once(wanted, sink)
         for _ in range(_MAX_STARTS - 1):
-            if not self._may_restart(wanted, outcome):
+            if not self._may_restart(wanted, attempt.outcome):
                 break
             sink.discard()
             again = await self._start_once(wanted, sink)
-            outcome = _choose_outcome(outcome, again)
-        return outcome
+            attempt = _choose_attempt(attempt, again)
+        return attempt
 
     def _may_restart(
         self,
@@ -105,14 +113,14 @@
         self,
         wanted: GenerationRequest,
         sink: Sink,
-    ) -> Outcome:
+    ) -> Attempt:
         permit = await self._scheduler.admit(wanted, sink.wait_gone)
         if isinstance(permit, Verdict):
-            return Outcome(0, '', permit, delivered=False)
+            return Attempt(Outcome(0, '', permit, delivered=False))
         with self._scheduler.hold(permit):
             outcome = await self._run(permit, wanted, sink)
         self._note_end(permit, outcome)
-        return outcome
+        return Attempt(outcome, permit.route.target)
 
     async def _run(
         self,
@@ -160,12 +168,9 @@
     return Stop.lost
 
 
-def _choose_outcome(first: Outcome, again: Outcome) -> Outcome:
+def _choose_attempt(first: Attempt, again: Attempt) -> Attempt:
     """Keep what was lost when the restart was not even admitted.
 
     The first try may have run, so the refusal of the second is no answer.
     """
-    is_refused = again.verdict is not None and not again.tokens
-    if is_refused and not again.delivered:
-        return first
-    return again
+    return first if again.target is None else again
--- a/chicoryshunt/process/state.py
+++ b/chicoryshunt/process/state.py
@@ -11,6 +11,7 @@
 from chicoryshunt.process.entries import KEEP_SECONDS, order_entries
 from chicoryshunt.process.fleet import Fleet
 from chicoryshunt.process.journal import Journal
+from chicoryshunt.process.levels import Levels
 from chicoryshunt.process.local_shares import LocalShares
 from chicoryshunt.process.metrics import Metrics
 from chicoryshunt.process.router import Route, Router
@@ -67,6 +68,11 @@
             self.journal,
         )
         self.configuration = Configuration(self.metrics)
+        self.levels = Levels(
+            settings.data_centre,
+            self.configuration,
+            self.clock,
+        )
         self.configuration.subscribe(self.scheduler.apply)
 
     @property
--- /dev/null
+++ b/chicoryshunt/request/pace.py
@@ -0,0 +1,28 @@
+"""When the tokens of one answer arrived."""
+
+from collections import Counter
+
+_MS = 1000
+
+
+class Pace:
+    """Time to the first token and the times between tokens.
+
+    Times are seconds of the loop's clock. ``gaps_ms`` counts gaps by their
+    length in milliseconds, ``first_ms`` is ``None`` before the first token.
+    """
+
+    def __init__(self, started: float) -> None:
+        """Start at the time of the request."""
+        self.first_ms: float | None = None
+        self.gaps_ms: Counter[int] = Counter()
+        self._last = started
+
+    def note(self, now: float) -> None:
+        """Note that tokens arrived."""
+        passed_ms = (now - self._last) * _MS
+        self._last = now
+        if self.first_ms is None:
+            self.first_ms = passed_ms
+        else:
+            self.gaps_ms[round(passed_ms)] += 1
--- a/chicoryshunt/request/sink.py
+++ b/chicoryshunt/request/sink.py
@@ -1,5 +1,7 @@
 """The caller's side of one generation: held back or streamed."""
 
+import asyncio
+
 from chicoryshunt.connection.caller_api import (
     GENERATION_HEADER,
     INCOMPLETE,
@@ -8,6 +10,7 @@
     encode_answer_end,
 )
 from chicoryshunt.connection.exchange import Exchange
+from chicoryshunt.request.pace import Pace
 from chicoryshunt.request.valve import Valve
 from chicoryshunt.types import GenerationId, RunState
 from chicoryshunt.verdict import Verdict
@@ -47,6 +50,8 @@
     ) -> None:
         """Answer the exchange."""
         self.valve = Valve()
+        self._loop = asyncio.get_running_loop()
+        self.pace = Pace(self._loop.time())
         self._exchange = exchange
         self._budget = budget
         self._held: list[bytes] = []
@@ -77,6 +82,7 @@
 
     def write(self, frames: bytes) -> None:
         """Pass on or hold back whole frames."""
+        self.pace.note(self._loop.time())
         if self._budget is None:
             self._exchange.write(frames)
         elif self._budget.take(len(frames), self._held_bytes):
--- a/chicoryshunt/version/config.py
+++ b/chicoryshunt/version/config.py
@@ -69,10 +69,14 @@
 
 
 class Service(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """One plain service; reads are the methods that may be repeated."""
+    """One plain service; ``answer_ms`` is when an answer counts as slow.
+
+    ``repeatable_methods`` may be sent again after a failure.
+    """
 
     repeatable_methods: Names = ('GET', 'HEAD')
     timeout_seconds: Rate = 10
+    answer_ms: Rate = 680
 
 
 class Desired(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
