--- a/chicoryshunt/process/state.py
+++ b/chicoryshunt/process/state.py
@@ -6,13 +6,13 @@
 
 from chicoryshunt.clock import SystemClock
 from chicoryshunt.connection.caller_api import Entries, Entry
+from chicoryshunt.process.allowance import Allowances
 from chicoryshunt.process.config_api import ConfigStatus, describe_config
 from chicoryshunt.process.configuration import Configuration
 from chicoryshunt.process.entries import KEEP_SECONDS, order_entries
 from chicoryshunt.process.fleet import Fleet
 from chicoryshunt.process.journal import Journal
 from chicoryshunt.process.levels import Levels
-from chicoryshunt.process.local_shares import LocalShares
 from chicoryshunt.process.metrics import Metrics
 from chicoryshunt.process.router import Route, Router
 from chicoryshunt.process.scheduler import Scheduler
@@ -41,6 +41,15 @@
     load: int
 
 
+class LeaseStatus(msgspec.Struct, frozen=True):
+    """What a node holds on one target."""
+
+    target: TargetId
+    keeper: VmId | None
+    slots: int
+    running: int
+
+
 class NodeStatus(msgspec.Struct, frozen=True):
     """What a node says of itself."""
 
@@ -48,22 +57,32 @@
     version: ConfigVersion
     config: ConfigStatus
     members: tuple[MemberStatus, ...]
+    leases: tuple[LeaseStatus, ...]
 
 
 class NodeState:
     """Configuration in force, members and targets of this node."""
 
-    def __init__(self, settings: Settings) -> None:
-        """Start without a configuration."""
+    def __init__(
+        self,
+        settings: Settings,
+        allowances: Allowances | None = None,
+    ) -> None:
+        """Start without a configuration; leases are the usual allowances."""
         self.settings = settings
         self.metrics = Metrics()
-        self.router = Router(settings.data_centre)
         self.fleet = Fleet(settings, self.metrics)
+        allowed = allowances or self.fleet.leases.tenures
+        self.router = Router(
+            settings.data_centre,
+            allowed,
+            self.fleet.pulse,
+        )
         self.clock = SystemClock()
         self.journal = Journal(self.clock, self.metrics)
         self.scheduler = Scheduler(
             settings.data_centre,
-            LocalShares(lambda: self.config, self._count_nodes),
+            allowed,
             self.clock,
             self.journal,
         )
@@ -73,6 +92,7 @@
             self.configuration,
             self.clock,
         )
+        self.configuration.subscribe(self.fleet.learn_config)
         self.configuration.subscribe(self.scheduler.apply)
 
     @property
@@ -134,7 +154,17 @@
                 )
                 for one in self.fleet.membership.roster
             ),
+            self._list_leases(),
         )
 
-    def _count_nodes(self) -> int:
-        return self.fleet.membership.roster.published_count
+    def _list_leases(self) -> tuple[LeaseStatus, ...]:
+        now = self.fleet.pulse.check()
+        return tuple(
+            LeaseStatus(
+                target,
+                tenure.keeper,
+                tenure.count_slots(now),
+                tenure.running,
+            )
+            for target, tenure in self.fleet.leases.tenures
+        )
--- a/lab/topology.py
+++ b/lab/topology.py
@@ -14,6 +14,7 @@
     Fleet,
     Started,
     send,
+    wait_leases,
     wait_ready,
     wait_version,
 )
@@ -123,6 +124,8 @@
         self.publisher.publish_base(msgspec.convert(self._describe(), Config))
         self.nodes = self._launch_nodes()
         wait_version((node.started for node in self.nodes), 1)
+        for node in self.nodes:
+            wait_leases(node.started)
 
     @property
     def addresses(self) -> list[str]:
@@ -247,6 +250,7 @@
             'vms': platform.vm_list.url,
         },
         'fleet_key': _FLEET_KEY,
+        'leases': {'term_seconds': 1, 'vm_list_lag_seconds': 1},
         'trials': True,
     }
 
