Model targets on a virtual clock and lead admission by horizons

Purpose: measure the decisions against the engine's own batching and memory model, and lead the next changes by what is measured.

--- a/chicoryshunt/process/policy/admission.py
+++ b/chicoryshunt/process/policy/admission.py
@@ -2,6 +2,8 @@
 
 Memory is judged over time: at each horizon the mean of what is held plus some
 standard deviations must fit. How many is led by the preemptions that are seen.
+Near horizons keep more free than far ones: they come round more often, and
+what is admitted there can no longer be corrected.
 """
 
 from dataclasses import dataclass
@@ -11,9 +13,13 @@
 from chicoryshunt.process.allowance import Slack
 from chicoryshunt.process.policy.occupancy import HORIZONS, Curve
 from chicoryshunt.process.policy.profile import Parameters
+from chicoryshunt.process.policy.survival import Array
 
-_SLOT_RESERVE = 0.1
-_PREEMPTION_STEP = 0.2
+_SHORT_SLOTS_PART = 0.04
+_PREEMPTION_STEP = 0.05
+_NEAR_WEIGHT = 2.6
+_FAR_WEIGHT = 0.5
+HORIZON_WEIGHTS: Array = np.linspace(_NEAR_WEIGHT, _FAR_WEIGHT, len(HORIZONS))
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,12 +74,12 @@
     """
     slots = limit.slots
     if not is_short:
-        slots -= int(slots * _SLOT_RESERVE)
+        slots -= int(slots * _SHORT_SLOTS_PART)
     if running.requests >= slots:
         return NoSlot(slots)
     both = running + request
     memory = limit.memory_tokens * (1 - reserve)
-    deviation = np.maximum(np.sqrt(both.variance), 1)
+    deviation = HORIZON_WEIGHTS * np.maximum(np.sqrt(both.variance), 1)
     free = (memory - both.mean) / deviation
     worst = int(np.argmin(free))
     if free[worst] < margin:
@@ -98,9 +104,10 @@
     free = max(0, limit.slots - running.requests)
     counts = np.expand_dims(np.arange(free + 1), 1)
     variance = running.variance + counts * typical.variance
-    needed = running.mean + counts * typical.mean + margin * np.sqrt(variance)
+    deviation = HORIZON_WEIGHTS * np.sqrt(variance)
+    needed = running.mean + counts * typical.mean + margin * deviation
     fits = (needed <= limit.memory_tokens).all(axis=1)
-    tokens = limit.memory_tokens - int(running.bound(margin).max())
+    tokens = limit.memory_tokens - int(needed[0].max())
     return Slack(max(0, int(fits.sum()) - 1), max(0, tokens))
 
 
@@ -112,9 +119,10 @@
         self.deviations = parameters.margin
         self._parameters = parameters
 
-    def record_admission(self) -> None:
-        """Lower the margin a little for a request that was let in."""
-        self._move(-_PREEMPTION_STEP * self._parameters.preemption_goal)
+    def record_admission(self, *, has_waited: bool) -> None:
+        """Lower the margin a little for a request that memory held up."""
+        if has_waited:
+            self._move(-_PREEMPTION_STEP * self._parameters.preemption_goal)
 
     def record_preemptions(self, count: int) -> None:
         """Raise the margin for preemptions that a target reported."""
--- a/chicoryshunt/process/policy/book.py
+++ b/chicoryshunt/process/policy/book.py
@@ -9,12 +9,12 @@
     Curve,
     Running,
     build_empty_curve,
-    predict_occupancy,
+    forecast,
 )
 from chicoryshunt.process.policy.survival import LengthEstimator
 from chicoryshunt.types import RequestId, Seconds, TargetId
 
-_CURVE_AGE_SECONDS = 0.2
+_CURVE_AGE_SECONDS = 0.4
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,7 +72,9 @@
         self.running: dict[RequestId, Running] = {}
         self._estimator = estimator
         self._curve = build_empty_curve()
-        self._curve_at: float | None = None
+        self._curves: dict[RequestId, Curve] = {}
+        self._curve_at: float = 0
+        self._version = -1
 
     def start(self, request: RequestId, running: Running, added: Curve) -> None:
         """Count a request that is sent to the target."""
@@ -80,6 +82,7 @@
         running.promised = added.peak
         self.pending_tokens += running.prompt_tokens
         self._curve += added
+        self._curves[request] = added
 
     def record_tokens(self, request: RequestId, produced: int) -> None:
         """Note how many tokens a request has produced."""
@@ -96,15 +99,22 @@
             return None
         if not running.produced:
             self.pending_tokens -= running.prompt_tokens
-        self._curve_at = None
+        self._curve -= self._curves.pop(request)
         return running
 
     def predict(self, now: float) -> Curve:
         """Return the memory that this node's requests will hold."""
-        age = _CURVE_AGE_SECONDS
-        if self._curve_at is None or now - self._curve_at >= age:
-            for running in self.running.values():
-                running.survival = self._estimator.estimate(running.kind)
-            self._curve = predict_occupancy(tuple(self.running.values()))
+        if now - self._curve_at >= _CURVE_AGE_SECONDS and self.running:
+            self._sharpen()
             self._curve_at = now
         return self._curve
+
+    def _sharpen(self) -> None:
+        if self._version != self._estimator.version:
+            self._version = self._estimator.version
+            for running in self.running.values():
+                running.survival = self._estimator.estimate(running.kind)
+        forecasts = forecast(tuple(self.running.values()))
+        self._curve = forecasts.sum()
+        for index, request in enumerate(self.running):
+            self._curves[request] = forecasts.get_row(index)
--- a/chicoryshunt/process/policy/dispatcher.py
+++ b/chicoryshunt/process/policy/dispatcher.py
@@ -28,13 +28,20 @@
     find_place,
 )
 from chicoryshunt.process.policy.profile import Parameters
-from chicoryshunt.process.policy.queue import Ask, FairQueue, Waiting
+from chicoryshunt.process.policy.queue import (
+    Ask,
+    FairQueue,
+    Waiting,
+    rank_for_engine,
+)
 from chicoryshunt.process.policy.shares import TeamShares
 from chicoryshunt.process.policy.survival import LengthEstimator, Size
 from chicoryshunt.types import RequestId, Seconds, TargetId, Tokens
 
 _WORK_PER_PROMPT_TOKEN = 0.1
 _BLOCKED_SECONDS = 0.1
+_EXPIRE_SECONDS = 0.2
+_HELD_UP_SECONDS = 1
 
 
 class Stop(Enum):
@@ -54,6 +61,7 @@
     choice: Choice
     fit: Fit
     waited: Seconds
+    engine_priority: int
 
 
 class _Lane:
@@ -64,6 +72,7 @@
         self.queue = FairQueue()
         self.drain = DrainRate()
         self.blocked: RequestId | None = None
+        self.expired_at: float = 0
         self.blocked_until: float = 0
 
     def judge(self, waiting: Waiting) -> Useful | TooLate:
@@ -77,6 +86,12 @@
         self.blocked = head.ask.request
         self.blocked_until = now + _BLOCKED_SECONDS
 
+    def expire(self, now: float) -> list[Waiting]:
+        if now - self.expired_at < _EXPIRE_SECONDS:
+            return []
+        self.expired_at = now
+        return self.queue.expire(now - self.patience)
+
     def push(self, waiting: Waiting, now: float) -> None:
         self.drain.record(0, now, is_waiting=bool(len(self.queue)))
         self.queue.push(waiting)
@@ -145,7 +160,7 @@
         """Take out what has waited longer than is useful."""
         expired: list[Waiting] = []
         for lane in self._lanes.values():
-            expired.extend(lane.queue.expire(now - lane.patience))
+            expired.extend(lane.expire(now))
         return expired
 
     def find_next(self, now: float) -> Dispatch | None:
@@ -244,9 +259,15 @@
         book.hints.record(ask.prefix, now, held=True)
         self._places[ask.request] = book
         self._shares.add(ask.kind.team, demand.curve.peak)
-        self.margin.record_admission()
         waited = Seconds(now - waiting.arrived)
-        return Dispatch(waiting, place.choice, place.fit, waited)
+        self.margin.record_admission(has_waited=waited > _HELD_UP_SECONDS)
+        return Dispatch(
+            waiting,
+            place.choice,
+            place.fit,
+            waited,
+            rank_for_engine(ask),
+        )
 
     def _leave(self, request: RequestId) -> Running | None:
         book = self._places.pop(request, None)
--- a/chicoryshunt/process/policy/occupancy.py
+++ b/chicoryshunt/process/policy/occupancy.py
@@ -48,15 +48,19 @@
             self.variance + other.variance,
         )
 
+    def __sub__(self, other: 'Curve') -> 'Curve':
+        """Return the curve without some of its requests."""
+        return Curve(
+            self.requests - other.requests,
+            self.mean - other.mean,
+            np.maximum(self.variance - other.variance, 0),
+        )
+
     @property
     def peak(self) -> int:
         """Return the largest mean over the horizons."""
         return int(np.ceil(self.mean.max()))
 
-    def bound(self, margin: float) -> Array:
-        """Return mean plus some standard deviations at each horizon."""
-        return np.asarray(self.mean + margin * np.sqrt(self.variance))
-
     def report(self) -> CurveReport:
         """Return the curve as it travels."""
         deviation = np.ceil(np.sqrt(self.variance)).astype(int)
@@ -98,11 +102,29 @@
     promised: int = 0
 
 
-def predict_occupancy(running: Sequence[Running]) -> Curve:
-    """Return the curve of the requests that run on one target."""
-    if not running:
-        return build_empty_curve()
-    hazards = np.stack([one.survival.hazard for one in running])
+@dataclass(frozen=True, slots=True, eq=False)
+class Forecast:
+    """Mean and variance of each request: one row each, one column a horizon."""
+
+    mean: Array
+    variance: Array
+
+    def sum(self) -> Curve:
+        """Return the curve of all requests together."""
+        return Curve(
+            len(self.mean),
+            self.mean.sum(axis=0),
+            self.variance.sum(axis=0),
+        )
+
+    def get_row(self, index: int) -> Curve:
+        """Return the curve of one request."""
+        return Curve(1, self.mean[index], self.variance[index])
+
+
+def forecast(running: Sequence[Running]) -> Forecast:
+    """Predict the memory of each of at least one request on a target."""
+    hazards = np.array([one.survival.hazard for one in running])
     numbers = np.array(
         [(one.produced, one.prompt_tokens, one.max_tokens) for one in running],
         np.float64,
@@ -112,15 +134,21 @@
     level = _interpolate(hazards, later)
     chance = np.exp(level.take([0], axis=1) - level)
     chance *= later < np.maximum(most, age + 1)
-    held = chance * (prompt + later)
-    variance = held * (prompt + later) * (1 - chance)
-    return Curve(len(running), held.sum(axis=0), variance.sum(axis=0))
+    held = prompt + later
+    mean = chance * held
+    return Forecast(mean, mean * held * (1 - chance))
+
+
+def predict_occupancy(running: Sequence[Running]) -> Curve:
+    """Return the curve of the requests that run on one target."""
+    return forecast(running).sum() if running else build_empty_curve()
 
 
 def _interpolate(hazards: Array, ages: Array) -> Array:
     low = np.searchsorted(EDGES, ages, 'right') - 1
     low = np.minimum(low, len(EDGES) - 2)
-    start = np.take_along_axis(hazards, low, axis=1)
-    end = np.take_along_axis(hazards, low + 1, axis=1)
+    rows = np.expand_dims(np.arange(len(hazards)), 1)
+    start = hazards[rows, low]
+    end = hazards[rows, low + 1]
     part = (ages - EDGES[low]) / (EDGES[low + 1] - EDGES[low])
     return np.asarray(start + part * (end - start))
--- a/chicoryshunt/process/policy/profile.py
+++ b/chicoryshunt/process/policy/profile.py
@@ -27,10 +27,10 @@
 
 
 _STALL = Parameters(
-    margin=2,
-    least_margin=1,
-    most_margin=3.5,
-    preemption_goal=0.004,
+    margin=1.4,
+    least_margin=0.9,
+    most_margin=2.5,
+    preemption_goal=0.01,
     patience=Seconds(3),
     short_patience=Seconds(1),
     hedge_after=Seconds(0.4),
@@ -38,10 +38,10 @@
     team_reserve=0.1,
 )
 _PREEMPTION = Parameters(
-    margin=2.2,
-    least_margin=1.2,
-    most_margin=4,
-    preemption_goal=0.002,
+    margin=1.5,
+    least_margin=1.1,
+    most_margin=2.5,
+    preemption_goal=0.005,
     patience=Seconds(20),
     short_patience=Seconds(2),
     hedge_after=Seconds(1),
--- a/chicoryshunt/process/policy/queue.py
+++ b/chicoryshunt/process/policy/queue.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from chicoryshunt.process.policy.survival import Kind
+from chicoryshunt.process.policy.survival import Kind, Size
 from chicoryshunt.types import RequestId, TeamId
 
 _SECONDS_PER_WORK = 0.002
@@ -16,6 +16,8 @@
 _SECONDS_PER_PRIORITY = 1
 _MOST_PRIORITY = 5
 _MOST_IDLE_TEAMS = 1024
+_PROMPT_EDGES = (128, 256, 512, 1024, 2048)
+_SHORT_RANK = len(_PROMPT_EDGES) + 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,6 +33,21 @@
     prefix: str = ''
 
 
+def rank_for_engine(ask: Ask) -> int:
+    """Return the priority that an engine should give to a request.
+
+    An engine that runs out of memory preempts what has the lowest priority.
+    One large prompt frees more than several small ones, and is not taken in
+    again before there is room for all of it.
+    """
+    if ask.kind.size is Size.short:
+        size_rank = _SHORT_RANK
+    else:
+        size_rank = sum(ask.prompt_tokens < edge for edge in _PROMPT_EDGES)
+    priority = min(max(ask.priority, -_MOST_PRIORITY), _MOST_PRIORITY)
+    return priority * (_SHORT_RANK + 1) + size_rank
+
+
 @dataclass(frozen=True, slots=True)
 class Waiting:
     """One request that waits; ``work`` is expected tokens to serve."""
--- a/chicoryshunt/process/policy/survival.py
+++ b/chicoryshunt/process/policy/survival.py
@@ -38,7 +38,7 @@
 _TEAM_WEIGHT = 6
 _WINDOW_ANSWERS = 4096
 _TEAM_WINDOW = 256
-_REFRESH_COUNTS = 64
+_REFRESH_COUNTS = 256
 _MOST_TEAMS = 20_000
 _FIRST_ROWS = 16
 
@@ -106,7 +106,8 @@
         self._changes = 0
         self._refresh()
 
-    def count(self, team: TeamId, passed: slice, died: int | None) -> None:
+    def count(self, team: TeamId, passed: slice, died: int | None) -> bool:
+        """Count an answer; say whether the table was brought up to date."""
         row = self._find_row(team)
         self._expose(row, passed)
         if died is not None:
@@ -116,8 +117,10 @@
         if row[1].max() > _TEAM_WINDOW:
             row /= 2
         self._changes += 1
-        if self._changes >= min(_REFRESH_COUNTS, self.exposed[0]):
+        is_due = self._changes >= min(_REFRESH_COUNTS, self.exposed[0])
+        if is_due:
             self._refresh()
+        return bool(is_due)
 
     def estimate(self, team: TeamId) -> Survival:
         survival = self._survivals.get(team)
@@ -178,28 +181,35 @@
     """Learns the lengths of answers and predicts what remains."""
 
     def __init__(self, most_teams: int = _MOST_TEAMS) -> None:
-        """Start with the prior; keep ratios of a bounded number of teams."""
+        """Start with the prior; keep ratios of a bounded number of teams.
+
+        ``version`` changes when an estimate may have changed.
+        """
         self._most_teams = most_teams
         self._families: dict[tuple[ModelId, Size], _Family] = {}
+        self.version = 0
 
     def observe(self, kind: Kind, before: int, after: int) -> None:
         """Count that an answer went on from one age to another."""
         first = find_bucket(before)
         last = find_bucket(after)
         if last > first:
-            self._get(kind).count(kind.team, slice(first, last), None)
+            self._count(kind, slice(first, last), None)
 
     def observe_end(self, kind: Kind, before: int, length: Tokens) -> None:
         """Count that an answer ended by itself, seen last at ``before``."""
         first = find_bucket(before)
         died = bisect_left(_EDGE_AGES, max(length, before + 1)) - 1
         died = min(died, _BUCKETS - 1)
-        self._get(kind).count(kind.team, slice(first, died), died)
+        self._count(kind, slice(first, died), died)
 
     def estimate(self, kind: Kind) -> Survival:
         """Return the survival of a kind as it is known now."""
         return self._get(kind).estimate(kind.team)
 
+    def _count(self, kind: Kind, passed: slice, died: int | None) -> None:
+        self.version += self._get(kind).count(kind.team, passed, died)
+
     def _get(self, kind: Kind) -> _Family:
         key = (kind.model, kind.size)
         family = self._families.get(key)
--- /dev/null
+++ b/lab/policy_deciders.py
@@ -0,0 +1,267 @@
+"""Deciders under test: two baselines and the project's own decisions."""
+
+from collections import deque
+
+from chicoryshunt.connection.target_api import LoadReport
+from chicoryshunt.process.policy.admission import Limit
+from chicoryshunt.process.policy.book import Closed, Sole
+from chicoryshunt.process.policy.dispatcher import Dispatcher, Stop
+from chicoryshunt.process.policy.overload import Useful
+from chicoryshunt.process.policy.profile import get_parameters
+from chicoryshunt.process.policy.queue import Ask
+from chicoryshunt.process.policy.survival import (
+    Kind,
+    LengthEstimator,
+    classify,
+)
+from chicoryshunt.process.policy.warming import Warmth
+from chicoryshunt.types import (
+    ModelId,
+    Profile,
+    RequestId,
+    Seconds,
+    TargetId,
+    Tokens,
+)
+from lab.batching import EngineSpec
+from lab.policy_model import REPORT_SECONDS, Sent
+from lab.policy_workload import Arrival
+
+_MODEL = ModelId('kibitzer-llm')
+_UNLIMITED = 1_000_000
+_STEP_GOAL = Seconds(0.028)
+
+
+class Counting:
+    """What the baselines share: first in first out, requests counted."""
+
+    def __init__(self, engines: int, limit: int) -> None:
+        """Serve with every target."""
+        self._limit = limit
+        self._queue: deque[int] = deque()
+        self._running = [0 for _ in range(engines)]
+        self._serving = [True for _ in range(engines)]
+        self._alive = [True for _ in range(engines)]
+        self._places: dict[int, int] = {}
+
+    @property
+    def queued(self) -> int:
+        """Return the number of requests that wait at the decider."""
+        return len(self._queue)
+
+    def offer(self, arrival: Arrival, now: float) -> bool:
+        """Queue every request."""
+        self._queue.append(arrival.number)
+        return True
+
+    def expire(self, now: float) -> tuple[int, ...]:
+        """Let every request wait."""
+        return ()
+
+    def find_next(self, now: float) -> Sent | None:
+        """Send the oldest request if a target may take one."""
+        if not self._queue:
+            return None
+        target = self.choose(self._list_usable())
+        if target is None:
+            return None
+        number = self._queue.popleft()
+        self._running[target] += 1
+        self._places[number] = target
+        return Sent(number, target)
+
+    def choose(self, usable: list[int]) -> int | None:
+        """Return one of the targets that may take a request."""
+        raise NotImplementedError
+
+    def record_tokens(self, number: int, produced: int) -> None:
+        """Need no tokens."""
+
+    def record_stop(self, number: int, produced: int, *, ended: bool) -> None:
+        """Count a request no longer."""
+        target = self._places.pop(number, None)
+        if target is not None:
+            self._running[target] -= 1
+
+    def record_report(
+        self, target: int, report: LoadReport, now: float
+    ) -> None:
+        """See that a target is there."""
+        self._alive[target] = True
+
+    def record_loss(self, target: int, now: float) -> None:
+        """Use a lost target no longer until it reports again."""
+        self._alive[target] = False
+
+    def set_serving(self, target: int, *, serving: bool) -> None:
+        """Follow an order of operators."""
+        self._serving[target] = serving
+
+    def find_limit(self, target: int) -> int:
+        """Return the fixed limit."""
+        return self._limit
+
+    def _list_usable(self) -> list[int]:
+        return [
+            target
+            for target, running in enumerate(self._running)
+            if running < self._limit
+            and self._serving[target]
+            and self._alive[target]
+        ]
+
+
+class RoundRobin(Counting):
+    """Targets in turn, each with a fixed number of requests at once."""
+
+    def __init__(self, engines: int, limit: int) -> None:
+        """Start with the first target."""
+        super().__init__(engines, limit)
+        self._last = 0
+
+    def choose(self, usable: list[int]) -> int | None:
+        """Return the next target in turn."""
+        if not usable:
+            return None
+        later = [target for target in usable if target > self._last]
+        self._last = min(later or usable)
+        return self._last
+
+
+class LeastOutstanding(Counting):
+    """The target with the fewest requests, without a limit."""
+
+    def __init__(self, engines: int) -> None:
+        """Send everything at once."""
+        super().__init__(engines, _UNLIMITED)
+
+    def choose(self, usable: list[int]) -> int | None:
+        """Return the target with the fewest requests."""
+        return min(
+            usable,
+            key=lambda target: self._running[target],
+            default=None,
+        )
+
+
+class OneNode:
+    """The project's decisions made by one node for all targets."""
+
+    def __init__(
+        self,
+        profile: Profile,
+        spec: EngineSpec,
+        engines: int,
+    ) -> None:
+        """Start with targets that are known to be warm."""
+        declared = Limit(spec.slots, spec.memory_tokens)
+        self._parameters = get_parameters(profile)
+        self.dispatcher = Dispatcher(self._parameters, LengthEstimator())
+        self.warmths = [Warmth(declared, _STEP_GOAL) for _ in range(engines)]
+        self._serving = [True for _ in range(engines)]
+        self._preemptions: dict[int, int] = {}
+        for target, warmth in enumerate(self.warmths):
+            _warm_up(warmth, declared)
+            self.dispatcher.add_target(_name(target))
+            self._open(target, 0)
+
+    @property
+    def queued(self) -> int:
+        """Return the number of requests that wait at the decider."""
+        return self.dispatcher.queued
+
+    def offer(self, arrival: Arrival, now: float) -> bool:
+        """Queue a request that will be served in time."""
+        return isinstance(
+            self.dispatcher.offer(_build_ask(arrival), now),
+            Useful,
+        )
+
+    def expire(self, now: float) -> list[int]:
+        """Return the requests that waited past their use."""
+        return [int(one.ask.request) for one in self.dispatcher.expire(now)]
+
+    def find_next(self, now: float) -> Sent | None:
+        """Return the next dispatch."""
+        dispatch = self.dispatcher.find_next(now)
+        if dispatch is None:
+            return None
+        return Sent(
+            int(dispatch.waiting.ask.request),
+            int(dispatch.choice.target),
+            dispatch.engine_priority,
+        )
+
+    def record_tokens(self, number: int, produced: int) -> None:
+        """Pass on the tokens seen."""
+        self.dispatcher.record_tokens(RequestId(str(number)), produced)
+
+    def record_stop(self, number: int, produced: int, *, ended: bool) -> None:
+        """Pass on the end of a request."""
+        self.dispatcher.record_stop(
+            RequestId(str(number)),
+            Tokens(produced),
+            Stop.ended if ended else Stop.lost,
+        )
+
+    def record_report(
+        self, target: int, report: LoadReport, now: float
+    ) -> None:
+        """Learn from a report how warm a target is."""
+        warmth = self.warmths[target]
+        warmth.record_start(report.start)
+        step = Seconds(report.step_ms / 1000)
+        served = report.running * int(REPORT_SECONDS / step)
+        warmth.record_work(served, step, report.running)
+        book = self.dispatcher.books[_name(target)]
+        book.step_seconds = step
+        book.waiting = report.waiting
+        seen = self._preemptions.get(target, 0)
+        self._preemptions[target] = report.preemptions
+        if report.preemptions > seen:
+            self.dispatcher.margin.record_preemptions(report.preemptions - seen)
+        self._open(target, now)
+
+    def record_loss(self, target: int, now: float) -> None:
+        """Close a lost target until it reports again."""
+        self.warmths[target].record_loss()
+        self.dispatcher.set_room(_name(target), Closed('lost'))
+
+    def set_serving(self, target: int, *, serving: bool) -> None:
+        """Follow an order of operators."""
+        self._serving[target] = serving
+        if not serving:
+            self.dispatcher.set_room(_name(target), Closed('out'))
+
+    def find_limit(self, target: int) -> int:
+        """Return the slots that the target may have now."""
+        return self.warmths[target].limit.slots
+
+    def _open(self, target: int, now: float) -> None:
+        warmth = self.warmths[target]
+        if not self._serving[target]:
+            return
+        if warmth.is_resting(now):
+            self.dispatcher.set_room(_name(target), Closed('resting'))
+            return
+        self.dispatcher.set_room(_name(target), Sole(warmth.limit))
+
+
+def _name(target: int) -> TargetId:
+    return TargetId(str(target))
+
+
+def _warm_up(warmth: Warmth, declared: Limit) -> None:
+    warmth.record_start(1)
+    while warmth.limit.slots < declared.slots:
+        warmth.record_work(_UNLIMITED, _STEP_GOAL, declared.slots)
+
+
+def _build_ask(arrival: Arrival) -> Ask:
+    return Ask(
+        RequestId(str(arrival.number)),
+        Kind(arrival.team, _MODEL, classify(arrival.max_tokens)),
+        arrival.prompt_tokens,
+        arrival.max_tokens,
+        prefix=arrival.prefix,
+    )
