--- a/lab/policy_model.py
+++ b/lab/policy_model.py
@@ -324,15 +324,18 @@
             resumed += 1
             answer.produced = job.produced
             self._paused[target].pop(number)
-            if answer.first_at < 0:
-                answer.first_at = now
-            elif answer.paused_at >= 0:
-                gap = now - answer.paused_at
-                answer.stall += gap if gap > STALL_SECONDS else 0
-                self.ledger.count_gap(gap, 1)
-            answer.paused_at = -1
+            self._end_pause(answer, now)
         return resumed
 
+    def _end_pause(self, answer: Answer, now: float) -> None:
+        if answer.first_at < 0:
+            answer.first_at = now
+        elif answer.paused_at >= 0:
+            gap = now - answer.paused_at
+            answer.stall += gap if gap > STALL_SECONDS else 0
+            self.ledger.count_gap(gap, 1)
+        answer.paused_at = -1
+
     def _finish(
         self,
         decider: Decider,
