Limit kept targets by their warmth; use a subset of targets by rank

The keeper weighs each load report: a target grows from its first slots by tokens served at good latency and drops on a new start, a loss or latency out of band. A node uses at most twenty targets of a model, its own data centre first, and asks for the memory of what waits, not only for slots.

--- a/chicoryshunt/connection/target_api.py
+++ b/chicoryshunt/connection/target_api.py
@@ -54,7 +54,10 @@
 
 
 class LoadReport(msgspec.Struct, frozen=True):
-    """Load of an engine at a past moment; ``start`` changes when it starts."""
+    """Load of an engine at a past moment; ``start`` changes when it starts.
+
+    ``preemptions`` and ``tokens`` count since the start.
+    """
 
     start: int
     at: float
@@ -64,6 +67,7 @@
     memory_tokens: int
     step_ms: float
     preemptions: int
+    tokens: int = 0
     fence: int = 0
     role: str = 'both'
     model_version: str = ''
--- a/chicoryshunt/process/allowance.py
+++ b/chicoryshunt/process/allowance.py
@@ -53,5 +53,11 @@
     def give_back(self, slot: Slot, now: float) -> None:
         """Return a slot when its request has left the target."""
 
-    def want(self, target: TargetId, slots: int, now: float) -> None:
-        """Say how many more slots could be used on a target."""
+    def want(
+        self,
+        target: TargetId,
+        slots: int,
+        memory_tokens: int,
+        now: float,
+    ) -> None:
+        """Say how much more could be used on a target."""
--- a/chicoryshunt/process/fleet.py
+++ b/chicoryshunt/process/fleet.py
@@ -23,6 +23,7 @@
 from chicoryshunt.process.pause import Pulse
 from chicoryshunt.process.peers import PeerClient
 from chicoryshunt.process.seal import Purpose, Seal
+from chicoryshunt.process.warmths import Warmths
 from chicoryshunt.process.watch import VmWatch
 from chicoryshunt.settings import LeaseSettings, Settings
 from chicoryshunt.types import Incarnation
@@ -102,6 +103,12 @@
             drive_cores(self.cores, mesh, self.pulse),
         )
 
+    def watch_warmth(self, warmths: Warmths) -> None:
+        """Let the warmth of kept targets lower their limits."""
+        self.bearings.adjust(warmths.adjust)
+        self.loads.subscribe(warmths.take_report)
+        self.loads.subscribe_losses(warmths.take_loss)
+
     def learn_config(self, config: Config) -> None:
         """Follow the configuration."""
         self.bearings.learn(config)
--- a/chicoryshunt/process/loads.py
+++ b/chicoryshunt/process/loads.py
@@ -18,6 +18,7 @@
 _TIMEOUT_SECONDS = 2.0
 
 Subscriber = Callable[[TargetId, LoadReport, float], None]
+LossSubscriber = Callable[[TargetId], None]
 
 
 class LoadReader:
@@ -29,6 +30,7 @@
         self._pulse = pulse
         self._config: Config | None = None
         self._subscribers: list[Subscriber] = []
+        self._loss_subscribers: list[LossSubscriber] = []
 
     def learn(self, config: Config) -> None:
         """Follow the configuration."""
@@ -38,6 +40,10 @@
         """Call ``notify(target, report, now)`` with each report."""
         self._subscribers.append(notify)
 
+    def subscribe_losses(self, notify: LossSubscriber) -> None:
+        """Call ``notify(target)`` when a target does not answer."""
+        self._loss_subscribers.append(notify)
+
     async def run(self, client: HttpClient) -> None:
         """Read for as long as the process lives."""
         while True:
@@ -67,6 +73,8 @@
             report = await _read_report(client, url)
         except (ChicoryshuntError, TimeoutError, msgspec.DecodeError) as error:
             log_problem('load_unreadable', target=target, error=str(error))
+            for note_loss in self._loss_subscribers:
+                note_loss(target)
             return
         now = self._pulse.check()
         self._keeping.take_load(target, report, now)
--- a/chicoryshunt/process/policy/dispatcher.py
+++ b/chicoryshunt/process/policy/dispatcher.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from itertools import islice
 
 from chicoryshunt.process.policy.admission import Fit, Margin
 from chicoryshunt.process.policy.book import Room, TargetBook, count_memory
@@ -40,6 +41,7 @@
 
 _WORK_PER_PROMPT_TOKEN = 0.1
 _BLOCKED_SECONDS = 0.1
+_MOST_MEASURED = 16
 _EXPIRE_SECONDS = 0.2
 _HELD_UP_SECONDS = 1
 
@@ -64,6 +66,15 @@
     engine_priority: int
 
 
+@dataclass(frozen=True, slots=True)
+class WaitingDemand:
+    """What waits: requests, their expected peak memory, the largest one."""
+
+    requests: int
+    memory_tokens: int
+    largest_tokens: int
+
+
 class _Lane:
     """Requests of one size class that wait."""
 
@@ -126,6 +137,15 @@
         """Return the number of requests that wait."""
         return sum(len(lane.queue) for lane in self._lanes.values())
 
+    def measure_demand(self) -> WaitingDemand:
+        """Return what all waiting requests together would take."""
+        peaks = [
+            self._build_demand(waiting).curve.peak
+            for lane in self._lanes.values()
+            for waiting in islice(lane.queue, _MOST_MEASURED)
+        ]
+        return WaitingDemand(self.queued, sum(peaks), max(peaks, default=0))
+
     def add_target(self, target: TargetId, *, is_local: bool = True) -> None:
         """Know a target; it is closed until it has room."""
         if target not in self.books:
--- a/chicoryshunt/process/policy/warming.py
+++ b/chicoryshunt/process/policy/warming.py
@@ -93,6 +93,13 @@
         self._rest_until = now + _REFUSAL_REST_SECONDS
         return self._drop(TargetState.suspect, Cause.refusal)
 
+    def trust(self, running: int, step_seconds: Seconds) -> None:
+        """Start from what the target is seen to serve at good latency."""
+        if step_seconds <= self._band and running > self._slots:
+            self._slots = float(min(running, self._declared.slots))
+            self.state = TargetState.warming
+            self.cause = Cause.evidence
+
     def record_work(
         self,
         tokens: int,
--- /dev/null
+++ b/chicoryshunt/process/rooms.py
@@ -0,0 +1,110 @@
+"""Which targets this node uses, and what it may send to each."""
+
+from collections.abc import Iterable
+
+from chicoryshunt.process.allowance import Allowances
+from chicoryshunt.process.policy.admission import Limit
+from chicoryshunt.process.policy.book import Closed, Leased, Room
+from chicoryshunt.process.policy.dispatcher import Dispatcher
+from chicoryshunt.process.rendezvous import compute_weight
+from chicoryshunt.process.router import is_serving
+from chicoryshunt.types import DataCentreId, ModelId, TargetId, VmId
+from chicoryshunt.version.config import Config, Target
+
+MAX_TARGETS = 20
+_LOST_SECONDS = 5.0
+_UNDECLARED_TOKENS = 2_147_483_647
+
+
+class Rooms:
+    """Rooms of targets, by the configuration, leases and losses.
+
+    Times are seconds of the node's clock.
+    """
+
+    def __init__(
+        self,
+        vm: VmId,
+        data_centre: DataCentreId,
+        allowances: Allowances,
+    ) -> None:
+        """Start without a configuration."""
+        self._vm = vm
+        self._data_centre = data_centre
+        self._allowances = allowances
+        self._config: Config | None = None
+        self._lost_until: dict[TargetId, float] = {}
+
+    def apply(self, config: Config) -> dict[ModelId, list[TargetId]]:
+        """Follow the configuration; return the targets to use by model."""
+        self._config = config
+        by_model: dict[ModelId, list[TargetId]] = {}
+        for name, target in config.targets.items():
+            if target.model is not None:
+                by_model.setdefault(target.model, []).append(name)
+        return {
+            model: self._choose(config, names)
+            for model, names in by_model.items()
+        }
+
+    def is_local(self, name: TargetId) -> bool:
+        """Say whether a target stands in the node's own data centre."""
+        target = self._find_target(name)
+        return target is not None and target.data_centre == self._data_centre
+
+    def find_address(self, name: TargetId) -> str:
+        """Return where a target listens, empty when it is unknown."""
+        target = self._find_target(name)
+        return '' if target is None else target.address
+
+    def record_loss(self, name: TargetId, now: float) -> None:
+        """Close a target for a while, for it was lost."""
+        self._lost_until[name] = now + _LOST_SECONDS
+
+    def find(self, name: TargetId, now: float) -> Room:
+        """Return what may be sent to a target now."""
+        target = self._find_target(name)
+        if target is None or self._config is None:
+            return Closed('unknown')
+        if not is_serving(self._config, target):
+            return Closed('out')
+        if self._lost_until.get(name, 0) > now:
+            return Closed('lost')
+        return Leased(
+            self._allowances.find_slack(name, now),
+            Limit(
+                target.concurrent,
+                target.memory_tokens or _UNDECLARED_TOKENS,
+            ),
+        )
+
+    def refresh(self, dispatcher: Dispatcher, now: float) -> None:
+        """Tell a dispatcher every room and ask for what it needs."""
+        names = tuple(dispatcher.books)
+        demand = dispatcher.measure_demand()
+        slots = _divide(demand.requests, len(names))
+        memory_tokens = max(
+            _divide(demand.memory_tokens, len(names)),
+            demand.largest_tokens,
+        )
+        for name in names:
+            self._allowances.want(name, slots, memory_tokens, now)
+            dispatcher.set_room(name, self.find(name, now))
+
+    def _find_target(self, name: TargetId) -> Target | None:
+        return None if self._config is None else self._config.targets.get(name)
+
+    def _choose(
+        self,
+        config: Config,
+        names: Iterable[TargetId],
+    ) -> list[TargetId]:
+        def rank(name: TargetId) -> tuple[bool, int]:
+            is_far = config.targets[name].data_centre != self._data_centre
+            return is_far, compute_weight(name, self._vm)
+
+        return sorted(names, key=rank)[:MAX_TARGETS]
+
+
+def _divide(work: int, parts: int) -> int:
+    return -(-work // max(1, parts))
--- a/chicoryshunt/process/router.py
+++ b/chicoryshunt/process/router.py
@@ -65,7 +65,7 @@
         for chosen in ordered:
             if self._allowances.find_slack(chosen, now).slots:
                 return Route(chosen, usable[chosen].address)
-            self._allowances.want(chosen, 1, now)
+            self._allowances.want(chosen, 1, 0, now)
         return refuse(
             Reason.overloaded,
             f'targets of {wanted!r} are full',
--- a/chicoryshunt/process/state.py
+++ b/chicoryshunt/process/state.py
@@ -14,8 +14,10 @@
 from chicoryshunt.process.journal import Journal
 from chicoryshunt.process.levels import Levels
 from chicoryshunt.process.metrics import Metrics
+from chicoryshunt.process.rooms import Rooms
 from chicoryshunt.process.router import Route, Router
 from chicoryshunt.process.scheduler import Scheduler
+from chicoryshunt.process.warmths import Warmths
 from chicoryshunt.settings import Settings
 from chicoryshunt.types import (
     ConfigVersion,
@@ -81,7 +83,7 @@
         self.clock = SystemClock()
         self.journal = Journal(self.clock, self.metrics)
         self.scheduler = Scheduler(
-            settings.data_centre,
+            Rooms(settings.vm, settings.data_centre, allowed),
             allowed,
             self.clock,
             self.journal,
@@ -92,6 +94,9 @@
             self.configuration,
             self.clock,
         )
+        self.warmths = Warmths(self.journal)
+        self.fleet.watch_warmth(self.warmths)
+        self.configuration.subscribe(self.warmths.learn)
         self.configuration.subscribe(self.fleet.learn_config)
         self.configuration.subscribe(self.scheduler.apply)
 
--- a/chicoryshunt/process/tenure.py
+++ b/chicoryshunt/process/tenure.py
@@ -113,13 +113,17 @@
         if self.running >= slots:
             return Shortage.lease_used_up
         if memory_tokens > self.find_slack(now).memory_tokens:
-            self._want_memory(memory_tokens, now)
+            self.want(0, memory_tokens, now)
             return Shortage.memory_used_up
         return self.usage.take(self._target, memory_tokens)
 
-    def want(self, slots: int, now: float) -> None:
+    def want(self, slots: int, memory_tokens: int, now: float) -> None:
         """Ask for more slots soon when the lease has too few."""
-        self._ask(self.count_used() + slots, now)
+        by_memory = 0
+        if memory_tokens and self._memory_per_slot:
+            tokens = self.usage.memory_tokens + memory_tokens
+            by_memory = ceil(tokens / self._memory_per_slot)
+        self._ask(max(self.count_used() + slots, by_memory), now)
 
     def follow(self, keeper: VmId | None, now: float) -> None:
         """Turn to the node that keeps the target now."""
@@ -246,8 +250,3 @@
 
     def _find_want(self, now: float) -> int:
         return self._want if now < self._want_until else 0
-
-    def _want_memory(self, memory_tokens: int, now: float) -> None:
-        if self._memory_per_slot:
-            wanted = self.usage.memory_tokens + memory_tokens
-            self._ask(ceil(wanted / self._memory_per_slot), now)
--- a/chicoryshunt/process/tenures.py
+++ b/chicoryshunt/process/tenures.py
@@ -71,10 +71,16 @@
         if tenure is not None:
             tenure.usage.give_back(slot)
 
-    def want(self, target: TargetId, slots: int, now: float) -> None:
-        """Say how many more slots could be used on a target."""
+    def want(
+        self,
+        target: TargetId,
+        slots: int,
+        memory_tokens: int,
+        now: float,
+    ) -> None:
+        """Say how much more could be used on a target."""
         if target in self._panels and self._panels.find(target):
-            self._open(target).want(slots, now)
+            self._open(target).want(slots, memory_tokens, now)
 
     def learn_panel(
         self,
--- a/lab/engine.py
+++ b/lab/engine.py
@@ -130,6 +130,7 @@
             memory_tokens=self.batch.spec.memory_tokens,
             step_ms=step_seconds * 1000,
             preemptions=self.batch.preemptions,
+            tokens=self.batch.tokens,
             fence=self.fence,
             role=self.role,
             model_version=self.model_version,
