--- a/lab/stream_faults.py
+++ b/lab/stream_faults.py
@@ -13,9 +13,9 @@
 from chicoryshunt.operations import run_until_done
 from chicoryshunt.types import RunState
 from lab.daemon import parse_flags
-from lab.demo import start_small_fleet
 from lab.faults import FaultKind
-from lab.fleet import Fleet, Started, run_fleet, send
+from lab.fleet import run_fleet, send
+from lab.topology import SMALL, UserFleet
 
 _FLAGS = flags.FlagValues()
 flags.DEFINE_integer('length', 100, 'tokens an answer', flag_values=_FLAGS)
@@ -46,35 +46,33 @@
 )
 
 
-async def run_case(
-    case: Case,
-    engines: list[Started],
-    addresses: list[str],
-) -> Answer:
+async def run_case(case: Case, user: UserFleet) -> Answer:
     """Ask for one answer and misbehave once it has begun."""
-    caller = Caller(addresses, 'olongapo')
-    prompt = f'length={_FLAGS.length} {case.fault.value}'
     if case.fault not in {FaultKind.die, FaultKind.freeze}:
-        _order_fault(case, engines)
-    asking = asyncio.ensure_future(
-        caller.generate('kibitzer-llm', {'prompt': prompt}),
-    )
+        _order_fault(case, user)
+    asking = asyncio.ensure_future(_ask(user, case.fault.value))
     if case.fault in {FaultKind.die, FaultKind.freeze}:
         await asyncio.sleep(_AFTER_SECONDS)
-        _order_fault(case, engines)
+        _order_fault(case, user)
     answer = await asking
     if case.fault is not FaultKind.die:
-        _order_fault(Case(FaultKind.none, 0, is_whole=True), engines)
+        _order_fault(_CASES[0], user)
     return answer
 
 
-def _order_fault(case: Case, engines: list[Started]) -> None:
+async def _ask(user: UserFleet, text: str) -> Answer:
+    caller = Caller(user.addresses, user.plan.teams[0])
+    prompt = f'length={_FLAGS.length} {text}'
+    return await caller.generate(user.plan.model, {'prompt': prompt})
+
+
+def _order_fault(case: Case, user: UserFleet) -> None:
     fault = {
         'kind': case.fault.value,
         'seconds': case.seconds,
         'after_tokens': _AFTER_TOKENS,
     }
-    for engine in engines:
+    for engine in user.engines:
         send(engine.url, 'POST', '/faults', fault)
 
 
@@ -93,29 +91,21 @@
     return [name for name, holds in checks.items() if not holds]
 
 
-async def run_cases(fleet: Fleet, nodes: list[Started]) -> int:
+async def run_cases(user: UserFleet) -> int:
     """Print one line a case; return how many are wrong."""
-    engines = [
-        one for name, one in fleet.started.items() if name.startswith('engine')
-    ]
-    addresses = [f'127.0.0.1:{node.port}' for node in nodes]
     wrong = 0
     for case in _CASES:
         if case.fault is FaultKind.die:
-            wrong += _report('nodes', _CASES[0], await lose_nodes(nodes))
-        answer = await run_case(case, engines, addresses)
+            wrong += _report('nodes', _CASES[0], await lose_nodes(user))
+        answer = await run_case(case, user)
         wrong += _report(case.fault.value, case, answer)
     return wrong
 
 
-async def lose_nodes(nodes: list[Started]) -> Answer:
+async def lose_nodes(user: UserFleet) -> Answer:
     """Ask for one answer and kill all nodes but the last meanwhile."""
-    caller = Caller([f'127.0.0.1:{node.port}' for node in nodes], 'olongapo')
-    prompt = f'length={_FLAGS.length} nodes'
-    asking = asyncio.ensure_future(
-        caller.generate('kibitzer-llm', {'prompt': prompt}),
-    )
-    for node in nodes[:-1]:
+    asking = asyncio.ensure_future(_ask(user, 'nodes'))
+    for node in user.nodes[:-1]:
         await asyncio.sleep(_AFTER_SECONDS)
         node.process.kill()
     return await asking
@@ -139,8 +129,8 @@
         tempfile.TemporaryDirectory() as folder,
         run_fleet(Path(folder), _FIRST_PORT) as fleet,
     ):
-        nodes = start_small_fleet(fleet)
-        wrong = run_until_done(lambda: run_cases(fleet, nodes))
+        user = UserFleet(fleet, SMALL)
+        wrong = run_until_done(lambda: run_cases(user))
     sys.exit(1 if wrong else 0)
 
 
