--- a/chicoryshunt/caller/caller.py
+++ b/chicoryshunt/caller/caller.py
@@ -8,14 +8,18 @@
 
 from chicoryshunt.caller.answer import Answer, parse_run_state
 from chicoryshunt.caller.entries import EntryBook
+from chicoryshunt.caller.once import call_once
 from chicoryshunt.caller.stream import AnswerStream
 from chicoryshunt.connection.caller_api import (
     GENERATION_HEADER,
+    GRANT_HEADER,
+    GRANT_OWNER_HEADER,
     INCOMPLETE,
     RESUME_HEADER,
     RESUME_PATH,
     TEAM_HEADER,
     VERDICT_HEADER,
+    GrantOffer,
     VerdictBody,
 )
 from chicoryshunt.connection.client import (
@@ -63,13 +67,16 @@
 
     async def file(self, service: str, path: str, key: str) -> Answer:
         """Send one call that may not be repeated; raise ``CallError``."""
-        addresses = await self._book.list_addresses()
-        answer: Answer = await self._post(
-            f'http://{addresses[0]}/v1/call/{service}/{path}',
-            b'{}',
-            {'idempotency-key': key},
-        )
-        return answer
+
+        async def post(address: str, headers: Mapping[str, str]) -> Answer:
+            answer: Answer = await self._post(
+                f'http://{address}/v1/call/{service}/{path}',
+                b'{}',
+                headers,
+            )
+            return answer
+
+        return await call_once(self._book, post, key)
 
     async def _may_retry(self, answer: Answer) -> bool:
         """Wait as long as the refusal asks; say whether to try again."""
@@ -189,9 +196,16 @@
         parse_run_state(_get_header(response, VERDICT_HEADER)),
         generation=_get_header(response, GENERATION_HEADER),
         status=response.code,
+        grant=_read_grant(response),
     )
 
 
+def _read_grant(response: Any) -> GrantOffer | None:
+    token = _get_header(response, GRANT_HEADER)
+    owner = _get_header(response, GRANT_OWNER_HEADER)
+    return GrantOffer(token, owner, 0) if token else None
+
+
 async def _read_whole(response: Any) -> Answer:
     """Return a call's answer or a refusal with its reason."""
     answer = _start_answer(response)
--- a/chicoryshunt/caller/entries.py
+++ b/chicoryshunt/caller/entries.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from chicoryshunt.connection.caller_api import Entries
+from chicoryshunt.connection.caller_api import Entries, GrantOffer
 from chicoryshunt.connection.client import (
     BrokenError,
     HttpClient,
@@ -24,6 +24,7 @@
         self._seeds = tuple(seeds)
         self._addresses: tuple[str, ...] = ()
         self._expires: float = 0
+        self._grant: GrantOffer | None = None
 
     async def list_addresses(self) -> tuple[str, ...]:
         """Return the addresses to use; raise ``CallError`` without any."""
@@ -31,6 +32,11 @@
             await self._refresh()
         return self._addresses
 
+    async def get_grant(self) -> GrantOffer | None:
+        """Return the grant that came with the addresses."""
+        await self.list_addresses()
+        return self._grant
+
     def expire(self) -> None:
         """Ask again before the next use."""
         self._expires = 0
@@ -63,5 +69,6 @@
     def _keep(self, entries: Entries, asked: str) -> None:
         listed = tuple(entry.address for entry in entries.entries)
         self._addresses = listed or (asked,)
+        self._grant = entries.grant
         now = asyncio.get_running_loop().time()
         self._expires = now + entries.keep_seconds
--- a/chicoryshunt/connection/caller_api.py
+++ b/chicoryshunt/connection/caller_api.py
@@ -12,6 +12,10 @@
 GENERATION_HEADER: Final = 'x-generation'
 RESUME_HEADER: Final = 'x-resume'
 RETRY_HEADER: Final = 'retry-after'
+GRANT_HEADER: Final = 'x-grant'
+GRANT_OWNER_HEADER: Final = 'x-grant-owner'
+ENTRIES_HEADER: Final = 'x-entries'
+KEY_HEADER: Final = 'idempotency-key'
 RESUME_PATH: Final = '/v1/resume'
 INCOMPLETE: Final = 'incomplete'
 
@@ -23,11 +27,24 @@
     address: str
 
 
+class GrantOffer(msgspec.Struct, frozen=True):
+    """Grant for requests that may not be repeated.
+
+    ``address`` is where its owner listens; the caller begins requests under
+    it for ``keep_seconds``.
+    """
+
+    token: str
+    address: str
+    keep_seconds: float
+
+
 class Entries(msgspec.Struct, frozen=True):
     """Addresses in order of preference and how long to keep them."""
 
     entries: tuple[Entry, ...]
     keep_seconds: float
+    grant: GrantOffer | None = None
 
 
 class VerdictBody(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/chicoryshunt/connection/exchange.py
+++ b/chicoryshunt/connection/exchange.py
@@ -26,7 +26,7 @@
         """Wrap a request whose body is whole."""
         self._request = cast(Any, request)
         self._gone = asyncio.Event()
-        request.notifyFinish().addErrback(self._mark_gone)
+        self.on_gone(self._gone.set)
 
     @property
     def method(self) -> str:
@@ -43,6 +43,12 @@
         """Return the path's segments."""
         return tuple(self.path.split('/')[1:])
 
+    @property
+    def query(self) -> str:
+        """Return the query as it was sent, empty when absent."""
+        uri = cast(bytes, self._request.uri)
+        return uri.partition(b'?')[2].decode('ascii', 'replace')
+
     @property
     def body(self) -> bytes:
         """Return the whole body."""
@@ -146,6 +152,3 @@
         if verdict.retry_after is not None:
             self.set_header(RETRY_HEADER, f'{verdict.retry_after:.3f}')
         self.respond(encode_verdict(verdict), JSON_TYPE, verdict.status)
-
-    def _mark_gone(self, _: object) -> None:
-        self._gone.set()
--- a/chicoryshunt/types.py
+++ b/chicoryshunt/types.py
@@ -32,6 +32,8 @@
 class Reason(Enum):
     """Name why a request, message or patch was refused."""
 
+    already_ran = 'already_ran'
+    answer_too_large = 'answer_too_large'
     bad_request = 'bad_request'
     body_too_large = 'body_too_large'
     body_truncated = 'body_truncated'
@@ -43,6 +45,7 @@
     grant_expired = 'grant_expired'
     grant_forged = 'grant_forged'
     grant_missing = 'grant_missing'
+    grant_of_other_node = 'grant_of_other_node'
     internal_error = 'internal_error'
     key_reused = 'key_reused'
     no_capacity = 'no_capacity'
@@ -56,6 +59,7 @@
     retry_budget = 'retry_budget'
     table_full = 'table_full'
     target_refused = 'target_refused'
+    target_timeout = 'target_timeout'
     target_unreachable = 'target_unreachable'
     token_forged = 'token_forged'
     too_many_connections = 'too_many_connections'
