--- a/lab/bare_relay.py
+++ b/lab/bare_relay.py
@@ -1,5 +1,6 @@
 """A bare TCP relay on the same reactor, the yardstick of the benchmark."""
 
+import asyncio
 from itertools import cycle
 from typing import Any, cast
 
@@ -7,13 +8,27 @@
 from twisted.internet.protocol import ClientFactory, Factory, Protocol
 
 from chicoryshunt.connection import loop
+from chicoryshunt.connection.loop_transport import (
+    LoopClientEndpoint,
+    open_server,
+)
 from lab.daemon import parse_flags
 
 _FLAGS = flags.FlagValues()
 flags.DEFINE_integer('port', 0, 'port on loopback', flag_values=_FLAGS)
+flags.DEFINE_boolean(
+    'loop_transports',
+    False,
+    "use the loop's transports instead of the reactor's",
+    flag_values=_FLAGS,
+)
 flags.DEFINE_list('targets', [], 'ports to relay to', flag_values=_FLAGS)
 
 
+_HOST = '127.0.0.1'
+_CONNECT_SECONDS = 5.0
+
+
 class Downstream(Protocol):
     """Connection of a caller; what arrives before the engine is kept."""
 
@@ -26,11 +41,12 @@
     def connectionMade(self) -> None:
         """Connect to the engine."""
         _set_nodelay(self)
-        loop.get_reactor().connectTCP(
-            '127.0.0.1',
-            self._port,
-            UpstreamFactory(self),
-        )
+        factory = UpstreamFactory(self)
+        if _FLAGS.loop_transports:
+            endpoint = LoopClientEndpoint(_HOST, self._port, _CONNECT_SECONDS)
+            endpoint.connect(factory)
+        else:
+            loop.get_reactor().connectTCP(_HOST, self._port, factory)
 
     def dataReceived(self, data: bytes) -> None:
         """Pass on to the engine."""
@@ -109,8 +125,13 @@
     parse_flags(_FLAGS)
     loop.install_reactor()
     reactor = loop.get_reactor()
-    ports = [int(port) for port in _FLAGS.targets]
-    reactor.listenTCP(_FLAGS.port, RelayFactory(ports), interface='127.0.0.1')
+    factory = RelayFactory([int(port) for port in _FLAGS.targets])
+    if _FLAGS.loop_transports:
+        asyncio.get_event_loop().run_until_complete(
+            open_server(factory, _HOST, _FLAGS.port),
+        )
+    else:
+        reactor.listenTCP(_FLAGS.port, factory, interface=_HOST)
     reactor.run()
 
 
--- a/lab/relay_bench.py
+++ b/lab/relay_bench.py
@@ -90,11 +90,18 @@
     settings = build_settings(fleet, 'vm-0', 'luzon-a', platform)
     settings['limits'] = {'caller_grace_seconds': 0.1}
     publish_vms(platform, (settings,))
-    bare = fleet.start_stand_in('bare_relay', 'bare', f'--targets={ports}')
+    targets = f'--targets={ports}'
+    bare = fleet.start_stand_in('bare_relay', 'bare', targets)
+    loop = fleet.start_stand_in(
+        'bare_relay',
+        'loop',
+        targets,
+        '--loop_transports',
+    )
     node = fleet.launch_node('vm-0', settings)
     wait_ready(node)
     wait_version((node,), 1)
-    return {'bare': bare, 'node': node}
+    return {'bare': bare, 'loop': loop, 'node': node}
 
 
 def _build_config(engines: list[Started]) -> object:
@@ -123,13 +130,19 @@
         'ratio': round(statistics.median(ratios), 3),
         'ratio_min': round(min(ratios), 3),
         'ratio_max': round(max(ratios), 3),
+        'ratio_to_loop': round(
+            statistics.median(
+                one['node'].cpu_us / one['loop'].cpu_us for one in rounds
+            ),
+            3,
+        ),
         'wrong': sum(one['node'].load.wrong for one in rounds),
         'streams': _FLAGS.streams,
         'slow': _FLAGS.slow,
         'event_bytes': _FLAGS.size,
         'rounds': len(rounds),
     }
-    for name in ('bare', 'node'):
+    for name in ('bare', 'loop', 'node'):
         samples = [one[name] for one in rounds]
         summary[name] = {
             'cpu_us': _median([one.cpu_us for one in samples]),
