Write a part of a streamed answer in one piece

Cause: each event passed through two write methods of twisted.web, a list of three pieces and a join. Change: once the headers are out, the request frames the chunk itself.

--- a/chicoryshunt/connection/channel.py
+++ b/chicoryshunt/connection/channel.py
@@ -21,6 +21,7 @@
     b'Connection: close\r\n'
     b'Content-Length: %d\r\n\r\n%s'
 )
+_CHUNK = b'%x\r\n%s\r\n'
 
 
 class BoundedRequest(server.Request):
@@ -66,6 +67,13 @@
         if not self._is_refused:
             super().requestReceived(command, path, version)
 
+    def write(self, data: bytes) -> None:
+        """Send a part of the answer; after the headers in one piece."""
+        if self.chunked and self.startedWriting and data:
+            cast(Any, self.channel).write(_CHUNK % (len(data), data))
+        else:
+            super().write(data)
+
     def finish(self) -> None:
         """End the answer and forget the body."""
         self.drop_body()
--- a/chicoryshunt/connection/exchange.py
+++ b/chicoryshunt/connection/exchange.py
@@ -63,7 +63,7 @@
     @property
     def is_open(self) -> bool:
         """Say whether more of the answer can be written."""
-        return not (self.is_gone or self._request.finished)
+        return not (self._gone.is_set() or self._request.finished)
 
     @property
     def is_gone(self) -> bool:
