Let the relay benchmark wait until its targets are warm

Cause: since targets are leased and warmed, 190 streams at once are refused until the engines have shown that they bear them, and the benchmark's engines reported no load. Change: they report it, and the callers ask again until they are accepted.

--- a/lab/metronome.py
+++ b/lab/metronome.py
@@ -8,6 +8,7 @@
 
 from chicoryshunt.connection.caller_api import GENERATION_HEADER
 from chicoryshunt.connection.exchange import Exchange
+from chicoryshunt.connection.target_api import LoadReport
 from lab.daemon import parse_flags, serve_stand_in
 from lab.faults import Faults
 
@@ -16,6 +17,7 @@
 flags.DEFINE_integer('size', 57, 'bytes an event', flag_values=_FLAGS)
 flags.DEFINE_float('beat', 0.028, 'seconds between events', flag_values=_FLAGS)
 
+_MEMORY_TOKENS = 1_000_000
 _EVENT = b'data: {"g":"%s","i":%d,"t":["%d"]}'
 
 
@@ -44,6 +46,9 @@
 
     async def handle(self, exchange: Exchange) -> None:
         """Serve one request."""
+        if exchange.segments == ('load',):
+            exchange.respond_json(self._report())
+            return
         if exchange.method != 'POST':
             exchange.respond_json({})
             return
@@ -57,6 +62,18 @@
         await exchange.wait_gone()
         self._streams.discard(stream)
 
+    def _report(self) -> LoadReport:
+        return LoadReport(
+            start=1,
+            at=time.monotonic(),
+            running=len(self._streams),
+            waiting=0,
+            memory_used=sum(stream.index for stream in self._streams),
+            memory_tokens=_MEMORY_TOKENS,
+            step_ms=_FLAGS.beat * 1000,
+            preemptions=0,
+        )
+
     def _spawn(self) -> None:
         self._beat = asyncio.ensure_future(self._step_forever())
 
--- a/lab/relay_load.py
+++ b/lab/relay_load.py
@@ -23,8 +23,11 @@
 
 _REQUEST = (
     b'POST /v1/generate/m HTTP/1.1\r\nHost: a\r\nX-Team: t\r\n'
-    b'Content-Length: 15\r\n\r\n{"prompt": "p"}'
+    b'Content-Length: 35\r\n\r\n{"prompt": "p", "max_tokens": 4096}'
 )
+_ACCEPTED = b'HTTP/1.1 200'
+_RETRY_SECONDS = 0.5
+_OPEN_SECONDS = 120.0
 _INDEX_AND_TIME = re.compile(rb'"i":(\d+),"t":\["(\d+)"\]')
 _HEAD_BYTES = 128
 _MAX_DELAY_US = 10_000_000
@@ -62,17 +65,27 @@
 
     def __init__(self, load: Load) -> None:
         """Count into the load."""
+        self.is_open: asyncio.Future[bool] = (
+            asyncio.get_running_loop().create_future()
+        )
         self._load = load
         self._next = 0
         self._rest = b''
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send the request."""
-        cast(asyncio.Transport, transport).write(_REQUEST)
+        self._transport = cast(asyncio.Transport, transport)
+        self._transport.write(_REQUEST)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Count a stream that ends too early."""
+        self._open(is_open=False)
 
     def data_received(self, data: bytes) -> None:
         """Check indexes and note delays."""
         now = time.monotonic_ns() // 1000
+        if not self.is_open.done():
+            self._open(is_open=data.startswith(_ACCEPTED))
         text = self._rest + data
         found = list(_INDEX_AND_TIME.finditer(text))
         for one in found:
@@ -82,6 +95,14 @@
         if self._load.is_counting:
             self._load.note([now - int(event[2]) for event in found])
 
+    def close(self) -> None:
+        """Hang up."""
+        self._transport.close()
+
+    def _open(self, *, is_open: bool) -> None:
+        if not self.is_open.done():
+            self.is_open.set_result(is_open)
+
     def _check(self, index: int) -> None:
         if index != self._next:
             self._load.wrong += 1
@@ -89,24 +110,34 @@
 
 
 class SlowCaller(Caller):
-    """Caller that reads nothing."""
+    """Caller that reads no further than the headers."""
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Send the request and read no answer."""
-        super().connection_made(transport)
-        cast(asyncio.Transport, transport).pause_reading()
+    def _open(self, *, is_open: bool) -> None:
+        super()._open(is_open=is_open)
+        if is_open:
+            self._transport.pause_reading()
 
 
-async def run_load() -> LoadReading:
-    """Open the streams, warm up, count, and return the reading."""
-    load = Load()
-    loop = asyncio.get_running_loop()
-    for kind in (Caller,) * _FLAGS.streams + (SlowCaller,) * _FLAGS.slow:
-        await loop.create_connection(
+async def open_stream(kind: type[Caller], load: Load) -> None:
+    """Send a request again until it is accepted."""
+    while True:
+        _, caller = await asyncio.get_running_loop().create_connection(
             partial(kind, load),
             _FLAGS.host,
             _FLAGS.port,
         )
+        if await caller.is_open:
+            return
+        caller.close()
+        await asyncio.sleep(_RETRY_SECONDS)
+
+
+async def run_load() -> LoadReading:
+    """Open the streams, warm up, count, and return the reading."""
+    load = Load()
+    kinds = (Caller,) * _FLAGS.streams + (SlowCaller,) * _FLAGS.slow
+    opening = asyncio.gather(*(open_stream(kind, load) for kind in kinds))
+    await asyncio.wait_for(opening, _OPEN_SECONDS)
     await asyncio.sleep(_FLAGS.warm)
     print('counting', flush=True)
     load.is_counting = True
