Notice at once a caller that hangs up without reading

Cause: the loop's transport closes after end of file only once its buffer is flushed, so that a caller that had closed its side and read nothing kept its generation. Seen by a test with such a peer, which ran into its limit of 30 s before the change. The transport is aborted at end of file, as the reactor's transports do.

--- a/chicoryshunt/connection/loop_transport.py
+++ b/chicoryshunt/connection/loop_transport.py
@@ -53,6 +53,10 @@
         """Hand what arrived to the protocol."""
         self._protocol.dataReceived(data)
 
+    def eof_received(self) -> None:
+        """Drop what the peer did not read; it has hung up."""
+        self._transport.abort()
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell the protocol and its producer that the connection ended."""
         self._is_lost = True
--- a/chicoryshunt/process/state.py
+++ b/chicoryshunt/process/state.py
@@ -135,7 +135,9 @@
         )
 
     def find_caller_address(self, wanted: VmId) -> str:
-        """Return where a VM listens for callers, empty when unknown."""
+        """Return where a VM listens for callers, empty when unreachable."""
+        if self.fleet.links.is_cut(wanted):
+            return ''
         member = self.fleet.membership.roster.find(wanted)
         return '' if member is None else member.published.caller
 
--- a/tests/test_loop_transport.py
+++ b/tests/test_loop_transport.py
@@ -130,6 +130,17 @@
     run_link(test)
 
 
+def test_peer_that_hangs_up_unread_is_lost() -> None:
+    async def test(link: Link) -> None:
+        link.client.transport.pauseProducing()
+        link.server.transport.write(_MANY)
+        link.client.transport.loseWriteConnection()
+        await link.server.lost.wait()
+        assert link.server.reason.check(ConnectionDone)
+
+    run_link(test)
+
+
 def test_producer_of_a_lost_connection_is_stopped() -> None:
     async def test(link: Link) -> None:
         link.client.transport.loseConnection()
