Resume for a caller as patiently as for the node itself

Cause: one failed connection to the engine refused a caller's resume, after the relay that was running had already been stopped. Change: a resume asks the engine up to six times, and cancels in the background what it gives up. A generation that the engine no longer knows has a reason of its own.

--- a/chicoryshunt/request/generation.py
+++ b/chicoryshunt/request/generation.py
@@ -16,7 +16,7 @@
 from chicoryshunt.request.sink import Sink
 from chicoryshunt.request.stall import StallWatch
 from chicoryshunt.request.valve import Pausable
-from chicoryshunt.types import GenerationId, Reason, RunState, Seconds
+from chicoryshunt.types import GenerationId, Reason, RunState
 from chicoryshunt.verdict import Verdict
 
 _RESUME_ATTEMPTS = 5
@@ -45,7 +45,11 @@
         match self.verdict.reason:
             case Reason.target_unreachable | Reason.target_refused:
                 return repeatable or self.verdict.run is RunState.not_run
-            case Reason.engine_lost | Reason.engine_garbled:
+            case (
+                Reason.engine_lost
+                | Reason.engine_garbled
+                | Reason.unknown_generation
+            ):
                 return repeatable
             case _:
                 return False
@@ -102,24 +106,11 @@
 
     async def resume(self, generation: GenerationId, index: int) -> Outcome:
         """Relay the rest of a generation that was started before."""
-        stream = await self._engine.resume(generation, index)
-        match stream:
-            case EngineStream():
-                return await self._relay_from(stream, index)
-            case ResumeFailure.unknown:
-                verdict = Verdict(
-                    RunState.ran,
-                    Reason.unknown_generation,
-                    f'the engine does not know generation {generation}',
-                )
-            case _:
-                verdict = Verdict(
-                    RunState.ran,
-                    Reason.target_unreachable,
-                    f'the engine of generation {generation} does not answer',
-                    retry_after=Seconds(_RESUME_PAUSE_SECONDS),
-                )
-        return self._conclude(verdict)
+        self._assembler = Assembler(generation, index)
+        stream = await self._reconnect('caller')
+        if isinstance(stream, Verdict):
+            return self._conclude(self._settle(stream))
+        return await self._relay_from(stream, index)
 
     async def _relay_from(self, stream: EngineStream, index: int) -> Outcome:
         generation = stream.generation
@@ -196,7 +187,7 @@
             lost = self._judge_stop(stop)
             if lost is not None:
                 return lost
-            again = await self._reconnect(stop)
+            again = await self._reconnect(stop.value)
             if isinstance(again, Verdict):
                 return again
             stream = again
@@ -246,14 +237,14 @@
         self._relay.watch.discard(reader)
         reader.close()
 
-    async def _reconnect(self, stop: Stop) -> EngineStream | Verdict:
+    async def _reconnect(self, reason: str) -> EngineStream | Verdict:
         generation = self._assembler.generation
         index = self._assembler.next_index
         log_event(
             'generation_resumed',
             generation=generation,
             index=index,
-            reason=stop.value,
+            reason=reason,
         )
         while self._failures <= _RESUME_ATTEMPTS:
             pauses = max(0, self._failures - 1)
@@ -263,8 +254,8 @@
                 return stream
             if stream is ResumeFailure.unknown:
                 return self._judge_loss(
-                    Reason.engine_lost,
-                    f'the engine forgot generation {generation}',
+                    Reason.unknown_generation,
+                    f'the engine does not know generation {generation}',
                 )
             self._failures += 1
         return self._judge_loss(
--- a/tests/test_generation.py
+++ b/tests/test_generation.py
@@ -245,6 +245,41 @@
     run_virtual(check())
 
 
+@pytest.mark.parametrize('failures', [0, 1, 5])
+def test_caller_resume_survives_a_lost_link(failures: int) -> None:
+    async def check() -> None:
+        lost = repeat(ResumeFailure.unreachable, failures)
+        rig = Rig(FakeEngine(*lost, _REST))
+        outcome = await rig.generation.resume(OWN, 2)
+        assert outcome == Outcome(_LENGTH, 'stop', None, delivered=True)
+        assert rig.caller.written.startswith(frame_tokens(2, _LENGTH))
+
+    run_virtual(check())
+
+
+@pytest.mark.parametrize(
+    ('failure', 'reason'),
+    [
+        (ResumeFailure.unreachable, Reason.engine_lost),
+        (ResumeFailure.unknown, Reason.unknown_generation),
+    ],
+)
+def test_caller_resume_of_a_lost_generation(
+    failure: ResumeFailure,
+    reason: Reason,
+) -> None:
+    async def check() -> None:
+        rig = Rig(FakeEngine(*repeat(failure, 9)))
+        outcome = await rig.generation.resume(OWN, 2)
+        assert get_reason(outcome) is reason
+        assert outcome.tokens == 2
+        assert not rig.caller.written
+        await asyncio.sleep(1)
+        assert rig.engine.cancelled == [OWN]
+
+    run_virtual(check())
+
+
 _steps = st.one_of(
     st.tuples(st.integers(0, _LENGTH), st.integers(1, 4)).map(
         lambda span: frame_tokens(span[0], min(_LENGTH, sum(span))),
