Keep what a caller received when every node is lost; name each wrong flag

Cause: a caller that found no node while it resumed raised an error and dropped the tokens it had; a caller that found none at first got an error instead of not_run. Both are answers now. The new tests cover a takeover before the first token, a refusal whose verdict is in doubt, and an answer lost in doubt, which must not be asked for again.

--- a/chicoryshunt/caller/caller.py
+++ b/chicoryshunt/caller/caller.py
@@ -28,6 +28,7 @@
     NotConnectedError,
     read_body,
 )
+from chicoryshunt.exceptions import CallError
 from chicoryshunt.types import Reason, RunState
 
 _MAX_ATTEMPTS = 5
@@ -54,13 +55,11 @@
         await self._book.list_addresses()
 
     async def generate(self, model: str, body: Mapping[str, object]) -> Answer:
-        """Return one generation's answer; raise ``CallError``."""
+        """Return one generation's answer."""
         encoded = msgspec.json.encode(body)
         answer = Answer(RunState.not_run)
         for attempt in range(_MAX_ATTEMPTS):
-            addresses = await self._book.list_addresses()
-            address = addresses[attempt % len(addresses)]
-            answer = await self._generate_at(address, model, encoded)
+            answer = await self._attempt(attempt, model, encoded)
             if not await self._may_retry(answer):
                 break
         return answer
@@ -78,6 +77,19 @@
 
         return await call_once(self._book, post, key)
 
+    async def _attempt(
+        self,
+        attempt: int,
+        model: str,
+        body: bytes,
+    ) -> Answer:
+        try:
+            addresses = await self._book.list_addresses()
+        except CallError as error:
+            return _explain(RunState.not_run, error)
+        address = addresses[attempt % len(addresses)]
+        return await self._generate_at(address, model, body)
+
     async def _may_retry(self, answer: Answer) -> bool:
         """Wait as long as the refusal asks; say whether to try again."""
         if answer.verdict is not RunState.not_run:
@@ -176,7 +188,10 @@
 
     async def _choose_next(self, address: str) -> str:
         self._book.expire()
-        addresses = await self._book.list_addresses()
+        try:
+            addresses = await self._book.list_addresses()
+        except CallError:
+            return address
         if address not in addresses:
             return addresses[0]
         return addresses[(addresses.index(address) + 1) % len(addresses)]
--- a/chicoryshunt/commands/call.py
+++ b/chicoryshunt/commands/call.py
@@ -54,6 +54,7 @@
 
 def run(arguments: Sequence[str]) -> int:
     """Send one request, print the answer, return the exit status."""
+    _check_nodes()
     _check_flags()
     answer = run_until_done(_send)
     print(_render(answer))
@@ -79,6 +80,12 @@
             return ExitStatus.whole if is_done else ExitStatus.incomplete
 
 
+def _check_nodes() -> None:
+    for node in _FLAGS.nodes:
+        if not node.rpartition(':')[2].isdigit():
+            raise UsageError(f'call: --nodes: {node!r} is not host:port')
+
+
 def _check_flags() -> None:
     if bool(_FLAGS.model) == bool(_FLAGS.service):
         raise UsageError('call: give either --model or --service')
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -109,9 +109,13 @@
         self.entries = Entries((), 60)
         self.cuts: list[int] = []
         self.seen: list[str] = []
+        self.dies_after_cut = False
         self._api = build_caller_api(self.state)
 
     async def handle(self, exchange: Exchange) -> None:
+        if self.dies_after_cut and 'generate/m' in self.seen:
+            exchange.abort()
+            return
         self.seen.append('/'.join(exchange.segments[1:]))
         if exchange.segments[1:] == ('entries',):
             exchange.respond_json(self.entries)
@@ -286,6 +290,42 @@
     run_fleet_test(test)
 
 
+def test_lost_nodes_leave_what_was_received(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr('chicoryshunt.caller.caller._MAX_RESUMES', 2)
+
+    async def test(fleet: Fleet) -> None:
+        node = fleet.nodes[0]
+        node.cuts = [2]
+        node.dies_after_cut = True
+        answer = await fleet.generate()
+        assert answer.tokens == list(_TOKENS[:2])
+        assert answer.ending == 'incomplete'
+        assert answer.verdict is RunState.ran
+
+    run_fleet_test(test, nodes=1)
+
+
+def test_answer_lost_in_doubt_is_not_asked_again() -> None:
+    async def test(fleet: Fleet) -> None:
+        fleet.nodes[0].cuts = [0]
+        answer = await fleet.generate()
+        assert answer.verdict is RunState.may_have_run
+        assert fleet.engines[0].starts == 1
+
+    run_fleet_test(test)
+
+
+def test_no_node_is_not_run() -> None:
+    async def check() -> None:
+        answer = await Caller(['127.0.0.1:1'], 'team').generate('m', {})
+        assert answer.verdict is RunState.not_run
+        assert '127.0.0.1:1' in answer.detail
+
+    run_on_reactor(check())
+
+
 def test_unreachable_entry_is_passed_over() -> None:
     async def test(fleet: Fleet) -> None:
         dead = Entry(VmId('dead'), '127.0.0.1:1')
--- a/tests/test_generation.py
+++ b/tests/test_generation.py
@@ -146,6 +146,9 @@
     doubted_outcome = Outcome(0, '', doubted, delivered=False)
     assert refused_outcome.may_start_anew(repeatable=False)
     assert not doubted_outcome.may_start_anew(repeatable=False)
+    unclear = doubt(Reason.target_refused, 'no statement')
+    unclear_outcome = Outcome(0, '', unclear, delivered=False)
+    assert not unclear_outcome.may_start_anew(repeatable=False)
     assert doubted_outcome.may_start_anew(repeatable=True)
 
 
@@ -280,6 +283,18 @@
     run_virtual(check())
 
 
+def test_relay_without_tokens_can_be_taken_over() -> None:
+    async def check() -> None:
+        rig = Rig(FakeEngine((b': accepted\n\n', Act.silence)))
+        run = asyncio.ensure_future(rig.generation.resume(OWN, 2))
+        await asyncio.sleep(0.5)
+        assert rig.handovers.take(OWN)
+        assert get_reason(await run) is Reason.resumed_elsewhere
+        assert not rig.engine.cancelled
+
+    run_virtual(check())
+
+
 _steps = st.one_of(
     st.tuples(st.integers(0, _LENGTH), st.integers(1, 4)).map(
         lambda span: frame_tokens(span[0], min(_LENGTH, sum(span))),
