Count the doubt of a length estimate and lead the margin in small steps

- Greenwood's variance of the hazard enters the predicted memory, shared by all requests of a target, at half weight.
- queueing is charged by memory held over time

--- a/chicoryshunt/process/policy/admission.py
+++ b/chicoryshunt/process/policy/admission.py
@@ -16,7 +16,8 @@
 from chicoryshunt.process.policy.survival import Array
 
 _SHORT_SLOTS_PART = 0.04
-_PREEMPTION_STEP = 0.05
+_PREEMPTION_STEP = 0.01
+_MOST_STEP = 0.05
 _NEAR_WEIGHT = 2.6
 _FAR_WEIGHT = 0.5
 HORIZON_WEIGHTS: Array = np.linspace(_NEAR_WEIGHT, _FAR_WEIGHT, len(HORIZONS))
@@ -79,7 +80,7 @@
         return NoSlot(slots)
     both = running + request
     memory = limit.memory_tokens * (1 - reserve)
-    deviation = HORIZON_WEIGHTS * np.maximum(np.sqrt(both.variance), 1)
+    deviation = HORIZON_WEIGHTS * np.maximum(both.deviation, 1)
     free = (memory - both.mean) / deviation
     worst = int(np.argmin(free))
     if free[worst] < margin:
@@ -102,10 +103,9 @@
     ``running`` is the pooled curve of everything on the target.
     """
     free = max(0, limit.slots - running.requests)
-    counts = np.expand_dims(np.arange(free + 1), 1)
-    variance = running.variance + counts * typical.variance
-    deviation = HORIZON_WEIGHTS * np.sqrt(variance)
-    needed = running.mean + counts * typical.mean + margin * deviation
+    counts = np.expand_dims(np.arange(free + 1, dtype=np.float64), 1)
+    both = running + typical.repeat(counts)
+    needed = both.mean + margin * HORIZON_WEIGHTS * both.deviation
     fits = (needed <= limit.memory_tokens).all(axis=1)
     tokens = limit.memory_tokens - int(needed[0].max())
     return Slack(max(0, int(fits.sum()) - 1), max(0, tokens))
@@ -126,7 +126,7 @@
 
     def record_preemptions(self, count: int) -> None:
         """Raise the margin for preemptions that a target reported."""
-        self._move(_PREEMPTION_STEP * count)
+        self._move(min(_PREEMPTION_STEP * count, _MOST_STEP))
 
     def _move(self, step: float) -> None:
         self.deviations = min(
--- a/chicoryshunt/process/policy/dispatcher.py
+++ b/chicoryshunt/process/policy/dispatcher.py
@@ -38,7 +38,6 @@
 from chicoryshunt.process.policy.survival import LengthEstimator, Size
 from chicoryshunt.types import RequestId, Seconds, TargetId, Tokens
 
-_WORK_PER_PROMPT_TOKEN = 0.1
 _BLOCKED_SECONDS = 0.1
 _EXPIRE_SECONDS = 0.2
 _HELD_UP_SECONDS = 1
@@ -218,8 +217,7 @@
 
     def _expect_work(self, ask: Ask) -> float:
         survival = self._estimator.estimate(ask.kind)
-        tokens = survival.expect_remaining(0, ask.max_tokens)
-        return tokens + _WORK_PER_PROMPT_TOKEN * ask.prompt_tokens
+        return survival.expect_work(ask.prompt_tokens, ask.max_tokens)
 
     def _build_demand(self, head: Waiting) -> Demand:
         ask = head.ask
--- a/chicoryshunt/process/policy/occupancy.py
+++ b/chicoryshunt/process/policy/occupancy.py
@@ -22,6 +22,7 @@
     [0, 32, 64, 128, 256, 512, 1024, 2048, 4096, 8192],
     np.float64,
 )
+_DOUBT_PART = 0.5
 
 
 class CurveReport(msgspec.Struct, frozen=True, array_like=True):
@@ -30,15 +31,20 @@
     requests: int
     mean: tuple[int, ...]
     deviation: tuple[int, ...]
+    doubt: tuple[int, ...]
 
 
 @dataclass(frozen=True, slots=True, eq=False)
 class Curve:
-    """Mean and variance of memory tokens at each of ``HORIZONS``."""
+    """Mean and variance of memory tokens at each of ``HORIZONS``.
+
+    ``doubt`` is the deviation by which all requests may be misjudged at once.
+    """
 
     requests: int
     mean: Array
     variance: Array
+    doubt: Array
 
     def __add__(self, other: 'Curve') -> 'Curve':
         """Return the curve of both sets of requests together."""
@@ -46,6 +52,7 @@
             self.requests + other.requests,
             self.mean + other.mean,
             self.variance + other.variance,
+            self.doubt + other.doubt,
         )
 
     def __sub__(self, other: 'Curve') -> 'Curve':
@@ -54,6 +61,22 @@
             self.requests - other.requests,
             self.mean - other.mean,
             np.maximum(self.variance - other.variance, 0),
+            np.maximum(self.doubt - other.doubt, 0),
+        )
+
+    @property
+    def deviation(self) -> Array:
+        """Return the standard deviation at each horizon."""
+        doubted = (_DOUBT_PART * self.doubt) ** 2
+        return np.asarray(np.sqrt(self.variance + doubted))
+
+    def repeat(self, count: Array) -> 'Curve':
+        """Return the curves of several such sets, one row for each count."""
+        return Curve(
+            self.requests,
+            self.mean * count,
+            self.variance * count,
+            self.doubt * count,
         )
 
     @property
@@ -63,11 +86,11 @@
 
     def report(self) -> CurveReport:
         """Return the curve as it travels."""
-        deviation = np.ceil(np.sqrt(self.variance)).astype(int)
         return CurveReport(
             self.requests,
-            tuple(np.ceil(self.mean).astype(int).tolist()),
-            tuple(deviation.tolist()),
+            _round_up(self.mean),
+            _round_up(np.sqrt(self.variance)),
+            _round_up(self.doubt),
         )
 
 
@@ -77,12 +100,18 @@
         report.requests,
         np.array(report.mean, np.float64),
         np.array(report.deviation, np.float64) ** 2,
+        np.array(report.doubt, np.float64),
     )
 
 
 def build_empty_curve() -> Curve:
     """Return the curve of no requests."""
-    return Curve(0, np.zeros(len(HORIZONS)), np.zeros(len(HORIZONS)))
+    empty = np.zeros(len(HORIZONS))
+    return Curve(0, empty, empty, empty)
+
+
+def _round_up(numbers: Array) -> tuple[int, ...]:
+    return tuple(np.ceil(numbers).astype(int).tolist())
 
 
 def pool_curves(curves: Iterable[Curve]) -> Curve:
@@ -104,10 +133,11 @@
 
 @dataclass(frozen=True, slots=True, eq=False)
 class Forecast:
-    """Mean and variance of each request: one row each, one column a horizon."""
+    """Parts of each request's curve: one row each, one column a horizon."""
 
     mean: Array
     variance: Array
+    doubt: Array
 
     def sum(self) -> Curve:
         """Return the curve of all requests together."""
@@ -115,28 +145,36 @@
             len(self.mean),
             self.mean.sum(axis=0),
             self.variance.sum(axis=0),
+            self.doubt.sum(axis=0),
         )
 
     def get_row(self, index: int) -> Curve:
         """Return the curve of one request."""
-        return Curve(1, self.mean[index], self.variance[index])
+        return Curve(
+            1,
+            self.mean[index],
+            self.variance[index],
+            self.doubt[index],
+        )
 
 
 def forecast(running: Sequence[Running]) -> Forecast:
     """Predict the memory of each of at least one request on a target."""
-    hazards = np.array([one.survival.hazard for one in running])
     numbers = np.array(
         [(one.produced, one.prompt_tokens, one.max_tokens) for one in running],
         np.float64,
     )
     age, prompt, most = np.expand_dims(numbers.T, 2)
     later = age + HORIZONS
-    level = _interpolate(hazards, later)
-    chance = np.exp(level.take([0], axis=1) - level)
-    chance *= later < np.maximum(most, age + 1)
+    hazard, doubt = _predict_passed(running, later)
+    chance = np.exp(-hazard) * (later < np.maximum(most, age + 1))
     held = prompt + later
     mean = chance * held
-    return Forecast(mean, mean * held * (1 - chance))
+    return Forecast(
+        mean,
+        mean * held * (1 - chance),
+        mean * np.sqrt(doubt),
+    )
 
 
 def predict_occupancy(running: Sequence[Running]) -> Curve:
@@ -144,11 +182,20 @@
     return forecast(running).sum() if running else build_empty_curve()
 
 
-def _interpolate(hazards: Array, ages: Array) -> Array:
+def _predict_passed(running: Sequence[Running], ages: Array) -> Array:
+    tables = np.array(
+        [(one.survival.hazard, one.survival.doubt) for one in running],
+    )
+    passed = _interpolate(tables, ages)
+    passed -= passed.take([0], axis=2)
+    return passed.transpose(1, 0, 2)
+
+
+def _interpolate(tables: Array, ages: Array) -> Array:
     low = np.searchsorted(EDGES, ages, 'right') - 1
     low = np.minimum(low, len(EDGES) - 2)
-    rows = np.expand_dims(np.arange(len(hazards)), 1)
-    start = hazards[rows, low]
-    end = hazards[rows, low + 1]
     part = (ages - EDGES[low]) / (EDGES[low + 1] - EDGES[low])
-    return np.asarray(start + part * (end - start))
+    columns = np.expand_dims(low, 1)
+    start = np.take_along_axis(tables, columns, axis=2)
+    end = np.take_along_axis(tables, columns + 1, axis=2)
+    return np.asarray(start + np.expand_dims(part, 1) * (end - start))
--- a/chicoryshunt/process/policy/profile.py
+++ b/chicoryshunt/process/policy/profile.py
@@ -27,9 +27,9 @@
 
 
 _STALL = Parameters(
-    margin=1.4,
-    least_margin=0.9,
-    most_margin=2.5,
+    margin=1,
+    least_margin=0.8,
+    most_margin=1.6,
     preemption_goal=0.01,
     patience=Seconds(3),
     short_patience=Seconds(1),
@@ -38,11 +38,11 @@
     team_reserve=0.1,
 )
 _PREEMPTION = Parameters(
-    margin=1.5,
-    least_margin=1.1,
-    most_margin=2.5,
-    preemption_goal=0.005,
-    patience=Seconds(20),
+    margin=1.1,
+    least_margin=0.95,
+    most_margin=1.8,
+    preemption_goal=0.01,
+    patience=Seconds(40),
     short_patience=Seconds(2),
     hedge_after=Seconds(1),
     hedge_ratio=0.01,
--- a/chicoryshunt/process/policy/queue.py
+++ b/chicoryshunt/process/policy/queue.py
@@ -11,8 +11,8 @@
 from chicoryshunt.process.policy.survival import Kind, Size
 from chicoryshunt.types import RequestId, TeamId
 
-_SECONDS_PER_WORK = 0.002
-_MOST_WORK_SECONDS = 5
+_SECONDS_PER_WORK = 0.02
+_MOST_WORK_SECONDS = 15
 _SECONDS_PER_PRIORITY = 1
 _MOST_PRIORITY = 5
 _MOST_IDLE_TEAMS = 1024
@@ -50,7 +50,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Waiting:
-    """One request that waits; ``work`` is expected tokens to serve."""
+    """One request that waits; ``work`` is memory it will hold over time."""
 
     ask: Ask
     arrived: float
--- a/chicoryshunt/process/policy/survival.py
+++ b/chicoryshunt/process/policy/survival.py
@@ -41,6 +41,7 @@
 _REFRESH_COUNTS = 256
 _MOST_TEAMS = 20_000
 _FIRST_ROWS = 16
+_WORK_UNIT = 1000
 
 
 class Size(Enum):
@@ -66,21 +67,33 @@
 
 @dataclass(frozen=True, slots=True, eq=False)
 class Survival:
-    """Cumulative hazard at each of ``EDGES``, for one kind of request."""
+    """Cumulative hazard at each of ``EDGES``, for one kind of request.
+
+    ``doubt`` is the variance of the estimate (Greenwood), cumulative too.
+    """
 
     hazard: Array
+    doubt: Array
 
     def survive(self, age: int, ahead: int) -> float:
         """Return the chance that an answer goes on for more tokens."""
         passed, later = np.interp((age, age + ahead), EDGES, self.hazard)
         return float(np.exp(passed - later))
 
-    def expect_remaining(self, age: int, most: int) -> float:
-        """Return the expected tokens to come, at most ``most`` of them."""
-        ages = np.append(_list_edges(most), most) + age
-        level = np.interp(ages, EDGES, self.hazard)
-        chance = np.exp(level[0] - level)
-        return float(np.trapezoid(chance, ages))
+    def expect_work(self, prompt_tokens: int, most: int) -> float:
+        """Return the memory an answer is expected to hold over its time.
+
+        In thousands of tokens times steps, for at most ``most`` tokens.
+        """
+        ages = np.append(_list_edges(most), most)
+        middles = (ages + np.roll(ages, 1)).compress(ages > 0) / 2
+        chance = np.exp(-np.interp(middles, EDGES, self.hazard))
+        held = chance * (prompt_tokens + middles) * np.diff(ages)
+        return float(held.sum()) / _WORK_UNIT
+
+
+def _cumulate(steps: Array) -> Array:
+    return np.insert(np.cumsum(steps), 0, 0)
 
 
 def find_bucket(age: int) -> int:
@@ -99,6 +112,7 @@
         self.deaths = np.zeros(_BUCKETS)
         self.exposed = np.zeros(_BUCKETS)
         self.steps = np.zeros(_BUCKETS)
+        self.doubts = np.zeros(_BUCKETS)
         self.rows: dict[TeamId, int] = {}
         self.ratios = np.zeros((_FIRST_ROWS, 2, _BAND_COUNT), np.float32)
         self._survivals: dict[TeamId, Survival] = {}
@@ -126,7 +140,7 @@
         survival = self._survivals.get(team)
         if survival is None:
             steps = self.steps * self._compute_factors(team)
-            survival = Survival(np.insert(np.cumsum(steps), 0, 0))
+            survival = Survival(_cumulate(steps), _cumulate(self.doubts))
             self._survivals[team] = survival
         return survival
 
@@ -169,12 +183,13 @@
         self._changes = 0
         self._survivals.clear()
         last = _PRIOR_HAZARDS[0]
+        weights = self.exposed + _PRIOR_WEIGHT
         for bucket, prior in enumerate(_PRIOR_HAZARDS):
             expected = prior + _NEIGHBOUR_SHARE * (last - prior)
-            last = (self.deaths[bucket] + _PRIOR_WEIGHT * expected) / (
-                self.exposed[bucket] + _PRIOR_WEIGHT
-            )
-            self.steps[bucket] = -np.log1p(-min(last, _MOST_HAZARD))
+            died = self.deaths[bucket] + _PRIOR_WEIGHT * expected
+            last = min(died / weights[bucket], _MOST_HAZARD)
+            self.steps[bucket] = -np.log1p(-last)
+            self.doubts[bucket] = last / (1 - last) / weights[bucket]
 
 
 class LengthEstimator:
--- a/lab/policy_model.py
+++ b/lab/policy_model.py
@@ -5,6 +5,7 @@
 """
 
 import random
+from bisect import bisect_right
 from collections import Counter, deque
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
@@ -132,7 +133,7 @@
 
     def run(self, until: float) -> Iterator[tuple[float, Step]]:
         """Step up to a time; yield the time after each step."""
-        while self.time < until:
+        while self.time < until and not self.is_dead:
             if not self.batch.running and not self.batch.waiting:
                 self.time = until
                 return
@@ -195,6 +196,7 @@
     ) -> None:
         """Start with warm and empty targets."""
         self._arrivals = arrivals
+        self._times = [arrival.at for arrival in arrivals]
         self._engines = [Engine(spec, number) for number in range(engines)]
         self._faults = sorted(faults, key=lambda fault: fault.at)
         self._jobs: list[dict[int, Job]] = [{} for _ in range(engines)]
@@ -212,12 +214,7 @@
             self._apply_faults(decider, now)
             self._advance(decider, now)
             self._tell(decider, now)
-            while arrived < len(self._arrivals):
-                arrival = self._arrivals[arrived]
-                if arrival.at > now:
-                    break
-                self._offer(decider, arrival, now)
-                arrived += 1
+            arrived = self._offer_arrived(decider, arrived, now)
             self._poll(decider, now)
         self.ledger.seconds = now
         return self.ledger
@@ -235,6 +232,12 @@
             moment = min(moment, self._arrivals[arrived].at)
         return max(moment, now)
 
+    def _offer_arrived(self, decider: Decider, first: int, now: float) -> int:
+        last = bisect_right(self._times, now, lo=first)
+        for number in range(first, last):
+            self._offer(decider, self._arrivals[number], now)
+        return last
+
     def _offer(self, decider: Decider, arrival: Arrival, now: float) -> None:
         if not decider.offer(arrival, now):
             self._refuse(arrival.number, now)
@@ -284,8 +287,6 @@
 
     def _advance(self, decider: Decider, until: float) -> None:
         for target, engine in enumerate(self._engines):
-            if engine.is_dead:
-                continue
             for now, step in engine.run(until):
                 self._count(target, step, now)
                 for job in step.finished:
@@ -316,22 +317,25 @@
         self.ledger.preemptions += 1
 
     def _resume(self, target: int, now: float) -> int:
-        resumed = 0
-        for number, job in tuple(self._paused[target].items()):
-            answer = self.ledger.answers[number]
-            if job.produced <= answer.produced:
-                continue
-            resumed += 1
-            answer.produced = job.produced
-            self._paused[target].pop(number)
-            if answer.first_at < 0:
-                answer.first_at = now
-            elif answer.paused_at >= 0:
-                gap = now - answer.paused_at
-                answer.stall += gap if gap > STALL_SECONDS else 0
-                self.ledger.count_gap(gap, 1)
-            answer.paused_at = -1
-        return resumed
+        resumed = [
+            number
+            for number, job in self._paused[target].items()
+            if job.produced > self.ledger.answers[number].produced
+        ]
+        for number in resumed:
+            job = self._paused[target].pop(number)
+            self._end_pause(self.ledger.answers[number], job, now)
+        return len(resumed)
+
+    def _end_pause(self, answer: Answer, job: Job, now: float) -> None:
+        answer.produced = job.produced
+        if answer.first_at < 0:
+            answer.first_at = now
+        elif answer.paused_at >= 0:
+            gap = now - answer.paused_at
+            answer.stall += gap if gap > STALL_SECONDS else 0
+            self.ledger.count_gap(gap, 1)
+        answer.paused_at = -1
 
     def _finish(
         self,
@@ -399,15 +403,25 @@
         self._engines[target].die()
         decider.record_loss(target, now)
         self._paused[target].clear()
-        for number, job in tuple(self._jobs[target].items()):
-            self._jobs[target].pop(number)
-            answer = self.ledger.answers[number]
+        jobs = self._jobs[target]
+        self._jobs[target] = {}
+        for number, job in jobs.items():
             decider.record_stop(number, job.produced, ended=False)
-            if job.produced:
-                answer.outcome = Outcome.lost
-                answer.ended_at = now
-                answer.produced = job.produced
-                self.ledger.tokens -= job.produced
-            else:
-                answer.outcome = Outcome.waiting
-                self._offer(decider, answer.arrival, now)
+            self._lose(decider, number, job, now)
+
+    def _lose(
+        self,
+        decider: Decider,
+        number: int,
+        job: Job,
+        now: float,
+    ) -> None:
+        answer = self.ledger.answers[number]
+        if not job.produced:
+            answer.outcome = Outcome.waiting
+            self._offer(decider, answer.arrival, now)
+            return
+        answer.outcome = Outcome.lost
+        answer.ended_at = now
+        answer.produced = job.produced
+        self.ledger.tokens -= job.produced
