--- /dev/null
+++ b/chicoryshunt/process/fleet.py
@@ -0,0 +1,137 @@
+"""This node's place in the fleet: members, links, datagrams, time."""
+
+import asyncio
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from random import Random
+
+from chicoryshunt.clock import SystemClock
+from chicoryshunt.connection.client import HttpClient
+from chicoryshunt.connection.loop import get_reactor
+from chicoryshunt.connection.platform_api import PublishedVm, PublishedVms
+from chicoryshunt.process.bearings import Bearings
+from chicoryshunt.process.claims import LeaseTimes
+from chicoryshunt.process.core import Core
+from chicoryshunt.process.driver import drive_cores
+from chicoryshunt.process.leases import Leases
+from chicoryshunt.process.links import Links
+from chicoryshunt.process.loads import LoadReader
+from chicoryshunt.process.membership import Membership
+from chicoryshunt.process.mesh import Mesh
+from chicoryshunt.process.metrics import Metrics
+from chicoryshunt.process.pause import Pulse
+from chicoryshunt.process.peers import PeerClient
+from chicoryshunt.process.seal import Purpose, Seal
+from chicoryshunt.process.watch import VmWatch
+from chicoryshunt.settings import LeaseSettings, Settings
+from chicoryshunt.types import Incarnation
+from chicoryshunt.version.config import Config
+
+_MILLISECOND_NS = 1_000_000
+
+
+class Fleet:
+    """Holds what every part needs that talks to other nodes."""
+
+    def __init__(self, settings: Settings, metrics: Metrics) -> None:
+        """Start alone; the incarnation is the start in milliseconds."""
+        self.incarnation = Incarnation(time.time_ns() // _MILLISECOND_NS)
+        self.rng = Random(f'{settings.vm} {self.incarnation}')
+        self.links = Links()
+        self.pulse = Pulse(SystemClock())
+        self.membership = Membership(
+            publish_own(settings),
+            self.incarnation,
+            self.rng,
+            self.pulse.check(),
+        )
+        self.watch = VmWatch(
+            settings.platform.vms,
+            self.membership,
+            self.links,
+        )
+        self.bearings = Bearings()
+        self.leases = Leases(
+            self.membership,
+            build_times(settings.leases),
+            self.bearings.find,
+            self.pulse.check(),
+        )
+        self.loads = LoadReader(self.leases.keeping, self.pulse)
+        self.watch.subscribe(self.leases.learn_vms)
+        self.cores: list[Core] = [self.membership, self.leases]
+        self._settings = settings
+        self._metrics = metrics
+        self.call_seal = self.build_seal(Purpose.call)
+        self.peer_client = PeerClient(self.call_seal, self.links)
+
+    @contextmanager
+    def serve(self) -> Iterator[Mesh]:
+        """Listen for datagrams of other nodes; cores must be complete."""
+        settings = self._settings
+        seal = self.build_seal(Purpose.datagram)
+        mesh = Mesh(seal, self.links, self.pulse, self._metrics, self.cores)
+        port = get_reactor().listenUDP(
+            settings.listen.gossip,
+            mesh,
+            interface=settings.listen.host,
+        )
+        try:
+            yield mesh
+        finally:
+            port.stopListening()
+
+    def list_vms(self) -> PublishedVms:
+        """Return the VMs of the fleet with their addresses."""
+        roster = self.membership.roster
+        return PublishedVms(tuple(one.published for one in roster))
+
+    def build_seal(self, purpose: Purpose) -> Seal:
+        """Return a seal that follows the incarnation of this node."""
+        settings = self._settings
+        seal = Seal(settings.key, settings.vm, self.incarnation, purpose)
+        self.membership.on_raise(seal.raise_incarnation)
+        return seal
+
+    async def run(self, mesh: Mesh, client: HttpClient) -> None:
+        """Read the list and drive the cores while the process lives."""
+        await asyncio.gather(
+            self.watch.run(client, self.pulse, self.rng),
+            self.loads.run(client),
+            drive_cores(self.cores, mesh, self.pulse),
+        )
+
+    def learn_config(self, config: Config) -> None:
+        """Follow the configuration."""
+        self.bearings.learn(config)
+        self.loads.learn(config)
+        self.leases.learn_targets(
+            {name: one.data_centre for name, one in config.targets.items()},
+            {name: one.region for name, one in config.data_centres.items()},
+        )
+
+    def leave(self, mesh: Mesh) -> None:
+        """Tell the others at once that this node leaves."""
+        mesh.send_all(self.membership.leave(self.pulse.check()))
+
+
+def build_times(settings: LeaseSettings) -> LeaseTimes:
+    """Return the times of leases by the settings."""
+    return LeaseTimes(
+        settings.term_seconds,
+        settings.vm_list_lag_seconds,
+        settings.load_lag_seconds,
+    )
+
+
+def publish_own(settings: Settings) -> PublishedVm:
+    """Return this node's entry as the platform would publish it."""
+    listen = settings.listen
+    return PublishedVm(
+        settings.vm,
+        settings.data_centre,
+        caller=f'{listen.host}:{listen.caller}',
+        peer=f'{listen.host}:{listen.peer}',
+        gossip=f'{listen.host}:{listen.gossip}',
+    )
--- a/chicoryshunt/process/state.py
+++ b/chicoryshunt/process/state.py
@@ -1,37 +1,53 @@
 """What the parts of a node share while the process lives."""
 
+from collections.abc import Collection
+
 import msgspec
 
-from chicoryshunt.connection.platform_api import PublishedVm
+from chicoryshunt.clock import SystemClock
+from chicoryshunt.connection.caller_api import Entries, Entry
+from chicoryshunt.process.allowance import Allowances
+from chicoryshunt.process.config_api import ConfigStatus, describe_config
+from chicoryshunt.process.configuration import Configuration
+from chicoryshunt.process.entries import KEEP_SECONDS, order_entries
+from chicoryshunt.process.fleet import Fleet
+from chicoryshunt.process.journal import Journal
+from chicoryshunt.process.levels import Levels
 from chicoryshunt.process.metrics import Metrics
 from chicoryshunt.process.router import Route, Router
+from chicoryshunt.process.scheduler import Scheduler
 from chicoryshunt.settings import Settings
 from chicoryshunt.types import (
     ConfigVersion,
+    DataCentreId,
     ModelId,
     Reason,
     Seconds,
     ServiceId,
+    TargetId,
     VmId,
+    VmState,
 )
 from chicoryshunt.verdict import Verdict, refuse
 from chicoryshunt.version.config import Config
 
-_KEEP_SECONDS = 5
-
 
-class Entry(msgspec.Struct, frozen=True):
-    """One address a caller may use."""
+class MemberStatus(msgspec.Struct, frozen=True):
+    """What a node knows of one VM."""
 
     vm: VmId
-    address: str
+    data_centre: DataCentreId
+    state: VmState
+    load: int
 
 
-class Entries(msgspec.Struct, frozen=True):
-    """Addresses in order of preference and how long to keep them."""
+class LeaseStatus(msgspec.Struct, frozen=True):
+    """What a node holds on one target."""
 
-    entries: tuple[Entry, ...]
-    keep_seconds: float
+    target: TargetId
+    keeper: VmId | None
+    slots: int
+    running: int
 
 
 class NodeStatus(msgspec.Struct, frozen=True):
@@ -39,21 +55,56 @@
 
     vm: VmId
     version: ConfigVersion
-    members: tuple[VmId, ...]
+    config: ConfigStatus
+    members: tuple[MemberStatus, ...]
+    leases: tuple[LeaseStatus, ...]
 
 
 class NodeState:
     """Configuration in force, members and targets of this node."""
 
-    def __init__(self, settings: Settings) -> None:
-        """Start without a configuration."""
+    def __init__(
+        self,
+        settings: Settings,
+        allowances: Allowances | None = None,
+    ) -> None:
+        """Start without a configuration; leases are the usual allowances."""
         self.settings = settings
         self.metrics = Metrics()
-        self.router = Router(settings.data_centre)
-        self.config: Config | None = None
-        self.vms: tuple[PublishedVm, ...] = ()
-
-    def route(self, wanted: ModelId | ServiceId) -> Route | Verdict:
+        self.fleet = Fleet(settings, self.metrics)
+        allowed = allowances or self.fleet.leases.tenures
+        self.router = Router(
+            settings.data_centre,
+            allowed,
+            self.fleet.pulse,
+        )
+        self.clock = SystemClock()
+        self.journal = Journal(self.clock, self.metrics)
+        self.scheduler = Scheduler(
+            settings.data_centre,
+            allowed,
+            self.clock,
+            self.journal,
+        )
+        self.configuration = Configuration(self.metrics)
+        self.levels = Levels(
+            settings.data_centre,
+            self.configuration,
+            self.clock,
+        )
+        self.configuration.subscribe(self.fleet.learn_config)
+        self.configuration.subscribe(self.scheduler.apply)
+
+    @property
+    def config(self) -> Config | None:
+        """Return the configuration in force."""
+        return self.configuration.current
+
+    def route(
+        self,
+        wanted: ModelId | ServiceId,
+        excluded: Collection[TargetId] = (),
+    ) -> Route | Verdict:
         """Return a target for the model or service."""
         if self.config is None:
             return refuse(
@@ -61,27 +112,59 @@
                 'no configuration is known',
                 Seconds(1),
             )
-        return self.router.choose(self.config, wanted)
+        if not self.configuration.is_confirmed:
+            return refuse(
+                Reason.paused,
+                'the configuration is being confirmed after a pause',
+                Seconds(1),
+            )
+        return self.router.choose(self.config, wanted, excluded)
 
     def list_entries(self) -> Entries:
         """Return addresses, the caller's data centre first."""
-        own = self.settings.data_centre
-        ordered = sorted(
-            (vm for vm in self.vms if not vm.leaving),
-            key=lambda vm: vm.data_centre != own,
+        ordered = order_entries(
+            self.fleet.membership.roster,
+            self.settings.data_centre,
+            self.fleet.rng,
         )
         return Entries(
-            tuple(Entry(vm.vm, vm.caller) for vm in ordered),
-            _KEEP_SECONDS,
+            tuple(
+                Entry(one.published.vm, one.published.caller) for one in ordered
+            ),
+            KEEP_SECONDS,
         )
 
+    def find_caller_address(self, wanted: VmId) -> str:
+        """Return where a VM listens for callers, empty when unknown."""
+        member = self.fleet.membership.roster.find(wanted)
+        return '' if member is None else member.published.caller
+
     def describe(self) -> NodeStatus:
         """Return what this node knows."""
-        version = ConfigVersion(0)
-        if self.config is not None:
-            version = self.config.version
         return NodeStatus(
             self.settings.vm,
-            version,
-            tuple(vm.vm for vm in self.vms),
+            self.configuration.version,
+            describe_config(self.configuration),
+            tuple(
+                MemberStatus(
+                    one.published.vm,
+                    one.published.data_centre,
+                    one.state,
+                    one.load,
+                )
+                for one in self.fleet.membership.roster
+            ),
+            self._list_leases(),
+        )
+
+    def _list_leases(self) -> tuple[LeaseStatus, ...]:
+        now = self.fleet.pulse.check()
+        return tuple(
+            LeaseStatus(
+                target,
+                tenure.keeper,
+                tenure.count_slots(now),
+                tenure.running,
+            )
+            for target, tenure in self.fleet.leases.tenures
         )
--- a/chicoryshunt/settings.py
+++ b/chicoryshunt/settings.py
@@ -50,12 +50,23 @@
 
     body_bytes: PositiveInt = 4 << 20
     body_seconds: PositiveSeconds = 20
+    header_seconds: PositiveSeconds = 10
+    open_bodies_bytes: PositiveInt = 32 << 20
     connections: PositiveInt = 4096
     stream_buffer_bytes: PositiveInt = 256 << 10
     whole_buffer_bytes: PositiveInt = 8 << 20
+    whole_buffers_bytes: PositiveInt = 32 << 20
     caller_grace_seconds: PositiveSeconds = 5
 
 
+class LeaseSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Term of leases and bounds of lag that they rely on."""
+
+    term_seconds: PositiveSeconds = 4
+    vm_list_lag_seconds: PositiveSeconds = 5
+    load_lag_seconds: PositiveSeconds = 2
+
+
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Everything a node is told when it starts."""
 
@@ -64,6 +75,8 @@
     listen: Listen
     platform: Platform
     fleet_key: str = ''
+    trials: bool = False
+    leases: LeaseSettings = msgspec.field(default_factory=LeaseSettings)
     limits: Limits = msgspec.field(default_factory=Limits)
 
     @property
@@ -148,3 +161,14 @@
     except ValueError:
         return False
     return True
+
+
+def is_address(text: str) -> bool:
+    """Say whether the text is an IP number, a colon and a port."""
+    host, _, port = text.rpartition(':')
+    return (
+        is_ip_number(host)
+        and port.isascii()
+        and port.isdecimal()
+        and int(port) <= _MAX_PORT
+    )
