Give orders to engines from the configuration

Purpose: operators say what a target is to hold; one node, its keeper, has to bring it there without writes that nodes share.

The keeper is the live node first by rendezvous hash in the target's data centre, and it acts only while it sees more than half of the published VMs. It reads the load report first and orders only what differs. Numbers are above all that the engine reported or this process built, and their low part is the node's rank, so no two nodes build the same. An engine that ignores numbers gets no order before the keeper has kept it, or been awake, for 20 s, longer than finding a lost keeper and giving up its last order take together, and none while an earlier one may still be carried out. Whether an order is still wanted is asked again after the pause check right before its write.

Loads are staggered by a schedule that every node works out alike from the configuration; the store's 429 reaches the keeper through the engine.

Seen failing, one change at a time on a scratch copy: - no settle time: OrdersMachine, two orders at the ignoring engine - no majority: test_minority_gives_no_orders, OrdersMachine - numbers forgotten with a pause: the same number built twice; test_number_is_not_used_again_after_a_pause - order not asked for again before its write: test_order_begun_before_a_pause_is_dropped - orders while the engine loads: OrdersMachine - the same low part on every node: OrdersMachine, equal numbers accepted

--- a/chicoryshunt/connection/target_api.py
+++ b/chicoryshunt/connection/target_api.py
@@ -54,7 +54,10 @@
 
 
 class LoadReport(msgspec.Struct, frozen=True):
-    """Load of an engine at a past moment; ``start`` changes when it starts."""
+    """Load of an engine at a past moment; ``start`` changes when it starts.
+
+    ``is_loading`` is set while an order is being carried out.
+    """
 
     start: int
     at: float
@@ -68,6 +71,7 @@
     role: str = 'both'
     model_version: str = ''
     adapters: tuple[str, ...] = ()
+    is_loading: bool = False
 
 
 class CacheEvent(msgspec.Struct, frozen=True):
--- a/chicoryshunt/process/node.py
+++ b/chicoryshunt/process/node.py
@@ -18,6 +18,7 @@
     register_pull,
 )
 from chicoryshunt.process.mesh import Mesh
+from chicoryshunt.process.order_runner import OrderRunner, build_order_link
 from chicoryshunt.process.peers import PeerServer
 from chicoryshunt.process.state import NodeState
 from chicoryshunt.settings import Settings
@@ -35,7 +36,7 @@
         state.fleet.rng,
         state.metrics,
     )
-    state.fleet.cores.append(parts.spread)
+    state.fleet.cores.extend((parts.spread, state.orders))
     with serve_callers(state), state.fleet.serve() as mesh:
         reactor.callWhenRunning(
             lambda: asyncio.ensure_future(run_tasks(state, mesh, parts)),
@@ -89,15 +90,17 @@
 async def run_tasks(state: NodeState, mesh: Mesh, parts: ConfigParts) -> None:
     """Read the platform and talk to the other nodes."""
     client = HttpClient()
+    check_pulse = state.fleet.pulse.check
     async with serve_peers(state, parts):
         await asyncio.gather(
             state.fleet.run(mesh, client),
             state.scheduler.run(),
+            OrderRunner(state.orders, build_order_link(), check_pulse).run(),
             keep_configuration(
                 parts,
                 HttpConfigService(state.settings.platform.config, client),
                 state.fleet.peer_client,
                 state.metrics,
-                state.fleet.pulse.check,
+                check_pulse,
             ),
         )
--- /dev/null
+++ b/chicoryshunt/process/orders.py
@@ -0,0 +1,286 @@
+"""Orders to engines, derived from the configuration by each keeper."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from math import inf
+
+from chicoryshunt.connection.order_results import (
+    NotSent,
+    Obeyed,
+    Outdated,
+    ReadResult,
+    SendResult,
+    Throttled,
+    Unanswered,
+)
+from chicoryshunt.connection.target_api import LoadReport, Order
+from chicoryshunt.events import log_event, log_problem
+from chicoryshunt.process.core import Message, Send
+from chicoryshunt.process.keepers import find_keeper, sees_majority
+from chicoryshunt.process.load_schedule import schedule_loads
+from chicoryshunt.process.members import Members
+from chicoryshunt.process.metrics import Metrics
+from chicoryshunt.process.order_actions import Action, ReadLoad, SendOrder
+from chicoryshunt.process.order_course import (
+    CHECK_SECONDS,
+    RETRY_SECONDS,
+    Course,
+    FenceCounter,
+    holds_weights,
+    is_reached,
+)
+from chicoryshunt.types import ConfigVersion, TargetId, VmId
+from chicoryshunt.version.config import Config, Desired, Target
+
+ORDER_SECONDS = 5.0
+SETTLE_SECONDS = 20.0
+FOLLOW_SECONDS = 1.0
+_NOTHING = Desired()
+
+
+@dataclass(frozen=True, slots=True)
+class _View:
+    """What decides which targets this node keeps."""
+
+    version: ConfigVersion
+    live: frozenset[VmId]
+    published: frozenset[VmId]
+
+
+class Orders:
+    """Core that keeps each kept target at what operators want.
+
+    Times are seconds of a monotonic clock. An engine that ignores fencing
+    numbers gets no order before ``SETTLE_SECONDS`` have passed since this
+    node became its keeper or woke up: any order of an earlier keeper has
+    then been answered or given up.
+    """
+
+    kinds: tuple[type[Message], ...] = ()
+
+    def __init__(self, own: VmId, members: Members, metrics: Metrics) -> None:
+        """Start without a configuration."""
+        self._own = own
+        self._members = members
+        self._metrics = metrics
+        self._config: Config | None = None
+        self._courses: dict[TargetId, Course] = {}
+        self._seen: dict[TargetId, ConfigVersion] = {}
+        self._slots: dict[TargetId, float] = {}
+        self._fences: dict[TargetId, FenceCounter] = {}
+        self._numbers = 0
+        self._next_follow = -inf
+        self._view: _View | None = None
+        self._kept: frozenset[TargetId] = frozenset()
+
+    def receive(
+        self,
+        sender: VmId,
+        message: Message,
+        now: float,
+    ) -> Iterable[Send]:
+        """Receive nothing: keepers do not talk to each other."""
+        return ()
+
+    def tick(self, now: float) -> Iterable[Send]:
+        """Follow the members: drop what others keep now."""
+        config = self._config
+        if config is None or now < self._next_follow:
+            return ()
+        self._next_follow = now + FOLLOW_SECONDS
+        view = _View(
+            config.version,
+            frozenset(self._members.list_live()),
+            frozenset(self._members.published),
+        )
+        if view != self._view:
+            self._view = view
+            self._kept = frozenset(self._list_kept(config))
+        for lost in sorted(set(self._courses) - self._kept):
+            self._courses.pop(lost)
+        for target in sorted(self._kept - set(self._courses)):
+            self._courses[target] = Course(
+                self._fences.setdefault(target, FenceCounter()),
+                now + SETTLE_SECONDS,
+                now,
+            )
+        return ()
+
+    def wake(self, now: float, paused_seconds: float) -> None:
+        """Forget every course, so that nothing begun before is finished."""
+        self._courses.clear()
+
+    def apply(self, config: Config, now: float) -> None:
+        """Follow a new version of the configuration."""
+        changed = [
+            target
+            for target in config.targets
+            if self._seen.get(target) != _get_since(config, target)
+        ]
+        self._seen = {
+            target: _get_since(config, target) for target in config.targets
+        }
+        self._slots.update(schedule_loads(config, changed, now))
+        self._fences = {
+            target: counter
+            for target, counter in self._fences.items()
+            if target in config.targets
+        }
+        self._config = config
+        for target in changed:
+            course = self._courses.get(target)
+            if course is not None:
+                course.hurry(now)
+
+    def plan(self, now: float) -> Iterator[ReadLoad]:
+        """Return the reads that are due."""
+        config = self._config
+        if config is None:
+            return
+        for target_id, course in self._courses.items():
+            target = config.targets.get(target_id)
+            if target is not None and now >= course.due:
+                course.start(self._draw_number(), now)
+                yield ReadLoad(target_id, target.address, course.number)
+
+    def may_send(self, action: SendOrder) -> bool:
+        """Say whether an order is still wanted, right before its write."""
+        config = self._config
+        if config is None or self._find(action) is None:
+            return False
+        target = config.targets.get(action.target)
+        return (
+            target is not None
+            and sees_majority(self._members, self._own)
+            and self._keeps(action.target, target)
+        )
+
+    def learn_report(
+        self,
+        action: ReadLoad,
+        result: ReadResult,
+        now: float,
+    ) -> SendOrder | None:
+        """Compare what a target holds; return the order it needs."""
+        course = self._find(action)
+        if course is None or self._config is None:
+            return None
+        target = self._config.targets.get(action.target)
+        match result:
+            case LoadReport() if target is not None:
+                course.note_report(result, now)
+                wait = self._find_wait(action.target, target, result, now)
+                if wait > now:
+                    course.wait(wait)
+                    return None
+                course.start(self._draw_number(), now)
+                return self._build_order(action.target, target, course)
+            case _:
+                course.wait(now + CHECK_SECONDS)
+        return None
+
+    def learn_answer(
+        self,
+        action: SendOrder,
+        result: SendResult,
+        now: float,
+    ) -> None:
+        """Use what came of an order."""
+        self._report(action, result)
+        course = self._find(action)
+        if course is None:
+            return
+        match result:
+            case Obeyed() | Unanswered():
+                course.note_pending(action.order, now)
+                course.wait(now + CHECK_SECONDS)
+            case Outdated(fence=fence):
+                course.fences.note(fence)
+                course.wait(now + RETRY_SECONDS)
+            case Throttled(retry_after=seconds):
+                course.wait(now + seconds)
+            case NotSent():
+                course.wait(now + CHECK_SECONDS)
+
+    def _find_wait(
+        self,
+        target_id: TargetId,
+        target: Target,
+        report: LoadReport,
+        now: float,
+    ) -> float:
+        course = self._courses[target_id]
+        if is_reached(target.desired, report):
+            return now + CHECK_SECONDS
+        is_busy = course.pending is not None and not target.checks_fence
+        if report.is_loading or is_busy:
+            return now + RETRY_SECONDS
+        ready = -inf if target.checks_fence else course.settled_at
+        if holds_weights(target.desired, report):
+            return ready
+        return max(ready, self._slots.get(target_id, -inf))
+
+    def _build_order(
+        self,
+        target_id: TargetId,
+        target: Target,
+        course: Course,
+    ) -> SendOrder:
+        rank = sum(vm < self._own for vm in self._members.published)
+        return SendOrder(
+            target_id,
+            target.address,
+            course.number,
+            Order(
+                course.fences.build(rank),
+                target.desired.model_version,
+                target.desired.adapters,
+                target.desired.role,
+            ),
+        )
+
+    def _list_kept(self, config: Config) -> Iterator[TargetId]:
+        if not sees_majority(self._members, self._own):
+            return
+        for target_id, target in config.targets.items():
+            if _is_managed(target) and self._keeps(target_id, target):
+                yield target_id
+
+    def _keeps(self, target_id: TargetId, target: Target) -> bool:
+        keeper = find_keeper(self._members, target_id, target.data_centre)
+        return keeper == self._own
+
+    def _find(self, action: Action) -> Course | None:
+        course = self._courses.get(action.target)
+        if course is None or course.number != action.number:
+            return None
+        return course
+
+    def _draw_number(self) -> int:
+        self._numbers += 1
+        return self._numbers
+
+    def _report(self, action: SendOrder, result: SendResult) -> None:
+        outcome = type(result).__name__
+        self._metrics.count(
+            'orders',
+            'Orders sent to targets, by outcome',
+            outcome=outcome,
+        )
+        log = log_event if isinstance(result, Obeyed) else log_problem
+        log(
+            'order_answered',
+            target=action.target,
+            outcome=outcome,
+            fence=action.order.fence,
+            model_version=action.order.model_version,
+            role=action.order.role,
+        )
+
+
+def _is_managed(target: Target) -> bool:
+    return target.model is not None and target.desired != _NOTHING
+
+
+def _get_since(config: Config, target: TargetId) -> ConfigVersion:
+    return config.desired_since.get(target, ConfigVersion(0))
--- a/chicoryshunt/process/state.py
+++ b/chicoryshunt/process/state.py
@@ -13,6 +13,7 @@
 from chicoryshunt.process.journal import Journal
 from chicoryshunt.process.local_shares import LocalShares
 from chicoryshunt.process.metrics import Metrics
+from chicoryshunt.process.orders import Orders
 from chicoryshunt.process.router import Route, Router
 from chicoryshunt.process.scheduler import Scheduler
 from chicoryshunt.settings import Settings
@@ -68,6 +69,12 @@
         )
         self.configuration = Configuration(self.metrics)
         self.configuration.subscribe(self.scheduler.apply)
+        self.orders = Orders(
+            settings.vm,
+            self.fleet.membership.roster,
+            self.metrics,
+        )
+        self.configuration.subscribe(self._apply_orders)
 
     @property
     def config(self) -> Config | None:
@@ -129,5 +136,8 @@
             ),
         )
 
+    def _apply_orders(self, config: Config) -> None:
+        self.orders.apply(config, self.fleet.pulse.check())
+
     def _count_nodes(self) -> int:
         return self.fleet.membership.roster.published_count
--- a/lab/engine.py
+++ b/lab/engine.py
@@ -17,11 +17,10 @@
     GenerateOrder,
     LoadReport,
     NotAccepted,
-    Order,
-    OrderAnswer,
 )
 from lab.batching import Batch, Ending, EngineSpec, Job, Step
 from lab.daemon import parse_flags, serve_stand_in
+from lab.engine_orders import OrderBook
 from lab.engine_stream import Generation, TokenStream
 from lab.faults import FaultKind, Faults
 from lab.runs import RunLedger
@@ -33,6 +32,8 @@
 flags.DEFINE_integer('memory', 60_000, 'memory tokens', flag_values=_FLAGS)
 flags.DEFINE_float('step', 0.02, 'seconds a step', flag_values=_FLAGS)
 flags.DEFINE_float('lag', 0.5, 'seconds a load lags', flag_values=_FLAGS)
+flags.DEFINE_float('load', 0, 'seconds an order takes', flag_values=_FLAGS)
+flags.DEFINE_string('weights', '', 'URL of the store', flag_values=_FLAGS)
 flags.DEFINE_boolean('fenced', True, 'refuse old orders', flag_values=_FLAGS)
 
 _LENGTH_MU = 5.5
@@ -60,10 +61,12 @@
         self._rng = random.Random(_FLAGS.seed)
         self.batch = Batch(spec, self._rng)
         self.started = 0
-        self.fence = 0
-        self.role = 'both'
-        self.model_version = ''
-        self.adapters: tuple[str, ...] = ()
+        self.orders = OrderBook(
+            self.batch.chill,
+            is_fenced=_FLAGS.fenced,
+            load_seconds=_FLAGS.load,
+            weights_url=_FLAGS.weights,
+        )
         self.start_count = time.time_ns() // _MICROSECOND_NS
         self.ledger = RunLedger()
         self._generations: dict[str, Generation] = {}
@@ -88,7 +91,9 @@
             case ('GET', 'ledger'):
                 exchange.respond_json(self.ledger)
             case ('POST', 'orders'):
-                self._obey(exchange)
+                await self.orders.obey(exchange)
+            case ('GET', 'orders'):
+                exchange.respond_json(self.orders.ledger)
             case _:
                 exchange.respond_json(None, status=HTTPStatus.NOT_FOUND)
 
@@ -130,10 +135,11 @@
             memory_tokens=self.batch.spec.memory_tokens,
             step_ms=step_seconds * 1000,
             preemptions=self.batch.preemptions,
-            fence=self.fence,
-            role=self.role,
-            model_version=self.model_version,
-            adapters=self.adapters,
+            fence=self.orders.fence,
+            role=self.orders.role,
+            model_version=self.orders.model_version,
+            adapters=self.orders.adapters,
+            is_loading=self.orders.is_loading,
         )
 
     def _find_report(self) -> LoadReport:
@@ -221,22 +227,6 @@
         stream = TokenStream(exchange, generation, start, self.faults)
         await stream.serve()
 
-    def _obey(self, exchange: Exchange) -> None:
-        order = msgspec.json.decode(exchange.body, type=Order)
-        if _FLAGS.fenced and order.fence < self.fence:
-            exchange.respond_json(
-                OrderAnswer(accepted=False, fence=self.fence),
-                HTTPStatus.CONFLICT,
-            )
-            return
-        self.fence = max(self.fence, order.fence)
-        self.role = order.role
-        if order.model_version != self.model_version:
-            self.batch.chill()
-        self.model_version = order.model_version
-        self.adapters = order.adapters
-        exchange.respond_json(OrderAnswer(accepted=True, fence=self.fence))
-
 
 def _find_key(prompt: str) -> str:
     _, _, rest = prompt.partition(_KEY_MARK)
