--- a/chicoryshunt/process/callers.py
+++ b/chicoryshunt/process/callers.py
@@ -2,25 +2,21 @@
 
 import msgspec
 
-from chicoryshunt.connection.client import (
-    BrokenError,
-    HttpClient,
-    NotConnectedError,
-)
 from chicoryshunt.connection.exchange import Exchange
+from chicoryshunt.process.calls import CallApi
 from chicoryshunt.process.config_api import ConfigApi
+from chicoryshunt.process.drain import Drain
 from chicoryshunt.process.generations import GenerationApi
 from chicoryshunt.process.journal import Explanation
-from chicoryshunt.process.router import Route
+from chicoryshunt.process.ownership import refuse_draining
 from chicoryshunt.process.state import NodeState
 from chicoryshunt.types import (
     ModelId,
     Reason,
-    RunState,
     ServiceId,
     VmId,
 )
-from chicoryshunt.verdict import Verdict, doubt, refuse
+from chicoryshunt.verdict import refuse
 
 
 class CutOrder(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -32,10 +28,16 @@
 class CallerApi:
     """Answers callers and operators."""
 
-    def __init__(self, state: NodeState) -> None:
+    def __init__(
+        self,
+        state: NodeState,
+        calls: CallApi,
+        drain: Drain,
+    ) -> None:
         """Serve with the state of the node."""
         self._state = state
-        self._client = HttpClient()
+        self._calls = calls
+        self._drain = drain
         self._generations = GenerationApi(state)
         self._config = ConfigApi(
             state.settings.vm,
@@ -44,22 +46,36 @@
         )
 
     async def handle(self, exchange: Exchange) -> None:
-        """Serve one request."""
+        """Serve one request and count it while it runs."""
+        with self._drain.count():
+            await self._serve(exchange)
+
+    async def _serve(self, exchange: Exchange) -> None:
         match (exchange.method, *exchange.segments):
             case ('GET', 'v1', 'entries'):
-                exchange.respond_json(self._state.list_entries())
+                exchange.respond_json(self._calls.list_entries())
+            case ('POST', 'v1', 'generate', _) if not self._drain.is_serving:
+                self._calls.respond(exchange, refuse_draining())
             case ('POST', 'v1', 'generate', model):
                 await self._generations.generate(exchange, ModelId(model))
             case ('POST', 'v1', 'resume', *action):
                 await self._generations.handle_resume(exchange, action)
             case (_, 'v1', 'call', service, *path):
-                await self._call(exchange, ServiceId(service), '/'.join(path))
+                await self._calls.handle(
+                    exchange,
+                    ServiceId(service),
+                    '/'.join(path),
+                )
             case (_, 'v1', 'config', *path):
                 self._config.handle(exchange, path)
             case ('GET', 'v1', 'status'):
                 exchange.respond_json(self._state.describe())
             case ('POST', 'v1', 'trial', 'cut') if self._state.settings.trials:
                 self._cut(exchange)
+            case ('GET', 'v1', 'service-levels'):
+                exchange.respond_json(
+                    self._state.levels.export(self._state.settings.vm),
+                )
             case ('GET', 'v1', 'explain', request):
                 self._explain(exchange, request)
             case ('GET', 'metrics'):
@@ -86,39 +102,3 @@
             return
         self._state.fleet.links.cut(order.vms)
         exchange.respond_json(order)
-
-    async def _call(
-        self,
-        exchange: Exchange,
-        service: ServiceId,
-        path: str,
-    ) -> None:
-        route = self._state.route(service)
-        if isinstance(route, Verdict):
-            exchange.respond_verdict(route)
-            return
-        with self._state.router.hold(route):
-            verdict = await self._relay(exchange, route, path)
-        if verdict is not None:
-            exchange.respond_verdict(verdict)
-
-    async def _relay(
-        self,
-        exchange: Exchange,
-        route: Route,
-        path: str,
-    ) -> Verdict | None:
-        try:
-            status, body = await self._client.read(
-                exchange.method,
-                f'http://{route.address}/{path}',
-                exchange.body,
-                {'idempotency-key': exchange.get_header('idempotency-key')},
-            )
-        except NotConnectedError as error:
-            return refuse(Reason.target_unreachable, str(error))
-        except BrokenError as error:
-            return doubt(Reason.target_unreachable, str(error))
-        exchange.set_verdict(RunState.ran)
-        exchange.respond(body, status=status)
-        return None
--- a/chicoryshunt/process/node.py
+++ b/chicoryshunt/process/node.py
@@ -1,15 +1,19 @@
 """The daemon: opens the ports, drives every part, runs until told."""
 
 import asyncio
-from collections.abc import AsyncIterator, Iterator
-from contextlib import asynccontextmanager, contextmanager
+import signal
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from functools import partial
 
 from chicoryshunt.connection.bounds import ServerBounds
 from chicoryshunt.connection.client import HttpClient
 from chicoryshunt.connection.loop import get_reactor
+from chicoryshunt.connection.loop_transport import open_server
 from chicoryshunt.connection.platform import HttpConfigService
-from chicoryshunt.connection.web import BoundedSite
-from chicoryshunt.events import log_event
+from chicoryshunt.connection.web import BoundedSite, close_connections
+from chicoryshunt.events import log_event, log_problem
+from chicoryshunt.process.assembly import OwnerParts, build_owner
 from chicoryshunt.process.callers import CallerApi
 from chicoryshunt.process.config_assembly import (
     ConfigParts,
@@ -17,18 +21,40 @@
     keep_configuration,
     register_pull,
 )
+from chicoryshunt.process.drain import Departure
 from chicoryshunt.process.mesh import Mesh
 from chicoryshunt.process.order_runner import OrderRunner, build_order_link
 from chicoryshunt.process.peers import PeerServer
 from chicoryshunt.process.state import NodeState
 from chicoryshunt.settings import Settings
+from chicoryshunt.types import VmId, VmState
+
+_GRACE_SECONDS = 1.0
 
 
 def run_node(settings: Settings) -> None:
-    """Run a node until SIGTERM."""
+    """Run a node until it has left after a SIGTERM."""
     reactor = get_reactor()
     state = NodeState(settings)
-    parts = build_configuration(
+    failures: list[BaseException | None] = []
+
+    def stop(running: 'asyncio.Task[None]') -> None:
+        failures.append(running.exception())
+        reactor.stop()
+
+    def start() -> None:
+        asyncio.ensure_future(_serve(state)).add_done_callback(stop)
+
+    reactor.callWhenRunning(start)
+    reactor.run()
+    for failure in failures:
+        if failure is not None:
+            raise failure
+
+
+async def _serve(state: NodeState) -> None:
+    settings = state.settings
+    config = build_configuration(
         state.configuration,
         settings.vm,
         settings.data_centre,
@@ -36,22 +62,82 @@
         state.fleet.rng,
         state.metrics,
     )
-    state.fleet.cores.extend((parts.spread, state.orders))
-    with serve_callers(state), state.fleet.serve() as mesh:
-        reactor.callWhenRunning(
-            lambda: asyncio.ensure_future(run_tasks(state, mesh, parts)),
+    state.fleet.cores.extend((config.spread, state.orders))
+    server = PeerServer(
+        state.fleet.call_seal,
+        state.fleet.links,
+        state.fleet.pulse,
+        state.metrics,
+    )
+    register_pull(server, config.spread)
+    with state.fleet.serve() as mesh:
+        owning = build_owner(
+            state,
+            server,
+            partial(state.fleet.leave, mesh),
         )
-        log_event('node_started', vm=settings.vm)
-        reactor.run()
+        async with serve_peers(settings, server), serve_callers(state, owning):
+            log_event('node_started', vm=settings.vm)
+            await _run_until_left(state, mesh, config, owning)
+    log_event('node_left', vm=settings.vm)
+
+
+async def _run_until_left(
+    state: NodeState,
+    mesh: Mesh,
+    config: ConfigParts,
+    owning: OwnerParts,
+) -> None:
+    running = asyncio.ensure_future(run_tasks(state, mesh, config))
+    running.add_done_callback(partial(_leave_on_failure, owning.departure))
+    start_departure_on_signal(owning.departure)
+    state.fleet.membership.subscribe(
+        partial(_note_own_state, state.settings.vm, owning.departure),
+    )
+    await owning.departure.wait()
+    if running.done():
+        await running
+    running.cancel()
+
+
+def start_departure_on_signal(departure: Departure) -> None:
+    """Begin a planned stop at each SIGTERM."""
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGTERM,
+        departure.start,
+        'SIGTERM',
+    )
+
+
+def _note_own_state(
+    own: VmId,
+    departure: Departure,
+    vm: VmId,
+    state: VmState,
+) -> None:
+    if vm == own and state is VmState.leaving and not departure.is_begun:
+        departure.start('vm_list')
+
 
+def _leave_on_failure(
+    departure: Departure,
+    running: 'asyncio.Future[None]',
+) -> None:
+    if not running.cancelled() and running.exception() is not None:
+        log_problem('task_failed', error=repr(running.exception()))
+        departure.start('task_failed')
 
-@contextmanager
-def serve_callers(state: NodeState) -> Iterator[None]:
-    """Listen for callers."""
+
+@asynccontextmanager
+async def serve_callers(
+    state: NodeState,
+    owning: OwnerParts,
+) -> AsyncIterator[None]:
+    """Listen for callers; let every answer leave before the end."""
     listen = state.settings.listen
     limits = state.settings.limits
     site = BoundedSite(
-        CallerApi(state).handle,
+        CallerApi(state, owning.calls, owning.drain).handle,
         ServerBounds(
             limits.connections,
             limits.header_seconds,
@@ -60,47 +146,41 @@
             limits.open_bodies_bytes,
         ),
     )
-    listener = get_reactor().listenTCP(
-        listen.caller,
-        site,
-        interface=listen.host,
-    )
+    server = await open_server(site, listen.host, listen.caller)
     try:
         yield
     finally:
-        listener.stopListening()
+        server.close()
+        await close_connections(site)
 
 
 @asynccontextmanager
 async def serve_peers(
-    state: NodeState,
-    parts: ConfigParts,
+    settings: Settings,
+    server: PeerServer,
 ) -> AsyncIterator[None]:
     """Listen for the calls of other nodes."""
-    listen = state.settings.listen
-    server = PeerServer(state.fleet.call_seal, state.fleet.links)
-    register_pull(server, parts.spread)
+    listen = settings.listen
     listening = await server.start(f'{listen.host}:{listen.peer}')
     try:
         yield
     finally:
-        await listening.stop(None)
+        await listening.stop(_GRACE_SECONDS)
 
 
 async def run_tasks(state: NodeState, mesh: Mesh, parts: ConfigParts) -> None:
     """Read the platform and talk to the other nodes."""
     client = HttpClient()
     check_pulse = state.fleet.pulse.check
-    async with serve_peers(state, parts):
-        await asyncio.gather(
-            state.fleet.run(mesh, client),
-            state.scheduler.run(),
-            OrderRunner(state.orders, build_order_link(), check_pulse).run(),
-            keep_configuration(
-                parts,
-                HttpConfigService(state.settings.platform.config, client),
-                state.fleet.peer_client,
-                state.metrics,
-                check_pulse,
-            ),
-        )
+    await asyncio.gather(
+        state.fleet.run(mesh, client),
+        state.scheduler.run(),
+        OrderRunner(state.orders, build_order_link(), check_pulse).run(),
+        keep_configuration(
+            parts,
+            HttpConfigService(state.settings.platform.config, client),
+            state.fleet.peer_client,
+            state.metrics,
+            check_pulse,
+        ),
+    )
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -6,11 +6,15 @@
 import msgspec
 
 from chicoryshunt.connection.platform_api import PublishedVm
+from chicoryshunt.process.assembly import build_owner
+from chicoryshunt.process.callers import CallerApi
 from chicoryshunt.process.membership import Membership
+from chicoryshunt.process.peers import PeerServer
 from chicoryshunt.process.policy.queue import Ask
 from chicoryshunt.process.policy.survival import Kind, classify
 from chicoryshunt.process.seal import Purpose, Seal
 from chicoryshunt.process.state import NodeState
+from chicoryshunt.settings import Settings
 from chicoryshunt.types import (
     ConfigVersion,
     DataCentreId,
@@ -33,6 +37,7 @@
 )
 from chicoryshunt.version.published import split_base
 from chicoryshunt.version.replica import Replica, Snapshot
+from lab.local_shares import LocalShares
 
 FLEET_KEY = '5a' * 32
 
@@ -171,3 +176,26 @@
     replica = Replica()
     replica.adopt(Snapshot(config, (), ()))
     state.configuration.start_from(replica)
+
+
+def build_caller_api(state: NodeState) -> CallerApi:
+    """Return the interface of a node that no other node reaches."""
+    fleet = state.fleet
+    owning = build_owner(
+        state,
+        PeerServer(
+            fleet.call_seal,
+            fleet.links,
+            fleet.pulse,
+            state.metrics,
+        ),
+        lambda: None,
+    )
+    return CallerApi(state, owning.calls, owning.drain)
+
+
+def build_state(settings: Settings) -> NodeState:
+    """Return the state of a node that has every target to itself."""
+    shares = LocalShares(lambda: state.config, lambda: 1)
+    state = NodeState(settings, shares)
+    return state
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -21,12 +21,15 @@
 from chicoryshunt.connection.platform_api import PublishedVm
 from chicoryshunt.connection.target_api import GenerateOrder, NotAccepted
 from chicoryshunt.connection.web import BoundedSite
-from chicoryshunt.process.callers import CallerApi
-from chicoryshunt.process.state import NodeState
 from chicoryshunt.settings import parse_settings
 from chicoryshunt.types import DataCentreId, RunState, VmId
 from chicoryshunt.version.config import Config
-from tests.builders import build_settings_text, put_in_force
+from tests.builders import (
+    build_caller_api,
+    build_settings_text,
+    build_state,
+    put_in_force,
+)
 from tests.reactor import listen, run_on_reactor
 from tests.relay_fakes import OWN, frame_end, frame_tokens
 
@@ -101,12 +104,12 @@
             build_settings_text(vm=f'vm-{number}'),
             'settings',
         )
-        self.state = NodeState(settings)
+        self.state = build_state(settings)
         put_in_force(self.state, config)
         self.entries = Entries((), 60)
         self.cuts: list[int] = []
         self.seen: list[str] = []
-        self._api = CallerApi(self.state)
+        self._api = build_caller_api(self.state)
 
     async def handle(self, exchange: Exchange) -> None:
         self.seen.append('/'.join(exchange.segments[1:]))
@@ -225,9 +228,12 @@
         )
         for node in fleet.nodes:
             node.entries = Entries(entries, 60)
-            node.state.fleet.links.learn(
-                PublishedVm(one.vm, DataCentreId('a'), one.address, '', '')
-                for one in entries
+            node.state.fleet.membership.learn(
+                [
+                    PublishedVm(one.vm, DataCentreId('a'), one.address, '', '')
+                    for one in entries
+                ],
+                now=0,
             )
         yield fleet
 
