Measure the fold and the spread of the configuration

Purpose: the size to design for bounds time, memory, bytes and reads of the configuration; make bench-config measures the fold on the real modules and the spread on the real cores over a fake network with a virtual clock.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 SOURCES = chicoryshunt lab tests
 
-.PHONY: bench-relay faults help venv test unit check format lint types demo
+.PHONY: bench-config bench-relay faults help venv test unit check format lint types demo
 
 help:  ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -38,6 +38,9 @@
 faults: venv  ## streams through real processes while engines misbehave
 	$(BIN)/python -m lab.stream_faults
 
+bench-config: venv  ## costs of the configuration, appended to benchmarks/
+	$(BIN)/python -m lab.config_bench
+
 demo: venv  ## a small fleet on loopback, one stream, one filing
 	$(BIN)/python -m lab.demo
 
--- a/lab/config_fleet.py
+++ b/lab/config_fleet.py
@@ -110,6 +110,7 @@
     nodes: dict[VmId, FakeNode] = field(default_factory=dict)
     now: float = 0
     sent_bytes: Counter[VmId] = field(default_factory=Counter)
+    sent_messages: Counter[VmId] = field(default_factory=Counter)
     _queue: list[_Flight] = field(
         default_factory=list,
     )
@@ -192,6 +193,7 @@
         for one in sends:
             encoded = msgspec.msgpack.encode(one.message)
             self.sent_bytes[sender] += len(encoded)
+            self.sent_messages[sender] += 1
             if self.rng.random() < self.links.loss:
                 continue
             self._enqueue(sender, one)
