--- a/chicoryshunt/cmdline.py
+++ b/chicoryshunt/cmdline.py
@@ -26,6 +26,7 @@
     status.COMMAND,
     patch.CHECK,
     patch.STATUS,
+    patch.EXPORT,
     explain.COMMAND,
     report.COMMAND,
 )
--- a/chicoryshunt/commands/patch.py
+++ b/chicoryshunt/commands/patch.py
@@ -62,6 +62,21 @@
     return 0 if report.is_in_force else _EXIT_REJECTED
 
 
+def export(arguments: Sequence[str]) -> int:
+    """Write what to publish to go on from what a node has in force."""
+    addresses = _list_addresses()
+
+    async def ask() -> dict[str, bytes]:
+        return await PatchClient(addresses).export()
+
+    for key, text in run_until_done(ask).items():
+        path = Path(arguments[0], *key.split('/'))
+        path.parent.mkdir(parents=True, exist_ok=True)
+        path.write_bytes(text)
+        print(path)
+    return 0
+
+
 def describe_check(answer: CheckAnswer) -> str:
     """Return one line about a checked patch."""
     if answer.is_accepted:
@@ -112,6 +127,13 @@
     check,
     ('FILE',),
 )
+EXPORT = Command(
+    'patch export',
+    'Write a base of what is in force, to publish it',
+    _FLAGS,
+    export,
+    ('FOLDER',),
+)
 STATUS = Command(
     'patch status',
     'Show what became of a patch',
--- a/chicoryshunt/patches.py
+++ b/chicoryshunt/patches.py
@@ -19,6 +19,7 @@
 from chicoryshunt.process.config_api import CheckAnswer, PatchStatus
 from chicoryshunt.types import VmId
 from chicoryshunt.version.fold import Accepted, Ruling
+from chicoryshunt.version.published import LOG_KEY, LogHeader, format_log
 
 _ANSWER_SECONDS = 5.0
 _MAX_CALLS = 32
@@ -58,6 +59,14 @@
         """Return what the first node that answers would make of a patch."""
         return await self._ask_any('POST', 'v1/config/check', CheckAnswer, line)
 
+    async def export(self) -> dict[str, bytes]:
+        """Return what to publish, by key, to go on from what is in force."""
+        text = await self._read_any('GET', 'v1/config/base')
+        first, *shards = text.splitlines()
+        header = msgspec.json.decode(first, type=LogHeader)
+        values = dict(zip(header.keys, shards, strict=True))
+        return {**values, LOG_KEY: format_log(header, ())}
+
     async def report(self, patch: int) -> PatchReport:
         """Return what became of a patch on every VM of the fleet."""
         listed = await self._ask_any('GET', 'v1/config/vms', PublishedVms)
@@ -76,11 +85,19 @@
         path = f'v1/config/patches/{report.patch}'
         async with self._calls:
             try:
-                return await self._ask(vm.caller, 'GET', path, PatchStatus)
+                return await self._ask(vm.caller, path, PatchStatus)
             except CallError as error:
                 report.silent[vm.vm] = str(error)
         return None
 
+    async def _ask(
+        self,
+        address: str,
+        path: str,
+        kind: type[_Answer],
+    ) -> _Answer:
+        return _decode(await self._read(address, 'GET', path), kind)
+
     async def _ask_any(
         self,
         method: str,
@@ -88,22 +105,29 @@
         kind: type[_Answer],
         body: bytes = b'',
     ) -> _Answer:
+        return _decode(await self._read_any(method, path, body), kind)
+
+    async def _read_any(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b'',
+    ) -> bytes:
         errors = []
         for address in self._addresses:
             try:
-                return await self._ask(address, method, path, kind, body)
+                return await self._read(address, method, path, body)
             except CallError as error:
                 errors.append(str(error))
         raise CallError('; '.join(errors) or 'no node to ask')
 
-    async def _ask(
+    async def _read(
         self,
         address: str,
         method: str,
         path: str,
-        kind: type[_Answer],
         body: bytes = b'',
-    ) -> _Answer:
+    ) -> bytes:
         try:
             status, answer = await self._client.read(
                 method,
@@ -116,10 +140,14 @@
         if status != HTTPStatus.OK:
             text = answer.decode('utf-8', 'replace')
             raise CallError(f'{address}: status {status}: {text}')
-        try:
-            return msgspec.json.decode(answer, type=kind)
-        except msgspec.DecodeError as error:
-            raise CallError(f'{address}: {error}') from error
+        return answer
+
+
+def _decode(answer: bytes, kind: type[_Answer]) -> _Answer:
+    try:
+        return msgspec.json.decode(answer, type=kind)
+    except msgspec.DecodeError as error:
+        raise CallError(f'undecodable answer: {error}') from error
 
 
 def _collect(report: PatchReport, statuses: Sequence[PatchStatus]) -> None:
--- a/chicoryshunt/process/config_api.py
+++ b/chicoryshunt/process/config_api.py
@@ -16,12 +16,14 @@
     Seconds,
     VmId,
 )
-from chicoryshunt.verdict import refuse
+from chicoryshunt.verdict import Verdict, refuse
 from chicoryshunt.version.chain import Head
 from chicoryshunt.version.fold import Rejected, Ruling, judge_patch
 from chicoryshunt.version.patch import Flaw, Rejection
+from chicoryshunt.version.published import format_log, split_base
 
 MAX_LISTED_REJECTIONS = 16
+_LINES_TYPE = 'application/jsonl'
 
 
 class ForkStatus(msgspec.Struct, frozen=True):
@@ -103,6 +105,8 @@
                 exchange.respond_json(describe_config(self._configuration))
             case ('GET', 'vms'):
                 exchange.respond_json(self._list_vms())
+            case ('GET', 'base'):
+                self._export(exchange)
             case ('GET', 'patches', number) if number.isdecimal():
                 exchange.respond_json(self._find_patch(int(number)))
             case ('POST', 'check'):
@@ -124,16 +128,18 @@
             next(rulings, None),
         )
 
+    def _export(self, exchange: Exchange) -> None:
+        snapshot = self._configuration.replica.take_snapshot()
+        if snapshot is None:
+            exchange.respond_verdict(_refuse_missing())
+            return
+        header, shards = split_base(snapshot.config, snapshot.earlier)
+        exchange.respond(format_log(header, shards), _LINES_TYPE)
+
     def _check(self, exchange: Exchange) -> None:
         config = self._configuration.current
         if config is None:
-            exchange.respond_verdict(
-                refuse(
-                    Reason.config_missing,
-                    'no configuration is known',
-                    Seconds(1),
-                ),
-            )
+            exchange.respond_verdict(_refuse_missing())
             return
         judged = judge_patch(config, exchange.body)
         match judged:
@@ -144,5 +150,13 @@
         exchange.respond_json(answer, HTTPStatus.OK)
 
 
+def _refuse_missing() -> Verdict:
+    return refuse(
+        Reason.config_missing,
+        'no configuration is known',
+        Seconds(1),
+    )
+
+
 def _describe_fork(source: str, other: Head) -> ForkStatus:
     return ForkStatus(source, other.position, other.digest)
--- a/tests/test_config_api.py
+++ b/tests/test_config_api.py
@@ -9,6 +9,12 @@
 from chicoryshunt.process.configuration import Configuration
 from chicoryshunt.process.metrics import Metrics
 from chicoryshunt.types import DataCentreId, LogPosition, VmId
+from chicoryshunt.version.chain import Relation
+from chicoryshunt.version.published import (
+    PublishedLog,
+    parse_base,
+    parse_log,
+)
 from chicoryshunt.version.replica import Segment, Snapshot
 from tests.builders import build_config, build_patch
 from tests.reactor import listen, run_on_reactor
@@ -22,6 +28,7 @@
         self.vms: list[PublishedVm] = []
         base = build_config()
         configuration = Configuration(Metrics())
+        self.configuration = configuration
         configuration.adopt(Snapshot(base, (), ()), 'base')
         configuration.extend(
             Segment(LogPosition(0), base.digest, lines),
@@ -78,6 +85,22 @@
     ]
 
 
+def test_exported_base_is_what_is_in_force() -> None:
+    node = Node('vm-1', build_patch(1))
+
+    async def ask() -> dict[str, bytes]:
+        async with listen(BoundedSite(node.handle, SERVER_BOUNDS)) as address:
+            return await PatchClient([address]).export()
+
+    values = run_on_reactor(ask())
+    log = parse_log(values['log'])
+    assert isinstance(log, PublishedLog)
+    base = parse_base(log.header, [values['base/2/0']])
+    assert base == node.configuration.current
+    relation = node.configuration.check_base(log.header, 'service')
+    assert relation is Relation.same
+
+
 def test_report_counts_the_nodes() -> None:
     report = _report(1, Node('vm-1', build_patch(1)), Node('vm-2'))
     lines = list(describe_report(report))
