--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 SOURCES = chicoryshunt lab tests
 
-.PHONY: bench-config bench-relay faults help venv test unit check format lint types demo
+.PHONY: bench-config trial-config bench-relay faults help venv test unit check format lint types demo
 
 help:  ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -41,6 +41,9 @@
 bench-config: venv  ## costs of the configuration, appended to benchmarks/
 	$(BIN)/python -m lab.config_bench
 
+trial-config: venv  ## patches on nine nodes while the platform and nodes fail
+	$(BIN)/python -m lab.config_trial
+
 demo: venv  ## a small fleet on loopback, one stream, one filing
 	$(BIN)/python -m lab.demo
 
