--- a/chicoryshunt/process/node.py
+++ b/chicoryshunt/process/node.py
@@ -23,6 +23,7 @@
 )
 from chicoryshunt.process.drain import Departure
 from chicoryshunt.process.mesh import Mesh
+from chicoryshunt.process.order_runner import OrderRunner, build_order_link
 from chicoryshunt.process.peers import PeerServer
 from chicoryshunt.process.state import NodeState
 from chicoryshunt.settings import Settings
@@ -61,7 +62,7 @@
         state.fleet.rng,
         state.metrics,
     )
-    state.fleet.cores.append(config.spread)
+    state.fleet.cores.extend((config.spread, state.orders))
     server = PeerServer(
         state.fleet.call_seal,
         state.fleet.links,
@@ -170,14 +171,16 @@
 async def run_tasks(state: NodeState, mesh: Mesh, parts: ConfigParts) -> None:
     """Read the platform and talk to the other nodes."""
     client = HttpClient()
+    check_pulse = state.fleet.pulse.check
     await asyncio.gather(
         state.fleet.run(mesh, client),
         state.scheduler.run(),
+        OrderRunner(state.orders, build_order_link(), check_pulse).run(),
         keep_configuration(
             parts,
             HttpConfigService(state.settings.platform.config, client),
             state.fleet.peer_client,
             state.metrics,
-            state.fleet.pulse.check,
+            check_pulse,
         ),
     )
