Test owned requests, hand-off, planned stops and calls between nodes

A hypothesis state machine drives three owners with fakes at their interfaces: arrive, repeat, another body under the key, forward, lose the question or the answer, die, restart, freeze, pass time, leave, hand off with each part cut. It asserts that a key runs once at most, that a refusal has no run behind it, that answers are delivered identically and that the table stays bounded.

--- a/chicoryshunt/process/handoff.py
+++ b/chicoryshunt/process/handoff.py
@@ -42,9 +42,10 @@
         self,
         sealed: SealedRecords,
         successors: Sequence[VmId],
+        part_bytes: int = PART_BYTES,
     ) -> None:
         """Hand off to the first successor that takes the whole table."""
-        parts = tuple(_split(sealed.records))
+        parts = tuple(_split(sealed.records, part_bytes))
         self._parts = parts
         self._head = TableHead(sealed.origin, sealed.key, len(parts))
         self._offset = sealed.offset
@@ -106,11 +107,14 @@
         self._failures = 0
 
 
-def _split(records: Sequence[Record]) -> Iterator[tuple[Record, ...]]:
+def _split(
+    records: Sequence[Record],
+    part_bytes: int,
+) -> Iterator[tuple[Record, ...]]:
     part: list[Record] = []
     size = 0
     for record in records:
-        if part and size + measure(record) > PART_BYTES:
+        if part and size + measure(record) > part_bytes:
             yield tuple(part)
             part = []
             size = 0
--- a/chicoryshunt/process/peers.py
+++ b/chicoryshunt/process/peers.py
@@ -81,7 +81,8 @@
         pulse: Pulse,
         metrics: Metrics,
     ) -> None:
-        """Start without methods."""
+        """Start without methods; ``port`` is 0 until it listens."""
+        self.port = 0
         self._seal = seal
         self._links = links
         self._pulse = pulse
@@ -131,7 +132,8 @@
                 ),
             ),
         )
-        if not server.add_insecure_port(address):
+        self.port = server.add_insecure_port(address)
+        if not self.port:
             raise ChicoryshuntError(f'cannot listen on {address}')
         await server.start()
         return server
