--- a/chicoryshunt/process/assembly.py
+++ b/chicoryshunt/process/assembly.py
@@ -13,7 +13,6 @@
 from chicoryshunt.process.forwarding import SUBMIT, Forwarder
 from chicoryshunt.process.grants import Mint, Origin
 from chicoryshunt.process.holdings import Holdings
-from chicoryshunt.process.members import RosterMembers
 from chicoryshunt.process.ownership import Owner
 from chicoryshunt.process.peers import PeerServer
 from chicoryshunt.process.records import Bounds, RecordTable
@@ -39,7 +38,7 @@
     """Build the owner, and register what other nodes may call."""
     settings = state.settings
     fleet = state.fleet
-    members = RosterMembers(fleet.membership.roster)
+    members = fleet.membership.roster
     owner = Owner(
         Mint(Origin(settings.vm, settings.data_centre, fleet.incarnation)),
         RecordTable(Bounds()),
--- a/chicoryshunt/process/callers.py
+++ b/chicoryshunt/process/callers.py
@@ -4,6 +4,7 @@
 
 from chicoryshunt.connection.exchange import Exchange
 from chicoryshunt.process.calls import CallApi
+from chicoryshunt.process.config_api import ConfigApi
 from chicoryshunt.process.drain import Drain
 from chicoryshunt.process.generations import GenerationApi
 from chicoryshunt.process.journal import Explanation
@@ -38,6 +39,11 @@
         self._calls = calls
         self._drain = drain
         self._generations = GenerationApi(state)
+        self._config = ConfigApi(
+            state.settings.vm,
+            state.configuration,
+            state.fleet.list_vms,
+        )
 
     async def handle(self, exchange: Exchange) -> None:
         """Serve one request and count it while it runs."""
@@ -60,6 +66,8 @@
                     ServiceId(service),
                     '/'.join(path),
                 )
+            case (_, 'v1', 'config', *path):
+                self._config.handle(exchange, path)
             case ('GET', 'v1', 'status'):
                 exchange.respond_json(self._state.describe())
             case ('POST', 'v1', 'trial', 'cut') if self._state.settings.trials:
--- a/chicoryshunt/process/fleet.py
+++ b/chicoryshunt/process/fleet.py
@@ -9,7 +9,7 @@
 from chicoryshunt.clock import SystemClock
 from chicoryshunt.connection.client import HttpClient
 from chicoryshunt.connection.loop import get_reactor
-from chicoryshunt.connection.platform_api import PublishedVm
+from chicoryshunt.connection.platform_api import PublishedVm, PublishedVms
 from chicoryshunt.process.core import Core
 from chicoryshunt.process.driver import drive_cores
 from chicoryshunt.process.links import Links
@@ -47,28 +47,16 @@
             self.links,
         )
         self.cores: list[Core] = [self.membership]
-        self.call_seal = Seal(
-            settings.key,
-            settings.vm,
-            self.incarnation,
-            Purpose.call,
-        )
-        self.membership.on_raise(self.call_seal.raise_incarnation)
-        self.peer_client = PeerClient(self.call_seal, self.links)
         self._settings = settings
         self._metrics = metrics
+        self.call_seal = self.build_seal(Purpose.call)
+        self.peer_client = PeerClient(self.call_seal, self.links)
 
     @contextmanager
     def serve(self) -> Iterator[Mesh]:
         """Listen for datagrams of other nodes; cores must be complete."""
         settings = self._settings
-        seal = Seal(
-            settings.key,
-            settings.vm,
-            self.incarnation,
-            Purpose.datagram,
-        )
-        self.membership.on_raise(seal.raise_incarnation)
+        seal = self.build_seal(Purpose.datagram)
         mesh = Mesh(seal, self.links, self.pulse, self._metrics, self.cores)
         port = get_reactor().listenUDP(
             settings.listen.gossip,
@@ -80,6 +68,18 @@
         finally:
             port.stopListening()
 
+    def list_vms(self) -> PublishedVms:
+        """Return the VMs of the fleet with their addresses."""
+        roster = self.membership.roster
+        return PublishedVms(tuple(one.published for one in roster))
+
+    def build_seal(self, purpose: Purpose) -> Seal:
+        """Return a seal that follows the incarnation of this node."""
+        settings = self._settings
+        seal = Seal(settings.key, settings.vm, self.incarnation, purpose)
+        self.membership.on_raise(seal.raise_incarnation)
+        return seal
+
     async def run(self, mesh: Mesh, client: HttpClient) -> None:
         """Read the list and drive the cores while the process lives."""
         await asyncio.gather(
--- a/chicoryshunt/process/node.py
+++ b/chicoryshunt/process/node.py
@@ -8,7 +8,8 @@
 
 from chicoryshunt.connection.bounds import ServerBounds
 from chicoryshunt.connection.client import HttpClient
-from chicoryshunt.connection.loop import await_deferred, get_reactor
+from chicoryshunt.connection.loop import get_reactor
+from chicoryshunt.connection.loop_transport import open_server
 from chicoryshunt.connection.platform import HttpConfigService
 from chicoryshunt.connection.web import BoundedSite, close_connections
 from chicoryshunt.events import log_event, log_problem
@@ -21,7 +22,6 @@
     register_pull,
 )
 from chicoryshunt.process.drain import Departure
-from chicoryshunt.process.members import RosterMembers
 from chicoryshunt.process.mesh import Mesh
 from chicoryshunt.process.peers import PeerServer
 from chicoryshunt.process.state import NodeState
@@ -57,7 +57,7 @@
         state.configuration,
         settings.vm,
         settings.data_centre,
-        RosterMembers(state.fleet.membership.roster),
+        state.fleet.membership.roster,
         state.fleet.rng,
         state.metrics,
     )
@@ -88,12 +88,14 @@
     owning: OwnerParts,
 ) -> None:
     running = asyncio.ensure_future(run_tasks(state, mesh, config))
-    running.add_done_callback(_log_end)
+    running.add_done_callback(partial(_leave_on_failure, owning.departure))
     start_departure_on_signal(owning.departure)
     state.fleet.membership.subscribe(
         partial(_note_own_state, state.settings.vm, owning.departure),
     )
     await owning.departure.wait()
+    if running.done():
+        await running
     running.cancel()
 
 
@@ -116,9 +118,13 @@
         departure.start('vm_list')
 
 
-def _log_end(running: 'asyncio.Future[None]') -> None:
+def _leave_on_failure(
+    departure: Departure,
+    running: 'asyncio.Future[None]',
+) -> None:
     if not running.cancelled() and running.exception() is not None:
         log_problem('task_failed', error=repr(running.exception()))
+        departure.start('task_failed')
 
 
 @asynccontextmanager
@@ -139,15 +145,11 @@
             limits.open_bodies_bytes,
         ),
     )
-    listener = get_reactor().listenTCP(
-        listen.caller,
-        site,
-        interface=listen.host,
-    )
+    server = await open_server(site, listen.host, listen.caller)
     try:
         yield
     finally:
-        await await_deferred(listener.stopListening())
+        server.close()
         await close_connections(site)
 
 
--- a/chicoryshunt/process/state.py
+++ b/chicoryshunt/process/state.py
@@ -6,6 +6,7 @@
 
 from chicoryshunt.clock import SystemClock
 from chicoryshunt.connection.caller_api import Entries, Entry
+from chicoryshunt.process.config_api import ConfigStatus, describe_config
 from chicoryshunt.process.configuration import Configuration
 from chicoryshunt.process.entries import KEEP_SECONDS, order_entries
 from chicoryshunt.process.fleet import Fleet
@@ -44,6 +45,7 @@
 
     vm: VmId
     version: ConfigVersion
+    config: ConfigStatus
     members: tuple[MemberStatus, ...]
 
 
@@ -108,13 +110,15 @@
 
     def find_caller_address(self, wanted: VmId) -> str:
         """Return where a VM listens for callers, empty when unknown."""
-        return self.fleet.links.find_caller(wanted)
+        member = self.fleet.membership.roster.find(wanted)
+        return '' if member is None else member.published.caller
 
     def describe(self) -> NodeStatus:
         """Return what this node knows."""
         return NodeStatus(
             self.settings.vm,
             self.configuration.version,
+            describe_config(self.configuration),
             tuple(
                 MemberStatus(
                     one.published.vm,
--- a/lab/config_fleet.py
+++ b/lab/config_fleet.py
@@ -4,7 +4,7 @@
 import itertools
 import random
 from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -244,7 +244,8 @@
             and not self.fleet.links.is_cut(self.own, node.vm)
         ]
 
-    def list_published(self) -> Sequence[VmId]:
+    @property
+    def published(self) -> Collection[VmId]:
         """Return every node, up or not."""
         return list(self.fleet.nodes)
 
--- a/tests/owner_fleet.py
+++ b/tests/owner_fleet.py
@@ -152,6 +152,11 @@
         for vm in vms:
             self.start(VmId(vm))
 
+    @property
+    def published(self) -> list[VmId]:
+        """Return every VM."""
+        return list(self.nodes)
+
     def start(self, vm: VmId) -> FakeNode:
         """Start a fresh process on a VM."""
         self._incarnations += 1
