--- /dev/null
+++ b/lab/drain_trial.py
@@ -0,0 +1,218 @@
+"""Stops a node in the middle of its streams and calls, as processes."""
+
+import asyncio
+import json
+import signal
+import sys
+import tempfile
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+import msgspec
+
+from chicoryshunt.connection.caller_api import Entries, GrantOffer
+from chicoryshunt.connection.client import (
+    BrokenError,
+    HttpClient,
+    NotConnectedError,
+    read_body,
+)
+from chicoryshunt.operations import run_until_done
+from lab.demo import FIRST_PORT
+from lab.failures import order_fault
+from lab.fleet import run_fleet, send
+from lab.topology import SMALL, Placed, UserFleet
+
+_STREAMS = 8
+_TOKENS = 150
+_KEY = 'pairing-17'
+_SECOND_SIGNAL_SECONDS = 0.3
+_GOSSIP_SECONDS = 2.0
+_LATE_SECONDS = 4.0
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """What came back of one request; ``status`` 0 means nothing did."""
+
+    status: int
+    body: bytes = b''
+    verdict: str = ''
+    grant: str = ''
+    entries: str = ''
+
+
+@dataclass(slots=True)
+class Findings:
+    """What the trial saw; every field must be as ``is_good`` says."""
+
+    whole_streams: int = 0
+    filing: str = ''
+    refusal: str = ''
+    other_addresses: str = ''
+    listed_after: bool = True
+    exit_status: int | None = None
+    repeats: tuple[str, ...] = ()
+    unknown: str = ''
+    most_runs: int = 0
+
+    @property
+    def is_good(self) -> bool:
+        """Say whether the stop cut, lost and doubled nothing."""
+        return all(
+            (
+                self.whole_streams == _STREAMS,
+                set(self.repeats) == {self.filing},
+                self.refusal == 'not_run',
+                self.other_addresses,
+                not self.listed_after,
+                self.exit_status == 0,
+                self.unknown == 'not_run with a fresh grant',
+                self.most_runs == 1,
+            ),
+        )
+
+
+class DrainTrial:
+    """One node leaves while it streams and files."""
+
+    def __init__(self, user: UserFleet) -> None:
+        """Stop the first node of a user's fleet."""
+        self._user = user
+        self._leaver = user.nodes[0]
+        self._client = HttpClient(keeps_connections=False)
+        self._findings = Findings()
+
+    async def run(self) -> Findings:
+        """Return what was seen."""
+        grant = await self._get_grant()
+        streams = [
+            asyncio.ensure_future(self._stream(number))
+            for number in range(_STREAMS)
+        ]
+        order_fault(self._user.services[0].url, 'slow')
+        filing = asyncio.ensure_future(self._file(self._leaver, grant, _KEY))
+        await asyncio.sleep(1)
+        await self._stop_twice()
+        await self._ask_while_leaving()
+        found = self._findings
+        found.whole_streams = sum(await asyncio.gather(*streams))
+        found.filing = _show(await filing)
+        loop = asyncio.get_running_loop()
+        found.exit_status = await loop.run_in_executor(
+            None,
+            self._leaver.process.wait,
+        )
+        await self._repeat(grant)
+        runs = json.loads(send(self._user.services[0].url, 'GET', '/runs'))
+        found.most_runs = max(runs.values())
+        return found
+
+    async def _get_grant(self) -> GrantOffer:
+        _, body = await self._client.read(
+            'GET',
+            f'{self._leaver.url}/v1/entries',
+        )
+        grant = msgspec.json.decode(body, type=Entries).grant
+        assert grant is not None
+        return grant
+
+    async def _stop_twice(self) -> None:
+        self._leaver.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(_SECOND_SIGNAL_SECONDS)
+        self._leaver.process.send_signal(signal.SIGTERM)
+
+    async def _ask_while_leaving(self) -> None:
+        refusal = await self._generate(10)
+        self._findings.refusal = refusal.verdict
+        self._findings.other_addresses = refusal.entries
+        await asyncio.sleep(_GOSSIP_SECONDS)
+        _, body = await self._client.read(
+            'GET',
+            f'{self._user.nodes[1].url}/v1/entries',
+        )
+        listed = msgspec.json.decode(body, type=Entries).entries
+        self._findings.listed_after = any(
+            entry.vm == self._leaver.name for entry in listed
+        )
+
+    async def _repeat(self, grant: GrantOffer) -> None:
+        others = self._user.nodes[1:]
+        self._findings.repeats = tuple(
+            [_show(await self._file(one, grant, _KEY)) for one in others],
+        )
+        reply = await self._file(others[0], grant, 'never-sent')
+        if reply.grant:
+            self._findings.unknown = f'{reply.verdict} with a fresh grant'
+
+    async def _stream(self, number: int) -> bool:
+        reply = await self._generate(_TOKENS)
+        tokens = reply.body.count(b'"t')
+        return tokens == _TOKENS and b'"ending":"stop"' in reply.body
+
+    async def _generate(self, length: int) -> Reply:
+        return await self._post(
+            f'{self._leaver.url}/v1/generate/{SMALL.model}',
+            json.dumps({'prompt': f'length={length}'}).encode(),
+            {},
+        )
+
+    async def _file(
+        self,
+        node: Placed,
+        grant: GrantOffer,
+        key: str,
+    ) -> Reply:
+        return await self._post(
+            f'{node.url}/v1/call/{SMALL.service}/file',
+            b'{}',
+            {'x-grant': grant.token, 'idempotency-key': key},
+        )
+
+    async def _post(
+        self,
+        url: str,
+        body: bytes,
+        headers: dict[str, str],
+    ) -> Reply:
+        sent = {'x-team': SMALL.teams[0], **headers}
+        try:
+            return await self._receive(url, body, sent)
+        except (NotConnectedError, BrokenError) as error:
+            return Reply(0, str(error).encode())
+
+    async def _receive(
+        self,
+        url: str,
+        body: bytes,
+        headers: dict[str, str],
+    ) -> Reply:
+        response = await self._client.request('POST', url, body, headers)
+        found = response.headers.getRawHeaders
+        return Reply(
+            response.code,
+            await read_body(response),
+            found('x-verdict', [''])[0],
+            found('x-grant', [''])[0],
+            found('x-entries', [''])[0],
+        )
+
+
+def _show(reply: Reply) -> str:
+    return f'{reply.status} {reply.verdict} {reply.body.decode()}'
+
+
+def main() -> None:
+    """Run the trial; exit 0 when nothing was cut, lost or doubled."""
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        run_fleet(Path(folder), FIRST_PORT) as fleet,
+    ):
+        user = UserFleet(fleet, SMALL)
+        findings = run_until_done(lambda: DrainTrial(user).run())
+    print(json.dumps(asdict(findings), indent=2))
+    sys.exit(0 if findings.is_good else 1)
+
+
+if __name__ == '__main__':
+    main()
--- a/lab/service.py
+++ b/lab/service.py
@@ -15,6 +15,7 @@
 _FLAGS = flags.FlagValues()
 flags.DEFINE_integer('port', 0, 'port on loopback', flag_values=_FLAGS)
 flags.DEFINE_float('work', 0.01, 'seconds a call', flag_values=_FLAGS)
+flags.DEFINE_float('late', 3, 'seconds of a late answer', flag_values=_FLAGS)
 
 
 class Service:
@@ -28,15 +29,17 @@
 
     async def handle(self, exchange: Exchange) -> None:
         """Serve one request."""
-        if exchange.segments == ('runs',):
-            exchange.respond_json(dict(self._runs))
-            return
-        if exchange.segments == ('ready',):
-            exchange.respond_json({'ready': True})
-            return
-        if exchange.segments == ('ledger',):
-            exchange.respond_json(self._ledger)
-            return
+        match exchange.segments:
+            case ('runs',):
+                exchange.respond_json(dict(self._runs))
+            case ('ready',):
+                exchange.respond_json({'ready': True})
+            case ('ledger',):
+                exchange.respond_json(self._ledger)
+            case _:
+                await self._call(exchange)
+
+    async def _call(self, exchange: Exchange) -> None:
         if self._faults.is_on(FaultKind.refuse):
             exchange.respond_json(
                 NotAccepted('told to refuse'),
@@ -47,9 +50,14 @@
         self._ledger.begin(key)
         self._runs[key] += 1
         await asyncio.sleep(_FLAGS.work)
+        if self._faults.is_on(FaultKind.slow):
+            await asyncio.sleep(_FLAGS.late)
         while self._faults.is_on(FaultKind.stall):
             await asyncio.sleep(_FLAGS.work)
         self._ledger.end()
+        if self._faults.is_on(FaultKind.cut):
+            exchange.abort()
+            return
         exchange.respond_json({'done': key, 'run': self._runs[key]})
 
 
--- a/tests/owner_fleet.py
+++ b/tests/owner_fleet.py
@@ -195,10 +195,6 @@
         """Return the VMs that every node takes to be live."""
         return [vm for vm in self.nodes if vm not in self.leaving]
 
-    def list_published(self) -> list[VmId]:
-        """Return the VMs that run."""
-        return list(self.nodes)
-
     def advance(self, seconds: float) -> None:
         """Let time pass for all; only frozen nodes miss it."""
         while seconds > 0:
--- a/tests/test_handoff.py
+++ b/tests/test_handoff.py
@@ -52,7 +52,8 @@
             if data_centre in {None, place}
         ]
 
-    def list_published(self) -> list[VmId]:
+    @property
+    def published(self) -> list[VmId]:
         return self.list_live()
 
 
