Run generations that may not be repeated under owner grants; try a planned stop

Purpose: a generation with repeatable=false could run twice when its caller sent it twice. It now needs a grant and a key like a call, and runs at the owner alone; a repeat is told that it ran. The caller keeps its grant until an answer brings another one.

Retries of calls spend the team's retry budget.

lab/drain_trial.py stops a node with two SIGTERMs in the middle of 8 streams of 150 tokens and one slow call, each on one connection without resume.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 SOURCES = chicoryshunt lab tests
 
-.PHONY: bench-relay faults help venv test unit check format lint types demo
+.PHONY: bench-ownership bench-relay drain-trial faults help venv test unit check format lint types demo
 
 help:  ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -32,6 +32,12 @@
 
 test: lint types unit  ## everything CI asks for
 
+bench-ownership: venv  ## processor time and memory of owned calls, appended to benchmarks/
+	$(BIN)/python -m lab.ownership_bench
+
+drain-trial: venv  ## a node stopped in the middle of its streams and calls
+	$(BIN)/python -m lab.drain_trial
+
 bench-relay: venv  ## processor time of a relayed token, appended to benchmarks/
 	$(BIN)/python -m lab.relay_bench
 
--- a/chicoryshunt/caller/answer.py
+++ b/chicoryshunt/caller/answer.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from chicoryshunt.connection.caller_api import INCOMPLETE, GrantOffer
+from chicoryshunt.connection.caller_api import INCOMPLETE
 from chicoryshunt.types import RunState
 
 
@@ -20,6 +20,7 @@
 
     ``ending`` is ``stop`` or ``length`` when a generation is whole.
     ``retry_after`` is in seconds; ``None`` means that a retry is useless.
+    ``grant`` is a fresh grant of the node that answered.
     """
 
     verdict: RunState
@@ -32,7 +33,7 @@
     ending: str = ''
     status: int = 0
     body: bytes = b''
-    grant: GrantOffer | None = None
+    grant: str = ''
 
     @property
     def is_whole(self) -> bool:
--- a/chicoryshunt/caller/caller.py
+++ b/chicoryshunt/caller/caller.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Mapping
 from typing import Any
+from uuid import uuid4
 
 import msgspec
 
@@ -13,13 +14,11 @@
 from chicoryshunt.connection.caller_api import (
     GENERATION_HEADER,
     GRANT_HEADER,
-    GRANT_OWNER_HEADER,
     INCOMPLETE,
     RESUME_HEADER,
     RESUME_PATH,
     TEAM_HEADER,
     VERDICT_HEADER,
-    GrantOffer,
     VerdictBody,
 )
 from chicoryshunt.connection.client import (
@@ -56,6 +55,8 @@
     async def generate(self, model: str, body: Mapping[str, object]) -> Answer:
         """Return one generation's answer; raise ``CallError``."""
         encoded = msgspec.json.encode(body)
+        if not body.get('repeatable', True):
+            return await self._generate_once(model, encoded)
         answer = Answer(RunState.not_run)
         for attempt in range(_MAX_ATTEMPTS):
             addresses = await self._book.list_addresses()
@@ -78,6 +79,13 @@
 
         return await call_once(self._book, post, key)
 
+    async def _generate_once(self, model: str, body: bytes) -> Answer:
+
+        async def post(address: str, headers: Mapping[str, str]) -> Answer:
+            return await self._generate_at(address, model, body, headers)
+
+        return await call_once(self._book, post, uuid4().hex)
+
     async def _may_retry(self, answer: Answer) -> bool:
         """Wait as long as the refusal asks; say whether to try again."""
         if answer.verdict is not RunState.not_run:
@@ -95,9 +103,10 @@
         address: str,
         model: str,
         body: bytes,
+        headers: Mapping[str, str] | None = None,
     ) -> Answer:
         url = f'http://{address}/v1/generate/{model}'
-        response = await self._post(url, body)
+        response = await self._post(url, body, headers)
         if isinstance(response, Answer):
             return response
         stream = AnswerStream(
@@ -196,16 +205,10 @@
         parse_run_state(_get_header(response, VERDICT_HEADER)),
         generation=_get_header(response, GENERATION_HEADER),
         status=response.code,
-        grant=_read_grant(response),
+        grant=_get_header(response, GRANT_HEADER),
     )
 
 
-def _read_grant(response: Any) -> GrantOffer | None:
-    token = _get_header(response, GRANT_HEADER)
-    owner = _get_header(response, GRANT_OWNER_HEADER)
-    return GrantOffer(token, owner, 0) if token else None
-
-
 async def _read_whole(response: Any) -> Answer:
     """Return a call's answer or a refusal with its reason."""
     answer = _start_answer(response)
--- a/chicoryshunt/caller/once.py
+++ b/chicoryshunt/caller/once.py
@@ -46,13 +46,13 @@
         self.tried.append(chosen)
         return chosen
 
-    def note(self, answer: Answer) -> None:
-        """Learn from an answer, or from its absence."""
+    def note(self, address: str, answer: Answer) -> None:
+        """Learn from an answer of an address, or from its absence."""
         match answer:
             case Answer(verdict=RunState.may_have_run):
                 self.has_doubt = True
-            case Answer(verdict=RunState.not_run) if answer.grant is not None:
-                self.grant = answer.grant
+            case Answer(verdict=RunState.not_run) if answer.grant:
+                self.grant = GrantOffer(answer.grant, address, 0)
                 self.has_doubt = False
                 self.tried.clear()
             case Answer(verdict=RunState.not_run, status=0):
@@ -69,7 +69,7 @@
                     and answer.reason != Reason.owner_unreachable.value
                 )
             case RunState.not_run:
-                return answer.grant is None and answer.retry_after is None
+                return not answer.grant and answer.retry_after is None
 
     def conclude(self, answer: Answer) -> Answer:
         """Return the answer with a verdict on all the attempts."""
@@ -99,7 +99,7 @@
             headers[GRANT_HEADER] = naming.grant.token
         address = naming.choose(await book.list_addresses())
         answer = await post(address, headers)
-        naming.note(answer)
+        naming.note(address, answer)
         if naming.is_over(answer):
             break
         await asyncio.sleep(_find_pause(answer))
--- a/chicoryshunt/process/assembly.py
+++ b/chicoryshunt/process/assembly.py
@@ -13,8 +13,10 @@
 from chicoryshunt.process.forwarding import SUBMIT, Forwarder
 from chicoryshunt.process.grants import Mint, Origin
 from chicoryshunt.process.holdings import Holdings
+from chicoryshunt.process.owned_generations import OwnedGenerations
 from chicoryshunt.process.ownership import Owner
 from chicoryshunt.process.peers import PeerServer
+from chicoryshunt.process.policy.budget import Granted, RetryBudget
 from chicoryshunt.process.records import Bounds, RecordTable
 from chicoryshunt.process.state import NodeState
 from chicoryshunt.request.call import CallRunner, TargetSender
@@ -26,6 +28,7 @@
     """What owned requests need in a node."""
 
     calls: CallApi
+    generations: OwnedGenerations
     drain: Drain
     departure: Departure
 
@@ -58,13 +61,34 @@
         state,
         owner,
         Forwarder(owner, fleet.peer_client, members),
-        CallRunner(ServiceTargets(state), TargetSender(), _spend_freely),
+        CallRunner(
+            ServiceTargets(state), TargetSender(), ServiceRetries(state)
+        ),
         drain,
     )
     server.register(SUBMIT, calls.submit)
     server.register(TAKE_TABLE, owner.take_part)
-    return OwnerParts(calls, drain, departure)
+    generations = OwnedGenerations(owner, calls, state.metrics)
+    return OwnerParts(calls, generations, drain, departure)
 
 
-def _spend_freely(team: TeamId) -> bool:
-    return True
+class ServiceRetries:
+    """Bounds the retries of calls by the budget of their team."""
+
+    def __init__(self, state: NodeState) -> None:
+        """Start with full budgets."""
+        self._state = state
+        self._budget = RetryBudget()
+
+    def record_first(self, team: TeamId) -> None:
+        """Earn a part of a retry for a first try."""
+        config = self._state.config
+        known = None if config is None else config.teams.get(team)
+        if known is not None:
+            now = self._state.clock.now()
+            self._budget.record_first(team, known.retry_ratio, now)
+
+    def may_retry(self, team: TeamId) -> bool:
+        """Spend one retry; say whether there was one."""
+        spent = self._budget.spend(team, self._state.clock.now())
+        return isinstance(spent, Granted)
--- a/chicoryshunt/process/callers.py
+++ b/chicoryshunt/process/callers.py
@@ -3,9 +3,8 @@
 import msgspec
 
 from chicoryshunt.connection.exchange import Exchange
-from chicoryshunt.process.calls import CallApi
+from chicoryshunt.process.assembly import OwnerParts
 from chicoryshunt.process.config_api import ConfigApi
-from chicoryshunt.process.drain import Drain
 from chicoryshunt.process.generations import GenerationApi
 from chicoryshunt.process.journal import Explanation
 from chicoryshunt.process.ownership import refuse_draining
@@ -28,17 +27,12 @@
 class CallerApi:
     """Answers callers and operators."""
 
-    def __init__(
-        self,
-        state: NodeState,
-        calls: CallApi,
-        drain: Drain,
-    ) -> None:
+    def __init__(self, state: NodeState, owning: OwnerParts) -> None:
         """Serve with the state of the node."""
         self._state = state
-        self._calls = calls
-        self._drain = drain
-        self._generations = GenerationApi(state)
+        self._calls = owning.calls
+        self._drain = owning.drain
+        self._generations = GenerationApi(state, owning.generations)
         self._config = ConfigApi(
             state.settings.vm,
             state.configuration,
--- a/chicoryshunt/process/calls.py
+++ b/chicoryshunt/process/calls.py
@@ -9,7 +9,6 @@
 from chicoryshunt.connection.caller_api import (
     ENTRIES_HEADER,
     GRANT_HEADER,
-    GRANT_OWNER_HEADER,
     KEY_HEADER,
     TEAM_HEADER,
     Entries,
@@ -154,15 +153,11 @@
         rules: CallRules,
     ) -> CallOutcome:
         """Take a call that may not be repeated to whoever owns it."""
-        if not 0 < len(owned.key) <= MAX_KEY_CHARACTERS:
-            return NoAnswer(
-                refuse(
-                    Reason.bad_request,
-                    f'{KEY_HEADER} has 1 to {MAX_KEY_CHARACTERS} characters',
-                ),
-            )
+        refusal = check_key(owned.key)
+        if refusal is not None:
+            return refusal
         if not owned.token:
-            return self._refuse_without_grant()
+            return self.refuse_without_grant()
         request = self._read(owned)
         if isinstance(request, NoAnswer):
             return request
@@ -190,6 +185,15 @@
         entries = self._state.list_entries()
         return replace(entries, grant=self._offer())
 
+    def refuse_without_grant(self) -> NoAnswer:
+        """Refuse a request that brings no grant, with a fresh one."""
+        if not self._drain.is_serving:
+            return refuse_draining()
+        return NoAnswer(
+            refuse(Reason.grant_missing, f'ask again with {GRANT_HEADER}'),
+            closed=True,
+        )
+
     async def _run_repeatable(
         self,
         call: PlainCall,
@@ -200,14 +204,6 @@
             return refuse_draining()
         return await self._runner.run(call, key, rules)
 
-    def _refuse_without_grant(self) -> NoAnswer:
-        if not self._drain.is_serving:
-            return refuse_draining()
-        return NoAnswer(
-            refuse(Reason.grant_missing, f'ask again with {GRANT_HEADER}'),
-            closed=True,
-        )
-
     async def _decide(
         self,
         request: OwnedRequest,
@@ -271,10 +267,21 @@
         offer = self._offer()
         if offer is not None:
             exchange.set_header(GRANT_HEADER, offer.token)
-            exchange.set_header(GRANT_OWNER_HEADER, offer.address)
 
     def _list_entries(self, exchange: Exchange) -> None:
         entries = self._state.list_entries().entries
         own = self._state.settings.vm
         others = [one.address for one in entries if one.vm != own]
         exchange.set_header(ENTRIES_HEADER, ','.join(others[:_MAX_ENTRIES]))
+
+
+def check_key(key: IdempotencyKey) -> NoAnswer | None:
+    """Refuse a key that is missing or too long."""
+    if 0 < len(key) <= MAX_KEY_CHARACTERS:
+        return None
+    return NoAnswer(
+        refuse(
+            Reason.bad_request,
+            f'{KEY_HEADER} has 1 to {MAX_KEY_CHARACTERS} characters',
+        ),
+    )
--- a/chicoryshunt/process/generations.py
+++ b/chicoryshunt/process/generations.py
@@ -1,5 +1,8 @@
 """The interface for generations: start, restart, resume."""
 
+from collections.abc import Callable
+from functools import partial
+
 from chicoryshunt.connection.caller_api import (
     RESUME_HEADER,
     RESUME_PATH,
@@ -13,6 +16,7 @@
 )
 from chicoryshunt.connection.exchange import Exchange
 from chicoryshunt.events import log_event, log_problem
+from chicoryshunt.process.owned_generations import OwnedGenerations
 from chicoryshunt.process.router import Route
 from chicoryshunt.process.seal import Purpose, Seal
 from chicoryshunt.process.starter import (
@@ -60,8 +64,9 @@
 class GenerationApi:
     """Relays generations for callers."""
 
-    def __init__(self, state: NodeState) -> None:
+    def __init__(self, state: NodeState, owned: OwnedGenerations) -> None:
         """Serve with the state of the node."""
+        self._owned = owned
         settings = state.settings
         self._state = state
         self._client = HttpClient(keeps_connections=False)
@@ -95,13 +100,11 @@
         if isinstance(wanted, Verdict):
             exchange.respond_verdict(wanted)
             return
-        sink = Sink(exchange, self._choose_budget(wanted))
-        outcome = await self._starter.start(
-            wanted,
-            sink,
-            self._find_team(wanted).retry_ratio,
-        )
-        _end_answer(sink, outcome)
+        relay = partial(self._relay_anew, exchange, wanted)
+        if wanted.body.repeatable:
+            await relay(_end_answer)
+        else:
+            await self._owned.run(exchange, wanted, partial(relay, _end_relay))
 
     async def handle_resume(
         self,
@@ -179,6 +182,21 @@
                 error=str(error),
             )
 
+    async def _relay_anew(
+        self,
+        exchange: Exchange,
+        wanted: GenerationRequest,
+        end: Callable[[Sink, Outcome], None],
+    ) -> Outcome:
+        sink = Sink(exchange, self._choose_budget(wanted))
+        outcome = await self._starter.start(
+            wanted,
+            sink,
+            self._find_team(wanted).retry_ratio,
+        )
+        end(sink, outcome)
+        return outcome
+
     def _find_route(self, target: TargetId) -> Route | Verdict:
         config = self._state.config
         if config is None:
@@ -230,9 +248,14 @@
 
 
 def _end_answer(sink: Sink, outcome: Outcome) -> None:
+    if outcome.verdict is None or outcome.delivered:
+        _end_relay(sink, outcome)
+    else:
+        sink.respond_verdict(outcome.verdict)
+
+
+def _end_relay(sink: Sink, outcome: Outcome) -> None:
     if outcome.verdict is None or outcome.delivered:
         sink.finish(
             describe_end(outcome.tokens, outcome.ending, outcome.verdict),
         )
-    else:
-        sink.respond_verdict(outcome.verdict)
--- a/chicoryshunt/process/node.py
+++ b/chicoryshunt/process/node.py
@@ -136,7 +136,7 @@
     listen = state.settings.listen
     limits = state.settings.limits
     site = BoundedSite(
-        CallerApi(state, owning.calls, owning.drain).handle,
+        CallerApi(state, owning).handle,
         ServerBounds(
             limits.connections,
             limits.header_seconds,
--- a/chicoryshunt/request/call.py
+++ b/chicoryshunt/request/call.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import hashlib
-from collections.abc import Callable, Collection
+from collections.abc import Collection
 from contextlib import AbstractContextManager
 from dataclasses import dataclass, replace
 from http import HTTPStatus
-from typing import Any, Protocol, TypeAlias
+from typing import Any, Protocol
 
 import msgspec
 
@@ -96,7 +96,14 @@
         """Return the target's answer, or why there is none."""
 
 
-SpendRetry: TypeAlias = Callable[[TeamId], bool]
+class Retries(Protocol):
+    """Bounds how much extra work retries may cause."""
+
+    def record_first(self, team: TeamId) -> None:
+        """Count a first try."""
+
+    def may_retry(self, team: TeamId) -> bool:
+        """Spend one retry; say whether there was one."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,12 +130,12 @@
         self,
         targets: Targets,
         sender: Sender,
-        spend_retry: SpendRetry,
+        retries: Retries,
     ) -> None:
         """Choose among targets and ask the budget before each retry."""
         self._targets = targets
         self._sender = sender
-        self._spend_retry = spend_retry
+        self._retries = retries
 
     async def run(
         self,
@@ -138,7 +145,7 @@
     ) -> CallOutcome:
         """Return the target's answer, or why there is none."""
         attempts = _Attempts(rules)
-        while attempts.may_go_on(call.team, self._spend_retry):
+        while attempts.may_go_on(call.team, self._retries):
             chosen = self._targets.choose(call.service, attempts.tried)
             if isinstance(chosen, Verdict):
                 return NoAnswer(attempts.conclude(chosen))
@@ -234,15 +241,16 @@
         self._loop = asyncio.get_running_loop()
         self._deadline = self._loop.time() + rules.seconds
 
-    def may_go_on(self, team: TeamId, spend_retry: SpendRetry) -> bool:
+    def may_go_on(self, team: TeamId, retries: Retries) -> bool:
         """Say whether another target may be tried."""
         if not self.tried:
+            retries.record_first(team)
             return True
         if len(self.tried) >= MAX_ATTEMPTS or self._remaining() <= 0:
             return False
         if self._has_doubt() and not self._rules.is_repeatable:
             return False
-        return spend_retry(team)
+        return retries.may_retry(team)
 
     def bound_next(self) -> CallRules:
         """Return the rules of the next attempt with its share of the time."""
--- a/lab/drain_trial.py
+++ b/lab/drain_trial.py
@@ -17,6 +17,7 @@
     NotConnectedError,
     read_body,
 )
+from chicoryshunt.connection.target_api import StreamEvent
 from chicoryshunt.operations import run_until_done
 from lab.demo import FIRST_PORT
 from lab.failures import order_fault
@@ -26,6 +27,7 @@
 _STREAMS = 8
 _TOKENS = 150
 _KEY = 'pairing-17'
+_DATA = b'data: '
 _SECOND_SIGNAL_SECONDS = 0.3
 _GOSSIP_SECONDS = 2.0
 _LATE_SECONDS = 4.0
@@ -147,8 +149,16 @@
 
     async def _stream(self, number: int) -> bool:
         reply = await self._generate(_TOKENS)
-        tokens = reply.body.count(b'"t')
-        return tokens == _TOKENS and b'"ending":"stop"' in reply.body
+        tokens: list[str] = []
+        for frame in reply.body.split(b'\n\n'):
+            if frame.startswith(_DATA):
+                event = msgspec.json.decode(
+                    frame.removeprefix(_DATA),
+                    type=StreamEvent,
+                )
+                tokens.extend(event.t)
+        expected = [f't{index}' for index in range(_TOKENS)]
+        return tokens == expected and b'"ending":"stop"' in reply.body
 
     async def _generate(self, length: int) -> Reply:
         return await self._post(
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -189,4 +189,4 @@
         ),
         lambda: None,
     )
-    return CallerApi(state, owning.calls, owning.drain)
+    return CallerApi(state, owning)
--- a/tests/test_call.py
+++ b/tests/test_call.py
@@ -23,6 +23,7 @@
     RunState,
     ServiceId,
     TargetId,
+    TeamId,
 )
 from chicoryshunt.verdict import Verdict, doubt, refuse
 from tests.owner_fleet import build_call
@@ -77,6 +78,21 @@
         return self.outcomes[len(self.asked) - 1]
 
 
+@dataclass
+class FakeRetries:
+    """Budget of a number of retries."""
+
+    left: int
+    first_tries: int = 0
+
+    def record_first(self, team: TeamId) -> None:
+        self.first_tries += 1
+
+    def may_retry(self, team: TeamId) -> bool:
+        self.left -= 1
+        return self.left >= 0
+
+
 def run_fake(
     rules: CallRules,
     *outcomes: CallOutcome,
@@ -84,11 +100,12 @@
 ) -> tuple[CallOutcome, int]:
     """Return the outcome and how many targets were asked."""
     sender = FakeSender(list(outcomes))
-    budget = iter(range(1, retries + 1))
+    budget = FakeRetries(retries)
     targets = FakeTargets(len(outcomes))
-    runner = CallRunner(targets, sender, lambda team: next(budget, 0) > 0)
+    runner = CallRunner(targets, sender, budget)
     outcome = asyncio.run(runner.run(build_call(), _KEY, rules))
     assert not targets.held
+    assert budget.first_tries == 1
     return outcome, len(sender.asked)
 
 
@@ -132,6 +149,7 @@
     def dataReceived(self, data: bytes) -> None:
         transport = cast(Any, self.transport)
         transport.write(self._script)
+        self._script = b''
         if self._closes:
             transport.loseConnection()
 
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -16,7 +16,6 @@
 from chicoryshunt.types import Reason, RunState
 from tests.virtual_loop import run_virtual
 
-_FRESH = GrantOffer('fresh', 'owner-2', 0)
 _RAN = Answer(RunState.ran, status=200, body=b'filed')
 _UNREACHED = Answer(RunState.not_run, status=0, retry_after=0)
 _CUT = Answer(RunState.may_have_run, status=0, retry_after=0)
@@ -26,7 +25,7 @@
     status=503,
 )
 _LOST = Answer(RunState.may_have_run, Reason.target_timeout.value, status=504)
-_CLOSED = Answer(RunState.not_run, retry_after=0, status=409, grant=_FRESH)
+_CLOSED = Answer(RunState.not_run, retry_after=0, status=409, grant='fresh')
 _FULL = Answer(RunState.not_run, retry_after=0, status=503)
 _BAD = Answer(RunState.not_run, Reason.key_reused.value, status=409)
 
@@ -80,7 +79,7 @@
 def test_closing_refusal_brings_a_fresh_grant() -> None:
     outcome, sent = call(_CUT, _CLOSED, _RAN)
     assert outcome == _RAN
-    assert sent[-1] == ('owner-2', 'fresh')
+    assert sent[-2:] == [('node-1', 'grant-1'), ('node-1', 'fresh')]
 
 
 def test_owner_that_was_never_reached_is_replaced() -> None:
