--- a/chicoryshunt/process/generations.py
+++ b/chicoryshunt/process/generations.py
@@ -189,13 +189,14 @@
         end: Callable[[Sink, Outcome], None],
     ) -> Outcome:
         sink = Sink(exchange, self._choose_budget(wanted))
-        outcome = await self._starter.start(
+        attempt = await self._starter.start(
             wanted,
             sink,
             self._find_team(wanted).retry_ratio,
         )
-        end(sink, outcome)
-        return outcome
+        self._state.levels.record_generation(wanted, sink.pace, attempt)
+        end(sink, attempt.outcome)
+        return attempt.outcome
 
     def _find_route(self, target: TargetId) -> Route | Verdict:
         config = self._state.config
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -14,6 +14,7 @@
 from chicoryshunt.process.policy.survival import Kind, classify
 from chicoryshunt.process.seal import Purpose, Seal
 from chicoryshunt.process.state import NodeState
+from chicoryshunt.settings import Settings
 from chicoryshunt.types import (
     ConfigVersion,
     DataCentreId,
@@ -36,6 +37,7 @@
 )
 from chicoryshunt.version.published import split_base
 from chicoryshunt.version.replica import Replica, Snapshot
+from lab.local_shares import LocalShares
 
 FLEET_KEY = '5a' * 32
 
@@ -190,3 +192,10 @@
         lambda: None,
     )
     return CallerApi(state, owning)
+
+
+def build_state(settings: Settings) -> NodeState:
+    """Return the state of a node that has every target to itself."""
+    shares = LocalShares(lambda: state.config, lambda: 1)
+    state = NodeState(settings, shares)
+    return state
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -21,11 +21,15 @@
 from chicoryshunt.connection.platform_api import PublishedVm
 from chicoryshunt.connection.target_api import GenerateOrder, NotAccepted
 from chicoryshunt.connection.web import BoundedSite
-from chicoryshunt.process.state import NodeState
 from chicoryshunt.settings import parse_settings
 from chicoryshunt.types import DataCentreId, RunState, VmId
 from chicoryshunt.version.config import Config
-from tests.builders import build_caller_api, build_settings_text, put_in_force
+from tests.builders import (
+    build_caller_api,
+    build_settings_text,
+    build_state,
+    put_in_force,
+)
 from tests.reactor import listen, run_on_reactor
 from tests.relay_fakes import OWN, frame_end, frame_tokens
 
@@ -100,7 +104,7 @@
             build_settings_text(vm=f'vm-{number}'),
             'settings',
         )
-        self.state = NodeState(settings)
+        self.state = build_state(settings)
         put_in_force(self.state, config)
         self.entries = Entries((), 60)
         self.cuts: list[int] = []
