--- a/chicoryshunt/connection/caller_api.py
+++ b/chicoryshunt/connection/caller_api.py
@@ -15,6 +15,7 @@
 GRANT_HEADER: Final = 'x-grant'
 ENTRIES_HEADER: Final = 'x-entries'
 KEY_HEADER: Final = 'idempotency-key'
+REQUEST_HEADER: Final = 'x-request'
 RESUME_PATH: Final = '/v1/resume'
 INCOMPLETE: Final = 'incomplete'
 
--- a/chicoryshunt/process/assembly.py
+++ b/chicoryshunt/process/assembly.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from chicoryshunt.process.answers import Answers
 from chicoryshunt.process.calls import CallApi, ServiceTargets
 from chicoryshunt.process.drain import (
     TAKE_TABLE,
@@ -13,6 +14,7 @@
 from chicoryshunt.process.forwarding import SUBMIT, Forwarder
 from chicoryshunt.process.grants import Mint, Origin
 from chicoryshunt.process.holdings import Holdings
+from chicoryshunt.process.owned_calls import OwnedCalls
 from chicoryshunt.process.owned_generations import OwnedGenerations
 from chicoryshunt.process.ownership import Owner
 from chicoryshunt.process.peers import PeerServer
@@ -27,6 +29,8 @@
 class OwnerParts:
     """What owned requests need in a node."""
 
+    owner: Owner
+    answers: Answers
     calls: CallApi
     generations: OwnedGenerations
     drain: Drain
@@ -57,19 +61,29 @@
         Transfer(fleet.peer_client, members, state.clock, state.metrics),
         state.metrics,
     )
-    calls = CallApi(
+    answers = Answers(state, owner)
+    runner = CallRunner(
+        ServiceTargets(state),
+        TargetSender(),
+        ServiceRetries(state),
+    )
+    owned = OwnedCalls(
         state,
         owner,
         Forwarder(owner, fleet.peer_client, members),
-        CallRunner(
-            ServiceTargets(state), TargetSender(), ServiceRetries(state)
-        ),
+        runner,
         drain,
     )
-    server.register(SUBMIT, calls.submit)
+    server.register(SUBMIT, owned.submit)
     server.register(TAKE_TABLE, owner.take_part)
-    generations = OwnedGenerations(owner, calls, state.metrics)
-    return OwnerParts(calls, generations, drain, departure)
+    return OwnerParts(
+        owner,
+        answers,
+        CallApi(state, answers, owned, runner, drain),
+        OwnedGenerations(owner, answers, state.metrics),
+        drain,
+        departure,
+    )
 
 
 class ServiceRetries:
--- a/chicoryshunt/process/callers.py
+++ b/chicoryshunt/process/callers.py
@@ -30,6 +30,8 @@
     def __init__(self, state: NodeState, owning: OwnerParts) -> None:
         """Serve with the state of the node."""
         self._state = state
+        self._owner = owning.owner
+        self._answers = owning.answers
         self._calls = owning.calls
         self._drain = owning.drain
         self._generations = GenerationApi(state, owning.generations)
@@ -47,9 +49,9 @@
     async def _serve(self, exchange: Exchange) -> None:
         match (exchange.method, *exchange.segments):
             case ('GET', 'v1', 'entries'):
-                exchange.respond_json(self._calls.list_entries())
+                exchange.respond_json(self._answers.list_entries())
             case ('POST', 'v1', 'generate', _) if not self._drain.is_serving:
-                self._calls.respond(exchange, refuse_draining())
+                self._answers.respond(exchange, refuse_draining())
             case ('POST', 'v1', 'generate', model):
                 await self._generations.generate(exchange, ModelId(model))
             case ('POST', 'v1', 'resume', *action):
@@ -73,15 +75,19 @@
             case ('GET', 'v1', 'explain', request):
                 self._explain(exchange, request)
             case ('GET', 'metrics'):
-                exchange.respond(
-                    self._state.metrics.render(),
-                    'text/plain; version=0.0.4',
-                )
+                self._respond_metrics(exchange)
             case _:
                 exchange.respond_verdict(
                     refuse(Reason.unknown_path, f'no path {exchange.path!r}'),
                 )
 
+    def _respond_metrics(self, exchange: Exchange) -> None:
+        self._owner.report()
+        exchange.respond(
+            self._state.metrics.render(),
+            'text/plain; version=0.0.4',
+        )
+
     def _explain(self, exchange: Exchange, request: str) -> None:
         explanation = self._state.journal.explain(request)
         if explanation is None:
--- a/chicoryshunt/process/owned_generations.py
+++ b/chicoryshunt/process/owned_generations.py
@@ -8,8 +8,9 @@
 
 from chicoryshunt.connection.caller_api import GRANT_HEADER, KEY_HEADER
 from chicoryshunt.connection.exchange import Exchange
-from chicoryshunt.process.calls import CallApi, check_key
+from chicoryshunt.process.answers import Answers
 from chicoryshunt.process.metrics import Metrics
+from chicoryshunt.process.owned_calls import check_key, refuse_missing_grant
 from chicoryshunt.process.ownership import Owner, read_request
 from chicoryshunt.request.generation import Outcome
 from chicoryshunt.request.order import GenerationRequest
@@ -32,12 +33,12 @@
     def __init__(
         self,
         owner: Owner,
-        calls: CallApi,
+        answers: Answers,
         metrics: Metrics,
     ) -> None:
         """Decide with the owner; answer refusals like those of calls."""
         self._owner = owner
-        self._calls = calls
+        self._answers = answers
         self._metrics = metrics
 
     async def run(
@@ -58,7 +59,7 @@
 
         ended = await self._decide(exchange, wanted, key, relay_once)
         if not has_relayed:
-            self._calls.respond(exchange, ended)
+            self._answers.respond(exchange, ended)
 
     async def _decide(
         self,
@@ -72,7 +73,7 @@
         if refusal is not None:
             return refusal
         if not token:
-            return self._calls.refuse_without_grant()
+            return refuse_missing_grant()
         request = read_request(
             token,
             key,
--- a/chicoryshunt/process/ownership.py
+++ b/chicoryshunt/process/ownership.py
@@ -19,6 +19,7 @@
 )
 from chicoryshunt.process.handoff import SealedRecords
 from chicoryshunt.process.holdings import Holdings, PartAnswer, TablePart
+from chicoryshunt.process.invariants import Invariants, Promise
 from chicoryshunt.process.metrics import Metrics
 from chicoryshunt.process.pause import Pulse
 from chicoryshunt.process.records import Ask, Begin, Done, RecordTable, Wait
@@ -68,6 +69,7 @@
         self._table = table
         self._pulse = pulse
         self._metrics = metrics
+        self._invariants = Invariants(metrics)
         self._runs: dict[RequestName, asyncio.Task[CallOutcome]] = {}
         pulse.subscribe(self._wake)
 
@@ -164,6 +166,11 @@
         ask = request.ask
         match self._table.arrive(ask, now):
             case Begin():
+                self._invariants.check(
+                    Promise.at_most_once,
+                    ask.name not in self._runs,
+                    name=ask.name.hex(),
+                )
                 running = asyncio.ensure_future(self._run(ask, run))
                 self._runs[ask.name] = running
                 return await asyncio.shield(running)
--- a/tests/owner_fleet.py
+++ b/tests/owner_fleet.py
@@ -10,12 +10,13 @@
 
 from chicoryshunt.clock import ManualClock
 from chicoryshunt.connection.caller_api import Entries
-from chicoryshunt.process.calls import CallApi
 from chicoryshunt.process.drain import TAKE_TABLE, Drain
 from chicoryshunt.process.forwarding import SUBMIT, Forwarder, OwnedCall
 from chicoryshunt.process.grants import Mint, Origin
 from chicoryshunt.process.holdings import Holdings, TablePart
+from chicoryshunt.process.journal import Journal
 from chicoryshunt.process.metrics import Metrics
+from chicoryshunt.process.owned_calls import OwnedCalls
 from chicoryshunt.process.ownership import Owner
 from chicoryshunt.process.pause import PAUSE_SECONDS, Pulse
 from chicoryshunt.process.peers import Method, PeerError
@@ -104,6 +105,7 @@
         self.settings = SETTINGS
         self.metrics = Metrics()
         self.config: Config | None = CONFIG
+        self.journal = Journal(ManualClock(), self.metrics)
 
     def list_entries(self) -> Entries:
         return Entries((), 3)
@@ -128,7 +130,7 @@
     clock: NodeClock
     pulse: Pulse
     owner: Owner
-    calls: CallApi
+    calls: OwnedCalls
     target: Target
     is_frozen: bool = False
 
@@ -176,7 +178,7 @@
             state.metrics,
         )
         target = Target()
-        calls = CallApi(
+        calls = OwnedCalls(
             state,
             owner,
             Forwarder(owner, FakePeers(self, vm), self),
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -71,7 +71,7 @@
 
     async def file(self, vm: VmId, token: str, key: str = 'k') -> Any:
         calls = self.fleet.nodes[vm].calls
-        return await calls.run_owned(build_owned(token, key), RULES)
+        return await calls.run(build_owned(token, key), RULES)
 
 
 async def settle() -> None:
--- a/tests/test_owned_generations.py
+++ b/tests/test_owned_generations.py
@@ -5,6 +5,7 @@
 
 from chicoryshunt.connection.caller_api import GRANT_HEADER, KEY_HEADER
 from chicoryshunt.connection.exchange import Exchange
+from chicoryshunt.process.answers import Answers
 from chicoryshunt.process.owned_generations import OwnedGenerations
 from chicoryshunt.process.records import Bounds
 from chicoryshunt.request.generation import Outcome
@@ -69,7 +70,11 @@
             await asyncio.sleep(5)
             return outcome
 
-        owned = OwnedGenerations(node.owner, node.calls, node.state.metrics)
+        owned = OwnedGenerations(
+            node.owner,
+            Answers(node.state, node.owner),
+            node.state.metrics,
+        )
         await owned.run(
             cast(Exchange, cast(Any, exchange)),
             GenerationRequest(
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -155,7 +155,7 @@
             return
         self.fleet.cut = cut
         owned = build_owned(caller.token, caller.key, body)
-        attempt = self.loop.create_task(node.calls.run_owned(owned, RULES))
+        attempt = self.loop.create_task(node.calls.run(owned, RULES))
         attempt.set_name(vm)
         self.bodies[attempt] = body
         caller.attempts[caller.token].append(attempt)
