--- a/lab/config_trial.py
+++ b/lab/config_trial.py
@@ -13,7 +13,6 @@
 from lab.results import append_result
 from lab.topology import TABLERO, Placed, UserFleet
 
-_FIRST_PORT = 21100
 _BOUND_SECONDS = 3
 _LIMIT_SECONDS = 30
 _POLL_SECONDS = 0.02
@@ -25,7 +24,7 @@
     """Print the seconds of each case; exit 1 when one is over the bound."""
     with (
         tempfile.TemporaryDirectory() as folder,
-        run_fleet(Path(folder), _FIRST_PORT) as fleet,
+        run_fleet(Path(folder)) as fleet,
     ):
         seconds = run_cases(UserFleet(fleet, TABLERO))
     print(json.dumps(seconds, indent=2))
--- a/lab/demo.py
+++ b/lab/demo.py
@@ -1,6 +1,5 @@
 """A small fleet on loopback: one stream, one filing, the status."""
 
-import os
 import subprocess
 import sys
 import tempfile
@@ -9,14 +8,12 @@
 from lab.fleet import run_fleet
 from lab.topology import SMALL, UserFleet
 
-FIRST_PORT = int(os.environ.get('LAB_FIRST_PORT', '18100'))
-
 
 def main() -> None:
     """Run the demo; exit 0 when the answer is whole."""
     with (
         tempfile.TemporaryDirectory() as folder,
-        run_fleet(Path(folder), FIRST_PORT) as fleet,
+        run_fleet(Path(folder)) as fleet,
     ):
         user = UserFleet(fleet, SMALL)
         nodes = f'--nodes={",".join(user.addresses)}'
--- a/lab/drain_trial.py
+++ b/lab/drain_trial.py
@@ -19,7 +19,6 @@
 )
 from chicoryshunt.connection.target_api import StreamEvent
 from chicoryshunt.operations import run_until_done
-from lab.demo import FIRST_PORT
 from lab.failures import order_fault
 from lab.fleet import run_fleet, send
 from lab.topology import SMALL, Placed, UserFleet
@@ -216,7 +215,7 @@
     """Run the trial; exit 0 when nothing was cut, lost or doubled."""
     with (
         tempfile.TemporaryDirectory() as folder,
-        run_fleet(Path(folder), FIRST_PORT) as fleet,
+        run_fleet(Path(folder)) as fleet,
     ):
         user = UserFleet(fleet, SMALL)
         findings = run_until_done(lambda: DrainTrial(user).run())
--- a/lab/engine.py
+++ b/lab/engine.py
@@ -30,6 +30,7 @@
 flags.DEFINE_integer('seed', 1, 'seed of lengths', flag_values=_FLAGS)
 flags.DEFINE_integer('slots', 64, 'running jobs', flag_values=_FLAGS)
 flags.DEFINE_integer('memory', 60_000, 'memory tokens', flag_values=_FLAGS)
+flags.DEFINE_integer('cold', 250, 'cold steps', flag_values=_FLAGS)
 flags.DEFINE_float('step', 0.02, 'seconds a step', flag_values=_FLAGS)
 flags.DEFINE_float('lag', 0.5, 'seconds a load lags', flag_values=_FLAGS)
 flags.DEFINE_float('load', 0, 'seconds an order takes', flag_values=_FLAGS)
@@ -57,6 +58,7 @@
             slots=_FLAGS.slots,
             memory_tokens=_FLAGS.memory,
             step_seconds=_FLAGS.step,
+            cold_steps=_FLAGS.cold,
         )
         self._rng = random.Random(_FLAGS.seed)
         self.batch = Batch(spec, self._rng)
--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import socket
 import subprocess
 import sys
 import time
@@ -14,6 +15,9 @@
 
 READY_SECONDS = 20
 _STOP_SECONDS = 20
+_LOWEST_PORT = 10_000
+_PORTS_PER_FLEET = 64
+_PORT_SPAN = 20_000
 _POLL_SECONDS = 0.1
 _ROOT = Path(__file__).resolve().parent.parent
 
@@ -32,20 +36,37 @@
         return f'http://127.0.0.1:{self.port}'
 
 
+def choose_first_port() -> int:
+    """Return where to look for free ports, apart for each process."""
+    return _LOWEST_PORT + os.getpid() * _PORTS_PER_FLEET % _PORT_SPAN
+
+
+def is_free(port: int) -> bool:
+    """Say whether a port of loopback can be listened on."""
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            listener.bind(('127.0.0.1', port))
+        except OSError:
+            return False
+        return True
+
+
 @dataclass(slots=True)
 class Fleet:
     """Every process of one run, by name."""
 
     folder: Path
-    first_port: int
     started: dict[str, Started] = field(default_factory=dict)
-    _next_offset: int = 0
+    _next_port: int = field(default_factory=choose_first_port)
 
     def reserve_ports(self, count: int) -> int:
-        """Return the first of some unused port numbers."""
-        port = self.first_port + self._next_offset
-        self._next_offset += count
-        return port
+        """Return the first of some consecutive ports that nobody uses."""
+        while True:
+            port = self._next_port
+            self._next_port += count
+            if all(is_free(port + offset) for offset in range(count)):
+                return port
 
     def start_stand_in(self, kind: str, name: str, *options: str) -> Started:
         """Start a stand-in and wait until it answers."""
@@ -159,10 +180,10 @@
 
 
 @contextmanager
-def run_fleet(folder: Path, first_port: int) -> Iterator[Fleet]:
+def run_fleet(folder: Path) -> Iterator[Fleet]:
     """Yield an empty fleet and stop all that was started in it."""
     folder.mkdir(parents=True, exist_ok=True)
-    fleet = Fleet(folder, first_port)
+    fleet = Fleet(folder)
     try:
         yield fleet
     finally:
--- a/lab/ownership_bench.py
+++ b/lab/ownership_bench.py
@@ -28,7 +28,6 @@
 )
 from chicoryshunt.request.outcome import TargetAnswer
 from lab.daemon import parse_flags
-from lab.demo import FIRST_PORT
 from lab.fleet import run_fleet
 from lab.results import append_result
 from lab.topology import SMALL, Placed, UserFleet
@@ -196,7 +195,7 @@
     parse_flags(_FLAGS)
     with (
         tempfile.TemporaryDirectory() as folder,
-        run_fleet(Path(folder), FIRST_PORT) as fleet,
+        run_fleet(Path(folder)) as fleet,
     ):
         user = UserFleet(fleet, SMALL)
         costs = run_until_done(lambda: CallBench(user).run())
--- a/lab/relay_bench.py
+++ b/lab/relay_bench.py
@@ -29,7 +29,6 @@
 flags.DEFINE_integer('engines', 6, 'engines', flag_values=_FLAGS)
 flags.DEFINE_boolean('record', True, 'append the result', flag_values=_FLAGS)
 
-_FIRST_PORT = 18400
 _BYTES_PER_MB = 1 << 20
 
 
@@ -167,7 +166,7 @@
     rounds: list[dict[str, Sample]] = []
     with (
         tempfile.TemporaryDirectory() as folder,
-        run_fleet(Path(folder), _FIRST_PORT) as fleet,
+        run_fleet(Path(folder)) as fleet,
     ):
         relays = start_relays(fleet)
         for _ in range(_FLAGS.rounds):
--- a/lab/stream_faults.py
+++ b/lab/stream_faults.py
@@ -20,7 +20,6 @@
 _FLAGS = flags.FlagValues()
 flags.DEFINE_integer('length', 100, 'tokens an answer', flag_values=_FLAGS)
 
-_FIRST_PORT = 18500
 _AFTER_TOKENS = 10
 _AFTER_SECONDS = 1.0
 
@@ -127,7 +126,7 @@
     parse_flags(_FLAGS)
     with (
         tempfile.TemporaryDirectory() as folder,
-        run_fleet(Path(folder), _FIRST_PORT) as fleet,
+        run_fleet(Path(folder)) as fleet,
     ):
         user = UserFleet(fleet, SMALL)
         wrong = run_until_done(lambda: run_cases(user))
--- a/lab/topology.py
+++ b/lab/topology.py
@@ -25,6 +25,7 @@
 CONCURRENT = 16
 MEMORY_TOKENS = 16_000
 _SERVICE_CONCURRENT = 32
+_COLD_STEPS = 20
 
 
 @dataclass(frozen=True, slots=True)
@@ -224,6 +225,7 @@
         f'--seed={number + 1}',
         f'--slots={CONCURRENT}',
         f'--memory={MEMORY_TOKENS}',
+        f'--cold={_COLD_STEPS}',
     )
 
 
--- a/lab/trial.py
+++ b/lab/trial.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from lab.fleet import Fleet, send
-from lab.ledger import read_records
+from lab.ledger import Record, read_records
 from lab.promises import Evidence, Outage, Versions
 from lab.runs import RunLedger
 from lab.topology import Placed, UserFleet, read_status
@@ -21,6 +21,8 @@
 _POLL_SECONDS = 0.25
 _BROKEN_METRIC = 'chicoryshunt_invariant_broken_total{promise="'
 _GRACE_SECONDS = 120.0
+_WARMING_SECONDS = 15.0
+_WARMING_SEED = 1000
 
 
 @dataclass(slots=True)
@@ -63,6 +65,7 @@
     """Run a scenario under load and collect the ledgers."""
     trial = Trial(user, seconds)
     ledger = fleet.folder / 'ledger.jsonl'
+    earlier = warm_up(user, fleet.folder / 'warming.jsonl')
     with (
         watch_versions(user) as watch,
         start_load(user, seconds, mix, ledger) as load,
@@ -70,7 +73,7 @@
         scenario(trial)
         load.wait(seconds + _GRACE_SECONDS)
         return Evidence(
-            records=read_records(ledger),
+            records=earlier + read_records(ledger),
             engines=_read_ledgers(user.engines, trial.ended),
             services=_read_ledgers(user.services, trial.ended),
             versions=watch.list_versions(),
@@ -83,6 +86,14 @@
         )
 
 
+def warm_up(user: UserFleet, ledger: Path) -> list[Record]:
+    """Let the targets get warm under the usual load."""
+    mix = Mix(seed=_WARMING_SEED)
+    with start_load(user, _WARMING_SECONDS, mix, ledger) as load:
+        load.wait(_WARMING_SECONDS + _GRACE_SECONDS)
+    return read_records(ledger)
+
+
 @contextmanager
 def start_load(
     user: UserFleet,
--- a/lab/trials.py
+++ b/lab/trials.py
@@ -8,7 +8,6 @@
 from absl import flags
 
 from lab.daemon import parse_flags
-from lab.demo import FIRST_PORT
 from lab.fleet import run_fleet
 from lab.promises import count_promises, format_counts
 from lab.scenarios import TRIALS
@@ -34,7 +33,7 @@
 def run_named(name: str, plan: Plan, folder: Path) -> int:
     """Run one trial, print its ledger, return how often promises broke."""
     print(f'== {name}', flush=True)
-    with run_fleet(folder / name, FIRST_PORT) as fleet:
+    with run_fleet(folder / name) as fleet:
         user = UserFleet(fleet, plan)
         evidence = run_trial(
             fleet,
