--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -307,6 +307,18 @@
     run_fleet_test(test, nodes=1)
 
 
+def test_progress_renews_the_attempts(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr('chicoryshunt.caller.caller._MAX_RESUMES', 2)
+
+    async def test(fleet: Fleet) -> None:
+        fleet.nodes[0].cuts = [1, 1, 1, 1, 1]
+        assert_whole(await fleet.generate())
+
+    run_fleet_test(test, nodes=1)
+
+
 def test_answer_lost_in_doubt_is_not_asked_again() -> None:
     async def test(fleet: Fleet) -> None:
         fleet.nodes[0].cuts = [0]
