--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 SOURCES = chicoryshunt lab tests
 
-.PHONY: bench-relay faults help venv test unit check format lint types demo
+.PHONY: bench-policy bench-relay faults help venv test unit check format lint types demo
 
 help:  ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -43,3 +43,6 @@
 
 trials: venv  ## nine nodes under failures, promises counted
 	$(BIN)/python -m lab.trials
+
+bench-policy: venv  ## decisions under load; QUICK=1 for a few short runs
+	$(BIN)/python -m lab.policy_bench $(if $(QUICK),--quick)
--- a/chicoryshunt/process/policy/admission.py
+++ b/chicoryshunt/process/policy/admission.py
@@ -16,6 +16,7 @@
 from chicoryshunt.process.policy.survival import Array
 
 _SHORT_SLOTS_PART = 0.04
+_SHORT_MARGIN_PART = 0.5
 _PREEMPTION_STEP = 0.01
 _MOST_STEP = 0.05
 _NEAR_WEIGHT = 2.6
@@ -71,7 +72,8 @@
     """Say whether a request fits beside what runs, and why not.
 
     ``reserve`` is the part of the memory that it may not use. A few slots
-    are kept for short requests.
+    and a part of the margin are kept for short requests. Only the horizons at
+    which the request may still run are looked at.
     """
     slots = limit.slots
     if not is_short:
@@ -82,9 +84,11 @@
     memory = limit.memory_tokens * (1 - reserve)
     deviation = HORIZON_WEIGHTS * np.maximum(both.deviation, 1)
     free = (memory - both.mean) / deviation
+    free = np.where(request.mean > 0, free, np.inf)
     worst = int(np.argmin(free))
-    if free[worst] < margin:
-        needed = both.mean[worst] + margin * deviation[worst]
+    kept = margin * _SHORT_MARGIN_PART if is_short else margin
+    if free[worst] < kept:
+        needed = both.mean[worst] + kept * deviation[worst]
         return NoMemory(int(HORIZONS[worst]), int(needed), int(memory))
     return Fit(
         float(both.mean.max()) / limit.memory_tokens,
--- a/chicoryshunt/process/policy/book.py
+++ b/chicoryshunt/process/policy/book.py
@@ -26,10 +26,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Leased:
-    """A keeper leased this slack of a target's limit."""
+    """A keeper leased this slack of a target's limit.
+
+    ``short_slots`` may be used by short requests beside it.
+    """
 
     slack: Slack
     limit: Limit
+    short_slots: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,7 +49,7 @@
 def count_memory(room: Room) -> int:
     """Return the memory tokens of the target that a room is part of."""
     match room:
-        case Sole(limit) | Leased(_, limit):
+        case Sole(limit) | Leased(_, limit, _):
             return limit.memory_tokens
         case Closed():
             return 0
--- a/chicoryshunt/process/policy/dispatcher.py
+++ b/chicoryshunt/process/policy/dispatcher.py
@@ -12,7 +12,9 @@
 from chicoryshunt.process.policy.book import Room, TargetBook, count_memory
 from chicoryshunt.process.policy.choice import Choice
 from chicoryshunt.process.policy.occupancy import (
+    Curve,
     Running,
+    build_empty_curve,
     predict_occupancy,
 )
 from chicoryshunt.process.policy.overload import (
@@ -41,6 +43,8 @@
 _BLOCKED_SECONDS = 0.1
 _EXPIRE_SECONDS = 0.2
 _HELD_UP_SECONDS = 1
+_TYPICAL_PART = 0.05
+_WORK_PER_PROMPT_TOKEN = 0.1
 
 
 class Stop(Enum):
@@ -70,7 +74,6 @@
         self.patience = patience
         self.queue = FairQueue()
         self.drain = DrainRate()
-        self.blocked: RequestId | None = None
         self.expired_at: float = 0
         self.blocked_until: float = 0
 
@@ -78,13 +81,6 @@
         ahead = self.queue.measure_ahead(waiting)
         return judge_wait(self.drain.predict_wait(ahead), self.patience)
 
-    def is_blocked(self, head: Waiting, now: float) -> bool:
-        return head.ask.request == self.blocked and now < self.blocked_until
-
-    def block(self, head: Waiting, now: float) -> None:
-        self.blocked = head.ask.request
-        self.blocked_until = now + _BLOCKED_SECONDS
-
     def expire(self, now: float) -> list[Waiting]:
         if now - self.expired_at < _EXPIRE_SECONDS:
             return []
@@ -94,10 +90,11 @@
     def push(self, waiting: Waiting, now: float) -> None:
         self.drain.record(0, now, is_waiting=bool(len(self.queue)))
         self.queue.push(waiting)
+        self.blocked_until = 0
 
     def take(self, head: Waiting, now: float) -> None:
         self.drain.record(head.work, now, is_waiting=True)
-        self.queue.pop()
+        self.queue.take(head)
 
 
 class Dispatcher:
@@ -108,9 +105,13 @@
         parameters: Parameters,
         estimator: LengthEstimator,
     ) -> None:
-        """Start without targets."""
+        """Start without targets.
+
+        ``typical`` is the curve of a usual request, for keepers.
+        """
         self.margin = Margin(parameters)
         self.books: dict[TargetId, TargetBook] = {}
+        self.typical: Curve = build_empty_curve()
         self._parameters = parameters
         self._estimator = estimator
         self._shares = TeamShares()
@@ -168,17 +169,12 @@
         The owner sends it at once, or calls ``cancel``.
         """
         for lane in self._lanes.values():
-            head = lane.queue.peek()
-            if head is None or lane.is_blocked(head, now):
+            if now < lane.blocked_until:
                 continue
-            demand = self._build_demand(head)
-            place = find_place(self.books.values(), demand, now)
-            match place:
-                case Placement():
-                    lane.take(head, now)
-                    return self._start(head, demand, place, now)
-                case NoPlace():
-                    lane.block(head, now)
+            dispatch = self._find_in_lane(lane, now)
+            if dispatch is not None:
+                return dispatch
+            lane.blocked_until = now + _BLOCKED_SECONDS
         return None
 
     def cancel(self, dispatch: Dispatch) -> None:
@@ -191,6 +187,9 @@
         """Note how many tokens a request has produced by now."""
         book = self._places.get(request)
         if book is not None:
+            running = book.running[request]
+            added = produced - running.produced
+            self._shares.add(running.kind.team, added)
             book.record_tokens(request, produced)
 
     def record_stop(
@@ -213,21 +212,46 @@
     def unblock(self) -> None:
         """Look at every waiting request again, as when room was gained."""
         for lane in self._lanes.values():
-            lane.blocked = None
+            lane.blocked_until = 0
 
     def _expect_work(self, ask: Ask) -> float:
         survival = self._estimator.estimate(ask.kind)
-        return survival.expect_work(ask.prompt_tokens, ask.max_tokens)
+        tokens = survival.expect_remaining(0, ask.max_tokens)
+        return tokens + _WORK_PER_PROMPT_TOKEN * ask.prompt_tokens
+
+    def _find_in_lane(self, lane: _Lane, now: float) -> Dispatch | None:
+        """Try the first team within its share, then the first beyond it."""
+        heads = lane.queue.list_heads()
+        is_over = [self._is_over_share(head) for head in heads]
+        reserve = self._parameters.team_reserve
+        for over, kept in ((False, 0), (True, reserve)):
+            if over in is_over:
+                head = heads[is_over.index(over)]
+                dispatch = self._place(lane, head, kept, now)
+                if dispatch is not None:
+                    return dispatch
+        return None
 
-    def _build_demand(self, head: Waiting) -> Demand:
+    def _place(
+        self,
+        lane: _Lane,
+        head: Waiting,
+        reserve: float,
+        now: float,
+    ) -> Dispatch | None:
+        demand = self._build_demand(head, reserve)
+        place = find_place(self.books.values(), demand, now)
+        match place:
+            case Placement():
+                lane.take(head, now)
+                return self._start(head, demand, place, now)
+            case NoPlace():
+                return None
+
+    def _build_demand(self, head: Waiting, reserve: float) -> Demand:
         ask = head.ask
         curve = predict_occupancy((self._build_running(ask),))
-        return Demand(
-            ask,
-            curve,
-            self.margin.deviations,
-            self._find_reserve(head),
-        )
+        return Demand(ask, curve, self.margin.deviations, reserve)
 
     def _build_running(self, ask: Ask) -> Running:
         return Running(
@@ -237,9 +261,8 @@
             ask.max_tokens,
         )
 
-    def _find_reserve(self, head: Waiting) -> float:
-        share = self._shares.judge(head.team, self._sum_memory())
-        return self._parameters.team_reserve if share.is_over else 0
+    def _is_over_share(self, head: Waiting) -> bool:
+        return self._shares.judge(head.team, self._sum_memory()).is_over
 
     def _sum_memory(self) -> int:
         return sum(count_memory(book.room) for book in self.books.values())
@@ -256,7 +279,8 @@
         book.start(ask.request, self._build_running(ask), demand.curve)
         book.hints.record(ask.prefix, now, held=True)
         self._places[ask.request] = book
-        self._shares.add(ask.kind.team, demand.curve.peak)
+        self._learn_typical(demand)
+        self._shares.add(ask.kind.team, ask.prompt_tokens)
         waited = Seconds(now - waiting.arrived)
         self.margin.record_admission(has_waited=waited > _HELD_UP_SECONDS)
         return Dispatch(
@@ -267,12 +291,18 @@
             rank_for_engine(ask),
         )
 
+    def _learn_typical(self, demand: Demand) -> None:
+        if not self.typical.requests:
+            self.typical = demand.curve
+        elif demand.ask.kind.size is not Size.short:
+            self.typical = self.typical.blend(demand.curve, _TYPICAL_PART)
+
     def _leave(self, request: RequestId) -> Running | None:
         book = self._places.pop(request, None)
         if book is None:
             return None
         running = book.end(request)
         if running is not None:
-            self._shares.add(running.kind.team, -running.promised)
+            self._shares.add(running.kind.team, -running.held)
         self.unblock()
         return running
--- a/chicoryshunt/process/policy/occupancy.py
+++ b/chicoryshunt/process/policy/occupancy.py
@@ -22,7 +22,7 @@
     [0, 32, 64, 128, 256, 512, 1024, 2048, 4096, 8192],
     np.float64,
 )
-_DOUBT_PART = 0.5
+_DOUBT_PART = 0.7
 
 
 class CurveReport(msgspec.Struct, frozen=True, array_like=True):
@@ -70,6 +70,24 @@
         doubted = (_DOUBT_PART * self.doubt) ** 2
         return np.asarray(np.sqrt(self.variance + doubted))
 
+    def scale(self, count: int) -> 'Curve':
+        """Return the curve of several such sets."""
+        return Curve(
+            self.requests * count,
+            self.mean * count,
+            self.variance * count,
+            self.doubt * count,
+        )
+
+    def blend(self, other: 'Curve', part: float) -> 'Curve':
+        """Return this curve moved towards another by a part."""
+        return Curve(
+            self.requests,
+            self.mean + part * (other.mean - self.mean),
+            self.variance + part * (other.variance - self.variance),
+            self.doubt + part * (other.doubt - self.doubt),
+        )
+
     def repeat(self, count: Array) -> 'Curve':
         """Return the curves of several such sets, one row for each count."""
         return Curve(
@@ -130,6 +148,11 @@
     produced: int = 0
     promised: int = 0
 
+    @property
+    def held(self) -> int:
+        """Return the memory tokens it holds now."""
+        return self.prompt_tokens + self.produced
+
 
 @dataclass(frozen=True, slots=True, eq=False)
 class Forecast:
--- a/chicoryshunt/process/policy/placement.py
+++ b/chicoryshunt/process/policy/placement.py
@@ -90,7 +90,9 @@
                 reserve=demand.reserve,
                 is_short=demand.ask.kind.size is Size.short,
             )
-        case Leased(slack, limit):
+        case Leased(slack, limit, short_slots):
+            if demand.ask.kind.size is Size.short and short_slots:
+                return Fit(1, demand.margin)
             return check_lease(slack, limit.memory_tokens, demand.curve)
 
 
--- a/chicoryshunt/process/policy/profile.py
+++ b/chicoryshunt/process/policy/profile.py
@@ -27,26 +27,26 @@
 
 
 _STALL = Parameters(
-    margin=1,
+    margin=0.95,
     least_margin=0.8,
-    most_margin=1.6,
+    most_margin=1.5,
     preemption_goal=0.01,
     patience=Seconds(3),
     short_patience=Seconds(1),
     hedge_after=Seconds(0.4),
     hedge_ratio=0.02,
-    team_reserve=0.1,
+    team_reserve=0.3,
 )
 _PREEMPTION = Parameters(
-    margin=1.1,
-    least_margin=0.95,
-    most_margin=1.8,
+    margin=1,
+    least_margin=0.85,
+    most_margin=1.5,
     preemption_goal=0.01,
     patience=Seconds(40),
     short_patience=Seconds(2),
     hedge_after=Seconds(1),
     hedge_ratio=0.01,
-    team_reserve=0.1,
+    team_reserve=0.3,
 )
 
 
--- a/chicoryshunt/process/policy/queue.py
+++ b/chicoryshunt/process/policy/queue.py
@@ -11,8 +11,8 @@
 from chicoryshunt.process.policy.survival import Kind, Size
 from chicoryshunt.types import RequestId, TeamId
 
-_SECONDS_PER_WORK = 0.02
-_MOST_WORK_SECONDS = 15
+_SECONDS_PER_WORK = 0.002
+_MOST_WORK_SECONDS = 5
 _SECONDS_PER_PRIORITY = 1
 _MOST_PRIORITY = 5
 _MOST_IDLE_TEAMS = 1024
@@ -50,7 +50,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Waiting:
-    """One request that waits; ``work`` is memory it will hold over time."""
+    """One request that waits; ``work`` is expected tokens to serve."""
 
     ask: Ask
     arrived: float
@@ -93,6 +93,9 @@
     def head(self) -> Waiting:
         return self.entries[0].waiting
 
+    def find_finish(self) -> float:
+        return self.start + self.head.cost
+
     def push(self, entry: _Entry) -> None:
         heapq.heappush(self.entries, entry)
         self.work += entry.waiting.work
@@ -141,19 +144,29 @@
 
     def peek(self) -> Waiting | None:
         """Return the request to serve next."""
-        backlog = self._find_next()
-        return None if backlog is None else backlog.head
+        backlogs = self._teams.values()
+        first = min(backlogs, key=_Backlog.find_finish, default=None)
+        return None if first is None else first.head
+
+    def list_heads(self) -> list[Waiting]:
+        """Return the first request of each team, in order of service."""
+        backlogs = sorted(self._teams.values(), key=_Backlog.find_finish)
+        return [backlog.head for backlog in backlogs]
 
     def pop(self) -> Waiting | None:
         """Take the request to serve next and charge its team."""
-        backlog = self._find_next()
-        if backlog is None:
-            return None
-        waiting = backlog.pop()
+        head = self.peek()
+        if head is not None:
+            self.take(head)
+        return head
+
+    def take(self, head: Waiting) -> None:
+        """Take the first request of a team and charge it."""
+        backlog = self._teams[head.team]
+        backlog.pop()
         self._virtual_time = max(self._virtual_time, backlog.start)
-        backlog.start += waiting.cost
-        self._settle(waiting.team)
-        return waiting
+        backlog.start += head.cost
+        self._settle(head.team)
 
     def restore(self, waiting: Waiting) -> None:
         """Put back what was taken, and give its team back the charge."""
@@ -200,13 +213,6 @@
     def _find_start(self, team: TeamId) -> float:
         return max(self._virtual_time, self._idle.get(team, 0))
 
-    def _find_next(self) -> _Backlog | None:
-        return min(
-            self._teams.values(),
-            key=lambda backlog: backlog.start + backlog.head.cost,
-            default=None,
-        )
-
     def _settle(self, team: TeamId) -> None:
         backlog = self._teams[team]
         if backlog.entries:
--- a/chicoryshunt/process/policy/shares.py
+++ b/chicoryshunt/process/policy/shares.py
@@ -6,6 +6,7 @@
 from chicoryshunt.types import TeamId
 
 _ACTIVE_SECONDS = 30
+_TOLERANCE = 1.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -17,12 +18,12 @@
 
     @property
     def is_over(self) -> bool:
-        """Say whether the team holds more than its share."""
-        return self.held > self.share
+        """Say whether the team holds clearly more than its share."""
+        return self.held > self.share * _TOLERANCE
 
 
 class TeamShares:
-    """Memory tokens promised to each team that is active."""
+    """Memory tokens held by each team that is active."""
 
     def __init__(self) -> None:
         """Start without teams."""
@@ -39,7 +40,7 @@
             self._prune(now)
 
     def add(self, team: TeamId, tokens: int) -> None:
-        """Count memory tokens promised to a team, or given back by it."""
+        """Count memory tokens that a team holds more, or less."""
         self._held[team] += tokens
 
     def judge(self, team: TeamId, capacity: int) -> Share:
--- a/chicoryshunt/process/policy/survival.py
+++ b/chicoryshunt/process/policy/survival.py
@@ -41,7 +41,6 @@
 _REFRESH_COUNTS = 256
 _MOST_TEAMS = 20_000
 _FIRST_ROWS = 16
-_WORK_UNIT = 1000
 
 
 class Size(Enum):
@@ -80,16 +79,12 @@
         passed, later = np.interp((age, age + ahead), EDGES, self.hazard)
         return float(np.exp(passed - later))
 
-    def expect_work(self, prompt_tokens: int, most: int) -> float:
-        """Return the memory an answer is expected to hold over its time.
-
-        In thousands of tokens times steps, for at most ``most`` tokens.
-        """
-        ages = np.append(_list_edges(most), most)
-        middles = (ages + np.roll(ages, 1)).compress(ages > 0) / 2
-        chance = np.exp(-np.interp(middles, EDGES, self.hazard))
-        held = chance * (prompt_tokens + middles) * np.diff(ages)
-        return float(held.sum()) / _WORK_UNIT
+    def expect_remaining(self, age: int, most: int) -> float:
+        """Return the expected tokens to come, at most ``most`` of them."""
+        ages = np.append(_list_edges(most), most) + age
+        level = np.interp(ages, EDGES, self.hazard)
+        chance = np.exp(level[0] - level)
+        return float(np.trapezoid(chance, ages))
 
 
 def _cumulate(steps: Array) -> Array:
--- a/lab/policy_deciders.py
+++ b/lab/policy_deciders.py
@@ -159,10 +159,11 @@
         self.dispatcher = Dispatcher(self._parameters, LengthEstimator())
         self.warmths = [Warmth(declared, _STEP_GOAL) for _ in range(engines)]
         self._serving = [True for _ in range(engines)]
+        self._alive = [True for _ in range(engines)]
         self._preemptions: dict[int, int] = {}
         for target, warmth in enumerate(self.warmths):
             _warm_up(warmth, declared)
-            self.dispatcher.add_target(_name(target))
+            self.dispatcher.add_target(name_target(target))
             self._open(target, 0)
 
     @property
@@ -210,10 +211,11 @@
         """Learn from a report how warm a target is."""
         warmth = self.warmths[target]
         warmth.record_start(report.start)
+        self._alive[target] = True
         step = Seconds(report.step_ms / 1000)
         served = report.running * int(REPORT_SECONDS / step)
         warmth.record_work(served, step, report.running)
-        book = self.dispatcher.books[_name(target)]
+        book = self.dispatcher.books[name_target(target)]
         book.step_seconds = step
         book.waiting = report.waiting
         seen = self._preemptions.get(target, 0)
@@ -224,30 +226,41 @@
 
     def record_loss(self, target: int, now: float) -> None:
         """Close a lost target until it reports again."""
+        self._alive[target] = False
         self.warmths[target].record_loss()
-        self.dispatcher.set_room(_name(target), Closed('lost'))
+        self.dispatcher.set_room(name_target(target), Closed('lost'))
 
     def set_serving(self, target: int, *, serving: bool) -> None:
         """Follow an order of operators."""
         self._serving[target] = serving
         if not serving:
-            self.dispatcher.set_room(_name(target), Closed('out'))
+            self.dispatcher.set_room(name_target(target), Closed('out'))
 
     def find_limit(self, target: int) -> int:
         """Return the slots that the target may have now."""
         return self.warmths[target].limit.slots
 
+    def find_last_promise(self, target: int) -> int:
+        """Return the memory promised to the last request sent there."""
+        book = self.dispatcher.books[name_target(target)]
+        return next(reversed(book.running.values())).promised
+
+    def is_open(self, target: int) -> bool:
+        """Say whether a target may take work at all."""
+        return self._serving[target] and self._alive[target]
+
     def _open(self, target: int, now: float) -> None:
-        warmth = self.warmths[target]
-        if not self._serving[target]:
+        if not self.is_open(target):
             return
+        warmth = self.warmths[target]
         if warmth.is_resting(now):
-            self.dispatcher.set_room(_name(target), Closed('resting'))
+            self.dispatcher.set_room(name_target(target), Closed('resting'))
             return
-        self.dispatcher.set_room(_name(target), Sole(warmth.limit))
+        self.dispatcher.set_room(name_target(target), Sole(warmth.limit))
 
 
-def _name(target: int) -> TargetId:
+def name_target(target: int) -> TargetId:
+    """Return the id of a target by its number."""
     return TargetId(str(target))
 
 
@@ -263,5 +276,6 @@
         Kind(arrival.team, _MODEL, classify(arrival.max_tokens)),
         arrival.prompt_tokens,
         arrival.max_tokens,
+        weight=arrival.weight,
         prefix=arrival.prefix,
     )
--- a/lab/policy_model.py
+++ b/lab/policy_model.py
@@ -69,6 +69,11 @@
     produced: int = 0
     preemptions: int = 0
 
+    def find_wait(self, now: float) -> float:
+        """Return how long the caller waited for the first token, till now."""
+        first = now if self.first_at < 0 else self.first_at
+        return first - self.arrival.at
+
 
 @dataclass(frozen=True, slots=True)
 class Sent:
@@ -244,7 +249,7 @@
 
     def _refuse(self, number: int, now: float) -> None:
         answer = self.ledger.answers[number]
-        answer.outcome = Outcome.refused
+        answer.outcome = Outcome.lost if answer.runs else Outcome.refused
         answer.ended_at = now
 
     def _poll(self, decider: Decider, now: float) -> None:
--- /dev/null
+++ b/lab/policy_targets.py
@@ -0,0 +1,180 @@
+"""Stated targets of the decisions, judged on the results of one bench run."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+from lab.policy_cases import BURST_TEAM, Case, Policy, Result, Scenario
+
+_PREEMPTS_FROM = 10
+_PREEMPTION_PART = 0.02
+_GOODPUT_PART = 0.97
+_STALL_PART = 0.5
+_FIRST_TOKEN_SECONDS = 0.68
+_GAP_MS = 28
+_WITHIN_CAPACITY = 0.5
+_TWICE_CAPACITY = 2
+_PEAK_PART = 0.9
+_BURST_FACTOR = 2
+_OWN = frozenset(set(Policy) - {Policy.round_robin, Policy.least_outstanding})
+
+
+@dataclass(frozen=True, slots=True)
+class Judgement:
+    """One target: how many cases met it, and the worst of them."""
+
+    name: str
+    bound: str
+    met: int
+    cases: int
+    worst: float
+
+    @property
+    def is_met(self) -> bool:
+        """Say whether every case met the target."""
+        return self.met == self.cases and self.cases > 0
+
+
+Index = dict[Case, Result]
+
+
+def judge(results: Iterable[Result]) -> list[Judgement]:
+    """Return a judgement for each target."""
+    index = {result.case: result for result in results}
+    own = [one for case, one in index.items() if case.policy in _OWN]
+    return [
+        _judge_least(
+            'preemptions of the preemption profile beside least outstanding',
+            _PREEMPTION_PART,
+            _compare_preemptions(index),
+        ),
+        _judge_most(
+            'goodput of the preemption profile beside least outstanding',
+            _GOODPUT_PART,
+            _compare_goodput(index),
+        ),
+        _judge_least(
+            'p99 stall of the stall profile beside least outstanding',
+            _STALL_PART,
+            _compare_stall(index),
+        ),
+        _judge_least(
+            'short calls: p95 to the first token at any load, s',
+            _FIRST_TOKEN_SECONDS,
+            [
+                one.figures.short.p95
+                for one in own
+                if one.case.policy in {Policy.stall, Policy.preemption}
+                and one.case.scenario is Scenario.steady
+            ],
+        ),
+        _judge_least(
+            'within capacity: p95 to the first token, s',
+            _FIRST_TOKEN_SECONDS,
+            [one.figures.before.p95 for one in _list_light(own)],
+        ),
+        _judge_least(
+            'within capacity: p95 between tokens, ms',
+            _GAP_MS,
+            [one.figures.gap_ms.p95 for one in _list_light(own)],
+        ),
+        _judge_least(
+            "other teams' p95 stall in one team's burst beside none",
+            _BURST_FACTOR,
+            _compare_burst(index),
+        ),
+        _judge_most(
+            'goodput at twice capacity beside the peak',
+            _PEAK_PART,
+            _compare_peak(index),
+        ),
+        _judge_least(
+            'requests sent to a target over its limit',
+            0,
+            [one.figures.over_limit for one in own],
+        ),
+        _judge_least(
+            'refusals of requests that may have run',
+            0,
+            [one.figures.false_refusals for one in own],
+        ),
+    ]
+
+
+def _judge_least(name: str, bound: float, figures: list[float]) -> Judgement:
+    met = sum(figure <= bound for figure in figures)
+    worst = max(figures, default=0)
+    return Judgement(name, f'at most {bound}', met, len(figures), worst)
+
+
+def _judge_most(name: str, bound: float, figures: list[float]) -> Judgement:
+    met = sum(figure >= bound for figure in figures)
+    worst = min(figures, default=0)
+    return Judgement(name, f'at least {bound}', met, len(figures), worst)
+
+
+def _list_light(own: list[Result]) -> Iterator[Result]:
+    for result in own:
+        case = result.case
+        if case.load == _WITHIN_CAPACITY and case.scenario is Scenario.steady:
+            yield result
+
+
+def _pair(index: Index, policy: Policy) -> Iterator[tuple[Result, Result]]:
+    """Yield results of a policy with the baseline's, where that preempts."""
+    for case, result in index.items():
+        if case.policy is not policy or case.scenario is not Scenario.steady:
+            continue
+        baseline = index.get(case.by(Policy.least_outstanding))
+        if baseline and baseline.figures.preempted >= _PREEMPTS_FROM:
+            yield result, baseline
+
+
+def _compare_preemptions(index: Index) -> list[float]:
+    return [
+        own.figures.preempted / baseline.figures.preempted
+        for own, baseline in _pair(index, Policy.preemption)
+    ]
+
+
+def _compare_goodput(index: Index) -> list[float]:
+    return [
+        own.figures.goodput / baseline.figures.goodput
+        for own, baseline in _pair(index, Policy.preemption)
+    ]
+
+
+def _compare_stall(index: Index) -> list[float]:
+    return [
+        own.figures.stall.p99 / baseline.figures.stall.p99
+        for own, baseline in _pair(index, Policy.stall)
+    ]
+
+
+def _compare_burst(index: Index) -> list[float]:
+    factors: list[float] = []
+    for case, result in index.items():
+        if case.scenario is not Scenario.team_burst or case.policy not in _OWN:
+            continue
+        calm = index.get(case.within(Scenario.steady))
+        if calm is not None:
+            factors.extend(
+                result.teams[team].p95 / spread.p95
+                for team, spread in calm.teams.items()
+                if team != BURST_TEAM
+            )
+    return factors
+
+
+def _compare_peak(index: Index) -> list[float]:
+    parts: list[float] = []
+    for case, result in index.items():
+        is_own = case.policy in {Policy.stall, Policy.preemption}
+        if not is_own or case.load != _TWICE_CAPACITY:
+            continue
+        peak = max(
+            other.figures.goodput
+            for one, other in index.items()
+            if one.at_load(case.load) == case
+        )
+        parts.append(result.figures.goodput / peak)
+    return parts
--- a/lab/policy_workload.py
+++ b/lab/policy_workload.py
@@ -67,6 +67,7 @@
     length: int
     max_tokens: int
     prefix: str
+    weight: float = 1
 
     @property
     def is_short(self) -> bool:
@@ -185,6 +186,7 @@
             length=int(length),
             max_tokens=SHORT_MOST_TOKENS if short else MOST_TOKENS,
             prefix=f'{team}/{prefix}' if prefix < _PREFIXES_PER_TEAM else '',
+            weight=TEAM_PARTS[team],
         )
         for at, team, prompt, length, short, prefix in zip(
             times,
