--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,9 @@
 BIN = $(VENV)/bin
 SOURCES = chicoryshunt lab tests
 
-.PHONY: bench-config bench-ownership bench-relay demo drain-trial faults format help lint test trial-config trials types unit venv
+TARGETS = $(shell grep -oE '^[a-z-]+:' Makefile | tr -d ':')
+
+.PHONY: $(TARGETS)
 
 help:  ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -55,3 +57,6 @@
 
 trials: venv  ## nine nodes under failures, promises counted
 	$(BIN)/python -m lab.trials
+
+bench-policy: venv  ## decisions under load; QUICK=1 for a few short runs
+	$(BIN)/python -m lab.policy_bench $(if $(QUICK),--quick)
