Bound what a replica keeps and what an order repeats

Found when reading the change as a newcomer, each with a test that failed before: - kept lines were bounded by number only, 4,096 lines of 256 KiB each would not fit a node: now by a megabyte - the detail of a rejection quoted the patch at any length: 512 characters - a base at the own position with another version was taken for the same - an engine that checks numbers but shows no loading got the same order every 5 s: the same wish is repeated after 120 s or a new start only - a header with a negative position was decoded Keepers are found with one look at the members of each data centre.

--- a/chicoryshunt/process/keepers.py
+++ b/chicoryshunt/process/keepers.py
@@ -1,19 +1,30 @@
 """Which node gives orders to a target, and when it may."""
 
+from collections.abc import Collection
+
 from chicoryshunt.process.members import Members
-from chicoryshunt.process.rendezvous import rank_vms
+from chicoryshunt.process.rendezvous import compute_weight
 from chicoryshunt.types import DataCentreId, TargetId, VmId
 
 
-def find_keeper(
-    members: Members,
-    target: TargetId,
-    data_centre: DataCentreId,
-) -> VmId | None:
-    """Return the live node that keeps a target, of its data centre first."""
-    live = members.list_live(data_centre) or members.list_live()
-    ranked = rank_vms(target, live)
-    return ranked[0] if ranked else None
+class Keepers:
+    """The live node first by hash, of the target's data centre if any."""
+
+    def __init__(self, members: Members) -> None:
+        """Look at each data centre once."""
+        self._members = members
+        self._live: dict[DataCentreId, Collection[VmId]] = {}
+
+    def find(self, target: TargetId, data_centre: DataCentreId) -> VmId | None:
+        """Return the keeper of a target."""
+        live = self._live.get(data_centre)
+        if live is None:
+            members = self._members
+            live = members.list_live(data_centre) or members.list_live()
+            self._live[data_centre] = live
+        return max(
+            live, key=lambda vm: compute_weight(target, vm), default=None
+        )
 
 
 def sees_majority(members: Members, own: VmId) -> bool:
--- a/chicoryshunt/process/order_course.py
+++ b/chicoryshunt/process/order_course.py
@@ -20,14 +20,18 @@
     start: int
     until: float
 
+    @property
+    def desired(self) -> Desired:
+        """Return what the target holds when the order is carried out."""
+        order = self.order
+        return Desired(order.model_version, order.adapters, order.role)
+
     def is_over(self, report: LoadReport, now: float) -> bool:
         """Say whether the target has done it, lost it or taken too long."""
-        order = self.order
-        desired = Desired(order.model_version, order.adapters, order.role)
         return (
             now >= self.until
             or report.start != self.start
-            or is_reached(desired, report)
+            or is_reached(self.desired, report)
         )
 
 
--- a/chicoryshunt/process/orders.py
+++ b/chicoryshunt/process/orders.py
@@ -16,7 +16,7 @@
 from chicoryshunt.connection.target_api import LoadReport, Order
 from chicoryshunt.events import log_event, log_problem
 from chicoryshunt.process.core import Message, Send
-from chicoryshunt.process.keepers import find_keeper, sees_majority
+from chicoryshunt.process.keepers import Keepers, sees_majority
 from chicoryshunt.process.load_schedule import schedule_loads
 from chicoryshunt.process.members import Members
 from chicoryshunt.process.metrics import Metrics
@@ -26,6 +26,7 @@
     RETRY_SECONDS,
     Course,
     FenceCounter,
+    Pending,
     holds_weights,
     is_reached,
 )
@@ -152,7 +153,7 @@
         return (
             target is not None
             and sees_majority(self._members, self._own)
-            and self._keeps(action.target, target)
+            and self._keeps(Keepers(self._members), action.target, target)
         )
 
     def learn_report(
@@ -212,8 +213,7 @@
         course = self._courses[target_id]
         if is_reached(target.desired, report):
             return now + CHECK_SECONDS
-        is_busy = course.pending is not None and not target.checks_fence
-        if report.is_loading or is_busy:
+        if report.is_loading or _is_busy(course.pending, target):
             return now + RETRY_SECONDS
         ready = -inf if target.checks_fence else course.settled_at
         if holds_weights(target.desired, report):
@@ -242,13 +242,20 @@
     def _list_kept(self, config: Config) -> Iterator[TargetId]:
         if not sees_majority(self._members, self._own):
             return
+        keepers = Keepers(self._members)
         for target_id, target in config.targets.items():
-            if _is_managed(target) and self._keeps(target_id, target):
+            if self._keeps(keepers, target_id, target):
                 yield target_id
 
-    def _keeps(self, target_id: TargetId, target: Target) -> bool:
-        keeper = find_keeper(self._members, target_id, target.data_centre)
-        return keeper == self._own
+    def _keeps(
+        self,
+        keepers: Keepers,
+        target_id: TargetId,
+        target: Target,
+    ) -> bool:
+        if not _is_managed(target):
+            return False
+        return keepers.find(target_id, target.data_centre) == self._own
 
     def _find(self, action: Action) -> Course | None:
         course = self._courses.get(action.target)
@@ -278,6 +285,12 @@
         )
 
 
+def _is_busy(pending: Pending | None, target: Target) -> bool:
+    if pending is None:
+        return False
+    return not target.checks_fence or pending.desired == target.desired
+
+
 def _is_managed(target: Target) -> bool:
     return target.model is not None and target.desired != _NOTHING
 
--- a/chicoryshunt/version/patch.py
+++ b/chicoryshunt/version/patch.py
@@ -25,6 +25,7 @@
 MAX_PATCH_BYTES = 262144
 _MAX_OPERATIONS = 4096
 _MAX_NOTE_CHARACTERS = 256
+_MAX_DETAIL_CHARACTERS = 512
 
 
 class Table(Enum):
@@ -206,6 +207,10 @@
     try:
         return _DECODER.decode(line)
     except msgspec.ValidationError as error:
-        return Flaw(Rejection.invalid, str(error))
+        return Flaw(Rejection.invalid, _shorten(error))
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return Flaw(Rejection.not_json, str(error))
+        return Flaw(Rejection.not_json, _shorten(error))
+
+
+def _shorten(error: Exception) -> str:
+    return str(error)[:_MAX_DETAIL_CHARACTERS]
--- a/chicoryshunt/version/published.py
+++ b/chicoryshunt/version/published.py
@@ -54,8 +54,8 @@
     ``earlier`` holds the digests of the positions right before the base.
     """
 
-    version: ConfigVersion
-    position: LogPosition
+    version: Annotated[ConfigVersion, msgspec.Meta(ge=0)]
+    position: Annotated[LogPosition, msgspec.Meta(ge=0)]
     digest: Digest
     shards: Annotated[
         tuple[ShardSummary, ...],
--- a/chicoryshunt/version/replica.py
+++ b/chicoryshunt/version/replica.py
@@ -13,8 +13,9 @@
 from chicoryshunt.version.fold import Ruling, chain_digest, fold_line
 from chicoryshunt.version.published import MAX_EARLIER_DIGESTS, LogHeader
 
-MAX_KEPT_LINES = 4096
+MAX_KEPT_LINE_BYTES = 1048576
 MAX_KEPT_RULINGS = 1024
+_LINE_OVERHEAD_BYTES = 64
 
 NO_HEAD = Head(ConfigVersion(0), LogPosition(-1), Digest(''))
 
@@ -60,7 +61,8 @@
         """Start without a configuration."""
         self.config: Config | None = None
         self._chain: Chain | None = None
-        self._lines: deque[bytes] = deque(maxlen=MAX_KEPT_LINES)
+        self._lines: deque[bytes] = deque()
+        self._line_bytes = 0
         self._rulings: deque[Ruling] = deque(maxlen=MAX_KEPT_RULINGS)
 
     @property
@@ -121,6 +123,7 @@
         self.config = config
         self._chain = chain
         self._lines.clear()
+        self._line_bytes = 0
         self._rulings.clear()
         self._rulings.extend(snapshot.rulings)
         return Outcome.advanced
@@ -129,13 +132,18 @@
         """Say how a published base compares with this log."""
         if self._chain is None:
             return Relation.ahead
-        relation = self._chain.compare(header.position, header.digest)
-        if relation is Relation.ahead:
-            base = Chain(header.position, header.digest, header.earlier)
-            own = self.head
-            if base.compare(own.position, own.digest) is Relation.forked:
+        own = self.head
+        match self._chain.compare(header.position, header.digest):
+            case Relation.ahead:
+                base = Chain(header.position, header.digest, header.earlier)
+                relation = base.compare(own.position, own.digest)
+                if relation is not Relation.forked:
+                    return Relation.ahead
+                return relation
+            case Relation.same if header.version != own.version:
                 return Relation.forked
-        return relation
+            case relation:
+                return relation
 
     def list_after(self, position: LogPosition) -> Segment | None:
         """Return the lines after a position, if all are still kept."""
@@ -164,9 +172,16 @@
         folding = fold_line(self.config, line)
         self.config = folding.config
         self._chain.append(folding.config.digest)
-        self._lines.append(line)
+        self._keep(line)
         self._rulings.append(folding.ruling)
 
+    def _keep(self, line: bytes) -> None:
+        self._lines.append(line)
+        self._line_bytes += len(line) + _LINE_OVERHEAD_BYTES
+        while self._line_bytes > MAX_KEPT_LINE_BYTES:
+            dropped = self._lines.popleft()
+            self._line_bytes -= len(dropped) + _LINE_OVERHEAD_BYTES
+
     def _is_known(self, position: LogPosition, digest: Digest) -> bool:
         assert self._chain is not None
         known = self._chain.find(position)
--- a/tests/ordering.py
+++ b/tests/ordering.py
@@ -57,6 +57,7 @@
     loading: Order | None = None
     loaded_at: float = 0
     throttles: bool = False
+    shows_loading: bool = True
     accepted: list[int] = field(default_factory=list)
 
     def report(self) -> LoadReport:
@@ -73,7 +74,7 @@
             role=self.holds.role,
             model_version=self.holds.model_version,
             adapters=self.holds.adapters,
-            is_loading=self.loading is not None,
+            is_loading=self.shows_loading and self.loading is not None,
         )
 
     def obey(self, order: Order, now: float) -> SendResult:
--- a/tests/test_config_spread.py
+++ b/tests/test_config_spread.py
@@ -5,7 +5,11 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from chicoryshunt.process.config_messages import ConfigHead, ConfigLines
+from chicoryshunt.process.config_messages import (
+    ConfigHead,
+    ConfigLines,
+    PullAnswer,
+)
 from chicoryshunt.types import DataCentreId, Digest, LogPosition, VmId
 from chicoryshunt.version.chain import Head
 from chicoryshunt.version.replica import NO_HEAD
@@ -264,6 +268,16 @@
     assert node.configuration.head == before
 
 
+def test_undecodable_snapshot_changes_nothing() -> None:
+    fleet = _build_settled()
+    node = fleet.nodes[VmId('vm-0')]
+    before = node.configuration.head
+    for snapshot in (b'x', b'\x80', b'\xc1'):
+        answer = PullAnswer(LogPosition(9), Digest('0'), (), snapshot)
+        node.parts.spread.learn_pull(VmId('vm-1'), answer)
+    assert node.configuration.head == before
+
+
 def test_pause_ends_once_a_peer_answers() -> None:
     fleet = _build_settled()
     node = fleet.nodes[VmId('vm-0')]
--- a/tests/test_fold.py
+++ b/tests/test_fold.py
@@ -20,7 +20,7 @@
     fold_line,
     judge_patch,
 )
-from chicoryshunt.version.patch import MAX_PATCH_BYTES, Rejection
+from chicoryshunt.version.patch import MAX_PATCH_BYTES, Flaw, Rejection
 from tests.builders import build_config, build_patch, build_set_team
 
 
@@ -139,6 +139,13 @@
     ) == (config)
 
 
+def test_detail_of_a_rejection_is_bounded() -> None:
+    patch = build_patch(1, {'op': 'x' * 9999, 'name': ''})
+    flaw = judge_patch(build_config(), patch)
+    assert isinstance(flaw, Flaw)
+    assert len(flaw.detail) < 1000
+
+
 def test_operations_are_applied_together() -> None:
     patch = build_patch(
         1,
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -176,6 +176,16 @@
     assert again.order.fence > action.order.fence
 
 
+def test_silent_load_is_waited_for() -> None:
+    world = World()
+    for engine in world.engines.values():
+        engine.shows_loading = False
+    world.want('v1')
+    world.run(60)
+    for engine in world.engines.values():
+        assert len(engine.accepted) == 1
+
+
 def test_reached_state_needs_no_order() -> None:
     world = World()
     for engine in world.engines.values():
--- a/tests/test_published.py
+++ b/tests/test_published.py
@@ -52,6 +52,10 @@
     [
         (b'{"version": 1}\n', Damage.header_invalid),
         (b'\xff\n', Damage.header_invalid),
+        (
+            b'{"version":1,"position":-1,"digest":"","shards":[]}\n',
+            Damage.header_invalid,
+        ),
         (b' ' * (MAX_VALUE_BYTES + 1), Damage.oversized),
     ],
 )
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -1,5 +1,6 @@
 """Tests of a node's copy of the log, whatever order it learns it in."""
 
+import msgspec
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -8,10 +9,11 @@
     rule,
 )
 
-from chicoryshunt.types import Digest, LogPosition
+from chicoryshunt.types import ConfigVersion, Digest, LogPosition
 from chicoryshunt.version.chain import Head, Relation
 from chicoryshunt.version.config import Config
 from chicoryshunt.version.fold import Rejected, Ruling, fold_line
+from chicoryshunt.version.patch import MAX_PATCH_BYTES
 from chicoryshunt.version.published import (
     LogHeader,
     PublishedLog,
@@ -194,6 +196,25 @@
     assert replica.check_base(other) is Relation.forked
 
 
+def test_base_of_another_version_is_a_fork() -> None:
+    base = build_config()
+    header, _ = split_base(base)
+    forged = msgspec.structs.replace(header, version=ConfigVersion(9))
+    replica = _start_replica(base)
+    assert replica.check_base(header) is Relation.same
+    assert replica.check_base(forged) is Relation.forked
+
+
+def test_kept_lines_are_bounded_in_bytes() -> None:
+    base = build_config()
+    replica = _start_replica(base)
+    lines = [bytes(MAX_PATCH_BYTES) for _ in range(6)]
+    replica.extend(Segment(LogPosition(0), base.digest, lines))
+    assert replica.head.position == 6
+    assert replica.list_after(LogPosition(2)) is None
+    assert replica.list_after(LogPosition(4)) is not None
+
+
 def test_head_with_another_digest_is_a_fork() -> None:
     base = build_config()
     replica = _start_replica(base)
