--- a/chicoryshunt/connection/target_api.py
+++ b/chicoryshunt/connection/target_api.py
@@ -56,6 +56,7 @@
 class LoadReport(msgspec.Struct, frozen=True):
     """Load of an engine at a past moment; ``start`` changes when it starts.
 
+    ``preemptions`` and ``tokens`` count since the start.
     ``is_loading`` is set while an order is being carried out.
     """
 
@@ -67,6 +68,7 @@
     memory_tokens: int
     step_ms: float
     preemptions: int
+    tokens: int = 0
     fence: int = 0
     role: str = 'both'
     model_version: str = ''
--- a/lab/engine.py
+++ b/lab/engine.py
@@ -135,6 +135,7 @@
             memory_tokens=self.batch.spec.memory_tokens,
             step_ms=step_seconds * 1000,
             preemptions=self.batch.preemptions,
+            tokens=self.batch.tokens,
             fence=self.orders.fence,
             role=self.orders.role,
             model_version=self.orders.model_version,
