--- a/chicoryshunt/process/policy/dispatcher.py
+++ b/chicoryshunt/process/policy/dispatcher.py
@@ -140,7 +140,7 @@
     def measure_demand(self) -> WaitingDemand:
         """Return what all waiting requests together would take."""
         peaks = [
-            self._build_demand(waiting).curve.peak
+            self._build_demand(waiting, 0).curve.peak
             for lane in self._lanes.values()
             for waiting in islice(lane.queue, _MOST_MEASURED)
         ]
