--- a/lab/stream_faults.py
+++ b/lab/stream_faults.py
@@ -15,7 +15,7 @@
 from lab.daemon import parse_flags
 from lab.faults import FaultKind
 from lab.fleet import run_fleet, send
-from lab.topology import SMALL, Placed, UserFleet
+from lab.topology import SMALL, UserFleet
 
 _FLAGS = flags.FlagValues()
 flags.DEFINE_integer('length', 100, 'tokens an answer', flag_values=_FLAGS)
@@ -46,35 +46,33 @@
 )
 
 
-async def run_case(
-    case: Case,
-    user: UserFleet,
-) -> Answer:
+async def run_case(case: Case, user: UserFleet) -> Answer:
     """Ask for one answer and misbehave once it has begun."""
-    engines = user.engines
-    caller = Caller(user.addresses, SMALL.teams[0])
-    prompt = f'length={_FLAGS.length} {case.fault.value}'
     if case.fault not in {FaultKind.die, FaultKind.freeze}:
-        _order_fault(case, engines)
-    asking = asyncio.ensure_future(
-        caller.generate(SMALL.model, {'prompt': prompt}),
-    )
+        _order_fault(case, user)
+    asking = asyncio.ensure_future(_ask(user, case.fault.value))
     if case.fault in {FaultKind.die, FaultKind.freeze}:
         await asyncio.sleep(_AFTER_SECONDS)
-        _order_fault(case, engines)
+        _order_fault(case, user)
     answer = await asking
     if case.fault is not FaultKind.die:
-        _order_fault(Case(FaultKind.none, 0, is_whole=True), engines)
+        _order_fault(_CASES[0], user)
     return answer
 
 
-def _order_fault(case: Case, engines: list[Placed]) -> None:
+async def _ask(user: UserFleet, text: str) -> Answer:
+    caller = Caller(user.addresses, user.plan.teams[0])
+    prompt = f'length={_FLAGS.length} {text}'
+    return await caller.generate(user.plan.model, {'prompt': prompt})
+
+
+def _order_fault(case: Case, user: UserFleet) -> None:
     fault = {
         'kind': case.fault.value,
         'seconds': case.seconds,
         'after_tokens': _AFTER_TOKENS,
     }
-    for engine in engines:
+    for engine in user.engines:
         send(engine.url, 'POST', '/faults', fault)
 
 
@@ -106,11 +104,7 @@
 
 async def lose_nodes(user: UserFleet) -> Answer:
     """Ask for one answer and kill all nodes but the last meanwhile."""
-    caller = Caller(user.addresses, SMALL.teams[0])
-    prompt = f'length={_FLAGS.length} nodes'
-    asking = asyncio.ensure_future(
-        caller.generate(SMALL.model, {'prompt': prompt}),
-    )
+    asking = asyncio.ensure_future(_ask(user, 'nodes'))
     for node in user.nodes[:-1]:
         await asyncio.sleep(_AFTER_SECONDS)
         node.process.kill()
