Keep a doubt when no node answers; never answer twice on a started stream

A caller with a doubt raised CallError when the fleet could not be asked, and the load tool counted that as not_run. Seen failing: the new test of call_once raised CallError where may_have_run was due.

An owned generation whose relay failed after its first token was answered with a verdict inside its stream; the connection is now aborted. Found by reading, not by a run.

--- a/chicoryshunt/caller/caller.py
+++ b/chicoryshunt/caller/caller.py
@@ -66,7 +66,7 @@
         return answer
 
     async def file(self, service: str, path: str, key: str) -> Answer:
-        """Send one call that may not be repeated; raise ``CallError``."""
+        """Return the answer of one call that may not be repeated."""
 
         async def post(address: str, headers: Mapping[str, str]) -> Answer:
             answer: Answer = await self._post(
--- a/chicoryshunt/caller/once.py
+++ b/chicoryshunt/caller/once.py
@@ -12,6 +12,7 @@
     KEY_HEADER,
     GrantOffer,
 )
+from chicoryshunt.exceptions import CallError
 from chicoryshunt.types import Reason, RunState
 
 MAX_ATTEMPTS = 8
@@ -84,29 +85,52 @@
 
 
 async def call_once(book: EntryBook, post: Post, key: str) -> Answer:
-    """Send until the outcome is known; raise ``CallError``.
+    """Send until the outcome is known or there is no node to ask.
 
     ``post`` sends to an address with headers and returns the answer.
     """
-    naming = Naming(await book.get_grant())
+    naming = Naming()
     answer = Answer(RunState.not_run)
     for _ in range(MAX_ATTEMPTS):
-        if naming.grant is None:
-            book.expire()
-            naming.grant = await book.get_grant()
-        headers = {KEY_HEADER: key}
-        if naming.grant is not None:
-            headers[GRANT_HEADER] = naming.grant.token
-        address = naming.choose(await book.list_addresses())
-        answer = await post(address, headers)
-        naming.note(address, answer)
+        answer = await _attempt(naming, book, post, key)
         if naming.is_over(answer):
             break
         await asyncio.sleep(_find_pause(answer))
     return naming.conclude(answer)
 
 
+async def _attempt(
+    naming: Naming,
+    book: EntryBook,
+    post: Post,
+    key: str,
+) -> Answer:
+    try:
+        address = await _choose_address(naming, book)
+    except CallError as error:
+        return Answer(
+            RunState.not_run,
+            Reason.target_unreachable.value,
+            str(error),
+            retry_after=0,
+        )
+    headers = {KEY_HEADER: key}
+    if naming.grant is not None:
+        headers[GRANT_HEADER] = naming.grant.token
+    answer = await post(address, headers)
+    naming.note(address, answer)
+    return answer
+
+
+async def _choose_address(naming: Naming, book: EntryBook) -> str:
+    if naming.grant is None:
+        if naming.tried:
+            book.expire()
+        naming.grant = await book.get_grant()
+    return naming.choose(await book.list_addresses())
+
+
 def _find_pause(answer: Answer) -> float:
-    if answer.retry_after is None:
+    if answer.status == 0 or answer.retry_after is None:
         return _PAUSE_SECONDS
     return min(answer.retry_after, _MAX_RETRY_SECONDS)
--- a/chicoryshunt/process/owned_generations.py
+++ b/chicoryshunt/process/owned_generations.py
@@ -49,17 +49,15 @@
     ) -> None:
         """Relay to the first arrival; tell a repeat what became of it."""
         key = IdempotencyKey(exchange.get_header(KEY_HEADER))
-        has_relayed = False
 
         async def relay_once() -> CallOutcome:
-            nonlocal has_relayed  # noqa: WPS420
-            outcome = await relay()
-            has_relayed = outcome.delivered or outcome.verdict is None
-            return _conclude(outcome)
+            return _conclude(await relay())
 
         ended = await self._decide(exchange, wanted, key, relay_once)
-        if not has_relayed:
+        if not exchange.is_started:
             self._answers.respond(exchange, ended)
+        elif exchange.is_open:
+            exchange.abort()
 
     async def _decide(
         self,
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -13,6 +13,7 @@
     KEY_HEADER,
     GrantOffer,
 )
+from chicoryshunt.exceptions import CallError
 from chicoryshunt.types import Reason, RunState
 from tests.virtual_loop import run_virtual
 
@@ -33,14 +34,18 @@
 class FakeBook:
     """Address book that offers another grant each time it is asked."""
 
-    def __init__(self) -> None:
+    def __init__(self, answers_for: int = 1000) -> None:
         self.offered = 0
+        self._answers_for = answers_for
 
     async def get_grant(self) -> GrantOffer:
         self.offered += 1
         return GrantOffer(f'grant-{self.offered}', 'owner', 30)
 
     async def list_addresses(self) -> tuple[str, ...]:
+        self._answers_for -= 1
+        if self._answers_for < 0:
+            raise CallError('no node answers')
         return ('node-1', 'node-2')
 
     def expire(self) -> None:
@@ -107,3 +112,18 @@
 def test_refusals_alone_stay_a_refusal() -> None:
     outcome, _ = call(_FULL)
     assert outcome.verdict is RunState.not_run
+
+
+@pytest.mark.parametrize(
+    ('answers_for', 'run'),
+    [(0, RunState.not_run), (1, RunState.may_have_run)],
+)
+def test_lost_fleet_does_not_clear_a_doubt(
+    answers_for: int,
+    run: RunState,
+) -> None:
+    async def post(address: str, headers: Mapping[str, str]) -> Answer:
+        return _CUT
+
+    book = cast(EntryBook, cast(Any, FakeBook(answers_for)))
+    assert run_virtual(call_once(book, post, 'k')).verdict is run
--- a/tests/test_owned_generations.py
+++ b/tests/test_owned_generations.py
@@ -36,6 +36,8 @@
 
     def __init__(self, token: str, key: str = 'k') -> None:
         self.verdict: Verdict | None = None
+        self.is_started = False
+        self.is_open = True
         self.sent: dict[str, str] = {}
         self._headers = {GRANT_HEADER: token, KEY_HEADER: key}
 
@@ -68,6 +70,8 @@
         async def relay() -> Outcome:
             self.relayed += 1
             await asyncio.sleep(5)
+            exchange.is_started = outcome.delivered
+            exchange.is_open = not outcome.delivered
             return outcome
 
         owned = OwnedGenerations(
