--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 SOURCES = chicoryshunt lab tests
 
-.PHONY: bench-ownership bench-relay drain-trial faults help venv test unit check format lint types demo
+.PHONY: bench-config bench-ownership bench-relay demo drain-trial faults format help lint test trial-config trials types unit venv
 
 help:  ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -44,6 +44,12 @@
 faults: venv  ## streams through real processes while engines misbehave
 	$(BIN)/python -m lab.stream_faults
 
+bench-config: venv  ## costs of the configuration, appended to benchmarks/
+	$(BIN)/python -m lab.config_bench
+
+trial-config: venv  ## patches on nine nodes while the platform and nodes fail
+	$(BIN)/python -m lab.config_trial
+
 demo: venv  ## a small fleet on loopback, one stream, one filing
 	$(BIN)/python -m lab.demo
 
--- a/chicoryshunt/caller/caller.py
+++ b/chicoryshunt/caller/caller.py
@@ -78,13 +78,6 @@
 
         return await call_once(self._book, post, key)
 
-    async def _generate_once(self, model: str, body: bytes) -> Answer:
-
-        async def post(address: str, headers: Mapping[str, str]) -> Answer:
-            return await self._generate_at(address, model, body, headers)
-
-        return await call_once(self._book, post, uuid4().hex)
-
     async def _attempt(
         self,
         attempt: int,
@@ -98,6 +91,13 @@
         address = addresses[attempt % len(addresses)]
         return await self._generate_at(address, model, body)
 
+    async def _generate_once(self, model: str, body: bytes) -> Answer:
+
+        async def post(address: str, headers: Mapping[str, str]) -> Answer:
+            return await self._generate_at(address, model, body, headers)
+
+        return await call_once(self._book, post, uuid4().hex)
+
     async def _may_retry(self, answer: Answer) -> bool:
         """Wait as long as the refusal asks; say whether to try again."""
         if answer.verdict is not RunState.not_run:
--- a/chicoryshunt/connection/target_api.py
+++ b/chicoryshunt/connection/target_api.py
@@ -57,6 +57,7 @@
     """Load of an engine at a past moment; ``start`` changes when it starts.
 
     ``preemptions`` and ``tokens`` count since the start.
+    ``is_loading`` is set while an order is being carried out.
     """
 
     start: int
@@ -72,6 +73,7 @@
     role: str = 'both'
     model_version: str = ''
     adapters: tuple[str, ...] = ()
+    is_loading: bool = False
 
 
 class CacheEvent(msgspec.Struct, frozen=True):
--- a/chicoryshunt/process/state.py
+++ b/chicoryshunt/process/state.py
@@ -14,6 +14,7 @@
 from chicoryshunt.process.journal import Journal
 from chicoryshunt.process.levels import Levels
 from chicoryshunt.process.metrics import Metrics
+from chicoryshunt.process.orders import Orders
 from chicoryshunt.process.rooms import Rooms
 from chicoryshunt.process.router import Route, Router
 from chicoryshunt.process.scheduler import Scheduler
@@ -99,6 +100,12 @@
         self.configuration.subscribe(self.warmths.learn)
         self.configuration.subscribe(self.fleet.learn_config)
         self.configuration.subscribe(self.scheduler.apply)
+        self.orders = Orders(
+            settings.vm,
+            self.fleet.membership.roster,
+            self.metrics,
+        )
+        self.configuration.subscribe(self._apply_orders)
 
     @property
     def config(self) -> Config | None:
@@ -164,6 +171,9 @@
             self._list_leases(),
         )
 
+    def _apply_orders(self, config: Config) -> None:
+        self.orders.apply(config, self.fleet.pulse.check())
+
     def _list_leases(self) -> tuple[LeaseStatus, ...]:
         now = self.fleet.pulse.check()
         return tuple(
