Judge a connection that is lost while a request is sent

In the trial of a killed node the caller ended with RequestNotSent out of the HTTP client: the connection was lost between connecting and sending. Twisted says by that error that nothing was sent, so it is NotConnectedError; a transmission that failed midway is BrokenError. The test failed for both before the change.

--- a/chicoryshunt/connection/client.py
+++ b/chicoryshunt/connection/client.py
@@ -13,6 +13,7 @@
 )
 from twisted.internet.interfaces import IStreamClientEndpoint
 from twisted.internet.protocol import Protocol
+from twisted.web._newclient import RequestNotSent, RequestTransmissionFailed
 from twisted.web.client import (
     URI,
     Agent,
@@ -31,6 +32,12 @@
 from chicoryshunt.exceptions import ChicoryshuntError
 from chicoryshunt.settings import is_ip_number
 
+_BROKEN = (
+    RequestTransmissionFailed,
+    ResponseFailed,
+    ConnectionDone,
+    ConnectionLost,
+)
 _MAX_IDLE_PER_HOST = 64
 _MAX_BODY_BYTES = 16777216
 
@@ -98,9 +105,9 @@
         )
         try:
             return await asyncio.wait_for(answer, answer_seconds)
-        except ConnectError as error:
+        except (ConnectError, RequestNotSent) as error:
             raise NotConnectedError(f'{url}: {error}') from error
-        except (ResponseFailed, ConnectionDone, ConnectionLost) as error:
+        except _BROKEN as error:
             raise BrokenError(f'{url}: {error}') from error
         except TimeoutError as error:
             raise SlowAnswerError(
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -2,10 +2,13 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from types import SimpleNamespace
 from typing import Any, cast
 
 import pytest
+from twisted.internet.defer import fail
 from twisted.internet.protocol import Factory, Protocol
+from twisted.web._newclient import RequestNotSent, RequestTransmissionFailed
 
 from chicoryshunt.connection import client as client_module
 from chicoryshunt.connection.client import (
@@ -205,3 +208,27 @@
         assert status == 200
 
     run_against(Scripted(b'%sContent-Length: 0\r\n\r\n' % _OK), act)
+
+
+@pytest.mark.parametrize(
+    ('failure', 'expected'),
+    [
+        (RequestNotSent(), NotConnectedError),
+        (RequestTransmissionFailed([]), BrokenError),
+    ],
+)
+def test_connection_lost_while_sending_is_judged(
+    failure: Exception,
+    expected: type[Exception],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def act(client: HttpClient, address: str) -> None:
+        monkeypatch.setattr(
+            client,
+            '_agent',
+            SimpleNamespace(request=lambda *_: fail(failure)),
+        )
+        with pytest.raises(expected):
+            await client.request('GET', f'http://{address}/')
+
+    run_against(Scripted(_OK), act)
