--- a/chicoryshunt/process/policy/admission.py
+++ b/chicoryshunt/process/policy/admission.py
@@ -2,6 +2,8 @@
 
 Memory is judged over time: at each horizon the mean of what is held plus some
 standard deviations must fit. How many is led by the preemptions that are seen.
+Near horizons keep more free than far ones: they come round more often, and
+what is admitted there can no longer be corrected.
 """
 
 from dataclasses import dataclass
@@ -11,9 +13,15 @@
 from chicoryshunt.process.allowance import Slack
 from chicoryshunt.process.policy.occupancy import HORIZONS, Curve
 from chicoryshunt.process.policy.profile import Parameters
+from chicoryshunt.process.policy.survival import Array
 
-_SLOT_RESERVE = 0.1
-_PREEMPTION_STEP = 0.2
+_SHORT_SLOTS_PART = 0.04
+_SHORT_MARGIN_PART = 0.5
+_PREEMPTION_STEP = 0.01
+_MOST_STEP = 0.05
+_NEAR_WEIGHT = 2.6
+_FAR_WEIGHT = 0.5
+HORIZON_WEIGHTS: Array = np.linspace(_NEAR_WEIGHT, _FAR_WEIGHT, len(HORIZONS))
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,20 +72,23 @@
     """Say whether a request fits beside what runs, and why not.
 
     ``reserve`` is the part of the memory that it may not use. A few slots
-    are kept for short requests.
+    and a part of the margin are kept for short requests. Only the horizons at
+    which the request may still run are looked at.
     """
     slots = limit.slots
     if not is_short:
-        slots -= int(slots * _SLOT_RESERVE)
+        slots -= int(slots * _SHORT_SLOTS_PART)
     if running.requests >= slots:
         return NoSlot(slots)
     both = running + request
     memory = limit.memory_tokens * (1 - reserve)
-    deviation = np.maximum(np.sqrt(both.variance), 1)
+    deviation = HORIZON_WEIGHTS * np.maximum(both.deviation, 1)
     free = (memory - both.mean) / deviation
+    free = np.where(request.mean > 0, free, np.inf)
     worst = int(np.argmin(free))
-    if free[worst] < margin:
-        needed = both.mean[worst] + margin * deviation[worst]
+    kept = margin * _SHORT_MARGIN_PART if is_short else margin
+    if free[worst] < kept:
+        needed = both.mean[worst] + kept * deviation[worst]
         return NoMemory(int(HORIZONS[worst]), int(needed), int(memory))
     return Fit(
         float(both.mean.max()) / limit.memory_tokens,
@@ -96,11 +107,11 @@
     ``running`` is the pooled curve of everything on the target.
     """
     free = max(0, limit.slots - running.requests)
-    counts = np.expand_dims(np.arange(free + 1), 1)
-    variance = running.variance + counts * typical.variance
-    needed = running.mean + counts * typical.mean + margin * np.sqrt(variance)
+    counts = np.expand_dims(np.arange(free + 1, dtype=np.float64), 1)
+    both = running + typical.repeat(counts)
+    needed = both.mean + margin * HORIZON_WEIGHTS * both.deviation
     fits = (needed <= limit.memory_tokens).all(axis=1)
-    tokens = limit.memory_tokens - int(running.bound(margin).max())
+    tokens = limit.memory_tokens - int(needed[0].max())
     return Slack(max(0, int(fits.sum()) - 1), max(0, tokens))
 
 
@@ -112,13 +123,14 @@
         self.deviations = parameters.margin
         self._parameters = parameters
 
-    def record_admission(self) -> None:
-        """Lower the margin a little for a request that was let in."""
-        self._move(-_PREEMPTION_STEP * self._parameters.preemption_goal)
+    def record_admission(self, *, has_waited: bool) -> None:
+        """Lower the margin a little for a request that memory held up."""
+        if has_waited:
+            self._move(-_PREEMPTION_STEP * self._parameters.preemption_goal)
 
     def record_preemptions(self, count: int) -> None:
         """Raise the margin for preemptions that a target reported."""
-        self._move(_PREEMPTION_STEP * count)
+        self._move(min(_PREEMPTION_STEP * count, _MOST_STEP))
 
     def _move(self, step: float) -> None:
         self.deviations = min(
--- a/chicoryshunt/process/policy/occupancy.py
+++ b/chicoryshunt/process/policy/occupancy.py
@@ -22,6 +22,7 @@
     [0, 32, 64, 128, 256, 512, 1024, 2048, 4096, 8192],
     np.float64,
 )
+_DOUBT_PART = 0.7
 
 
 class CurveReport(msgspec.Struct, frozen=True, array_like=True):
@@ -30,15 +31,20 @@
     requests: int
     mean: tuple[int, ...]
     deviation: tuple[int, ...]
+    doubt: tuple[int, ...]
 
 
 @dataclass(frozen=True, slots=True, eq=False)
 class Curve:
-    """Mean and variance of memory tokens at each of ``HORIZONS``."""
+    """Mean and variance of memory tokens at each of ``HORIZONS``.
+
+    ``doubt`` is the deviation by which all requests may be misjudged at once.
+    """
 
     requests: int
     mean: Array
     variance: Array
+    doubt: Array
 
     def __add__(self, other: 'Curve') -> 'Curve':
         """Return the curve of both sets of requests together."""
@@ -46,6 +52,49 @@
             self.requests + other.requests,
             self.mean + other.mean,
             self.variance + other.variance,
+            self.doubt + other.doubt,
+        )
+
+    def __sub__(self, other: 'Curve') -> 'Curve':
+        """Return the curve without some of its requests."""
+        return Curve(
+            self.requests - other.requests,
+            self.mean - other.mean,
+            np.maximum(self.variance - other.variance, 0),
+            np.maximum(self.doubt - other.doubt, 0),
+        )
+
+    @property
+    def deviation(self) -> Array:
+        """Return the standard deviation at each horizon."""
+        doubted = (_DOUBT_PART * self.doubt) ** 2
+        return np.asarray(np.sqrt(self.variance + doubted))
+
+    def scale(self, count: int) -> 'Curve':
+        """Return the curve of several such sets."""
+        return Curve(
+            self.requests * count,
+            self.mean * count,
+            self.variance * count,
+            self.doubt * count,
+        )
+
+    def blend(self, other: 'Curve', part: float) -> 'Curve':
+        """Return this curve moved towards another by a part."""
+        return Curve(
+            self.requests,
+            self.mean + part * (other.mean - self.mean),
+            self.variance + part * (other.variance - self.variance),
+            self.doubt + part * (other.doubt - self.doubt),
+        )
+
+    def repeat(self, count: Array) -> 'Curve':
+        """Return the curves of several such sets, one row for each count."""
+        return Curve(
+            self.requests,
+            self.mean * count,
+            self.variance * count,
+            self.doubt * count,
         )
 
     @property
@@ -53,17 +102,13 @@
         """Return the largest mean over the horizons."""
         return int(np.ceil(self.mean.max()))
 
-    def bound(self, margin: float) -> Array:
-        """Return mean plus some standard deviations at each horizon."""
-        return np.asarray(self.mean + margin * np.sqrt(self.variance))
-
     def report(self) -> CurveReport:
         """Return the curve as it travels."""
-        deviation = np.ceil(np.sqrt(self.variance)).astype(int)
         return CurveReport(
             self.requests,
-            tuple(np.ceil(self.mean).astype(int).tolist()),
-            tuple(deviation.tolist()),
+            _round_up(self.mean),
+            _round_up(np.sqrt(self.variance)),
+            _round_up(self.doubt),
         )
 
 
@@ -73,12 +118,18 @@
         report.requests,
         np.array(report.mean, np.float64),
         np.array(report.deviation, np.float64) ** 2,
+        np.array(report.doubt, np.float64),
     )
 
 
 def build_empty_curve() -> Curve:
     """Return the curve of no requests."""
-    return Curve(0, np.zeros(len(HORIZONS)), np.zeros(len(HORIZONS)))
+    empty = np.zeros(len(HORIZONS))
+    return Curve(0, empty, empty, empty)
+
+
+def _round_up(numbers: Array) -> tuple[int, ...]:
+    return tuple(np.ceil(numbers).astype(int).tolist())
 
 
 def pool_curves(curves: Iterable[Curve]) -> Curve:
@@ -97,30 +148,77 @@
     produced: int = 0
     promised: int = 0
 
+    @property
+    def held(self) -> int:
+        """Return the memory tokens it holds now."""
+        return self.prompt_tokens + self.produced
 
-def predict_occupancy(running: Sequence[Running]) -> Curve:
-    """Return the curve of the requests that run on one target."""
-    if not running:
-        return build_empty_curve()
-    hazards = np.stack([one.survival.hazard for one in running])
+
+@dataclass(frozen=True, slots=True, eq=False)
+class Forecast:
+    """Parts of each request's curve: one row each, one column a horizon."""
+
+    mean: Array
+    variance: Array
+    doubt: Array
+
+    def sum(self) -> Curve:
+        """Return the curve of all requests together."""
+        return Curve(
+            len(self.mean),
+            self.mean.sum(axis=0),
+            self.variance.sum(axis=0),
+            self.doubt.sum(axis=0),
+        )
+
+    def get_row(self, index: int) -> Curve:
+        """Return the curve of one request."""
+        return Curve(
+            1,
+            self.mean[index],
+            self.variance[index],
+            self.doubt[index],
+        )
+
+
+def forecast(running: Sequence[Running]) -> Forecast:
+    """Predict the memory of each of at least one request on a target."""
     numbers = np.array(
         [(one.produced, one.prompt_tokens, one.max_tokens) for one in running],
         np.float64,
     )
     age, prompt, most = np.expand_dims(numbers.T, 2)
     later = age + HORIZONS
-    level = _interpolate(hazards, later)
-    chance = np.exp(level.take([0], axis=1) - level)
-    chance *= later < np.maximum(most, age + 1)
-    held = chance * (prompt + later)
-    variance = held * (prompt + later) * (1 - chance)
-    return Curve(len(running), held.sum(axis=0), variance.sum(axis=0))
+    hazard, doubt = _predict_passed(running, later)
+    chance = np.exp(-hazard) * (later < np.maximum(most, age + 1))
+    held = prompt + later
+    mean = chance * held
+    return Forecast(
+        mean,
+        mean * held * (1 - chance),
+        mean * np.sqrt(doubt),
+    )
+
+
+def predict_occupancy(running: Sequence[Running]) -> Curve:
+    """Return the curve of the requests that run on one target."""
+    return forecast(running).sum() if running else build_empty_curve()
+
+
+def _predict_passed(running: Sequence[Running], ages: Array) -> Array:
+    tables = np.array(
+        [(one.survival.hazard, one.survival.doubt) for one in running],
+    )
+    passed = _interpolate(tables, ages)
+    passed -= passed.take([0], axis=2)
+    return passed.transpose(1, 0, 2)
 
 
-def _interpolate(hazards: Array, ages: Array) -> Array:
+def _interpolate(tables: Array, ages: Array) -> Array:
     low = np.searchsorted(EDGES, ages, 'right') - 1
     low = np.minimum(low, len(EDGES) - 2)
-    start = np.take_along_axis(hazards, low, axis=1)
-    end = np.take_along_axis(hazards, low + 1, axis=1)
     part = (ages - EDGES[low]) / (EDGES[low + 1] - EDGES[low])
-    return np.asarray(start + part * (end - start))
+    columns = np.expand_dims(low, 1)
+    start = np.take_along_axis(tables, columns, axis=2)
+    end = np.take_along_axis(tables, columns + 1, axis=2)
+    return np.asarray(start + np.expand_dims(part, 1) * (end - start))
--- a/chicoryshunt/process/state.py
+++ b/chicoryshunt/process/state.py
@@ -12,9 +12,13 @@
 from chicoryshunt.process.entries import KEEP_SECONDS, order_entries
 from chicoryshunt.process.fleet import Fleet
 from chicoryshunt.process.journal import Journal
+from chicoryshunt.process.levels import Levels
 from chicoryshunt.process.metrics import Metrics
+from chicoryshunt.process.orders import Orders
+from chicoryshunt.process.rooms import Rooms
 from chicoryshunt.process.router import Route, Router
 from chicoryshunt.process.scheduler import Scheduler
+from chicoryshunt.process.warmths import Warmths
 from chicoryshunt.settings import Settings
 from chicoryshunt.types import (
     ConfigVersion,
@@ -80,14 +84,28 @@
         self.clock = SystemClock()
         self.journal = Journal(self.clock, self.metrics)
         self.scheduler = Scheduler(
-            settings.data_centre,
+            Rooms(settings.vm, settings.data_centre, allowed),
             allowed,
             self.clock,
             self.journal,
         )
         self.configuration = Configuration(self.metrics)
+        self.levels = Levels(
+            settings.data_centre,
+            self.configuration,
+            self.clock,
+        )
+        self.warmths = Warmths(self.journal)
+        self.fleet.watch_warmth(self.warmths)
+        self.configuration.subscribe(self.warmths.learn)
         self.configuration.subscribe(self.fleet.learn_config)
         self.configuration.subscribe(self.scheduler.apply)
+        self.orders = Orders(
+            settings.vm,
+            self.fleet.membership.roster,
+            self.metrics,
+        )
+        self.configuration.subscribe(self._apply_orders)
 
     @property
     def config(self) -> Config | None:
@@ -129,7 +147,9 @@
         )
 
     def find_caller_address(self, wanted: VmId) -> str:
-        """Return where a VM listens for callers, empty when unknown."""
+        """Return where a VM listens for callers, empty when unreachable."""
+        if self.fleet.links.is_cut(wanted):
+            return ''
         member = self.fleet.membership.roster.find(wanted)
         return '' if member is None else member.published.caller
 
@@ -151,6 +171,9 @@
             self._list_leases(),
         )
 
+    def _apply_orders(self, config: Config) -> None:
+        self.orders.apply(config, self.fleet.pulse.check())
+
     def _list_leases(self) -> tuple[LeaseStatus, ...]:
         now = self.fleet.pulse.check()
         return tuple(
--- a/lab/lease_fleet.py
+++ b/lab/lease_fleet.py
@@ -147,7 +147,7 @@
         taken = [self.take(vm, target) for _ in range(wanted)].count(True)
         if taken < wanted and vm in self.nodes:
             tenures = self.nodes[vm].leases.tenures
-            tenures.want(target, wanted - taken, self.clock.now())
+            tenures.want(target, wanted - taken, 0, self.clock.now())
         return taken
 
     def end(self, vm: VmId, count: int, target: TargetId = TARGET) -> int:
@@ -165,7 +165,7 @@
     def want(self, vm: VmId, target: TargetId, slots: int) -> None:
         """Say how many more slots a node could use."""
         tenures = self.nodes[vm].leases.tenures
-        tenures.want(target, slots, self.clock.now())
+        tenures.want(target, slots, 0, self.clock.now())
 
     def count_bound(self, target: TargetId = TARGET) -> int:
         """Return live leases plus requests that run without one."""
@@ -204,7 +204,7 @@
         for _ in range(50):
             for node in self.nodes.values():
                 limit = self.fakes[target].limit
-                node.leases.tenures.want(target, limit, self.clock.now())
+                self.want(node.vm, target, limit)
             self.run(0.2)
             most = max(most, self.count_bound(target))
         return most
--- a/lab/relay_bench.py
+++ b/lab/relay_bench.py
@@ -23,13 +23,12 @@
 _FLAGS = flags.FlagValues()
 flags.DEFINE_integer('rounds', 5, 'rounds of both relays', flag_values=_FLAGS)
 flags.DEFINE_integer('streams', 190, 'streams at once', flag_values=_FLAGS)
+flags.DEFINE_integer('slow', 0, 'more that read nothing', flag_values=_FLAGS)
+flags.DEFINE_integer('size', 57, 'bytes an event', flag_values=_FLAGS)
 flags.DEFINE_float('seconds', 5, 'seconds of counting', flag_values=_FLAGS)
 flags.DEFINE_integer('engines', 6, 'engines', flag_values=_FLAGS)
 flags.DEFINE_boolean('record', True, 'append the result', flag_values=_FLAGS)
 
-_FIRST_PORT = 18400
-_MEMORY_LIMIT_MB = 128
-_RATIO_LIMIT = 1.5
 _BYTES_PER_MB = 1 << 20
 
 
@@ -53,6 +52,7 @@
         f'--port={relay.port}',
         f'--streams={_FLAGS.streams}',
         f'--seconds={_FLAGS.seconds}',
+        f'--slow={_FLAGS.slow}',
     ]
     with subprocess.Popen(command, stdout=subprocess.PIPE) as load:
         assert load.stdout is not None
@@ -76,7 +76,11 @@
     """Start the engines, the bare relay and one node."""
     platform = start_platform(fleet)
     engines = [
-        fleet.start_stand_in('metronome', f'engine-{number}')
+        fleet.start_stand_in(
+            'metronome',
+            f'engine-{number}',
+            f'--size={_FLAGS.size}',
+        )
         for number in range(_FLAGS.engines)
     ]
     ports = ','.join(str(engine.port) for engine in engines)
@@ -85,11 +89,18 @@
     settings = build_settings(fleet, 'vm-0', 'luzon-a', platform)
     settings['limits'] = {'caller_grace_seconds': 0.1}
     publish_vms(platform, (settings,))
-    bare = fleet.start_stand_in('bare_relay', 'bare', f'--targets={ports}')
+    targets = f'--targets={ports}'
+    bare = fleet.start_stand_in('bare_relay', 'bare', targets)
+    loop = fleet.start_stand_in(
+        'bare_relay',
+        'loop',
+        targets,
+        '--loop_transports',
+    )
     node = fleet.launch_node('vm-0', settings)
     wait_ready(node)
     wait_version((node,), 1)
-    return {'bare': bare, 'node': node}
+    return {'bare': bare, 'loop': loop, 'node': node}
 
 
 def _build_config(engines: list[Started]) -> object:
@@ -118,11 +129,19 @@
         'ratio': round(statistics.median(ratios), 3),
         'ratio_min': round(min(ratios), 3),
         'ratio_max': round(max(ratios), 3),
+        'ratio_to_loop': round(
+            statistics.median(
+                one['node'].cpu_us / one['loop'].cpu_us for one in rounds
+            ),
+            3,
+        ),
         'wrong': sum(one['node'].load.wrong for one in rounds),
         'streams': _FLAGS.streams,
+        'slow': _FLAGS.slow,
+        'event_bytes': _FLAGS.size,
         'rounds': len(rounds),
     }
-    for name in ('bare', 'node'):
+    for name in ('bare', 'loop', 'node'):
         samples = [one[name] for one in rounds]
         summary[name] = {
             'cpu_us': _median([one.cpu_us for one in samples]),
@@ -147,7 +166,7 @@
     rounds: list[dict[str, Sample]] = []
     with (
         tempfile.TemporaryDirectory() as folder,
-        run_fleet(Path(folder), _FIRST_PORT) as fleet,
+        run_fleet(Path(folder)) as fleet,
     ):
         relays = start_relays(fleet)
         for _ in range(_FLAGS.rounds):
--- a/lab/scale_bench.py
+++ b/lab/scale_bench.py
@@ -43,7 +43,6 @@
 flags.DEFINE_boolean('record', True, 'append the result', flag_values=_FLAGS)
 flags.DEFINE_boolean('slopes', True, 'measure every size', flag_values=_FLAGS)
 
-_FIRST_PORT = 18800
 _SETTLE_SECONDS = 5
 _LEASE_SECONDS = 60
 _HEADER_BYTES = 28
@@ -153,7 +152,7 @@
     node = fleet.launch_node(name, _build_settings(ports, name, platform))
     wait_ready(node)
     wait_version([node], 1)
-    wait_leases(node, _LEASE_SECONDS)
+    wait_leases([node], _LEASE_SECONDS)
     return node
 
 
@@ -227,7 +226,7 @@
     parse_flags(_FLAGS)
     with (
         tempfile.TemporaryDirectory() as folder,
-        run_fleet(Path(folder), _FIRST_PORT) as fleet,
+        run_fleet(Path(folder)) as fleet,
     ):
         points = []
         for size in _SIZES if _FLAGS.slopes else (_FULL,):
