--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,9 @@
 BIN = $(VENV)/bin
 SOURCES = chicoryshunt lab tests
 
-.PHONY: bench-config trial-config bench-relay faults help venv test unit check format lint types demo
+TARGETS = $(shell grep -oE '^[a-z-]+:' Makefile | tr -d ':')
+
+.PHONY: $(TARGETS)
 
 help:  ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -32,6 +34,12 @@
 
 test: lint types unit  ## everything CI asks for
 
+bench-ownership: venv  ## processor time and memory of owned calls, appended to benchmarks/
+	$(BIN)/python -m lab.ownership_bench
+
+drain-trial: venv  ## a node stopped in the middle of its streams and calls
+	$(BIN)/python -m lab.drain_trial
+
 bench-relay: venv  ## processor time of a relayed token, appended to benchmarks/
 	$(BIN)/python -m lab.relay_bench
 
@@ -49,3 +57,6 @@
 
 trials: venv  ## nine nodes under failures, promises counted
 	$(BIN)/python -m lab.trials
+
+bench-policy: venv  ## decisions under load; QUICK=1 for a few short runs
+	$(BIN)/python -m lab.policy_bench $(if $(QUICK),--quick)
--- a/chicoryshunt/process/callers.py
+++ b/chicoryshunt/process/callers.py
@@ -3,9 +3,8 @@
 import msgspec
 
 from chicoryshunt.connection.exchange import Exchange
-from chicoryshunt.process.calls import CallApi
+from chicoryshunt.process.assembly import OwnerParts
 from chicoryshunt.process.config_api import ConfigApi
-from chicoryshunt.process.drain import Drain
 from chicoryshunt.process.generations import GenerationApi
 from chicoryshunt.process.journal import Explanation
 from chicoryshunt.process.ownership import refuse_draining
@@ -28,17 +27,14 @@
 class CallerApi:
     """Answers callers and operators."""
 
-    def __init__(
-        self,
-        state: NodeState,
-        calls: CallApi,
-        drain: Drain,
-    ) -> None:
+    def __init__(self, state: NodeState, owning: OwnerParts) -> None:
         """Serve with the state of the node."""
         self._state = state
-        self._calls = calls
-        self._drain = drain
-        self._generations = GenerationApi(state)
+        self._owner = owning.owner
+        self._answers = owning.answers
+        self._calls = owning.calls
+        self._drain = owning.drain
+        self._generations = GenerationApi(state, owning.generations)
         self._config = ConfigApi(
             state.settings.vm,
             state.configuration,
@@ -53,9 +49,9 @@
     async def _serve(self, exchange: Exchange) -> None:
         match (exchange.method, *exchange.segments):
             case ('GET', 'v1', 'entries'):
-                exchange.respond_json(self._calls.list_entries())
+                exchange.respond_json(self._answers.list_entries())
             case ('POST', 'v1', 'generate', _) if not self._drain.is_serving:
-                self._calls.respond(exchange, refuse_draining())
+                self._answers.respond(exchange, refuse_draining())
             case ('POST', 'v1', 'generate', model):
                 await self._generations.generate(exchange, ModelId(model))
             case ('POST', 'v1', 'resume', *action):
@@ -79,15 +75,19 @@
             case ('GET', 'v1', 'explain', request):
                 self._explain(exchange, request)
             case ('GET', 'metrics'):
-                exchange.respond(
-                    self._state.metrics.render(),
-                    'text/plain; version=0.0.4',
-                )
+                self._respond_metrics(exchange)
             case _:
                 exchange.respond_verdict(
                     refuse(Reason.unknown_path, f'no path {exchange.path!r}'),
                 )
 
+    def _respond_metrics(self, exchange: Exchange) -> None:
+        self._owner.report()
+        exchange.respond(
+            self._state.metrics.render(),
+            'text/plain; version=0.0.4',
+        )
+
     def _explain(self, exchange: Exchange, request: str) -> None:
         explanation = self._state.journal.explain(request)
         if explanation is None:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -191,7 +191,7 @@
         ),
         lambda: None,
     )
-    return CallerApi(state, owning.calls, owning.drain)
+    return CallerApi(state, owning)
 
 
 def build_state(settings: Settings) -> NodeState:
