--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,8 @@
 
 drain-trial: venv  ## a node stopped in the middle of its streams and calls
 	$(BIN)/python -m lab.drain_trial
+bench-scale: venv  ## cost of control as the fleet grows, appended to benchmarks/
+	$(BIN)/python -m lab.scale_bench
 
 bench-relay: venv  ## processor time of a relayed token, appended to benchmarks/
 	$(BIN)/python -m lab.relay_bench
--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -80,6 +80,17 @@
         module = f'lab.{kind}'
         return self._start(name, port, '-m', module, f'--port={port}', *options)
 
+    def launch_module(self, module: str, port: int, *options: str) -> Started:
+        """Start a module of the lab on a given port."""
+        return self._start(
+            module,
+            port,
+            '-m',
+            f'lab.{module}',
+            f'--port={port}',
+            *options,
+        )
+
     def launch_node(self, name: str, settings: dict[str, object]) -> Started:
         """Start a node without waiting for it."""
         path = self.folder / f'{name}.json'
@@ -137,9 +148,12 @@
     raise RuntimeError(f'{started.name} did not start')
 
 
-def wait_leases(nodes: Sequence[Started]) -> None:
+def wait_leases(
+    nodes: Sequence[Started],
+    seconds: float = READY_SECONDS,
+) -> None:
     """Wait until some node has a lease on each target."""
-    deadline = time.monotonic() + READY_SECONDS
+    deadline = time.monotonic() + seconds
     leases: Counter[str] = Counter()
     while time.monotonic() < deadline:
         leases.clear()
