--- a/chicoryshunt/process/policy/survival.py
+++ b/chicoryshunt/process/policy/survival.py
@@ -35,10 +35,11 @@
 _BAND_AGES = (16, 128, 1024, 8192)
 _BANDS: NDArray[np.intp] = np.searchsorted(_BAND_AGES, _STARTS, 'right')
 _BAND_COUNT = len(_BAND_AGES) + 1
-_TEAM_WEIGHT = 6
+_TEAM_WEIGHT = 20
 _WINDOW_ANSWERS = 4096
-_TEAM_WINDOW = 256
+_TEAM_WINDOW = 1024
 _REFRESH_COUNTS = 256
+_REFRESH_PART = 0.1
 _MOST_TEAMS = 20_000
 _FIRST_ROWS = 16
 
@@ -106,7 +107,7 @@
     def __init__(self, most_teams: int) -> None:
         self.deaths = np.zeros(_BUCKETS)
         self.exposed = np.zeros(_BUCKETS)
-        self.steps = np.zeros(_BUCKETS)
+        self.hazards = np.zeros(_BUCKETS)
         self.doubts = np.zeros(_BUCKETS)
         self.rows: dict[TeamId, int] = {}
         self.ratios = np.zeros((_FIRST_ROWS, 2, _BAND_COUNT), np.float32)
@@ -126,7 +127,8 @@
         if row[1].max() > _TEAM_WINDOW:
             row /= 2
         self._changes += 1
-        is_due = self._changes >= min(_REFRESH_COUNTS, self.exposed[0])
+        soon = self.exposed[0] * _REFRESH_PART
+        is_due = self._changes >= min(_REFRESH_COUNTS, soon)
         if is_due:
             self._refresh()
         return bool(is_due)
@@ -134,7 +136,7 @@
     def estimate(self, team: TeamId) -> Survival:
         survival = self._survivals.get(team)
         if survival is None:
-            steps = self.steps * self._compute_factors(team)
+            steps = -np.log1p(-self.hazards) * self._compute_factors(team)
             survival = Survival(_cumulate(steps), _cumulate(self.doubts))
             self._survivals[team] = survival
         return survival
@@ -149,7 +151,7 @@
 
     def _expose(self, row: NDArray[np.float32], passed: slice) -> None:
         self.exposed[passed] += 1
-        np.add.at(row[1], _BANDS[passed], self.steps[passed])
+        np.add.at(row[1], _BANDS[passed], self.hazards[passed])
 
     def _find_row(self, team: TeamId) -> NDArray[np.float32]:
         index = self.rows.get(team)
@@ -183,7 +185,7 @@
             expected = prior + _NEIGHBOUR_SHARE * (last - prior)
             died = self.deaths[bucket] + _PRIOR_WEIGHT * expected
             last = min(died / weights[bucket], _MOST_HAZARD)
-            self.steps[bucket] = -np.log1p(-last)
+            self.hazards[bucket] = last
             self.doubts[bucket] = last / (1 - last) / weights[bucket]
 
 
@@ -213,6 +215,10 @@
         died = min(died, _BUCKETS - 1)
         self._count(kind, slice(first, died), died)
 
+    def count_teams(self) -> int:
+        """Return the number of teams with ratios of their own."""
+        return sum(len(one.rows) for one in self._families.values())
+
     def estimate(self, kind: Kind) -> Survival:
         """Return the survival of a kind as it is known now."""
         return self._get(kind).estimate(kind.team)
--- a/chicoryshunt/process/policy/warming.py
+++ b/chicoryshunt/process/policy/warming.py
@@ -71,6 +71,9 @@
     def declare(self, declared: Limit) -> None:
         """Take the limit that operators declare now."""
         grows = declared.slots > self._declared.slots
+        if not self._declared.slots:
+            self._slots = _find_first_slots(declared)
+            self.state = TargetState.starting
         self._declared = declared
         self._slots = min(self._slots, declared.slots)
         if grows and self.state is TargetState.warm:
@@ -125,7 +128,7 @@
         return self._move(TargetState.warming, Cause.evidence)
 
     def _drop(self, state: TargetState, cause: Cause) -> Change:
-        self._slots = _find_first_slots(self._declared)
+        self._slots = min(self._slots, _find_first_slots(self._declared))
         self._slow_steps = 0
         return self._move(state, cause)
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -10,8 +10,13 @@
 from chicoryshunt.process.callers import CallerApi
 from chicoryshunt.process.membership import Membership
 from chicoryshunt.process.peers import PeerServer
-from chicoryshunt.process.policy.queue import Ask
-from chicoryshunt.process.policy.survival import Kind, classify
+from chicoryshunt.process.policy.occupancy import Running
+from chicoryshunt.process.policy.queue import Ask, Waiting
+from chicoryshunt.process.policy.survival import (
+    Kind,
+    LengthEstimator,
+    classify,
+)
 from chicoryshunt.process.seal import Purpose, Seal
 from chicoryshunt.process.state import NodeState
 from chicoryshunt.settings import Settings
@@ -199,3 +204,21 @@
     shares = LocalShares(lambda: state.config, lambda: 1)
     state = NodeState(settings, shares)
     return state
+
+
+def build_running(produced: int, prompt_tokens: int) -> Running:
+    """Return a request whose length is estimated by the prior."""
+    kind = Kind(TeamId('team-1'), ModelId('kibitzer-llm'))
+    survival = LengthEstimator().estimate(kind)
+    return Running(kind, survival, prompt_tokens, 30_000, produced)
+
+
+def build_waiting(
+    request: str,
+    team: str = 'team-1',
+    arrived: float = 0,
+    work: float = 100,
+    **changes: int,
+) -> Waiting:
+    """Return a request that waits."""
+    return Waiting(build_ask(request, team, **changes), arrived, work)
