--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,9 @@
 BIN = $(VENV)/bin
 SOURCES = chicoryshunt lab tests
 
-.PHONY: bench-policy bench-relay faults help venv test unit check format lint types demo
+TARGETS = $(shell grep -oE '^[a-z-]+:' Makefile | tr -d ':')
+
+.PHONY: $(TARGETS)
 
 help:  ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -32,12 +34,26 @@
 
 test: lint types unit  ## everything CI asks for
 
+bench-ownership: venv  ## processor time and memory of owned calls, appended to benchmarks/
+	$(BIN)/python -m lab.ownership_bench
+
+drain-trial: venv  ## a node stopped in the middle of its streams and calls
+	$(BIN)/python -m lab.drain_trial
+bench-scale: venv  ## cost of control as the fleet grows, appended to benchmarks/
+	$(BIN)/python -m lab.scale_bench
+
 bench-relay: venv  ## processor time of a relayed token, appended to benchmarks/
 	$(BIN)/python -m lab.relay_bench
 
 faults: venv  ## streams through real processes while engines misbehave
 	$(BIN)/python -m lab.stream_faults
 
+bench-config: venv  ## costs of the configuration, appended to benchmarks/
+	$(BIN)/python -m lab.config_bench
+
+trial-config: venv  ## patches on nine nodes while the platform and nodes fail
+	$(BIN)/python -m lab.config_trial
+
 demo: venv  ## a small fleet on loopback, one stream, one filing
 	$(BIN)/python -m lab.demo
 
--- a/chicoryshunt/connection/target_api.py
+++ b/chicoryshunt/connection/target_api.py
@@ -54,7 +54,11 @@
 
 
 class LoadReport(msgspec.Struct, frozen=True):
-    """Load of an engine at a past moment; ``start`` changes when it starts."""
+    """Load of an engine at a past moment; ``start`` changes when it starts.
+
+    ``preemptions`` and ``tokens`` count since the start.
+    ``is_loading`` is set while an order is being carried out.
+    """
 
     start: int
     at: float
@@ -64,10 +68,12 @@
     memory_tokens: int
     step_ms: float
     preemptions: int
+    tokens: int = 0
     fence: int = 0
     role: str = 'both'
     model_version: str = ''
     adapters: tuple[str, ...] = ()
+    is_loading: bool = False
 
 
 class CacheEvent(msgspec.Struct, frozen=True):
--- a/chicoryshunt/process/drain.py
+++ b/chicoryshunt/process/drain.py
@@ -105,8 +105,9 @@
         self._enter(DrainState.draining, cause)
         self._owner.seal()
         self._announce()
-        await self._drain.wait_idle()
-        await self._owner.wait_idle()
+        while self._drain.running or self._owner.running:
+            await self._drain.wait_idle()
+            await self._owner.wait_idle()
         self._enter(DrainState.handing_off, cause)
         self._owner.holdings.is_closed = True
         for sealed in self._owner.list_sealed():
--- a/chicoryshunt/process/tenure.py
+++ b/chicoryshunt/process/tenure.py
@@ -52,10 +52,9 @@
         target: TargetId,
         ballot: Ballot,
         times: LeaseTimes,
-        number: int,
         fresh_until: float,
     ) -> None:
-        """Start without a lease; ``number`` is above all earlier claims.
+        """Start without a lease.
 
         Until ``fresh_until`` requests of an earlier process may run.
         """
@@ -72,7 +71,7 @@
         self._answer = 0
         self._issuer: Process | None = None
         self._has_told_account = False
-        self._number = number
+        self._number = 0
         self._answered = 0
         self._fresh_until = fresh_until
         self._sent: float = 0
@@ -113,13 +112,17 @@
         if self.running >= slots:
             return Shortage.lease_used_up
         if memory_tokens > self.find_slack(now).memory_tokens:
-            self._want_memory(memory_tokens, now)
+            self.want(0, memory_tokens, now)
             return Shortage.memory_used_up
         return self.usage.take(self._target, memory_tokens)
 
-    def want(self, slots: int, now: float) -> None:
+    def want(self, slots: int, memory_tokens: int, now: float) -> None:
         """Ask for more slots soon when the lease has too few."""
-        self._ask(self.count_used() + slots, now)
+        by_memory = 0
+        if memory_tokens and self._memory_per_slot:
+            tokens = self.usage.memory_tokens + memory_tokens
+            by_memory = ceil(tokens / self._memory_per_slot)
+        self._ask(max(self.count_used() + slots, by_memory), now)
 
     def follow(self, keeper: VmId | None, now: float) -> None:
         """Turn to the node that keeps the target now."""
@@ -246,8 +249,3 @@
 
     def _find_want(self, now: float) -> int:
         return self._want if now < self._want_until else 0
-
-    def _want_memory(self, memory_tokens: int, now: float) -> None:
-        if self._memory_per_slot:
-            wanted = self.usage.memory_tokens + memory_tokens
-            self._ask(ceil(wanted / self._memory_per_slot), now)
--- a/chicoryshunt/process/tenures.py
+++ b/chicoryshunt/process/tenures.py
@@ -23,15 +23,13 @@
         panels: Panels,
         times: LeaseTimes,
         started: float,
-        epoch: int,
         find_bearing: FindBearing,
     ) -> None:
-        """Start without leases; claims are numbered from the epoch on."""
+        """Start without leases."""
         self._own = own
         self._panels = panels
         self._times = times
         self._started = started
-        self._epoch = epoch
         self._find_bearing = find_bearing
         self._tenures: dict[TargetId, Tenure] = {}
 
@@ -71,10 +69,16 @@
         if tenure is not None:
             tenure.usage.give_back(slot)
 
-    def want(self, target: TargetId, slots: int, now: float) -> None:
-        """Say how many more slots could be used on a target."""
+    def want(
+        self,
+        target: TargetId,
+        slots: int,
+        memory_tokens: int,
+        now: float,
+    ) -> None:
+        """Say how much more could be used on a target."""
         if target in self._panels and self._panels.find(target):
-            self._open(target).want(slots, now)
+            self._open(target).want(slots, memory_tokens, now)
 
     def learn_panel(
         self,
@@ -144,7 +148,6 @@
                 target,
                 ballot,
                 self._times,
-                self._epoch,
                 self._started + self._find_bearing(target).run_seconds,
             )
             self._tenures[target] = tenure
--- a/lab/stream_faults.py
+++ b/lab/stream_faults.py
@@ -15,12 +15,11 @@
 from lab.daemon import parse_flags
 from lab.faults import FaultKind
 from lab.fleet import run_fleet, send
-from lab.topology import SMALL, Placed, UserFleet
+from lab.topology import SMALL, UserFleet
 
 _FLAGS = flags.FlagValues()
 flags.DEFINE_integer('length', 100, 'tokens an answer', flag_values=_FLAGS)
 
-_FIRST_PORT = 18500
 _AFTER_TOKENS = 10
 _AFTER_SECONDS = 1.0
 
@@ -46,35 +45,33 @@
 )
 
 
-async def run_case(
-    case: Case,
-    user: UserFleet,
-) -> Answer:
+async def run_case(case: Case, user: UserFleet) -> Answer:
     """Ask for one answer and misbehave once it has begun."""
-    engines = user.engines
-    caller = Caller(user.addresses, SMALL.teams[0])
-    prompt = f'length={_FLAGS.length} {case.fault.value}'
     if case.fault not in {FaultKind.die, FaultKind.freeze}:
-        _order_fault(case, engines)
-    asking = asyncio.ensure_future(
-        caller.generate(SMALL.model, {'prompt': prompt}),
-    )
+        _order_fault(case, user)
+    asking = asyncio.ensure_future(_ask(user, case.fault.value))
     if case.fault in {FaultKind.die, FaultKind.freeze}:
         await asyncio.sleep(_AFTER_SECONDS)
-        _order_fault(case, engines)
+        _order_fault(case, user)
     answer = await asking
     if case.fault is not FaultKind.die:
-        _order_fault(Case(FaultKind.none, 0, is_whole=True), engines)
+        _order_fault(_CASES[0], user)
     return answer
 
 
-def _order_fault(case: Case, engines: list[Placed]) -> None:
+async def _ask(user: UserFleet, text: str) -> Answer:
+    caller = Caller(user.addresses, user.plan.teams[0])
+    prompt = f'length={_FLAGS.length} {text}'
+    return await caller.generate(user.plan.model, {'prompt': prompt})
+
+
+def _order_fault(case: Case, user: UserFleet) -> None:
     fault = {
         'kind': case.fault.value,
         'seconds': case.seconds,
         'after_tokens': _AFTER_TOKENS,
     }
-    for engine in engines:
+    for engine in user.engines:
         send(engine.url, 'POST', '/faults', fault)
 
 
@@ -106,11 +103,7 @@
 
 async def lose_nodes(user: UserFleet) -> Answer:
     """Ask for one answer and kill all nodes but the last meanwhile."""
-    caller = Caller(user.addresses, SMALL.teams[0])
-    prompt = f'length={_FLAGS.length} nodes'
-    asking = asyncio.ensure_future(
-        caller.generate(SMALL.model, {'prompt': prompt}),
-    )
+    asking = asyncio.ensure_future(_ask(user, 'nodes'))
     for node in user.nodes[:-1]:
         await asyncio.sleep(_AFTER_SECONDS)
         node.process.kill()
@@ -133,7 +126,7 @@
     parse_flags(_FLAGS)
     with (
         tempfile.TemporaryDirectory() as folder,
-        run_fleet(Path(folder), _FIRST_PORT) as fleet,
+        run_fleet(Path(folder)) as fleet,
     ):
         user = UserFleet(fleet, SMALL)
         wrong = run_until_done(lambda: run_cases(user))
--- a/tests/leasing.py
+++ b/tests/leasing.py
@@ -137,7 +137,7 @@
         now = self.network.hosts[vm].check()
         slot = node.leases.tenures.take(target, 0, now)
         if isinstance(slot, Shortage):
-            node.leases.tenures.want(target, 1, now)
+            node.leases.tenures.want(target, 1, 0, now)
             return False
         key = (vm, node.epoch, slot.number)
         self.fakes[target].running[key] = slot
@@ -149,7 +149,7 @@
         taken = [self.take(vm, target) for _ in range(wanted)].count(True)
         if taken < wanted and vm in self.nodes:
             tenures = self.nodes[vm].leases.tenures
-            tenures.want(target, wanted - taken, self.clock.now())
+            tenures.want(target, wanted - taken, 0, self.clock.now())
         return taken
 
     def end(self, vm: VmId, count: int, target: TargetId = TARGET) -> int:
@@ -194,6 +194,17 @@
             total += 0 if tenure is None else tenure.count_slots(now)
         return total
 
+    def count_usable(self, target: TargetId = TARGET) -> int:
+        """Return the most slots in use or leased while all want many."""
+        most = 0
+        for _ in range(50):
+            for node in self.nodes.values():
+                limit = self.fakes[target].limit
+                node.leases.tenures.want(target, limit, 0, self.clock.now())
+            self.run(0.2)
+            most = max(most, self.count_bound(target))
+        return most
+
     def find_keepers(self, target: TargetId = TARGET) -> set[VmId]:
         """Return the nodes that keep a target."""
         return {
--- a/tests/owner_fleet.py
+++ b/tests/owner_fleet.py
@@ -10,12 +10,13 @@
 
 from chicoryshunt.clock import ManualClock
 from chicoryshunt.connection.caller_api import Entries
-from chicoryshunt.process.calls import CallApi
 from chicoryshunt.process.drain import TAKE_TABLE, Drain
 from chicoryshunt.process.forwarding import SUBMIT, Forwarder, OwnedCall
 from chicoryshunt.process.grants import Mint, Origin
 from chicoryshunt.process.holdings import Holdings, TablePart
+from chicoryshunt.process.journal import Journal
 from chicoryshunt.process.metrics import Metrics
+from chicoryshunt.process.owned_calls import OwnedCalls
 from chicoryshunt.process.ownership import Owner
 from chicoryshunt.process.pause import PAUSE_SECONDS, Pulse
 from chicoryshunt.process.peers import Method, PeerError
@@ -35,6 +36,7 @@
 from chicoryshunt.version.config import Config, Service, Team
 from tests.builders import build_settings_text
 
+SETTINGS = parse_settings(build_settings_text(), 'settings')
 RULES = CallRules(10, is_repeatable=False, answer_bytes=1 << 20)
 CONFIG = Config(
     ConfigVersion(1),
@@ -73,6 +75,7 @@
     """One call that a target is running."""
 
     key: str
+    body: bytes
     ended: 'asyncio.Future[CallOutcome]'
 
 
@@ -91,17 +94,18 @@
     ) -> CallOutcome:
         self.runs[key] += 1
         ended: asyncio.Future[CallOutcome] = asyncio.Future()
-        self.pending.append(PendingRun(key, ended))
+        self.pending.append(PendingRun(key, call.body, ended))
         return await ended
 
 
 class FakeState:
     """What a node of the fleet knows."""
 
-    def __init__(self, vm: VmId) -> None:
-        self.settings = parse_settings(build_settings_text(vm=vm), vm)
+    def __init__(self) -> None:
+        self.settings = SETTINGS
         self.metrics = Metrics()
         self.config: Config | None = CONFIG
+        self.journal = Journal(ManualClock(), self.metrics)
 
     def list_entries(self) -> Entries:
         return Entries((), 3)
@@ -126,7 +130,7 @@
     clock: NodeClock
     pulse: Pulse
     owner: Owner
-    calls: CallApi
+    calls: OwnedCalls
     target: Target
     is_frozen: bool = False
 
@@ -158,7 +162,7 @@
     def start(self, vm: VmId) -> FakeNode:
         """Start a fresh process on a VM."""
         self._incarnations += 1
-        state = FakeState(vm)
+        state = FakeState()
         clock = NodeClock(self.clock, 37.5 * self._incarnations)
         pulse = Pulse(clock)
         origin = Origin(
@@ -174,7 +178,7 @@
             state.metrics,
         )
         target = Target()
-        calls = CallApi(
+        calls = OwnedCalls(
             state,
             owner,
             Forwarder(owner, FakePeers(self, vm), self),
@@ -193,10 +197,6 @@
         """Return the VMs that every node takes to be live."""
         return [vm for vm in self.nodes if vm not in self.leaving]
 
-    def list_published(self) -> list[VmId]:
-        """Return the VMs that run."""
-        return list(self.nodes)
-
     def advance(self, seconds: float) -> None:
         """Let time pass for all; only frozen nodes miss it."""
         while seconds > 0:
