--- a/Makefile
+++ b/Makefile
@@ -34,11 +34,15 @@
 
 test: lint types unit  ## everything CI asks for
 
+bench-leases: venv  ## leases against local shares and a central count
+	$(BIN)/python -m lab.lease_bench
+
 bench-ownership: venv  ## processor time and memory of owned calls, appended to benchmarks/
 	$(BIN)/python -m lab.ownership_bench
 
 drain-trial: venv  ## a node stopped in the middle of its streams and calls
 	$(BIN)/python -m lab.drain_trial
+
 bench-scale: venv  ## cost of control as the fleet grows, appended to benchmarks/
 	$(BIN)/python -m lab.scale_bench
 
