Take a body as whole only when its end was marked

A body without Content-Length or chunks ends with its connection, so an answer that a dying target had half sent was relayed as whole, with the verdict ran. It is now a doubt. Seen failing first: the new case of test_verdict_on_what_the_target_does got a TargetAnswer of 'half'.

--- a/chicoryshunt/connection/client.py
+++ b/chicoryshunt/connection/client.py
@@ -21,7 +21,6 @@
     ResponseDone,
     ResponseFailed,
 )
-from twisted.web.http import PotentialDataLoss
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IAgentEndpointFactory
 from zope.interface import implementer
@@ -174,8 +173,8 @@
             self.close()
 
     def connectionLost(self, reason: Any = None) -> None:
-        """Deliver the body if it is whole."""
-        if reason is None or reason.check(ResponseDone, PotentialDataLoss):
+        """Deliver the body if its end was marked, by length or chunks."""
+        if reason is None or reason.check(ResponseDone):
             if not self.body.done():
                 self.body.set_result(bytes(self._received))
             return
--- a/tests/test_call.py
+++ b/tests/test_call.py
@@ -189,6 +189,12 @@
             RunState.may_have_run,
             Reason.target_unreachable,
         ),
+        (
+            b'HTTP/1.1 200 OK\r\n\r\nhalf',
+            True,
+            RunState.may_have_run,
+            Reason.target_unreachable,
+        ),
         (
             build_response(
                 b'503 Busy',
