Pool predicted memory at keepers; pack claims and grants by size

Holders report the memory that their requests will hold at ten horizons; the keeper pools the curves, adds what the target reports beyond them, and leases as many usual requests as still fit with the model's margin. A request that is larger than usual takes several slots. Step times, waiting requests and preemptions of load reports reach the choice of target and the margin; the engine gets the priority that the policy ranks.

Parts are now packed by their encoded size.

--- a/chicoryshunt/process/allowance.py
+++ b/chicoryshunt/process/allowance.py
@@ -4,6 +4,7 @@
 from enum import Enum
 from typing import Protocol
 
+from chicoryshunt.process.claims import LoadSeen
 from chicoryshunt.types import TargetId
 
 
@@ -50,6 +51,12 @@
     ) -> Slot | Shortage:
         """Take a slot right before the write to the target."""
 
+    def find_load(self, target: TargetId) -> LoadSeen | None:
+        """Return what a target's keeper last heard of its load."""
+
+    def report_curve(self, target: TargetId, curve: tuple[int, ...]) -> None:
+        """Tell the keeper the memory that this node's requests will hold."""
+
     def give_back(self, slot: Slot, now: float) -> None:
         """Return a slot when its request has left the target."""
 
--- a/chicoryshunt/process/bearings.py
+++ b/chicoryshunt/process/bearings.py
@@ -28,7 +28,11 @@
         self._config = config
 
     def adjust(self, adjustment: AdjustLimit) -> None:
-        """Lower limits by a function of the target and its limit so far."""
+        """Lower limits by a function of the target and its limit so far.
+
+        The memory that it returns is shared out by slots, and may exceed
+        what is declared when not all slots hold that much at once.
+        """
         self._adjustments.append(adjustment)
 
     def find(self, target: TargetId) -> Bearing:
@@ -43,10 +47,8 @@
             slack = Slack(declared.concurrent, memory)
         for adjust in self._adjustments:
             lowered = adjust(target, slack)
-            slack = Slack(
-                min(slack.slots, lowered.slots),
-                min(slack.memory_tokens, lowered.memory_tokens),
-            )
+            slots = min(slack.slots, lowered.slots)
+            slack = Slack(slots, lowered.memory_tokens)
         return Bearing(slack, _find_run_seconds(config, declared))
 
 
--- a/chicoryshunt/process/leases.py
+++ b/chicoryshunt/process/leases.py
@@ -2,7 +2,6 @@
 
 from collections import defaultdict
 from collections.abc import Iterable, Iterator, Mapping, Sequence
-from typing import TypeVar
 
 from chicoryshunt.connection.platform_api import PublishedVm
 from chicoryshunt.process.claims import (
@@ -16,17 +15,14 @@
 from chicoryshunt.process.core import Message, Send
 from chicoryshunt.process.keeping import Keeping
 from chicoryshunt.process.membership import Membership
+from chicoryshunt.process.packing import pack
 from chicoryshunt.process.panels import Panel, Panels
 from chicoryshunt.process.tenures import FindBearing, Tenures
 from chicoryshunt.types import DataCentreId, TargetId, VmId, VmState
 
-_CLAIMS_PER_DATAGRAM = 8
-_GRANTS_PER_DATAGRAM = 4
 _PANELS_PER_TICK = 25
 _KEEPING = frozenset((VmState.live, VmState.suspect))
 
-_Item = TypeVar('_Item')
-
 
 class Leases:
     """Core of the leases; times are seconds of a monotonic clock."""
@@ -122,8 +118,8 @@
                 grants = self._answer(self.own, self._epoch, claims, now)
                 yield from self._deliver(self.own, grants, now)
                 continue
-            for part in _split(claims, _CLAIMS_PER_DATAGRAM):
-                yield Send(keeper, Claims(self._epoch, tuple(part)))
+            for part in pack(claims):
+                yield Send(keeper, Claims(self._epoch, part))
 
     def _answer(
         self,
@@ -155,10 +151,5 @@
 
 
 def _pack_grants(receiver: VmId, grants: Sequence[Grant]) -> Iterator[Send]:
-    for part in _split(grants, _GRANTS_PER_DATAGRAM):
-        yield Send(receiver, Grants(tuple(part)))
-
-
-def _split(parts: Sequence[_Item], size: int) -> Iterator[Sequence[_Item]]:
-    for start in range(0, len(parts), size):
-        yield parts[start : start + size]
+    for part in pack(grants):
+        yield Send(receiver, Grants(part))
--- a/chicoryshunt/process/ledger.py
+++ b/chicoryshunt/process/ledger.py
@@ -59,7 +59,7 @@
         self._urgent_account = 0
         self._times = times
         self._answer = Random(epoch).getrandbits(_ANSWER_BITS)
-        self._load: LoadReport | None = None
+        self.load: LoadReport | None = None
         self._load_at: float = 0
         self._foreign = 0
         self._reports: deque[tuple[float, int]] = deque()
@@ -116,7 +116,7 @@
 
     def take_load(self, report: LoadReport, now: float) -> None:
         """Take a report that the target gave just now."""
-        self._load = report
+        self.load = report
         self._load_at = now
         running = report.running + report.waiting
         self._reports.append((now, running))
@@ -309,7 +309,7 @@
         self._orphans.settle(running - known, start)
 
     def _build_load(self, now: float) -> LoadSeen | None:
-        report = self._load
+        report = self.load
         if report is None:
             return None
         return LoadSeen(
--- /dev/null
+++ b/chicoryshunt/process/packing.py
@@ -0,0 +1,29 @@
+"""Packs parts of messages into datagrams by their encoded size."""
+
+from collections.abc import Iterable, Iterator
+from typing import TypeVar
+
+import msgspec
+
+MAX_PACKED_BYTES = 1200
+
+_Part = TypeVar('_Part')
+
+
+def pack(
+    parts: Iterable[_Part],
+    max_bytes: int = MAX_PACKED_BYTES,
+) -> Iterator[tuple[_Part, ...]]:
+    """Yield groups of parts; only a single part may exceed the bytes."""
+    group: list[_Part] = []
+    held = 0
+    for part in parts:
+        size = len(msgspec.msgpack.encode(part))
+        if group and held + size > max_bytes:
+            yield tuple(group)
+            group = []
+            held = 0
+        group.append(part)
+        held += size
+    if group:
+        yield tuple(group)
--- a/chicoryshunt/process/rooms.py
+++ b/chicoryshunt/process/rooms.py
@@ -3,17 +3,36 @@
 from collections.abc import Iterable
 
 from chicoryshunt.process.allowance import Allowances
+from chicoryshunt.process.claims import LoadSeen
+from chicoryshunt.process.headroom import encode_curve
 from chicoryshunt.process.policy.admission import Limit
 from chicoryshunt.process.policy.book import Closed, Leased, Room
 from chicoryshunt.process.policy.dispatcher import Dispatcher
 from chicoryshunt.process.rendezvous import compute_weight
 from chicoryshunt.process.router import is_serving
-from chicoryshunt.types import DataCentreId, ModelId, TargetId, VmId
+from chicoryshunt.types import DataCentreId, ModelId, Seconds, TargetId, VmId
 from chicoryshunt.version.config import Config, Target
 
 MAX_TARGETS = 20
 _LOST_SECONDS = 5.0
 _UNDECLARED_TOKENS = 2_147_483_647
+_US_PER_SECOND = 1_000_000
+
+
+class PreemptionCounts:
+    """What targets have counted since they started."""
+
+    def __init__(self) -> None:
+        """Start without counts."""
+        self._seen: dict[TargetId, tuple[int, int]] = {}
+
+    def add(self, name: TargetId, load: LoadSeen) -> int:
+        """Return the preemptions since the last report of a target."""
+        start, count = self._seen.get(name, (load.start, load.preemptions))
+        self._seen[name] = (load.start, load.preemptions)
+        if start != load.start:
+            return load.preemptions
+        return max(0, load.preemptions - count)
 
 
 class Rooms:
@@ -34,6 +53,7 @@
         self._allowances = allowances
         self._config: Config | None = None
         self._lost_until: dict[TargetId, float] = {}
+        self._preemptions = PreemptionCounts()
 
     def apply(self, config: Config) -> dict[ModelId, list[TargetId]]:
         """Follow the configuration; return the targets to use by model."""
@@ -91,6 +111,20 @@
             self._allowances.want(name, slots, memory_tokens, now)
             dispatcher.set_room(name, self.find(name, now))
 
+    def observe(self, dispatcher: Dispatcher, now: float) -> None:
+        """Take what keepers heard of loads; tell them what will be held."""
+        for name, book in dispatcher.books.items():
+            curve = encode_curve(book.predict(now))
+            self._allowances.report_curve(name, curve)
+            load = self._allowances.find_load(name)
+            if load is None:
+                continue
+            book.step_seconds = Seconds(load.step_us / _US_PER_SECOND)
+            book.waiting = load.waiting
+            added = self._preemptions.add(name, load)
+            if added:
+                dispatcher.margin.record_preemptions(added)
+
     def _find_target(self, name: TargetId) -> Target | None:
         return None if self._config is None else self._config.targets.get(name)
 
--- a/chicoryshunt/process/scheduler.py
+++ b/chicoryshunt/process/scheduler.py
@@ -7,6 +7,7 @@
 
 from chicoryshunt.clock import Clock
 from chicoryshunt.process.allowance import Allowances, Shortage, Slot
+from chicoryshunt.process.headroom import Usual
 from chicoryshunt.process.journal import Journal
 from chicoryshunt.process.policy.book import Closed
 from chicoryshunt.process.policy.dispatcher import Dispatch, Dispatcher, Stop
@@ -33,6 +34,7 @@
 from chicoryshunt.version.config import Config, Team
 
 TICK_SECONDS = 0.05
+_OBSERVE_SECONDS = 0.4
 _RETRY_SECONDS = Seconds(1)
 
 
@@ -48,6 +50,7 @@
     model: ModelId
     route: Route
     slot: Slot
+    engine_priority: int = 0
     read_position: Callable[[], int] = field(default=int)
     stop: Stop = Stop.cancelled
 
@@ -68,6 +71,7 @@
         self._clock = clock
         self._journal = journal
         self._config: Config | None = None
+        self._observe_at: float = 0
         self._estimator = LengthEstimator()
         self._dispatchers: dict[ModelId, Dispatcher] = {}
         self._queued: dict[
@@ -129,6 +133,18 @@
             return refusal
         return await self._wait(wanted, wait_gone)
 
+    def find_usual(self, target: TargetId) -> Usual | None:
+        """Return a usual request of the model that a target serves."""
+        declared = None
+        if self._config is not None:
+            declared = self._config.targets.get(target)
+        if declared is None or declared.model is None:
+            return None
+        dispatcher = self._dispatchers.get(declared.model)
+        if dispatcher is None:
+            return None
+        return Usual(dispatcher.typical, dispatcher.margin.deviations)
+
     def record_loss(self, target: TargetId) -> None:
         """Send a target nothing for a while, for it was lost."""
         self._rooms.record_loss(target, self._clock.now())
@@ -138,6 +154,10 @@
         for permit in self._permits.values():
             dispatcher = self._dispatchers[permit.model]
             dispatcher.record_tokens(permit.request, permit.read_position())
+        if now >= self._observe_at:
+            self._observe_at = now + _OBSERVE_SECONDS
+            for dispatcher in self._dispatchers.values():
+                self._rooms.observe(dispatcher, now)
         for model in self._dispatchers:
             self._expire(model, now)
             self._pump(model, now)
@@ -245,7 +265,13 @@
             dispatcher.cancel(dispatch)
             return False
         route = Route(target, self._rooms.find_address(target))
-        permit = Permit(ask.request, model, route, slot)
+        permit = Permit(
+            ask.request,
+            model,
+            route,
+            slot,
+            dispatch.engine_priority,
+        )
         self._permits[ask.request] = permit
         answer.set_result(permit)
         self._note_admitted(dispatch)
--- a/chicoryshunt/process/starter.py
+++ b/chicoryshunt/process/starter.py
@@ -138,7 +138,8 @@
         )
         generation = self._builder.build(permit.route, sink, token)
         permit.read_position = lambda: generation.position
-        outcome = await generation.start(build_order(wanted))
+        order = build_order(wanted, permit.engine_priority)
+        outcome = await generation.start(order)
         permit.stop = _classify_stop(outcome)
         if permit.stop is Stop.lost:
             self._scheduler.record_loss(permit.route.target)
--- a/chicoryshunt/process/state.py
+++ b/chicoryshunt/process/state.py
@@ -11,6 +11,7 @@
 from chicoryshunt.process.configuration import Configuration
 from chicoryshunt.process.entries import KEEP_SECONDS, order_entries
 from chicoryshunt.process.fleet import Fleet
+from chicoryshunt.process.headroom import Headrooms
 from chicoryshunt.process.journal import Journal
 from chicoryshunt.process.levels import Levels
 from chicoryshunt.process.metrics import Metrics
@@ -97,6 +98,12 @@
         )
         self.warmths = Warmths(self.journal)
         self.fleet.watch_warmth(self.warmths)
+        self.headrooms = Headrooms(
+            self.fleet.leases.keeping.find,
+            self.scheduler.find_usual,
+            self.clock,
+        )
+        self.fleet.bearings.adjust(self.headrooms.adjust)
         self.configuration.subscribe(self.warmths.learn)
         self.configuration.subscribe(self.fleet.learn_config)
         self.configuration.subscribe(self.scheduler.apply)
--- a/chicoryshunt/process/tenures.py
+++ b/chicoryshunt/process/tenures.py
@@ -4,7 +4,13 @@
 
 from chicoryshunt.process.allowance import Shortage, Slack, Slot
 from chicoryshunt.process.ballot import Ballot
-from chicoryshunt.process.claims import Claim, Grant, LeaseTimes, Release
+from chicoryshunt.process.claims import (
+    Claim,
+    Grant,
+    LeaseTimes,
+    LoadSeen,
+    Release,
+)
 from chicoryshunt.process.ledger import Bearing
 from chicoryshunt.process.panels import Panel, Panels
 from chicoryshunt.process.tenure import Tenure
@@ -63,6 +69,17 @@
             return Shortage.no_lease
         return tenure.take(memory_tokens, now)
 
+    def find_load(self, target: TargetId) -> LoadSeen | None:
+        """Return what a target's keeper last heard of its load."""
+        tenure = self._tenures.get(target)
+        return None if tenure is None else tenure.load
+
+    def report_curve(self, target: TargetId, curve: tuple[int, ...]) -> None:
+        """Tell the keeper the memory that this node's requests will hold."""
+        tenure = self._tenures.get(target)
+        if tenure is not None:
+            tenure.curve = curve
+
     def give_back(self, slot: Slot, now: float) -> None:
         """Return a slot when its request has left the target."""
         tenure = self._tenures.get(slot.target)
--- a/chicoryshunt/request/order.py
+++ b/chicoryshunt/request/order.py
@@ -49,7 +49,10 @@
     return GenerationRequest(request, team, model, parsed)
 
 
-def build_order(wanted: GenerationRequest) -> GenerateOrder:
+def build_order(
+    wanted: GenerationRequest,
+    engine_priority: int,
+) -> GenerateOrder:
     """Return what an engine is asked for."""
     body = wanted.body
     return GenerateOrder(
@@ -58,7 +61,7 @@
         prompt=body.prompt,
         max_tokens=body.max_tokens,
         prompt_tokens=body.prompt_tokens,
-        priority=body.priority,
+        priority=engine_priority,
         prefix=body.prefix,
     )
 
--- a/lab/local_shares.py
+++ b/lab/local_shares.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from chicoryshunt.process.allowance import Shortage, Slack, Slot
+from chicoryshunt.process.claims import LoadSeen
 from chicoryshunt.types import TargetId
 from chicoryshunt.version.config import Config
 
@@ -24,6 +25,7 @@
         self._slots: Counter[TargetId] = Counter()
         self._memory: Counter[TargetId] = Counter()
         self._taken = 0
+        self._loads: dict[TargetId, LoadSeen] = {}
 
     def find_slack(self, target: TargetId, now: float) -> Slack:
         """Return what is left of this node's part."""
@@ -55,6 +57,13 @@
         self._memory[target] += memory_tokens
         return Slot(target, self._taken, memory_tokens)
 
+    def find_load(self, target: TargetId) -> LoadSeen | None:
+        """Return nothing; loads travel with leases."""
+        return self._loads.get(target)
+
+    def report_curve(self, target: TargetId, curve: tuple[int, ...]) -> None:
+        """Ignore memory; the part is fixed."""
+
     def give_back(self, slot: Slot, now: float) -> None:
         """Return a slot."""
         self._slots[slot.target] -= 1
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -7,6 +7,7 @@
 
 from chicoryshunt.clock import ManualClock
 from chicoryshunt.process.allowance import Shortage, Slack, Slot
+from chicoryshunt.process.claims import LoadSeen
 from chicoryshunt.process.journal import Journal
 from chicoryshunt.process.metrics import Metrics
 from chicoryshunt.process.policy.dispatcher import Stop
@@ -40,6 +41,8 @@
         self.slots = Counter({_FIRST: 1, _SECOND: 1})
         self.refuses = False
         self.wanted: Counter[TargetId] = Counter()
+        self._loads: dict[TargetId, LoadSeen] = {}
+        self.curves: dict[TargetId, tuple[int, ...]] = {}
 
     def find_slack(self, target: TargetId, now: float) -> Slack:
         return Slack(self.slots[target], 100_000)
@@ -52,6 +55,12 @@
         self.slots[target] -= 1
         return Slot(target, 1, memory_tokens)
 
+    def find_load(self, target: TargetId) -> LoadSeen | None:
+        return self._loads.get(target)
+
+    def report_curve(self, target: TargetId, curve: tuple[int, ...]) -> None:
+        self.curves[target] = curve
+
     def give_back(self, slot: Slot, now: float) -> None:
         self.slots[slot.target] += 1
 
