Count resumed streams on their targets; warm a returned target anew

A caller that resumed on another node left a stream that no node counted: the first node gave its slot back at once while the engine still ran the request, so a limit could be passed by the number of resumed streams. The node that resumes now adopts the request whatever its lease says, and the first keeps the slot for longer than a renewal takes.

A target that operators bring back starts from its first slots.

--- a/chicoryshunt/process/allowance.py
+++ b/chicoryshunt/process/allowance.py
@@ -51,6 +51,9 @@
     ) -> Slot | Shortage:
         """Take a slot right before the write to the target."""
 
+    def adopt(self, target: TargetId, now: float) -> Slot:
+        """Count a request that already runs on a target, lease or not."""
+
     def find_load(self, target: TargetId) -> LoadSeen | None:
         """Return what a target's keeper last heard of its load."""
 
--- a/chicoryshunt/process/generations.py
+++ b/chicoryshunt/process/generations.py
@@ -138,7 +138,7 @@
             return
         await self._take_over(token)
         sink = Sink(exchange)
-        with self._state.router.hold(route):
+        with self._state.scheduler.adopt(route.target):
             outcome = await self._builder.build(route, sink, token).resume(
                 token.generation,
                 index,
--- a/chicoryshunt/process/policy/warming.py
+++ b/chicoryshunt/process/policy/warming.py
@@ -27,6 +27,7 @@
     refusal = 'refusal'
     evidence = 'evidence'
     lost = 'lost'
+    returned = 'returned'
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,6 +92,10 @@
         self._start = None
         return self._drop(TargetState.starting, Cause.lost)
 
+    def record_return(self) -> Change:
+        """Note that operators bring the target back."""
+        return self._drop(TargetState.starting, Cause.returned)
+
     def record_refusal(self, now: float) -> Change:
         """Note that the target did not accept a request."""
         self._rest_until = now + _REFUSAL_REST_SECONDS
--- a/chicoryshunt/process/scheduler.py
+++ b/chicoryshunt/process/scheduler.py
@@ -1,6 +1,7 @@
 """Admits generations to targets: waits, places and refuses."""
 
 import asyncio
+from collections import deque
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
@@ -35,6 +36,7 @@
 
 TICK_SECONDS = 0.05
 _OBSERVE_SECONDS = 0.4
+_HANDOVER_SECONDS = 5.0
 _RETRY_SECONDS = Seconds(1)
 
 
@@ -53,6 +55,7 @@
     engine_priority: int = 0
     read_position: Callable[[], int] = field(default=int)
     stop: Stop = Stop.cancelled
+    is_handed_over: bool = False
 
 
 class Scheduler:
@@ -79,6 +82,7 @@
             asyncio.Future[Permit | Verdict],
         ] = {}
         self._permits: dict[RequestId, Permit] = {}
+        self._handed_over: deque[tuple[float, Slot]] = deque()
 
     def now(self) -> float:
         """Return the time that decisions are taken by, in seconds."""
@@ -111,6 +115,15 @@
         finally:
             self._give_back(permit)
 
+    @contextmanager
+    def adopt(self, target: TargetId) -> Iterator[None]:
+        """Count a request that another node started while it runs here."""
+        slot = self._allowances.adopt(target, self._clock.now())
+        try:
+            yield
+        finally:
+            self._allowances.give_back(slot, self._clock.now())
+
     async def admit(
         self,
         wanted: GenerationRequest,
@@ -154,6 +167,7 @@
         for permit in self._permits.values():
             dispatcher = self._dispatchers[permit.model]
             dispatcher.record_tokens(permit.request, permit.read_position())
+        self._settle_handovers(now)
         if now >= self._observe_at:
             self._observe_at = now + _OBSERVE_SECONDS
             for dispatcher in self._dispatchers.values():
@@ -277,6 +291,18 @@
         self._note_admitted(dispatch)
         return True
 
+    def _return_slot(self, permit: Permit, now: float) -> None:
+        """Return the slot once its keeper knows who runs the request now."""
+        if permit.is_handed_over:
+            self._handed_over.append((now + _HANDOVER_SECONDS, permit.slot))
+        else:
+            self._allowances.give_back(permit.slot, now)
+
+    def _settle_handovers(self, now: float) -> None:
+        while self._handed_over and self._handed_over[0][0] <= now:
+            _, slot = self._handed_over.popleft()
+            self._allowances.give_back(slot, now)
+
     def _note_admitted(self, dispatch: Dispatch) -> None:
         choice = dispatch.choice
         self._journal.note(
@@ -295,7 +321,7 @@
     def _give_back(self, permit: Permit) -> None:
         now = self._clock.now()
         self._permits.pop(permit.request, None)
-        self._allowances.give_back(permit.slot, now)
+        self._return_slot(permit, now)
         produced = permit.read_position()
         dispatcher = self._dispatchers[permit.model]
         dispatcher.record_tokens(permit.request, produced)
--- a/chicoryshunt/process/starter.py
+++ b/chicoryshunt/process/starter.py
@@ -141,6 +141,7 @@
         order = build_order(wanted, permit.engine_priority)
         outcome = await generation.start(order)
         permit.stop = _classify_stop(outcome)
+        permit.is_handed_over = _is_handed_over(outcome)
         if permit.stop is Stop.lost:
             self._scheduler.record_loss(permit.route.target)
         return outcome
@@ -169,6 +170,11 @@
     return Stop.lost
 
 
+def _is_handed_over(outcome: Outcome) -> bool:
+    verdict = outcome.verdict
+    return verdict is not None and verdict.reason is Reason.resumed_elsewhere
+
+
 def _choose_attempt(first: Attempt, again: Attempt) -> Attempt:
     """Keep what was lost when the restart was not even admitted.
 
--- a/chicoryshunt/process/tenure.py
+++ b/chicoryshunt/process/tenure.py
@@ -116,6 +116,11 @@
             return Shortage.memory_used_up
         return self.usage.take(self._target, memory_tokens)
 
+    def adopt(self, now: float) -> Slot:
+        """Count a request that already runs, and tell the keeper soon."""
+        self.next_claim = min(self.next_claim, now)
+        return self.usage.take(self._target, 0)
+
     def want(self, slots: int, memory_tokens: int, now: float) -> None:
         """Ask for more slots soon when the lease has too few."""
         by_memory = 0
--- a/chicoryshunt/process/tenures.py
+++ b/chicoryshunt/process/tenures.py
@@ -69,6 +69,10 @@
             return Shortage.no_lease
         return tenure.take(memory_tokens, now)
 
+    def adopt(self, target: TargetId, now: float) -> Slot:
+        """Count a request that already runs on a target, lease or not."""
+        return self._open(target).adopt(now)
+
     def find_load(self, target: TargetId) -> LoadSeen | None:
         """Return what a target's keeper last heard of its load."""
         tenure = self._tenures.get(target)
--- a/chicoryshunt/process/warmths.py
+++ b/chicoryshunt/process/warmths.py
@@ -7,6 +7,7 @@
 from chicoryshunt.process.journal import Journal
 from chicoryshunt.process.policy.admission import Limit
 from chicoryshunt.process.policy.warming import Change, Warmth
+from chicoryshunt.process.router import is_serving
 from chicoryshunt.types import Seconds, TargetId
 from chicoryshunt.version.config import Config, Model, Target
 
@@ -35,6 +36,7 @@
 
     def learn(self, config: Config) -> None:
         """Follow the configuration."""
+        before = self._config
         self._config = config
         for name in tuple(self._watched):
             target = config.targets.get(name)
@@ -42,6 +44,7 @@
                 self._watched.pop(name)
             else:
                 self._watched[name].warmth.declare(_find_limit(target))
+                self._note_return(name, before)
 
     def adjust(self, name: TargetId, slack: Slack) -> Slack:
         """Return what a target can bear as warm as it is."""
@@ -81,6 +84,15 @@
         if watched is not None:
             self._note(name, watched.warmth.record_loss())
 
+    def _note_return(self, name: TargetId, before: Config | None) -> None:
+        """Warm a target anew that operators bring back."""
+        if before is None or self._config is None:
+            return
+        if name not in before.targets or is_serving_target(before, name):
+            return
+        if is_serving_target(self._config, name):
+            self._note(name, self._watched[name].warmth.record_return())
+
     def _find(self, name: TargetId) -> Target | None:
         return None if self._config is None else self._config.targets.get(name)
 
@@ -125,6 +137,11 @@
         )
 
 
+def is_serving_target(config: Config, name: TargetId) -> bool:
+    """Say whether operators let a target take new work."""
+    return is_serving(config, config.targets[name])
+
+
 def _find_limit(target: Target) -> Limit:
     memory = target.memory_tokens or _UNDECLARED_TOKENS
     return Limit(target.concurrent, memory)
--- a/lab/local_shares.py
+++ b/lab/local_shares.py
@@ -57,6 +57,12 @@
         self._memory[target] += memory_tokens
         return Slot(target, self._taken, memory_tokens)
 
+    def adopt(self, target: TargetId, now: float) -> Slot:
+        """Count a request that already runs on a target."""
+        self._taken += 1
+        self._slots[target] += 1
+        return Slot(target, self._taken, 0)
+
     def find_load(self, target: TargetId) -> LoadSeen | None:
         """Return nothing; loads travel with leases."""
         return self._loads.get(target)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -55,6 +55,10 @@
         self.slots[target] -= 1
         return Slot(target, 1, memory_tokens)
 
+    def adopt(self, target: TargetId, now: float) -> Slot:
+        self.slots[target] -= 1
+        return Slot(target, 1, 0)
+
     def find_load(self, target: TargetId) -> LoadSeen | None:
         return self._loads.get(target)
 
@@ -210,3 +214,25 @@
     bench.scheduler.apply(build_config())
     await bench.tick()
     assert isinstance(asked.result(), Permit)
+
+
+@on_virtual_loop
+async def test_slot_of_a_handed_over_request_lingers() -> None:
+    bench = Bench()
+    permit = get_permit(await bench.ask('r'))
+    target = permit.route.target
+    with bench.scheduler.hold(permit):
+        permit.is_handed_over = True
+    await bench.tick(4.9)
+    assert bench.allowances.slots[target] == 0
+    await bench.tick(0.2)
+    assert bench.allowances.slots[target] == 1
+
+
+@on_virtual_loop
+async def test_adopted_request_is_counted_while_it_runs() -> None:
+    bench = Bench()
+    bench.allowances.slots[_FIRST] = 0
+    with bench.scheduler.adopt(_FIRST):
+        assert bench.allowances.slots[_FIRST] == -1
+    assert bench.allowances.slots[_FIRST] == 0
