--- a/chicoryshunt/process/policy/occupancy.py
+++ b/chicoryshunt/process/policy/occupancy.py
@@ -22,7 +22,6 @@
     [0, 32, 64, 128, 256, 512, 1024, 2048, 4096, 8192],
     np.float64,
 )
-_DOUBT_PART = 0.7
 
 
 class CurveReport(msgspec.Struct, frozen=True, array_like=True):
@@ -67,8 +66,7 @@
     @property
     def deviation(self) -> Array:
         """Return the standard deviation at each horizon."""
-        doubted = (_DOUBT_PART * self.doubt) ** 2
-        return np.asarray(np.sqrt(self.variance + doubted))
+        return np.asarray(np.sqrt(self.variance + self.doubt**2))
 
     def scale(self, count: int) -> 'Curve':
         """Return the curve of several such sets."""
--- a/chicoryshunt/process/policy/profile.py
+++ b/chicoryshunt/process/policy/profile.py
@@ -27,8 +27,8 @@
 
 
 _STALL = Parameters(
-    margin=0.95,
-    least_margin=0.8,
+    margin=1.05,
+    least_margin=0.9,
     most_margin=1.5,
     preemption_goal=0.01,
     patience=Seconds(3),
@@ -38,8 +38,8 @@
     team_reserve=0.3,
 )
 _PREEMPTION = Parameters(
-    margin=1,
-    least_margin=0.85,
+    margin=1.2,
+    least_margin=1.05,
     most_margin=1.5,
     preemption_goal=0.01,
     patience=Seconds(40),
--- a/chicoryshunt/process/policy/survival.py
+++ b/chicoryshunt/process/policy/survival.py
@@ -41,6 +41,7 @@
 _REFRESH_COUNTS = 256
 _REFRESH_PART = 0.1
 _MOST_TEAMS = 20_000
+_MOST_CACHED = 1024
 _FIRST_ROWS = 16
 
 
@@ -138,6 +139,8 @@
         if survival is None:
             steps = -np.log1p(-self.hazards) * self._compute_factors(team)
             survival = Survival(_cumulate(steps), _cumulate(self.doubts))
+            if len(self._survivals) >= _MOST_CACHED:
+                self._survivals.clear()
             self._survivals[team] = survival
         return survival
 
