Judge a leased part of a target over time

Cause: a node under a lease counted the expected peak of each request against its part of the memory, which knows nothing of how answers grow.

A node with nothing running there may take one request by the lease alone. test_a_leased_part_is_judged_over_time fails with the check of the lease alone.

--- a/chicoryshunt/process/policy/book.py
+++ b/chicoryshunt/process/policy/book.py
@@ -26,9 +26,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Leased:
-    """A keeper leased this slack of a target's limit.
+    """A keeper leased a part of a target's limit; this slack is left of it."""
 
-    ``short_slots`` may be used by short requests beside it.
+    slack: Slack
+    limit: Limit
+
+
+@dataclass(frozen=True, slots=True)
+class Granted:
+    """A keeper that knows all curves granted these requests beside them.
+
+    ``short_slots`` may be used by short requests beside the slack.
     """
 
     slack: Slack
@@ -43,13 +51,13 @@
     reason: str
 
 
-Room = Sole | Leased | Closed
+Room = Sole | Leased | Granted | Closed
 
 
 def count_memory(room: Room) -> int:
     """Return the memory tokens of the target that a room is part of."""
     match room:
-        case Sole(limit) | Leased(_, limit, _):
+        case Sole(limit) | Leased(_, limit) | Granted(_, limit):
             return limit.memory_tokens
         case Closed():
             return 0
@@ -80,6 +88,11 @@
         self._curve_at: float = 0
         self._version = -1
 
+    @property
+    def promised(self) -> int:
+        """Return the memory tokens that leases count for what runs."""
+        return sum(running.promised for running in self.running.values())
+
     def start(self, request: RequestId, running: Running, added: Curve) -> None:
         """Count a request that is sent to the target."""
         self.running[request] = running
--- a/chicoryshunt/process/policy/placement.py
+++ b/chicoryshunt/process/policy/placement.py
@@ -1,16 +1,24 @@
 """Finds the target that a request should go to, or why there is none."""
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
 from chicoryshunt.process.allowance import Slack
 from chicoryshunt.process.policy.admission import (
     Fit,
+    Limit,
     NoMemory,
     NoSlot,
     check_fit,
 )
-from chicoryshunt.process.policy.book import Closed, Leased, Sole, TargetBook
+from chicoryshunt.process.policy.book import (
+    Closed,
+    Granted,
+    Leased,
+    Sole,
+    TargetBook,
+)
 from chicoryshunt.process.policy.choice import (
     Candidate,
     Choice,
@@ -90,12 +98,42 @@
                 reserve=demand.reserve,
                 is_short=demand.ask.kind.size is Size.short,
             )
-        case Leased(slack, limit, short_slots):
+        case Leased(slack, limit):
+            lease = check_lease(slack, limit.memory_tokens, demand.curve)
+            if isinstance(lease, Fit) and book.running:
+                return _check_part(book, slack, limit, demand, now)
+            return lease
+        case Granted(slack, limit, short_slots):
             if demand.ask.kind.size is Size.short and short_slots:
                 return Fit(1, demand.margin)
             return check_lease(slack, limit.memory_tokens, demand.curve)
 
 
+def _check_part(
+    book: TargetBook,
+    slack: Slack,
+    limit: Limit,
+    demand: Demand,
+    now: float,
+) -> Fit | Misfit:
+    """Say whether a request fits over time into a leased part of a target.
+
+    The parts of all nodes vary less together than each alone, so each keeps
+    less than the whole margin.
+    """
+    curve = book.predict(now)
+    memory = book.promised + slack.memory_tokens
+    part = min(memory / max(limit.memory_tokens, 1), 1)
+    return check_fit(
+        Limit(curve.requests + slack.slots, memory),
+        curve,
+        demand.curve,
+        demand.margin * math.cbrt(part),
+        reserve=demand.reserve,
+        is_short=demand.ask.kind.size is Size.short,
+    )
+
+
 def check_lease(
     slack: Slack,
     memory_tokens: int,
--- a/lab/policy_bench.py
+++ b/lab/policy_bench.py
@@ -38,6 +38,7 @@
     Policy.nine_leased,
     Policy.three_shared,
     Policy.nine_shared,
+    Policy.nine_parted,
 )
 _BESIDE = tuple(one for one in Scenario if one is not Scenario.steady)
 _LIGHT_LOAD = 0.6
--- a/lab/policy_cases.py
+++ b/lab/policy_cases.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, replace
 from enum import Enum
+from types import MappingProxyType
 
 from chicoryshunt.types import Profile
 from lab.batching import EngineSpec
@@ -31,6 +32,18 @@
     nine_leased = 'stall, 9 nodes, leases'
     three_shared = 'stall, 3 nodes, shares'
     nine_shared = 'stall, 9 nodes, shares'
+    nine_parted = 'stall, 9 nodes, leased parts'
+
+
+_FLEETS = MappingProxyType(
+    {
+        Policy.three_leased: (Sharing.leases, 3),
+        Policy.nine_leased: (Sharing.leases, 9),
+        Policy.three_shared: (Sharing.shares, 3),
+        Policy.nine_shared: (Sharing.shares, 9),
+        Policy.nine_parted: (Sharing.parts, 9),
+    },
+)
 
 
 class Scenario(Enum):
@@ -146,14 +159,9 @@
             return OneNode(Profile.stall, spec, ENGINES)
         case Policy.preemption:
             return OneNode(Profile.preemption, spec, ENGINES)
-        case Policy.three_leased:
-            return Fleet(Sharing.leases, 3, spec, ENGINES)
-        case Policy.nine_leased:
-            return Fleet(Sharing.leases, 9, spec, ENGINES)
-        case Policy.three_shared:
-            return Fleet(Sharing.shares, 3, spec, ENGINES)
-        case Policy.nine_shared:
-            return Fleet(Sharing.shares, 9, spec, ENGINES)
+        case _:
+            sharing, nodes = _FLEETS[policy]
+            return Fleet(sharing, nodes, spec, ENGINES)
 
 
 def _measure_teams(ledger: Ledger) -> dict[str, Spread]:
--- a/lab/policy_deciders.py
+++ b/lab/policy_deciders.py
@@ -3,6 +3,7 @@
 from collections import deque
 
 from chicoryshunt.connection.target_api import LoadReport
+from chicoryshunt.process.allowance import Slack
 from chicoryshunt.process.policy.admission import Limit
 from chicoryshunt.process.policy.book import Closed, Sole
 from chicoryshunt.process.policy.dispatcher import Dispatcher, Stop
@@ -245,6 +246,15 @@
         book = self.dispatcher.books[name_target(target)]
         return next(reversed(book.running.values())).promised
 
+    def find_part(self, target: int, nodes: int) -> Slack:
+        """Return what is left of an equal part of a target's limit."""
+        limit = self.warmths[target].limit
+        book = self.dispatcher.books[name_target(target)]
+        return Slack(
+            max(limit.slots // nodes - len(book.running), 0),
+            max(limit.memory_tokens // nodes - book.promised, 0),
+        )
+
     def is_open(self, target: int) -> bool:
         """Say whether a target may take work at all."""
         return self._serving[target] and self._alive[target]
--- a/lab/policy_fleet.py
+++ b/lab/policy_fleet.py
@@ -12,7 +12,7 @@
 from chicoryshunt.connection.target_api import LoadReport
 from chicoryshunt.process.allowance import Slack
 from chicoryshunt.process.policy.admission import Limit, compute_headroom
-from chicoryshunt.process.policy.book import Leased, Sole
+from chicoryshunt.process.policy.book import Granted, Leased, Sole
 from chicoryshunt.process.policy.occupancy import (
     Curve,
     build_empty_curve,
@@ -34,6 +34,7 @@
 
     leases = 'leases'
     shares = 'shares'
+    parts = 'parts'
 
 
 @dataclass(slots=True)
@@ -157,6 +158,9 @@
     def record_stop(self, number: int, produced: int, *, ended: bool) -> None:
         """Pass on the end of a request."""
         self._find_node(number).record_stop(number, produced, ended=ended)
+        if self._sharing is Sharing.parts:
+            for target, _ in enumerate(self._keepers):
+                self._open(number % len(self._nodes), target)
 
     def record_report(
         self, target: int, report: LoadReport, now: float
@@ -220,6 +224,9 @@
             self._open(number, target)
 
     def _spend(self, number: int, target: int) -> None:
+        if self._sharing is not Sharing.leases:
+            self._open(number, target)
+            return
         promised = self._nodes[number].find_last_promise(target)
         self._find_holding(number, target).spend(promised)
         self._open(number, target)
@@ -236,9 +243,15 @@
                     limit.memory_tokens // len(self._nodes),
                 )
                 node.dispatcher.set_room(name_target(target), Sole(part))
+            case Sharing.parts:
+                slack = node.find_part(target, len(self._nodes))
+                node.dispatcher.set_room(
+                    name_target(target),
+                    Leased(slack, limit),
+                )
             case Sharing.leases:
                 holding = self._find_holding(number, target)
                 node.dispatcher.set_room(
                     name_target(target),
-                    Leased(holding.left, limit, holding.short_left),
+                    Granted(holding.left, limit, holding.short_left),
                 )
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -6,6 +6,7 @@
 from chicoryshunt.process.policy.admission import Fit, Limit, NoMemory, NoSlot
 from chicoryshunt.process.policy.book import (
     Closed,
+    Granted,
     Leased,
     Room,
     Sole,
@@ -28,7 +29,7 @@
 from chicoryshunt.process.policy.placement import Demand, Misfit, check_room
 from chicoryshunt.process.policy.shares import TeamShares
 from chicoryshunt.process.policy.survival import LengthEstimator
-from chicoryshunt.types import Seconds, TargetId, TeamId
+from chicoryshunt.types import RequestId, Seconds, TargetId, TeamId
 from tests.builders import build_ask, build_running
 
 FREE = Candidate(
@@ -134,8 +135,22 @@
     assert check(Leased(Slack(1, 50), LIMIT)) is NoMemory
 
 
-def test_leases_keep_slots_for_short_requests() -> None:
-    room = Leased(Slack(0, 0), LIMIT, short_slots=1)
+def test_a_leased_part_is_judged_over_time() -> None:
+    """Counting expected peaks alone admits more than the part can hold."""
+    book = TargetBook(TargetId('t'), LengthEstimator())
+    book.room = Leased(Slack(30, 5000), LIMIT)
+    request = predict_occupancy([build_running(0, 100)])
+    demand = Demand(build_ask(), request, margin=1)
+    assert isinstance(check_room(book, demand, 0), Fit)
+    for number in range(10):
+        name = RequestId(f'r{number}')
+        book.start(name, build_running(0, 100), request)
+        book.record_tokens(name, 1500)
+    assert isinstance(check_room(book, demand, 1), NoMemory)
+
+
+def test_grants_keep_slots_for_short_requests() -> None:
+    room = Granted(Slack(0, 0), LIMIT, short_slots=1)
     assert check(room) is NoSlot
     assert check(room, max_tokens=16) is Fit
     assert count_memory(room) == LIMIT.memory_tokens
