Ignore signals once a node has left

make trials, leave-by-list: a node that was marked as leaving and then got a SIGTERM exited with -15. Twisted restores the default handlers when its reactor ends, so a signal that came between that and the end of the process killed it. Nothing was lost, but the exit status was wrong. The node now handles its signals itself and ignores them from the moment it has left.

--- a/chicoryshunt/process/node.py
+++ b/chicoryshunt/process/node.py
@@ -30,6 +30,7 @@
 from chicoryshunt.types import VmId, VmState
 
 _GRACE_SECONDS = 1.0
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 def run_node(settings: Settings) -> None:
@@ -40,13 +41,14 @@
 
     def stop(running: 'asyncio.Task[None]') -> None:
         failures.append(running.exception())
+        ignore_signals()
         reactor.stop()
 
     def start() -> None:
         asyncio.ensure_future(_serve(state)).add_done_callback(stop)
 
     reactor.callWhenRunning(start)
-    reactor.run()
+    reactor.run(installSignalHandlers=False)
     for failure in failures:
         if failure is not None:
             raise failure
@@ -101,12 +103,16 @@
 
 
 def start_departure_on_signal(departure: Departure) -> None:
-    """Begin a planned stop at each SIGTERM."""
-    asyncio.get_running_loop().add_signal_handler(
-        signal.SIGTERM,
-        departure.start,
-        'SIGTERM',
-    )
+    """Begin a planned stop at each signal to stop."""
+    loop = asyncio.get_running_loop()
+    for number in _STOP_SIGNALS:
+        loop.add_signal_handler(number, departure.start, number.name)
+
+
+def ignore_signals() -> None:
+    """Let no signal change how a node ends that has already left."""
+    for number in _STOP_SIGNALS:
+        signal.signal(number, signal.SIG_IGN)
 
 
 def _note_own_state(
--- a/lab/drain_trial.py
+++ b/lab/drain_trial.py
@@ -6,7 +6,10 @@
 import sys
 import tempfile
 from dataclasses import asdict, dataclass
+from http import HTTPStatus
 from pathlib import Path
+from types import MappingProxyType
+from typing import Any
 
 import msgspec
 
@@ -25,12 +28,15 @@
 from lab.topology import SMALL, Placed, UserFleet
 
 _STREAMS = 8
-_TOKENS = 150
+_TOKENS = 400
+_PROMPT = json.dumps({'prompt': f'length={_TOKENS}'}).encode()
+_HEADERS = MappingProxyType({'x-team': SMALL.teams[0]})
+_RETRY_SECONDS = 0.2
 _KEY = 'pairing-17'
 _DATA = b'data: '
 _SECOND_SIGNAL_SECONDS = 0.3
+_SIGNAL_INTERVAL_SECONDS = 0.001
 _GOSSIP_SECONDS = 2.0
-_LATE_SECONDS = 4.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,24 +93,16 @@
 
     async def run(self) -> Findings:
         """Return what was seen."""
+        streams = await self._open_streams()
         grant = await self._get_grant()
-        streams = [
-            asyncio.ensure_future(self._stream(number))
-            for number in range(_STREAMS)
-        ]
         order_fault(self._user.services[0].url, 'slow')
         filing = asyncio.ensure_future(self._file(self._leaver, grant, _KEY))
         await asyncio.sleep(1)
         await self._stop_twice()
-        await self._ask_while_leaving()
         found = self._findings
         found.whole_streams = sum(await asyncio.gather(*streams))
         found.filing = _show(await filing)
-        loop = asyncio.get_running_loop()
-        found.exit_status = await loop.run_in_executor(
-            None,
-            self._leaver.process.wait,
-        )
+        found.exit_status = await self._wait_exit()
         await self._repeat(grant)
         runs = json.loads(send(self._user.services[0].url, 'GET', '/runs'))
         found.most_runs = max(runs.values())
@@ -123,9 +121,18 @@
         self._leaver.process.send_signal(signal.SIGTERM)
         await asyncio.sleep(_SECOND_SIGNAL_SECONDS)
         self._leaver.process.send_signal(signal.SIGTERM)
+        await self._ask_while_leaving()
+
+    async def _wait_exit(self) -> int:
+        """Signal on until the very end; return the exit status."""
+        process = self._leaver.process
+        while process.poll() is None:
+            process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(_SIGNAL_INTERVAL_SECONDS)
+        return int(process.returncode)
 
     async def _ask_while_leaving(self) -> None:
-        refusal = await self._generate(10)
+        refusal = await self._generate()
         self._findings.refusal = refusal.verdict
         self._findings.other_addresses = refusal.entries
         await asyncio.sleep(_GOSSIP_SECONDS)
@@ -147,23 +154,30 @@
         if reply.grant:
             self._findings.unknown = f'{reply.verdict} with a fresh grant'
 
-    async def _stream(self, number: int) -> bool:
-        reply = await self._generate(_TOKENS)
-        tokens: list[str] = []
-        for frame in reply.body.split(b'\n\n'):
-            if frame.startswith(_DATA):
-                event = msgspec.json.decode(
-                    frame.removeprefix(_DATA),
-                    type=StreamEvent,
-                )
-                tokens.extend(event.t)
-        expected = [f't{index}' for index in range(_TOKENS)]
-        return tokens == expected and b'"ending":"stop"' in reply.body
-
-    async def _generate(self, length: int) -> Reply:
+    async def _open_streams(self) -> list['asyncio.Future[bool]']:
+        opened = await asyncio.gather(
+            *(self._open_stream() for _ in range(_STREAMS)),
+        )
+        return [asyncio.ensure_future(_is_whole(one)) for one in opened]
+
+    async def _open_stream(self) -> Any:
+        """Return a stream that has begun, however often it was refused."""
+        while True:
+            response = await self._client.request(
+                'POST',
+                f'{self._leaver.url}/v1/generate/{SMALL.model}',
+                _PROMPT,
+                _HEADERS,
+            )
+            if response.code == HTTPStatus.OK:
+                return response
+            await read_body(response)
+            await asyncio.sleep(_RETRY_SECONDS)
+
+    async def _generate(self) -> Reply:
         return await self._post(
             f'{self._leaver.url}/v1/generate/{SMALL.model}',
-            json.dumps({'prompt': f'length={length}'}).encode(),
+            _PROMPT,
             {},
         )
 
@@ -185,9 +199,8 @@
         body: bytes,
         headers: dict[str, str],
     ) -> Reply:
-        sent = {'x-team': SMALL.teams[0], **headers}
         try:
-            return await self._receive(url, body, sent)
+            return await self._receive(url, body, {**_HEADERS, **headers})
         except (NotConnectedError, BrokenError) as error:
             return Reply(0, str(error).encode())
 
@@ -208,6 +221,23 @@
         )
 
 
+async def _is_whole(response: Any) -> bool:
+    try:
+        body = await read_body(response)
+    except BrokenError:
+        return False
+    tokens: list[str] = []
+    for frame in body.split(b'\n\n'):
+        if frame.startswith(_DATA):
+            event = msgspec.json.decode(
+                frame.removeprefix(_DATA),
+                type=StreamEvent,
+            )
+            tokens.extend(event.t)
+    expected = [f't{index}' for index in range(_TOKENS)]
+    return tokens == expected and b'"ending":"stop"' in body
+
+
 def _show(reply: Reply) -> str:
     return f'{reply.status} {reply.verdict} {reply.body.decode()}'
 
