--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,9 @@
 BIN = $(VENV)/bin
 SOURCES = chicoryshunt lab tests
 
-.PHONY: bench-config bench-ownership bench-relay demo drain-trial faults format help lint test trial-config trials types unit venv
+TARGETS = $(shell grep -oE '^[a-z-]+:' Makefile | tr -d ':')
+
+.PHONY: $(TARGETS)
 
 help:  ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -32,12 +34,18 @@
 
 test: lint types unit  ## everything CI asks for
 
+bench-leases: venv  ## leases against local shares and a central count
+	$(BIN)/python -m lab.lease_bench
+
 bench-ownership: venv  ## processor time and memory of owned calls, appended to benchmarks/
 	$(BIN)/python -m lab.ownership_bench
 
 drain-trial: venv  ## a node stopped in the middle of its streams and calls
 	$(BIN)/python -m lab.drain_trial
 
+bench-scale: venv  ## cost of control as the fleet grows, appended to benchmarks/
+	$(BIN)/python -m lab.scale_bench
+
 bench-relay: venv  ## processor time of a relayed token, appended to benchmarks/
 	$(BIN)/python -m lab.relay_bench
 
@@ -55,3 +63,6 @@
 
 trials: venv  ## nine nodes under failures, promises counted
 	$(BIN)/python -m lab.trials
+
+bench-policy: venv  ## decisions under load; QUICK=1 for a few short runs
+	$(BIN)/python -m lab.policy_bench $(if $(QUICK),--quick)
--- a/chicoryshunt/process/tenures.py
+++ b/chicoryshunt/process/tenures.py
@@ -23,15 +23,13 @@
         panels: Panels,
         times: LeaseTimes,
         started: float,
-        epoch: int,
         find_bearing: FindBearing,
     ) -> None:
-        """Start without leases; claims are numbered from the epoch on."""
+        """Start without leases."""
         self._own = own
         self._panels = panels
         self._times = times
         self._started = started
-        self._epoch = epoch
         self._find_bearing = find_bearing
         self._tenures: dict[TargetId, Tenure] = {}
 
@@ -106,11 +104,11 @@
     def build_claims(self, now: float) -> dict[VmId, list[Claim]]:
         """Return the claims that are due, by keeper."""
         soon = now + self._times.interval / 2
-        due = {
+        due = dict.fromkeys(
             tenure.keeper
             for tenure in self._tenures.values()
             if tenure.next_claim <= now
-        }
+        )
         return {
             keeper: self._claim_of(keeper, soon, now)
             for keeper in due
@@ -150,7 +148,6 @@
                 target,
                 ballot,
                 self._times,
-                self._epoch,
                 self._started + self._find_bearing(target).run_seconds,
             )
             self._tenures[target] = tenure
