Check the nine promises inside the program, and mend three faults

Purpose: the module of invariants had a frame and one use. Each promise is now checked where a node can see it, independently of the logic that keeps it, and a broken one is logged, metered and refused:

- token_once: the reader counts what it passes on (TokenSequence) and drops a token that is not the next one; a sink that has sent tokens of another generation takes no other.
- whole_answer: the index of the end event must equal the tokens passed on.
- true_refusal: no not_run after tokens, after a doubtful attempt of a call or after a lost start of a generation.
- start_limit: a slot needs a live lease after it was taken; a keeper's grants together stay within the limit.
- at_most_once: nothing begins that runs or is recorded.
- graceful_stop: a departure ends with nothing running; it also waits for what began during the hand-off.
- version_rises: a version or position that falls is not announced.

Counts per token stay in a local integer and are flushed at the end of a relay.

Now a refusal never replaces a doubt. 2. Router.hold went on with a call without a slot when the lease had ended between the choice and the write (a pause in between). Calls now take the slot and ask the guard at the write, and are refused not_run. 3. The check of at_most_once passed the field "name", which the logging module rejects with KeyError: the check raised exactly when it was needed. Ruled out elsewhere by a search for reserved names.

Conclusion: each check has a test in which the logic under it is broken and the check alone keeps the promise.

--- a/chicoryshunt/process/assembly.py
+++ b/chicoryshunt/process/assembly.py
@@ -14,6 +14,7 @@
 from chicoryshunt.process.forwarding import SUBMIT, Forwarder
 from chicoryshunt.process.grants import Mint, Origin
 from chicoryshunt.process.holdings import Holdings
+from chicoryshunt.process.invariants import Invariants
 from chicoryshunt.process.owned_calls import OwnedCalls
 from chicoryshunt.process.owned_generations import OwnedGenerations
 from chicoryshunt.process.ownership import Owner
@@ -66,6 +67,7 @@
         ServiceTargets(state),
         TargetSender(),
         ServiceRetries(state),
+        Invariants(state.metrics),
     )
     owned = OwnedCalls(
         state,
--- a/chicoryshunt/process/calls.py
+++ b/chicoryshunt/process/calls.py
@@ -1,7 +1,7 @@
 """The HTTP interface of plain services."""
 
-from collections.abc import Collection
-from contextlib import AbstractContextManager
+from collections.abc import Collection, Iterator
+from contextlib import contextmanager
 from typing import Any
 
 from chicoryshunt.connection.caller_api import (
@@ -11,6 +11,7 @@
     TEAM_HEADER,
 )
 from chicoryshunt.connection.exchange import Exchange
+from chicoryshunt.process.allowance import Shortage, Slot
 from chicoryshunt.process.answers import Answers
 from chicoryshunt.process.drain import Drain
 from chicoryshunt.process.forwarding import (
@@ -38,12 +39,15 @@
     IdempotencyKey,
     Reason,
     RequestId,
+    Seconds,
     ServiceId,
     TargetId,
     TeamId,
 )
 from chicoryshunt.verdict import Verdict, refuse
 
+_RETRY_SECONDS = Seconds(1)
+
 
 class ServiceTargets:
     """Targets of plain services, by the node's router."""
@@ -60,9 +64,30 @@
         """Return a target that was not tried yet."""
         return self._state.route(service, tried)
 
-    def hold(self, chosen: Any) -> AbstractContextManager[None]:
-        """Count a call on its target while it runs."""
-        return self._state.router.hold(chosen)
+    @contextmanager
+    def hold(self, chosen: Any) -> Iterator[Verdict | None]:
+        """Take a slot for a call; yield why it may not be written."""
+        with self._state.router.hold(chosen) as slot:
+            yield self._find_refusal(chosen, slot)
+
+    def _find_refusal(
+        self,
+        chosen: Route,
+        slot: Slot | Shortage,
+    ) -> Verdict | None:
+        if not self._state.guard.may_write(chosen.target):
+            return refuse(
+                Reason.no_target,
+                f'{chosen.target} takes no new work',
+                _RETRY_SECONDS,
+            )
+        if isinstance(slot, Shortage):
+            return refuse(
+                Reason.overloaded,
+                f'{chosen.target}: {slot.value}',
+                _RETRY_SECONDS,
+            )
+        return None
 
 
 class CallApi:
--- a/chicoryshunt/process/configuration.py
+++ b/chicoryshunt/process/configuration.py
@@ -4,6 +4,7 @@
 
 from chicoryshunt.events import log_event, log_problem
 from chicoryshunt.process.config_forks import Forks
+from chicoryshunt.process.invariants import Invariants, Promise
 from chicoryshunt.process.metrics import Metrics
 from chicoryshunt.types import ConfigVersion, Digest
 from chicoryshunt.version.chain import Head, Relation
@@ -24,6 +25,7 @@
         self.forks = Forks(metrics)
         self.is_confirmed = True
         self._metrics = metrics
+        self._invariants = Invariants(metrics)
         self._subscribers: list[Subscriber] = []
 
     @property
@@ -115,6 +117,8 @@
         config = self.current
         if config is None or self.head == before:
             return
+        if not self._is_later(before):
+            return
         for ruling in self.rulings:
             if ruling.position > before.position:
                 self._log(ruling)
@@ -138,6 +142,16 @@
             for notify in self._subscribers:
                 notify(config)
 
+    def _is_later(self, before: Head) -> bool:
+        head = self.head
+        return self._invariants.check(
+            Promise.version_rises,
+            head.version >= before.version and head.position > before.position,
+            version=head.version,
+            position=head.position,
+            before=before.version,
+        )
+
     def _log(self, ruling: Ruling) -> None:
         match ruling:
             case Accepted(position=position, version=version):
--- a/chicoryshunt/process/drain.py
+++ b/chicoryshunt/process/drain.py
@@ -9,6 +9,7 @@
 from chicoryshunt.events import log_event, log_problem
 from chicoryshunt.process.handoff import Handoff, HandoffState, SealedRecords
 from chicoryshunt.process.holdings import PartAnswer, TablePart
+from chicoryshunt.process.invariants import Invariants, Promise
 from chicoryshunt.process.members import Members
 from chicoryshunt.process.metrics import Metrics
 from chicoryshunt.process.ownership import Owner
@@ -79,6 +80,7 @@
         self._announce = announce
         self._transfer = transfer
         self._metrics = metrics
+        self._invariants = Invariants(metrics)
         self._begun = asyncio.Event()
         self._leaving: asyncio.Task[None] | None = None
 
@@ -101,19 +103,39 @@
         assert self._leaving is not None
         await self._leaving
 
+    @property
+    def _is_busy(self) -> bool:
+        return bool(self._drain.running or self._owner.running)
+
     async def _leave(self, cause: str) -> None:
         self._enter(DrainState.draining, cause)
         self._owner.seal()
         self._announce()
-        while self._drain.running or self._owner.running:
-            await self._drain.wait_idle()
-            await self._owner.wait_idle()
+        await self._wait_idle()
         self._enter(DrainState.handing_off, cause)
         self._owner.holdings.is_closed = True
         for sealed in self._owner.list_sealed():
             await self._transfer.hand_off(sealed)
+        await self._end()
         self._enter(DrainState.done, cause)
 
+    async def _end(self) -> None:
+        """Wait for what began while the tables were handed off."""
+        await self._wait_idle()
+        is_idle = self._invariants.check(
+            Promise.graceful_stop,
+            not self._is_busy,
+            running=self._drain.running,
+            owned=self._owner.running,
+        )
+        if not is_idle:
+            await self._wait_idle()
+
+    async def _wait_idle(self) -> None:
+        while self._is_busy:
+            await self._drain.wait_idle()
+            await self._owner.wait_idle()
+
     def _enter(self, state: DrainState, cause: str) -> None:
         self._drain.state = state
         log_event(
--- a/chicoryshunt/process/fleet.py
+++ b/chicoryshunt/process/fleet.py
@@ -14,6 +14,7 @@
 from chicoryshunt.process.claims import LeaseTimes
 from chicoryshunt.process.core import Core
 from chicoryshunt.process.driver import drive_cores
+from chicoryshunt.process.invariants import Invariants
 from chicoryshunt.process.leases import Leases
 from chicoryshunt.process.links import Links
 from chicoryshunt.process.loads import LoadReader
@@ -58,6 +59,7 @@
             build_times(settings.leases),
             self.bearings.find,
             self.pulse.check(),
+            Invariants(metrics),
         )
         self.loads = LoadReader(self.leases.keeping, self.pulse)
         self.watch.subscribe(self.leases.learn_vms)
--- a/chicoryshunt/process/generations.py
+++ b/chicoryshunt/process/generations.py
@@ -16,6 +16,7 @@
 )
 from chicoryshunt.connection.exchange import Exchange
 from chicoryshunt.events import log_event, log_problem
+from chicoryshunt.process.invariants import Invariants
 from chicoryshunt.process.owned_generations import OwnedGenerations
 from chicoryshunt.process.router import Route
 from chicoryshunt.process.seal import Purpose, Seal
@@ -67,6 +68,7 @@
     def __init__(self, state: NodeState, owned: OwnedGenerations) -> None:
         """Serve with the state of the node."""
         self._owned = owned
+        invariants = Invariants(state.metrics)
         settings = state.settings
         self._state = state
         self._client = HttpClient(keeps_connections=False)
@@ -76,7 +78,7 @@
             Incarnation(0),
             Purpose.token,
         ).sign
-        self._relay = _build_relay(settings)
+        self._relay = _build_relay(settings, invariants)
         self._builder = GenerationBuilder(
             settings.vm,
             self._relay,
@@ -87,6 +89,8 @@
             self._builder,
             state.scheduler,
             state.journal,
+            state.guard,
+            invariants,
         )
         self._budget = HoldBudget(
             settings.limits.whole_buffer_bytes,
@@ -236,7 +240,7 @@
         return RequestId(f'{self._state.settings.vm}-{self._requests}')
 
 
-def _build_relay(settings: Settings) -> Relay:
+def _build_relay(settings: Settings, invariants: Invariants) -> Relay:
     return Relay(
         StallWatch(),
         Handovers(),
@@ -245,6 +249,7 @@
             settings.limits.stream_buffer_bytes,
             settings.limits.caller_grace_seconds,
         ),
+        invariants,
     )
 
 
--- a/chicoryshunt/process/invariants.py
+++ b/chicoryshunt/process/invariants.py
@@ -29,19 +29,31 @@
 
     def check(self, promise: Promise, holds: bool, **fields: object) -> bool:
         """Say whether the promise holds; the caller refuses if not."""
-        self._metrics.count(
+        self.record(promise, 1, int(not holds), **fields)
+        return holds
+
+    def record(
+        self,
+        promise: Promise,
+        checks: int,
+        broken: int,
+        **fields: object,
+    ) -> None:
+        """Report checks that were counted where they were made."""
+        self._metrics.add(
             'invariant_checks',
             'Checks of promises',
+            checks,
             promise=promise.value,
         )
-        if not holds:
-            self._metrics.count(
+        if broken:
+            self._metrics.add(
                 'invariant_broken',
                 'Broken promises',
+                broken,
                 promise=promise.value,
             )
             log_problem('invariant_broken', promise=promise.value, **fields)
-        return holds
 
     def count_checks(self, promise: Promise) -> int:
         """Return how often a promise was checked."""
--- a/chicoryshunt/process/keeping.py
+++ b/chicoryshunt/process/keeping.py
@@ -5,6 +5,7 @@
 from chicoryshunt.connection.target_api import LoadReport
 from chicoryshunt.events import log_event
 from chicoryshunt.process.claims import Claim, Grant, LeaseTimes, Release
+from chicoryshunt.process.invariants import Invariants
 from chicoryshunt.process.ledger import Ledger
 from chicoryshunt.process.tenures import FindBearing
 from chicoryshunt.types import TargetId, VmId
@@ -18,11 +19,13 @@
         times: LeaseTimes,
         epoch: int,
         find_bearing: FindBearing,
+        invariants: Invariants,
     ) -> None:
         """Start without targets; epochs grow from the given one."""
         self._times = times
         self._epoch = epoch
         self._find_bearing = find_bearing
+        self._invariants = invariants
         self._ledgers: dict[TargetId, Ledger] = {}
 
     def __iter__(self) -> Iterator[Ledger]:
@@ -45,7 +48,12 @@
         for added in sorted(wanted - self._ledgers.keys()):
             self._epoch += 1
             log_event('target_kept', target=added, epoch=self._epoch)
-            self._ledgers[added] = Ledger(added, self._times, self._epoch)
+            self._ledgers[added] = Ledger(
+                added,
+                self._times,
+                self._epoch,
+                self._invariants,
+            )
 
     def claim(
         self,
--- a/chicoryshunt/process/leases.py
+++ b/chicoryshunt/process/leases.py
@@ -14,6 +14,7 @@
     Release,
 )
 from chicoryshunt.process.core import Message, Send
+from chicoryshunt.process.invariants import Invariants
 from chicoryshunt.process.keeping import Keeping
 from chicoryshunt.process.membership import Membership
 from chicoryshunt.process.panels import Panel, Panels
@@ -39,6 +40,7 @@
         times: LeaseTimes,
         find_bearing: FindBearing,
         now: float,
+        invariants: Invariants,
     ) -> None:
         """Start without targets and without leases."""
         epoch = membership.incarnation
@@ -50,8 +52,9 @@
             times,
             now,
             find_bearing,
+            invariants,
         )
-        self.keeping = Keeping(times, epoch, find_bearing)
+        self.keeping = Keeping(times, epoch, find_bearing, invariants)
         self._epoch = epoch
         self._membership = membership
 
--- a/chicoryshunt/process/ledger.py
+++ b/chicoryshunt/process/ledger.py
@@ -17,6 +17,7 @@
     Release,
 )
 from chicoryshunt.process.holders import Holder
+from chicoryshunt.process.invariants import Invariants, Promise
 from chicoryshunt.process.orphans import Orphan, Orphans
 from chicoryshunt.process.sharing import share_slots, spread_evenly
 from chicoryshunt.process.votes import Vote, Votes
@@ -47,7 +48,13 @@
 class Ledger:
     """Grants at most what the votes of the panel are worth."""
 
-    def __init__(self, target: TargetId, times: LeaseTimes, epoch: int) -> None:
+    def __init__(
+        self,
+        target: TargetId,
+        times: LeaseTimes,
+        epoch: int,
+        invariants: Invariants,
+    ) -> None:
         """Start without votes; answers are numbered apart for each epoch."""
         self.target = target
         self.epoch = epoch
@@ -58,6 +65,7 @@
         self._accounts = Accounts()
         self._urgent_account = 0
         self._times = times
+        self._invariants = invariants
         self._answer = Random(epoch).getrandbits(_ANSWER_BITS)
         self._load: LoadReport | None = None
         self._load_at: float = 0
@@ -107,7 +115,8 @@
         for holder in tuple(self.holders.values()):
             if holder.expires <= now:
                 self._lose(holder, now)
-        while self._reports and self._is_settled(now):
+        settled = now - self._times.term
+        while self._reports and self._reports[0][0] <= settled:
             fetched, running = self._reports.popleft()
             self._settle(fetched, running)
         if now >= self._trim_at:
@@ -223,6 +232,8 @@
             self._register(holder, needed)
             bound = self._find_bound(holder, now)
         slots = max(0, min(target, holder.occupied + free, bound))
+        if not self._may_grant(holder, slots):
+            slots = min(slots, holder.occupied)
         self._answer += 1
         holder.answer(self._answer, slots, now)
         holder.account_told = self._accounts.number
@@ -240,6 +251,18 @@
             is_clear=self._is_clear(holder),
         )
 
+    def _may_grant(self, holder: Holder, slots: int) -> bool:
+        """Say whether all holders together stay within the limit."""
+        raised = slots - holder.occupied
+        total = self.count_occupied() + raised
+        return self._invariants.check(
+            Promise.start_limit,
+            raised <= 0 or total <= self.bearing.limit,
+            target=self.target,
+            granted=total,
+            limit=self.bearing.limit,
+        )
+
     def _is_clear(self, holder: Holder) -> bool:
         """Say whether nothing is left of the VM's earlier process."""
         vote = self._votes.find(holder.vm)
@@ -298,9 +321,6 @@
     def _is_voting(self, vm: VmId) -> bool:
         return self._votes.find(vm) is not None
 
-    def _is_settled(self, now: float) -> bool:
-        return now - self._reports[0][0] >= self._times.term
-
     def _settle(self, fetched: float, running: int) -> None:
         start = fetched - self._times.load_lag
         known = sum(
--- a/chicoryshunt/process/ownership.py
+++ b/chicoryshunt/process/ownership.py
@@ -166,11 +166,8 @@
         ask = request.ask
         match self._table.arrive(ask, now):
             case Begin():
-                self._invariants.check(
-                    Promise.at_most_once,
-                    ask.name not in self._runs,
-                    name=ask.name.hex(),
-                )
+                if not self._may_begin(ask):
+                    return doubt_begun()
                 running = asyncio.ensure_future(self._run(ask, run))
                 self._runs[ask.name] = running
                 return await asyncio.shield(running)
@@ -179,6 +176,17 @@
             case Done(outcome):
                 return outcome
 
+    def _may_begin(self, ask: Ask) -> bool:
+        is_running = ask.name in self._runs
+        may_begin = self._invariants.check(
+            Promise.at_most_once,
+            not is_running and not self._table.has_ended(ask.name),
+            request=ask.name.hex(),
+        )
+        if not may_begin and not is_running:
+            self._table.withdraw(ask.name)
+        return may_begin
+
     def _answer_held(self, request: OwnedRequest, now: float) -> CallOutcome:
         table = self.holdings.find(request.origin)
         if table is None:
@@ -247,6 +255,13 @@
     )
 
 
+def doubt_begun() -> NoAnswer:
+    """Say that a request was about to begin a second time."""
+    return NoAnswer(
+        doubt(Reason.internal_error, 'the request has begun before'),
+    )
+
+
 def refuse_draining() -> NoAnswer:
     """Refuse new work on a node that is leaving."""
     return NoAnswer(
--- a/chicoryshunt/process/records.py
+++ b/chicoryshunt/process/records.py
@@ -142,6 +142,14 @@
         heapq.heappush(self._expiries, (expires, name))
         return final
 
+    def has_ended(self, name: RequestName) -> bool:
+        """Say whether a request is recorded as ended."""
+        return name in self._ended
+
+    def withdraw(self, name: RequestName) -> None:
+        """Forget that a request was to begin."""
+        self._running.pop(name, None)
+
     def forget(self, now: float) -> None:
         """Drop the records that no arrival can need any more."""
         while self._expiries and self._expiries[0][0] <= now:
--- a/chicoryshunt/process/router.py
+++ b/chicoryshunt/process/router.py
@@ -5,7 +5,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass
 
-from chicoryshunt.process.allowance import Allowances, Slot
+from chicoryshunt.process.allowance import Allowances, Shortage, Slot
 from chicoryshunt.process.pause import Pulse
 from chicoryshunt.types import (
     DataCentreId,
@@ -73,12 +73,12 @@
         )
 
     @contextmanager
-    def hold(self, route: Route) -> Iterator[None]:
-        """Count a request on its target while it runs."""
+    def hold(self, route: Route) -> Iterator[Slot | Shortage]:
+        """Count a request on its target while it runs, with its slot."""
         slot = self._allowances.take(route.target, 0, self._pulse.check())
         self._running[route.target] += 1
         try:
-            yield
+            yield slot
         finally:
             self._running[route.target] -= 1
             if isinstance(slot, Slot):
--- a/chicoryshunt/process/starter.py
+++ b/chicoryshunt/process/starter.py
@@ -7,20 +7,32 @@
 
 from chicoryshunt.connection.client import HttpClient
 from chicoryshunt.connection.engine_link import EngineLink
+from chicoryshunt.process.invariants import Invariants, Promise
 from chicoryshunt.process.journal import Journal
 from chicoryshunt.process.policy.budget import Denial, Granted, RetryBudget
 from chicoryshunt.process.policy.dispatcher import Stop
 from chicoryshunt.process.router import Route
 from chicoryshunt.process.scheduler import Permit, Scheduler
+from chicoryshunt.process.write_guard import WriteGuard
 from chicoryshunt.request.generation import Generation, Outcome, Relay
 from chicoryshunt.request.order import GenerationRequest, build_order
 from chicoryshunt.request.resume_token import ResumeToken, encode_token
 from chicoryshunt.request.sink import Sink
-from chicoryshunt.types import GenerationId, Reason, TargetId, VmId
-from chicoryshunt.verdict import Verdict
+from chicoryshunt.types import (
+    GenerationId,
+    Reason,
+    RunState,
+    Seconds,
+    TargetId,
+    VmId,
+)
+from chicoryshunt.verdict import Verdict, refuse
 
 _MAX_STARTS = 3
-_CALLER_REASONS = frozenset((Reason.cancelled, Reason.resumed_elsewhere))
+_RETRY_SECONDS = Seconds(1)
+_KEPT_TARGET_REASONS = frozenset(
+    (Reason.cancelled, Reason.no_target, Reason.resumed_elsewhere),
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +71,12 @@
     outcome: Outcome
     target: TargetId | None = None
 
+    @property
+    def is_refusal(self) -> bool:
+        """Say whether the caller is told that it did not run."""
+        verdict = self.outcome.verdict
+        return verdict is not None and verdict.run is RunState.not_run
+
 
 class Starter:
     """Starts generations under permits and restarts what was lost."""
@@ -68,11 +86,15 @@
         builder: GenerationBuilder,
         scheduler: Scheduler,
         journal: Journal,
+        guard: WriteGuard,
+        invariants: Invariants,
     ) -> None:
         """Start with full retry budgets."""
         self._builder = builder
         self._scheduler = scheduler
         self._journal = journal
+        self._guard = guard
+        self._invariants = invariants
         self._budget = RetryBudget()
 
     async def start(
@@ -90,9 +112,18 @@
                 break
             sink.discard()
             again = await self._start_once(wanted, sink)
+            self._check_refusal(attempt, again)
             attempt = _choose_attempt(attempt, again)
         return attempt
 
+    def _check_refusal(self, first: Attempt, again: Attempt) -> None:
+        chosen = _choose_attempt(first, again)
+        self._invariants.check(
+            Promise.true_refusal,
+            first.is_refusal or not chosen.is_refusal,
+            target=first.target,
+        )
+
     def _may_restart(
         self,
         wanted: GenerationRequest,
@@ -138,12 +169,28 @@
         )
         generation = self._builder.build(permit.route, sink, token)
         permit.read_position = lambda: generation.position
-        outcome = await generation.start(build_order(wanted))
+        outcome = await self._write(permit, generation, wanted)
         permit.stop = _classify_stop(outcome)
         if permit.stop is Stop.lost:
             self._scheduler.record_loss(permit.route.target)
         return outcome
 
+    async def _write(
+        self,
+        permit: Permit,
+        generation: Generation,
+        wanted: GenerationRequest,
+    ) -> Outcome:
+        target = permit.route.target
+        if self._guard.may_write(target):
+            return await generation.start(build_order(wanted))
+        refusal = refuse(
+            Reason.no_target,
+            f'{target} takes no new work',
+            _RETRY_SECONDS,
+        )
+        return Outcome(0, '', refusal, delivered=False)
+
     def _note_end(self, permit: Permit, outcome: Outcome) -> None:
         self._journal.note(
             permit.request,
@@ -163,14 +210,15 @@
 def _classify_stop(outcome: Outcome) -> Stop:
     if outcome.verdict is None:
         return Stop.ended if outcome.ending == 'stop' else Stop.bounded
-    if outcome.verdict.reason in _CALLER_REASONS:
+    if outcome.verdict.reason in _KEPT_TARGET_REASONS:
         return Stop.cancelled
     return Stop.lost
 
 
 def _choose_attempt(first: Attempt, again: Attempt) -> Attempt:
-    """Keep what was lost when the restart was not even admitted.
+    """Keep what was lost when the restart was refused.
 
     The first try may have run, so the refusal of the second is no answer.
     """
-    return first if again.target is None else again
+    is_doubted = again.is_refusal and not first.is_refusal
+    return first if again.target is None or is_doubted else again
--- a/chicoryshunt/process/state.py
+++ b/chicoryshunt/process/state.py
@@ -19,6 +19,7 @@
 from chicoryshunt.process.router import Route, Router
 from chicoryshunt.process.scheduler import Scheduler
 from chicoryshunt.process.warmths import Warmths
+from chicoryshunt.process.write_guard import WriteGuard
 from chicoryshunt.settings import Settings
 from chicoryshunt.types import (
     ConfigVersion,
@@ -81,6 +82,7 @@
             allowed,
             self.fleet.pulse,
         )
+        self.guard = WriteGuard(self.fleet.pulse, self.metrics)
         self.clock = SystemClock()
         self.journal = Journal(self.clock, self.metrics)
         self.scheduler = Scheduler(
@@ -99,6 +101,7 @@
         self.fleet.watch_warmth(self.warmths)
         self.configuration.subscribe(self.warmths.learn)
         self.configuration.subscribe(self.fleet.learn_config)
+        self.configuration.subscribe(self.guard.learn)
         self.configuration.subscribe(self.scheduler.apply)
         self.orders = Orders(
             settings.vm,
--- a/chicoryshunt/process/tenures.py
+++ b/chicoryshunt/process/tenures.py
@@ -5,6 +5,7 @@
 from chicoryshunt.process.allowance import Shortage, Slack, Slot
 from chicoryshunt.process.ballot import Ballot
 from chicoryshunt.process.claims import Claim, Grant, LeaseTimes, Release
+from chicoryshunt.process.invariants import Invariants, Promise
 from chicoryshunt.process.ledger import Bearing
 from chicoryshunt.process.panels import Panel, Panels
 from chicoryshunt.process.tenure import Tenure
@@ -24,6 +25,7 @@
         times: LeaseTimes,
         started: float,
         find_bearing: FindBearing,
+        invariants: Invariants,
     ) -> None:
         """Start without leases."""
         self._own = own
@@ -31,6 +33,7 @@
         self._times = times
         self._started = started
         self._find_bearing = find_bearing
+        self._invariants = invariants
         self._tenures: dict[TargetId, Tenure] = {}
 
     def __iter__(self) -> Iterator[tuple[TargetId, Tenure]]:
@@ -61,7 +64,11 @@
         tenure = self._tenures.get(target)
         if tenure is None:
             return Shortage.no_lease
-        return tenure.take(memory_tokens, now)
+        slot = tenure.take(memory_tokens, now)
+        if isinstance(slot, Slot) and not self._is_leased(tenure, target, now):
+            tenure.usage.give_back(slot)
+            return Shortage.no_lease
+        return slot
 
     def give_back(self, slot: Slot, now: float) -> None:
         """Return a slot when its request has left the target."""
@@ -132,6 +139,19 @@
         for tenure in self._tenures.values():
             tenure.wake(now)
 
+    def _is_leased(
+        self,
+        tenure: Tenure,
+        target: TargetId,
+        now: float,
+    ) -> bool:
+        return self._invariants.check(
+            Promise.start_limit,
+            tenure.running <= tenure.count_slots(now),
+            target=target,
+            running=tenure.running,
+        )
+
     def _claim_of(self, keeper: VmId, soon: float, now: float) -> list[Claim]:
         return [
             tenure.claim(now)
--- a/chicoryshunt/request/assembler.py
+++ b/chicoryshunt/request/assembler.py
@@ -28,6 +28,7 @@
     generation: GenerationId
     next_index: int = 0
     ending: str = ''
+    end_index: int = -1
 
     def accept(self, event: StreamEvent) -> Arrival:
         """Classify an event and move the position past fresh tokens.
@@ -54,4 +55,5 @@
         if event.i < self.next_index:
             return Arrival.duplicate
         self.ending = event.end
+        self.end_index = event.i
         return Arrival.end
--- a/chicoryshunt/request/call.py
+++ b/chicoryshunt/request/call.py
@@ -18,6 +18,7 @@
     read_body,
 )
 from chicoryshunt.connection.target_api import decode_not_accepted
+from chicoryshunt.process.invariants import Invariants, Promise
 from chicoryshunt.request.outcome import CallOutcome, NoAnswer, TargetAnswer
 from chicoryshunt.types import (
     IdempotencyKey,
@@ -67,8 +68,8 @@
     ) -> Destination | Verdict:
         """Return a target that was not tried yet."""
 
-    def hold(self, chosen: Any) -> AbstractContextManager[None]:
-        """Count a call on its target while it runs."""
+    def hold(self, chosen: Any) -> AbstractContextManager[Verdict | None]:
+        """Count a call while it runs; yield why it may not be written."""
 
 
 class Sender(Protocol):
@@ -131,11 +132,13 @@
         targets: Targets,
         sender: Sender,
         retries: Retries,
+        invariants: Invariants,
     ) -> None:
         """Choose among targets and ask the budget before each retry."""
         self._targets = targets
         self._sender = sender
         self._retries = retries
+        self._invariants = invariants
 
     async def run(
         self,
@@ -148,18 +151,40 @@
         while attempts.may_go_on(call.team, self._retries):
             chosen = self._targets.choose(call.service, attempts.tried)
             if isinstance(chosen, Verdict):
-                return NoAnswer(attempts.conclude(chosen))
-            with self._targets.hold(chosen):
-                outcome = await self._sender.send(
-                    chosen.address,
-                    call,
-                    key,
-                    attempts.bound_next(),
-                )
+                return self._conclude(attempts, chosen)
+            outcome = await self._attempt(
+                chosen,
+                call,
+                key,
+                attempts.bound_next(),
+            )
             if isinstance(outcome, TargetAnswer):
                 return outcome
             attempts.note(chosen.target, outcome.verdict)
-        return NoAnswer(attempts.conclude(None))
+        return self._conclude(attempts, None)
+
+    async def _attempt(
+        self,
+        chosen: Destination,
+        call: PlainCall,
+        key: IdempotencyKey,
+        rules: CallRules,
+    ) -> CallOutcome:
+        with self._targets.hold(chosen) as refusal:
+            if refusal is not None:
+                return NoAnswer(refusal)
+            return await self._sender.send(chosen.address, call, key, rules)
+
+    def _conclude(
+        self,
+        attempts: '_Attempts',
+        refusal: Verdict | None,
+    ) -> NoAnswer:
+        verdict = attempts.conclude(refusal)
+        is_true = verdict.run is not RunState.not_run or not attempts.has_doubt
+        if self._invariants.check(Promise.true_refusal, is_true):
+            return NoAnswer(verdict)
+        return NoAnswer(doubt(Reason.internal_error, verdict.detail))
 
 
 class TargetSender:
@@ -241,6 +266,14 @@
         self._loop = asyncio.get_running_loop()
         self._deadline = self._loop.time() + rules.seconds
 
+    @property
+    def has_doubt(self) -> bool:
+        """Say whether any attempt may have run."""
+        return any(
+            verdict.run is not RunState.not_run
+            for verdict in self.tried.values()
+        )
+
     def may_go_on(self, team: TeamId, retries: Retries) -> bool:
         """Say whether another target may be tried."""
         if not self.tried:
@@ -248,7 +281,7 @@
             return True
         if len(self.tried) >= MAX_ATTEMPTS or self._remaining() <= 0:
             return False
-        if self._has_doubt() and not self._rules.is_repeatable:
+        if self.has_doubt and not self._rules.is_repeatable:
             return False
         return retries.may_retry(team)
 
@@ -273,9 +306,3 @@
 
     def _remaining(self) -> float:
         return self._deadline - self._loop.time()
-
-    def _has_doubt(self) -> bool:
-        return any(
-            verdict.run is not RunState.not_run
-            for verdict in self.tried.values()
-        )
--- a/chicoryshunt/request/generation.py
+++ b/chicoryshunt/request/generation.py
@@ -9,10 +9,12 @@
 from chicoryshunt.connection.engine_link import EngineStream, ResumeFailure
 from chicoryshunt.connection.target_api import GenerateOrder
 from chicoryshunt.events import log_event
+from chicoryshunt.process.invariants import Invariants, Promise
 from chicoryshunt.request.assembler import Assembler
 from chicoryshunt.request.cancels import Cancels, Engine
 from chicoryshunt.request.handover import Handovers
 from chicoryshunt.request.reader import Stop, StreamReader
+from chicoryshunt.request.sequence import TokenSequence, check_end
 from chicoryshunt.request.sink import Sink
 from chicoryshunt.request.stall import StallWatch
 from chicoryshunt.request.valve import Pausable
@@ -71,6 +73,7 @@
     handovers: Handovers
     cancels: Cancels
     limits: RelayLimits
+    invariants: Invariants
 
 
 class Generation:
@@ -89,6 +92,7 @@
         self._sink = sink
         self._make_token = make_token
         self._assembler = Assembler(GenerationId(''))
+        self._passed = TokenSequence()
         self._failures = 0
         self._progressed = asyncio.get_running_loop().time()
 
@@ -106,7 +110,7 @@
 
     async def resume(self, generation: GenerationId, index: int) -> Outcome:
         """Relay the rest of a generation that was started before."""
-        self._assembler = Assembler(generation, index)
+        self._begin(generation, index)
         stream = await self._reconnect('caller')
         if isinstance(stream, Verdict):
             return self._conclude(self._settle(stream))
@@ -114,7 +118,9 @@
 
     async def _relay_from(self, stream: EngineStream, index: int) -> Outcome:
         generation = stream.generation
-        self._assembler = Assembler(generation, index)
+        self._begin(generation, index)
+        if self._would_splice(generation):
+            return self._conclude(self._settle(self._judge_splice()))
         self._sink.announce(generation, self._make_token(generation))
         with self._relay.handovers.track(generation) as taken:
             follower = asyncio.ensure_future(self._follow(stream))
@@ -124,6 +130,24 @@
                 follower.cancel()
         return self._conclude(verdict)
 
+    def _begin(self, generation: GenerationId, index: int) -> None:
+        self._assembler = Assembler(generation, index)
+        self._passed = TokenSequence(index)
+
+    def _would_splice(self, generation: GenerationId) -> bool:
+        """Say whether the caller has tokens of another generation."""
+        return not self._relay.invariants.check(
+            Promise.token_once,
+            self._sink.may_announce(generation),
+            generation=generation,
+        )
+
+    def _judge_splice(self) -> Verdict:
+        return self._judge_loss(
+            Reason.internal_error,
+            'the answer has begun with another generation',
+        )
+
     async def _guard(
         self,
         follower: 'asyncio.Future[Verdict | None]',
@@ -218,6 +242,7 @@
     async def _read(self, stream: EngineStream) -> Stop:
         reader = StreamReader(
             self._assembler,
+            self._passed,
             self._sink,
             self._relay.limits.event_bytes,
         )
@@ -281,9 +306,10 @@
         )
 
     def _conclude(self, verdict: Verdict | None) -> Outcome:
+        invariants = self._relay.invariants
         return Outcome(
             self._assembler.next_index,
             self._assembler.ending,
-            verdict,
+            check_end(invariants, self._assembler, self._passed, verdict),
             self._sink.is_delivered,
         )
--- a/chicoryshunt/request/reader.py
+++ b/chicoryshunt/request/reader.py
@@ -14,6 +14,7 @@
     join_frames,
 )
 from chicoryshunt.request.assembler import Arrival, Assembler
+from chicoryshunt.request.sequence import TokenSequence
 from chicoryshunt.request.sink import Sink
 
 _DECODE = EventDecoder().decode
@@ -37,15 +38,17 @@
     def __init__(
         self,
         assembler: Assembler,
+        passed: TokenSequence,
         sink: Sink,
         max_event_bytes: int,
     ) -> None:
-        """Read into the given assembler."""
+        """Read into the given assembler; count what is passed on."""
         self.stopped: asyncio.Future[Stop] = (
             asyncio.get_running_loop().create_future()
         )
         self.heard = False
         self._assembler = assembler
+        self._passed = passed
         self._sink = sink
         self._buffer = FrameBuffer(max_event_bytes)
 
@@ -97,10 +100,15 @@
         start = self._assembler.next_index
         arrival = self._assembler.accept(event)
         if arrival is _FRESH:
+            if not self._passed.accept(event.i, len(event.t)):
+                return Stop.garbled
             fresh.append(frame)
             return None
         match arrival:
             case Arrival.overlap:
+                count = event.i + len(event.t) - start
+                if not self._passed.accept(start, count):
+                    return Stop.garbled
                 fresh.append(encode_tail(event, start))
             case Arrival.gap:
                 return Stop.gap
--- a/chicoryshunt/request/sink.py
+++ b/chicoryshunt/request/sink.py
@@ -56,6 +56,7 @@
         self._budget = budget
         self._held: list[bytes] = []
         self._held_bytes = 0
+        self._generation: GenerationId | None = None
 
     @property
     def is_delivered(self) -> bool:
@@ -71,8 +72,13 @@
         """Return when the caller's connection is lost."""
         await self._exchange.wait_gone()
 
+    def may_announce(self, generation: GenerationId) -> bool:
+        """Say whether tokens of a generation may follow what was sent."""
+        return not self.is_delivered or self._generation == generation
+
     def announce(self, generation: GenerationId, token: str) -> None:
         """Name the generation whose frames follow, and how to resume it."""
+        self._generation = generation
         self._exchange.set_header('content-type', 'text/event-stream')
         self._exchange.set_header('cache-control', 'no-store')
         self._exchange.set_header(GENERATION_HEADER, generation)
--- a/lab/lease_fleet.py
+++ b/lab/lease_fleet.py
@@ -8,9 +8,11 @@
 from chicoryshunt.connection.target_api import LoadReport
 from chicoryshunt.process.allowance import Shortage, Slack, Slot
 from chicoryshunt.process.claims import LeaseTimes
+from chicoryshunt.process.invariants import Invariants
 from chicoryshunt.process.leases import Leases
 from chicoryshunt.process.ledger import Bearing
 from chicoryshunt.process.membership import Membership
+from chicoryshunt.process.metrics import Metrics
 from chicoryshunt.process.roster import Roster
 from chicoryshunt.types import DataCentreId, Incarnation, TargetId, VmId
 from lab.network import Host, Network
@@ -55,11 +57,13 @@
             Random(fleet.starts),
             now,
         )
+        self.invariants = Invariants(Metrics())
         self.leases = Leases(
             self.membership,
             TIMES,
             fleet.find_bearing,
             now,
+            self.invariants,
         )
         self.learn(fleet.vms, now)
         self.leases.learn_targets(fleet.targets, {})
--- a/tests/relay_fakes.py
+++ b/tests/relay_fakes.py
@@ -16,6 +16,8 @@
     StreamEvent,
     TokenEvent,
 )
+from chicoryshunt.process.invariants import Invariants
+from chicoryshunt.process.metrics import Metrics
 from chicoryshunt.request.cancels import Cancels
 from chicoryshunt.request.generation import Generation, Relay, RelayLimits
 from chicoryshunt.request.handover import Handovers
@@ -232,6 +234,9 @@
     budget: HoldBudget | None = None
     caller: FakeExchange = field(default_factory=FakeExchange)
     handovers: Handovers = field(default_factory=Handovers)
+    invariants: Invariants = field(
+        default_factory=lambda: Invariants(Metrics()),
+    )
 
     def __post_init__(self) -> None:
         """Build the generation."""
@@ -241,6 +246,7 @@
             self.handovers,
             Cancels(),
             RelayLimits(EVENT_BYTES, GRACE_SECONDS),
+            self.invariants,
         )
         self.generation = Generation(
             relay,
--- a/tests/test_call.py
+++ b/tests/test_call.py
@@ -9,6 +9,8 @@
 import pytest
 from twisted.internet.protocol import Factory, Protocol
 
+from chicoryshunt.process.invariants import Invariants
+from chicoryshunt.process.metrics import Metrics
 from chicoryshunt.process.router import Route
 from chicoryshunt.request.call import (
     CallRules,
@@ -43,6 +45,7 @@
 
     count: int
     held: int = 0
+    refusals: dict[TargetId, Verdict] = field(default_factory=dict)
 
     def choose(
         self,
@@ -54,9 +57,9 @@
         return Route(TargetId(f't{len(tried)}'), f'host-{len(tried)}')
 
     @contextmanager
-    def hold(self, chosen: Any) -> Iterator[None]:
+    def hold(self, chosen: Any) -> Iterator[Verdict | None]:
         self.held += 1
-        yield
+        yield self.refusals.get(chosen.target)
         self.held -= 1
 
 
@@ -102,7 +105,7 @@
     sender = FakeSender(list(outcomes))
     budget = FakeRetries(retries)
     targets = FakeTargets(len(outcomes))
-    runner = CallRunner(targets, sender, budget)
+    runner = CallRunner(targets, sender, budget, Invariants(Metrics()))
     outcome = asyncio.run(runner.run(build_call(), _KEY, rules))
     assert not targets.held
     assert budget.first_tries == 1
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -12,6 +12,7 @@
     Drain,
     Transfer,
 )
+from chicoryshunt.process.invariants import Invariants, Promise
 from chicoryshunt.process.metrics import Metrics
 from chicoryshunt.process.records import Bounds
 from chicoryshunt.request.outcome import TargetAnswer
@@ -210,3 +211,25 @@
     assert leaving.count_handoffs('taken') == 2
     leaving.fleet.kill(_LEAVER)
     assert await leaving.file(_THIRD, token) == _ANSWER
+
+
+@on_virtual_loop
+async def test_busy_node_does_not_leave(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    leaving = Leaving()
+    wait = Departure._wait_idle
+    calls: list[Departure] = []
+
+    async def wait_late(departure: Departure) -> None:
+        calls.append(departure)
+        if len(calls) > 2:
+            await wait(departure)
+
+    monkeypatch.setattr(Departure, '_wait_idle', wait_late)
+    with leaving.drain.count():
+        leaving.departure.start('SIGTERM')
+        await asyncio.sleep(60)
+        assert leaving.state == 'handing_off'
+    await leaving.departure.wait()
+    assert Invariants(leaving.metrics).count_broken(Promise.graceful_stop) == 1
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -3,7 +3,9 @@
 from chicoryshunt.connection.target_api import LoadReport
 from chicoryshunt.process.allowance import Slack
 from chicoryshunt.process.claims import Claim, Excess, Grant, LeaseTimes
+from chicoryshunt.process.invariants import Invariants
 from chicoryshunt.process.ledger import Bearing, Ledger
+from chicoryshunt.process.metrics import Metrics
 from chicoryshunt.process.panel import Seat
 from chicoryshunt.types import TargetId, VmId
 
@@ -55,7 +57,7 @@
 
 
 def _build_ledger() -> Ledger:
-    ledger = Ledger(_TARGET, _TIMES, 1)
+    ledger = Ledger(_TARGET, _TIMES, 1, Invariants(Metrics()))
     ledger.bearing = Bearing(Slack(_LIMIT, 0), 600)
     return ledger
 
--- /dev/null
+++ b/tests/test_starter.py
@@ -0,0 +1,124 @@
+"""Tests of generations that are started again."""
+
+from dataclasses import dataclass, field
+from typing import Any, cast
+
+import pytest
+
+from chicoryshunt.connection.exchange import Exchange
+from chicoryshunt.process.invariants import Invariants, Promise
+from chicoryshunt.process.starter import GenerationBuilder, Starter
+from chicoryshunt.process.state import NodeState
+from chicoryshunt.request.generation import Outcome
+from chicoryshunt.request.order import GenerationBody, GenerationRequest
+from chicoryshunt.request.sink import Sink
+from chicoryshunt.settings import parse_settings
+from chicoryshunt.types import (
+    ModelId,
+    Reason,
+    RequestId,
+    RunState,
+    TeamId,
+)
+from chicoryshunt.verdict import Verdict, refuse
+from tests.builders import (
+    build_config,
+    build_settings_text,
+    build_state,
+    put_in_force,
+    take_out,
+)
+from tests.relay_fakes import FakeExchange
+from tests.virtual_loop import on_virtual_loop
+
+_UNREACHED = Outcome(
+    0,
+    '',
+    refuse(Reason.target_unreachable, 'refused'),
+    delivered=False,
+)
+_LOST = Outcome(
+    3,
+    '',
+    Verdict(RunState.ran, Reason.engine_lost, 'incomplete'),
+    delivered=False,
+)
+_WHOLE = Outcome(4, 'stop', None, delivered=True)
+_WANTED = GenerationRequest(
+    RequestId('r'),
+    TeamId('team-0'),
+    ModelId('kibitzer-llm'),
+    GenerationBody('prompt'),
+)
+
+
+@dataclass
+class FakeGeneration:
+    """A relay that ends as told."""
+
+    outcome: Outcome
+    position: int = 0
+
+    async def start(self, order: Any) -> Outcome:
+        return self.outcome
+
+
+@dataclass
+class FakeBuilder:
+    """Builds relays that end as told, one after the other."""
+
+    outcomes: list[Outcome]
+    vm: str = 'vm-1'
+    built: int = field(default=0)
+
+    def build(self, *_: Any) -> FakeGeneration:
+        self.built += 1
+        return FakeGeneration(self.outcomes[self.built - 1])
+
+
+def _build_node() -> NodeState:
+    state = build_state(parse_settings(build_settings_text(), 'settings'))
+    put_in_force(state, build_config(targets=3))
+    return state
+
+
+async def _start(state: NodeState, builder: FakeBuilder) -> Outcome:
+    starter = Starter(
+        cast(GenerationBuilder, builder),
+        state.scheduler,
+        state.journal,
+        state.guard,
+        Invariants(state.metrics),
+    )
+    sink = Sink(cast(Exchange, FakeExchange()))
+    attempt = await starter.start(_WANTED, sink, 1)
+    return attempt.outcome
+
+
+@pytest.mark.parametrize(
+    ('outcomes', 'ended'),
+    [
+        ((_UNREACHED, _WHOLE), _WHOLE),
+        ((_LOST, _WHOLE), _WHOLE),
+        ((_LOST, _UNREACHED, _UNREACHED), _LOST),
+    ],
+)
+@on_virtual_loop
+async def test_restart_keeps_what_ran(
+    outcomes: tuple[Outcome, ...],
+    ended: Outcome,
+) -> None:
+    state = _build_node()
+    assert await _start(state, FakeBuilder(list(outcomes))) == ended
+    assert not Invariants(state.metrics).count_broken(Promise.true_refusal)
+
+
+@on_virtual_loop
+async def test_generation_is_not_sent_to_what_is_out() -> None:
+    state = _build_node()
+    state.guard.learn(take_out(build_config(targets=3), 'data_centre'))
+    builder = FakeBuilder([_WHOLE])
+    outcome = await _start(state, builder)
+    assert outcome.verdict is not None
+    assert outcome.verdict.run is RunState.not_run
+    assert outcome.verdict.reason is Reason.no_target
