--- a/chicoryshunt/process/policy/warming.py
+++ b/chicoryshunt/process/policy/warming.py
@@ -27,6 +27,7 @@
     refusal = 'refusal'
     evidence = 'evidence'
     lost = 'lost'
+    returned = 'returned'
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +72,9 @@
     def declare(self, declared: Limit) -> None:
         """Take the limit that operators declare now."""
         grows = declared.slots > self._declared.slots
+        if not self._declared.slots:
+            self._slots = _find_first_slots(declared)
+            self.state = TargetState.starting
         self._declared = declared
         self._slots = min(self._slots, declared.slots)
         if grows and self.state is TargetState.warm:
@@ -88,6 +92,10 @@
         self._start = None
         return self._drop(TargetState.starting, Cause.lost)
 
+    def record_return(self) -> Change:
+        """Note that operators bring the target back."""
+        return self._drop(TargetState.starting, Cause.returned)
+
     def record_refusal(self, now: float) -> Change:
         """Note that the target did not accept a request."""
         self._rest_until = now + _REFUSAL_REST_SECONDS
@@ -132,7 +140,7 @@
         return self._move(TargetState.warming, Cause.evidence)
 
     def _drop(self, state: TargetState, cause: Cause) -> Change:
-        self._slots = _find_first_slots(self._declared)
+        self._slots = min(self._slots, _find_first_slots(self._declared))
         self._slow_steps = 0
         return self._move(state, cause)
 
--- a/chicoryshunt/process/scheduler.py
+++ b/chicoryshunt/process/scheduler.py
@@ -1,12 +1,14 @@
 """Admits generations to targets: waits, places and refuses."""
 
 import asyncio
+from collections import deque
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 from chicoryshunt.clock import Clock
 from chicoryshunt.process.allowance import Allowances, Shortage, Slot
+from chicoryshunt.process.headroom import Usual
 from chicoryshunt.process.journal import Journal
 from chicoryshunt.process.policy.book import Closed
 from chicoryshunt.process.policy.dispatcher import Dispatch, Dispatcher, Stop
@@ -33,6 +35,8 @@
 from chicoryshunt.version.config import Config, Team
 
 TICK_SECONDS = 0.05
+_OBSERVE_SECONDS = 0.4
+_HANDOVER_SECONDS = 5.0
 _RETRY_SECONDS = Seconds(1)
 
 
@@ -48,8 +52,10 @@
     model: ModelId
     route: Route
     slot: Slot
+    engine_priority: int = 0
     read_position: Callable[[], int] = field(default=int)
     stop: Stop = Stop.cancelled
+    is_handed_over: bool = False
 
 
 class Scheduler:
@@ -68,6 +74,7 @@
         self._clock = clock
         self._journal = journal
         self._config: Config | None = None
+        self._observe_at: float = 0
         self._estimator = LengthEstimator()
         self._dispatchers: dict[ModelId, Dispatcher] = {}
         self._queued: dict[
@@ -75,6 +82,7 @@
             asyncio.Future[Permit | Verdict],
         ] = {}
         self._permits: dict[RequestId, Permit] = {}
+        self._handed_over: deque[tuple[float, Slot]] = deque()
 
     def now(self) -> float:
         """Return the time that decisions are taken by, in seconds."""
@@ -107,6 +115,15 @@
         finally:
             self._give_back(permit)
 
+    @contextmanager
+    def adopt(self, target: TargetId) -> Iterator[None]:
+        """Count a request that another node started while it runs here."""
+        slot = self._allowances.adopt(target, self._clock.now())
+        try:
+            yield
+        finally:
+            self._allowances.give_back(slot, self._clock.now())
+
     async def admit(
         self,
         wanted: GenerationRequest,
@@ -129,6 +146,18 @@
             return refusal
         return await self._wait(wanted, wait_gone)
 
+    def find_usual(self, target: TargetId) -> Usual | None:
+        """Return a usual request of the model that a target serves."""
+        declared = None
+        if self._config is not None:
+            declared = self._config.targets.get(target)
+        if declared is None or declared.model is None:
+            return None
+        dispatcher = self._dispatchers.get(declared.model)
+        if dispatcher is None:
+            return None
+        return Usual(dispatcher.typical, dispatcher.margin.deviations)
+
     def record_loss(self, target: TargetId) -> None:
         """Send a target nothing for a while, for it was lost."""
         self._rooms.record_loss(target, self._clock.now())
@@ -138,6 +167,11 @@
         for permit in self._permits.values():
             dispatcher = self._dispatchers[permit.model]
             dispatcher.record_tokens(permit.request, permit.read_position())
+        self._settle_handovers(now)
+        if now >= self._observe_at:
+            self._observe_at = now + _OBSERVE_SECONDS
+            for dispatcher in self._dispatchers.values():
+                self._rooms.observe(dispatcher, now)
         for model in self._dispatchers:
             self._expire(model, now)
             self._pump(model, now)
@@ -245,12 +279,30 @@
             dispatcher.cancel(dispatch)
             return False
         route = Route(target, self._rooms.find_address(target))
-        permit = Permit(ask.request, model, route, slot)
+        permit = Permit(
+            ask.request,
+            model,
+            route,
+            slot,
+            dispatch.engine_priority,
+        )
         self._permits[ask.request] = permit
         answer.set_result(permit)
         self._note_admitted(dispatch)
         return True
 
+    def _return_slot(self, permit: Permit, now: float) -> None:
+        """Return the slot once its keeper knows who runs the request now."""
+        if permit.is_handed_over:
+            self._handed_over.append((now + _HANDOVER_SECONDS, permit.slot))
+        else:
+            self._allowances.give_back(permit.slot, now)
+
+    def _settle_handovers(self, now: float) -> None:
+        while self._handed_over and self._handed_over[0][0] <= now:
+            _, slot = self._handed_over.popleft()
+            self._allowances.give_back(slot, now)
+
     def _note_admitted(self, dispatch: Dispatch) -> None:
         choice = dispatch.choice
         self._journal.note(
@@ -269,7 +321,7 @@
     def _give_back(self, permit: Permit) -> None:
         now = self._clock.now()
         self._permits.pop(permit.request, None)
-        self._allowances.give_back(permit.slot, now)
+        self._return_slot(permit, now)
         produced = permit.read_position()
         dispatcher = self._dispatchers[permit.model]
         dispatcher.record_tokens(permit.request, produced)
--- a/chicoryshunt/process/state.py
+++ b/chicoryshunt/process/state.py
@@ -11,6 +11,7 @@
 from chicoryshunt.process.configuration import Configuration
 from chicoryshunt.process.entries import KEEP_SECONDS, order_entries
 from chicoryshunt.process.fleet import Fleet
+from chicoryshunt.process.headroom import Headrooms
 from chicoryshunt.process.journal import Journal
 from chicoryshunt.process.levels import Levels
 from chicoryshunt.process.metrics import Metrics
@@ -19,6 +20,7 @@
 from chicoryshunt.process.router import Route, Router
 from chicoryshunt.process.scheduler import Scheduler
 from chicoryshunt.process.warmths import Warmths
+from chicoryshunt.process.write_guard import WriteGuard
 from chicoryshunt.settings import Settings
 from chicoryshunt.types import (
     ConfigVersion,
@@ -81,6 +83,7 @@
             allowed,
             self.fleet.pulse,
         )
+        self.guard = WriteGuard(self.fleet.pulse, self.metrics)
         self.clock = SystemClock()
         self.journal = Journal(self.clock, self.metrics)
         self.scheduler = Scheduler(
@@ -97,8 +100,15 @@
         )
         self.warmths = Warmths(self.journal)
         self.fleet.watch_warmth(self.warmths)
+        self.headrooms = Headrooms(
+            self.fleet.leases.keeping.find,
+            self.scheduler.find_usual,
+            self.clock,
+        )
+        self.fleet.bearings.adjust(self.headrooms.adjust)
         self.configuration.subscribe(self.warmths.learn)
         self.configuration.subscribe(self.fleet.learn_config)
+        self.configuration.subscribe(self.guard.learn)
         self.configuration.subscribe(self.scheduler.apply)
         self.orders = Orders(
             settings.vm,
