--- a/chicoryshunt/process/leases.py
+++ b/chicoryshunt/process/leases.py
@@ -87,6 +87,7 @@
         """Do what is due and return the messages to send."""
         for target, panel in self.panels.refresh(_PANELS_PER_TICK):
             self.tenures.learn_panel(target, panel, now)
+        self._membership.roster.set_load(self.tenures.running)
         self.tenures.follow(self._find_keeper, now)
         yield from self._keep(now)
         yield from self._claim(now)
--- a/chicoryshunt/process/tenure.py
+++ b/chicoryshunt/process/tenure.py
@@ -210,11 +210,6 @@
             and now >= self._sent + self._times.vote_term
         )
 
-    def drop(self, now: float) -> None:
-        """Give the unused part of the lease up, for the target changed."""
-        self._slots = min(self._slots, self.count_used())
-        self.next_claim = now
-
     def wake(self, now: float) -> None:
         """Hold nothing until the keeper confirms it."""
         self._expires = min(self._expires, now)
--- a/lab/lease_fleet.py
+++ b/lab/lease_fleet.py
@@ -15,7 +15,7 @@
 from chicoryshunt.process.metrics import Metrics
 from chicoryshunt.process.roster import Roster
 from chicoryshunt.types import DataCentreId, Incarnation, TargetId, VmId
-from lab.network import Host, Network
+from lab.network import Host, Network, build_vm
 
 CENTRES = ('luzon-a', 'luzon-b', 'luzon-c')
 TARGET = TargetId('engine-1')
@@ -95,7 +95,7 @@
         self.network = Network(self.clock, Random(seed))
         self.starts = 0
         self.vms = [
-            _build_vm(f'vm-{number}', CENTRES[number % len(CENTRES)])
+            build_vm(f'vm-{number}', CENTRES[number % len(CENTRES)])
             for number in range(count)
         ]
         names = [TargetId(f'engine-{one + 1}') for one in range(targets)]
@@ -228,13 +228,3 @@
             for ledger in node.leases.keeping:
                 report = self.fakes[ledger.target].report(now)
                 ledger.take_load(report, now)
-
-
-def _build_vm(name: str, data_centre: str) -> PublishedVm:
-    return PublishedVm(
-        VmId(name),
-        DataCentreId(data_centre),
-        caller=f'{name}:1',
-        peer=f'{name}:2',
-        gossip='127.0.0.1:3',
-    )
--- a/lab/network.py
+++ b/lab/network.py
@@ -6,9 +6,10 @@
 from random import Random
 
 from chicoryshunt.clock import ManualClock
+from chicoryshunt.connection.platform_api import PublishedVm
 from chicoryshunt.process.core import Core, Message, Send
 from chicoryshunt.process.pause import Pulse
-from chicoryshunt.types import VmId
+from chicoryshunt.types import DataCentreId, VmId
 
 
 @dataclass(frozen=True)
@@ -98,3 +99,20 @@
                 continue
             answers = host.receive(flight.sender, flight.message)
             self.send(flight.receiver, answers)
+
+
+def build_vm(
+    name: str,
+    data_centre: str = 'luzon-a',
+    *,
+    leaving: bool = False,
+) -> PublishedVm:
+    """Return one VM of the platform's list."""
+    return PublishedVm(
+        VmId(name),
+        DataCentreId(data_centre),
+        caller=f'{name}:1',
+        peer=f'{name}:2',
+        gossip='127.0.0.1:3',
+        leaving=leaving,
+    )
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -79,23 +79,6 @@
     )
 
 
-def build_vm(
-    name: str,
-    data_centre: str = 'luzon-a',
-    *,
-    leaving: bool = False,
-) -> PublishedVm:
-    """Return one VM of the platform's list."""
-    return PublishedVm(
-        VmId(name),
-        DataCentreId(data_centre),
-        caller=f'{name}:1',
-        peer=f'{name}:2',
-        gossip='127.0.0.1:3',
-        leaving=leaving,
-    )
-
-
 def build_membership(vms: list[PublishedVm]) -> Membership:
     """Return the membership of the first of some VMs."""
     membership = Membership(vms[0], Incarnation(1), Random(1), 0)
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -6,7 +6,7 @@
 from chicoryshunt.process.entries import order_entries
 from chicoryshunt.process.roster import Roster, Update
 from chicoryshunt.types import DataCentreId, Incarnation, VmId, VmState
-from tests.builders import build_vm
+from lab.network import build_vm
 
 _CENTRE = DataCentreId('luzon-a')
 
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -50,6 +50,15 @@
     assert _fill_up(fleet, _FIRST, 50) == _LIMIT
 
 
+def test_running_requests_are_the_load_of_a_node(fleet: LeaseFleet) -> None:
+    assert fleet.fill(_FIRST, 3) == 3
+    fleet.run(10)
+    for node in fleet.nodes.values():
+        member = node.roster.find(_FIRST)
+        assert member is not None
+        assert member.load == 3
+
+
 def test_keeper_is_in_the_targets_data_centre(fleet: LeaseFleet) -> None:
     keeper = _find_keeper(fleet)
     member = fleet.nodes[_FIRST].roster.find(keeper)
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -15,7 +15,12 @@
 from chicoryshunt.process.pause import Pulse
 from chicoryshunt.process.roster import Update
 from chicoryshunt.types import Incarnation, VmId, VmState
-from tests.builders import FLEET_KEY, build_membership, build_seal, build_vm
+from lab.network import build_vm
+from tests.builders import (
+    FLEET_KEY,
+    build_membership,
+    build_seal,
+)
 
 _OWN = VmId('vm-1')
 _PEER = VmId('vm-2')
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -14,7 +14,7 @@
 )
 from chicoryshunt.process.sharing import share_slots, spread_evenly
 from chicoryshunt.types import DataCentreId, VmId
-from tests.builders import build_vm
+from lab.network import build_vm
 
 _CENTRE = DataCentreId('luzon-a')
 
