Try a request on a second target where no first token comes in time

A frozen engine held a caller for the 5 s that the node waits for an answer before it starts anew. A repeatable request that has no token after the profile's time (or three times the predicted stall, if that is longer) is now started on a second target as well, within a budget per team. The first start with a token answers the caller; the other is cancelled at its engine. The silent target takes nothing new from this node for a second.

--- /dev/null
+++ b/chicoryshunt/process/hedging.py
@@ -0,0 +1,98 @@
+"""Decides when a request is tried on a second target as well."""
+
+import asyncio
+
+from chicoryshunt.process.journal import Journal
+from chicoryshunt.process.policy.budget import (
+    Denial,
+    Granted,
+    Pending,
+    RetryBudget,
+    decide_hedge,
+)
+from chicoryshunt.process.scheduler import Permit, Scheduler
+from chicoryshunt.process.starts import Attempt, Try
+from chicoryshunt.request.order import GenerationRequest
+from chicoryshunt.request.race import Race
+from chicoryshunt.types import Seconds
+
+_STALL_MARGIN = 3
+
+
+class Hedging:
+    """Waits for first tokens, and spends a budget where none comes."""
+
+    def __init__(self, scheduler: Scheduler, journal: Journal) -> None:
+        """Start with full budgets."""
+        self._scheduler = scheduler
+        self._journal = journal
+        self._budget = RetryBudget()
+
+    async def should_hedge(
+        self,
+        wanted: GenerationRequest,
+        race: Race,
+        first: Try,
+        running: 'asyncio.Future[Attempt]',
+    ) -> bool:
+        """Wait for the first token; say whether to try once more."""
+        parameters = self._scheduler.find_parameters(wanted.model)
+        self._budget.record_first(
+            wanted.team,
+            parameters.hedge_ratio,
+            self._scheduler.now(),
+        )
+        if not wanted.body.repeatable:
+            return False
+        permit = await first.wait_permit(running)
+        if permit is None:
+            return False
+        patience = Seconds(
+            max(parameters.hedge_after, permit.expected_stall * _STALL_MARGIN),
+        )
+        if await _wait_first_token(race, running, patience):
+            return False
+        self._scheduler.record_silence(permit.route.target)
+        return self._may_hedge(wanted, permit, patience)
+
+    def _may_hedge(
+        self,
+        wanted: GenerationRequest,
+        permit: Permit,
+        waited: Seconds,
+    ) -> bool:
+        decision = decide_hedge(
+            Pending(wanted.team, wanted.body.repeatable, 0, waited),
+            waited,
+            self._budget,
+            self._scheduler.now(),
+        )
+        match decision:
+            case Denial():
+                event, reason = 'hedge_denied', decision.value
+            case Granted():
+                event, reason = 'generation_hedged', 'no_first_token'
+        self._journal.note(
+            wanted.request,
+            event,
+            reason,
+            target=permit.route.target,
+            waited=waited,
+        )
+        return isinstance(decision, Granted)
+
+
+async def _wait_first_token(
+    race: Race,
+    running: 'asyncio.Future[Attempt]',
+    seconds: Seconds,
+) -> bool:
+    """Say whether a token or the end comes within some seconds."""
+    won = asyncio.ensure_future(race.wait_won())
+    done, _ = await asyncio.wait(
+        (won, running),
+        timeout=seconds,
+        return_when=asyncio.FIRST_COMPLETED,
+    )
+    won.cancel()
+    return bool(done)
--- a/chicoryshunt/process/levels.py
+++ b/chicoryshunt/process/levels.py
@@ -7,7 +7,7 @@
     ServiceLevelRecorder,
     ServiceLevels,
 )
-from chicoryshunt.process.starter import Attempt
+from chicoryshunt.process.starts import Attempt
 from chicoryshunt.request.order import GenerationRequest
 from chicoryshunt.request.pace import Pace
 from chicoryshunt.types import (
--- a/chicoryshunt/process/rooms.py
+++ b/chicoryshunt/process/rooms.py
@@ -15,6 +15,7 @@
 
 MAX_TARGETS = 20
 _LOST_SECONDS = 5.0
+_SILENT_SECONDS = 1.0
 _UNDECLARED_TOKENS = 2_147_483_647
 _US_PER_SECOND = 1_000_000
 
@@ -79,7 +80,11 @@
 
     def record_loss(self, name: TargetId, now: float) -> None:
         """Close a target for a while, for it was lost."""
-        self._lost_until[name] = now + _LOST_SECONDS
+        self._close(name, now + _LOST_SECONDS)
+
+    def record_silence(self, name: TargetId, now: float) -> None:
+        """Close a target for a moment, for it owes a first token."""
+        self._close(name, now + _SILENT_SECONDS)
 
     def find(self, name: TargetId, now: float) -> Room:
         """Return what may be sent to a target now."""
@@ -125,6 +130,9 @@
             if added:
                 dispatcher.margin.record_preemptions(added)
 
+    def _close(self, name: TargetId, until: float) -> None:
+        self._lost_until[name] = max(self._lost_until.get(name, 0), until)
+
     def _find_target(self, name: TargetId) -> Target | None:
         return None if self._config is None else self._config.targets.get(name)
 
--- a/chicoryshunt/process/scheduler.py
+++ b/chicoryshunt/process/scheduler.py
@@ -13,7 +13,7 @@
 from chicoryshunt.process.policy.book import Closed
 from chicoryshunt.process.policy.dispatcher import Dispatch, Dispatcher, Stop
 from chicoryshunt.process.policy.overload import TooLate, Useful
-from chicoryshunt.process.policy.profile import get_parameters
+from chicoryshunt.process.policy.profile import Parameters, get_parameters
 from chicoryshunt.process.policy.queue import Ask
 from chicoryshunt.process.policy.survival import (
     Kind,
@@ -32,11 +32,12 @@
     Tokens,
 )
 from chicoryshunt.verdict import Verdict, refuse
-from chicoryshunt.version.config import Config, Team
+from chicoryshunt.version.config import Config, Model, Team
 
 TICK_SECONDS = 0.05
 _OBSERVE_SECONDS = 0.4
 _HANDOVER_SECONDS = 5.0
+_NO_STALL = Seconds(0)
 _RETRY_SECONDS = Seconds(1)
 
 
@@ -53,6 +54,7 @@
     route: Route
     slot: Slot
     engine_priority: int = 0
+    expected_stall: Seconds = _NO_STALL
     read_position: Callable[[], int] = field(default=int)
     stop: Stop = Stop.cancelled
     is_handed_over: bool = False
@@ -162,6 +164,15 @@
         """Send a target nothing for a while, for it was lost."""
         self._rooms.record_loss(target, self._clock.now())
 
+    def record_silence(self, target: TargetId) -> None:
+        """Send a target nothing for a moment, for it owes a first token."""
+        self._rooms.record_silence(target, self._clock.now())
+
+    def find_parameters(self, model: ModelId) -> Parameters:
+        """Return what the decisions of a model are led by."""
+        known = None if self._config is None else self._config.models.get(model)
+        return get_parameters((known or Model()).profile)
+
     def tick(self, now: float) -> None:
         """Follow what runs, refuse what waited too long, place the rest."""
         for permit in self._permits.values():
@@ -285,6 +296,7 @@
             route,
             slot,
             dispatch.engine_priority,
+            dispatch.choice.stall,
         )
         self._permits[ask.request] = permit
         answer.set_result(permit)
--- a/chicoryshunt/process/starter.py
+++ b/chicoryshunt/process/starter.py
@@ -7,23 +7,34 @@
 
 from chicoryshunt.connection.client import HttpClient
 from chicoryshunt.connection.engine_link import EngineLink
+from chicoryshunt.process.hedging import Hedging
 from chicoryshunt.process.invariants import Invariants, Promise
 from chicoryshunt.process.journal import Journal
-from chicoryshunt.process.policy.budget import Denial, Granted, RetryBudget
+from chicoryshunt.process.policy.budget import (
+    Denial,
+    Granted,
+    RetryBudget,
+)
 from chicoryshunt.process.policy.dispatcher import Stop
 from chicoryshunt.process.router import Route
 from chicoryshunt.process.scheduler import Permit, Scheduler
+from chicoryshunt.process.starts import (
+    Attempt,
+    Try,
+    choose_attempt,
+    choose_result,
+    run_starts,
+)
 from chicoryshunt.process.write_guard import WriteGuard
 from chicoryshunt.request.generation import Generation, Outcome, Relay
 from chicoryshunt.request.order import GenerationRequest, build_order
+from chicoryshunt.request.race import Contender, Race
 from chicoryshunt.request.resume_token import ResumeToken, encode_token
-from chicoryshunt.request.sink import Sink
+from chicoryshunt.request.sink import CallerSide, Sink
 from chicoryshunt.types import (
     GenerationId,
     Reason,
-    RunState,
     Seconds,
-    TargetId,
     VmId,
 )
 from chicoryshunt.verdict import Verdict, refuse
@@ -47,7 +58,7 @@
     def build(
         self,
         route: Route,
-        sink: Sink,
+        sink: CallerSide,
         token: ResumeToken,
     ) -> Generation:
         """Bind a target, a caller and what a resume token names."""
@@ -64,20 +75,6 @@
         return Generation(self.relay, engine, sink, make_token)
 
 
-@dataclass(frozen=True, slots=True)
-class Attempt:
-    """One start of a generation; ``target`` is ``None`` if none took it."""
-
-    outcome: Outcome
-    target: TargetId | None = None
-
-    @property
-    def is_refusal(self) -> bool:
-        """Say whether the caller is told that it did not run."""
-        verdict = self.outcome.verdict
-        return verdict is not None and verdict.run is RunState.not_run
-
-
 class Starter:
     """Starts generations under permits and restarts what was lost."""
 
@@ -96,6 +93,7 @@
         self._guard = guard
         self._invariants = invariants
         self._budget = RetryBudget()
+        self._hedging = Hedging(scheduler, journal)
 
     async def start(
         self,
@@ -106,18 +104,18 @@
         """Run a generation until its caller has it or it cannot be had."""
         now = self._scheduler.now()
         self._budget.record_first(wanted.team, retry_ratio, now)
-        attempt = await self._start_once(wanted, sink)
+        attempt = await self._start_hedged(wanted, sink)
         for _ in range(_MAX_STARTS - 1):
             if not self._may_restart(wanted, attempt.outcome):
                 break
             sink.discard()
-            again = await self._start_once(wanted, sink)
+            again = await self._start_hedged(wanted, sink)
             self._check_refusal(attempt, again)
-            attempt = _choose_attempt(attempt, again)
+            attempt = choose_attempt(attempt, again)
         return attempt
 
     def _check_refusal(self, first: Attempt, again: Attempt) -> None:
-        chosen = _choose_attempt(first, again)
+        chosen = choose_attempt(first, again)
         self._invariants.check(
             Promise.true_refusal,
             first.is_refusal or not chosen.is_refusal,
@@ -140,24 +138,43 @@
         self._journal.note(wanted.request, event, reason)
         return isinstance(spent, Granted)
 
-    async def _start_once(
+    async def _start_hedged(
         self,
         wanted: GenerationRequest,
         sink: Sink,
     ) -> Attempt:
-        permit = await self._scheduler.admit(wanted, sink.wait_gone)
+        """Start once, and once more where no first token comes in time."""
+        race = Race(sink)
+        first = Try(race.enter())
+        with run_starts() as starts:
+            running = starts.add(self._start_once(wanted, first))
+            if await self._hedging.should_hedge(wanted, race, first, running):
+                starts.add(self._start_once(wanted, Try(race.enter())))
+            return choose_result(await starts.gather())
+
+    async def _start_once(
+        self,
+        wanted: GenerationRequest,
+        attempt: Try,
+    ) -> Attempt:
+        contender = attempt.contender
+        permit = await self._scheduler.admit(wanted, contender.wait_gone)
         if isinstance(permit, Verdict):
             return Attempt(Outcome(0, '', permit, delivered=False))
+        attempt.allow(permit)
         with self._scheduler.hold(permit):
-            outcome = await self._run(permit, wanted, sink)
+            outcome = await self._run(permit, wanted, contender)
         self._note_end(permit, outcome)
-        return Attempt(outcome, permit.route.target)
+        is_won = outcome.verdict is None and contender.claim()
+        return Attempt(
+            outcome, permit.route.target, is_won or outcome.delivered
+        )
 
     async def _run(
         self,
         permit: Permit,
         wanted: GenerationRequest,
-        sink: Sink,
+        contender: Contender,
     ) -> Outcome:
         token = ResumeToken(
             self._builder.vm,
@@ -167,7 +184,7 @@
             wanted.team,
             wanted.request,
         )
-        generation = self._builder.build(permit.route, sink, token)
+        generation = self._builder.build(permit.route, contender, token)
         permit.read_position = lambda: generation.position
         outcome = await self._write(permit, generation, wanted)
         permit.stop = _classify_stop(outcome)
@@ -221,12 +238,3 @@
 def _is_handed_over(outcome: Outcome) -> bool:
     verdict = outcome.verdict
     return verdict is not None and verdict.reason is Reason.resumed_elsewhere
-
-
-def _choose_attempt(first: Attempt, again: Attempt) -> Attempt:
-    """Keep what was lost when the restart was refused.
-
-    The first try may have run, so the refusal of the second is no answer.
-    """
-    is_doubted = again.is_refusal and not first.is_refusal
-    return first if again.target is None or is_doubted else again
--- /dev/null
+++ b/chicoryshunt/process/starts.py
@@ -0,0 +1,114 @@
+"""The starts of one request: on their way, and what became of them."""
+
+import asyncio
+from collections.abc import Coroutine, Iterator, Sequence
+from contextlib import contextmanager
+from dataclasses import dataclass
+from typing import Any
+
+from chicoryshunt.process.scheduler import Permit
+from chicoryshunt.request.generation import Outcome
+from chicoryshunt.request.race import Contender
+from chicoryshunt.types import RunState, TargetId
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """One start of a generation; ``target`` is ``None`` if none took it.
+
+    ``has_won`` says that the caller's answer is this one.
+    """
+
+    outcome: Outcome
+    target: TargetId | None = None
+    has_won: bool = False
+
+    @property
+    def is_refusal(self) -> bool:
+        """Say whether the caller is told that it did not run."""
+        verdict = self.outcome.verdict
+        return verdict is not None and verdict.run is RunState.not_run
+
+
+class Try:
+    """One start on its way, and the permit that it got."""
+
+    def __init__(self, contender: Contender) -> None:
+        """Start without a permit."""
+        self.contender = contender
+        self._permit: Permit | None = None
+        self._allowed = asyncio.Event()
+
+    def allow(self, permit: Permit) -> None:
+        """Note the permit, right before the write."""
+        self._permit = permit
+        self._allowed.set()
+
+    async def wait_permit(
+        self,
+        running: 'asyncio.Future[Attempt]',
+    ) -> Permit | None:
+        """Return the permit, or nothing if the start ends without one."""
+        allowed = asyncio.ensure_future(self._allowed.wait())
+        await asyncio.wait(
+            (allowed, running),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        allowed.cancel()
+        return self._permit
+
+
+class Starts:
+    """The starts of one request that are on their way."""
+
+    def __init__(self) -> None:
+        """Begin without starts."""
+        self._running: list[asyncio.Future[Attempt]] = []
+
+    def add(
+        self,
+        start: Coroutine[Any, Any, Attempt],
+    ) -> 'asyncio.Future[Attempt]':
+        """Run one more start."""
+        running = asyncio.ensure_future(start)
+        self._running.append(running)
+        return running
+
+    async def gather(self) -> list[Attempt]:
+        """Return what became of every start."""
+        return list(await asyncio.gather(*self._running))
+
+    def cancel(self) -> None:
+        """Stop what still runs."""
+        for running in self._running:
+            running.cancel()
+
+
+@contextmanager
+def run_starts() -> Iterator[Starts]:
+    """Yield starts that end with the block."""
+    starts = Starts()
+    try:
+        yield starts
+    finally:
+        starts.cancel()
+
+
+def choose_result(attempts: Sequence[Attempt]) -> Attempt:
+    """Return the start that has won, else what became of the first."""
+    for attempt in attempts:
+        if attempt.has_won:
+            return attempt
+    chosen = attempts[0]
+    for later in attempts[1:]:
+        chosen = choose_attempt(chosen, later)
+    return chosen
+
+
+def choose_attempt(first: Attempt, again: Attempt) -> Attempt:
+    """Keep what was lost when the restart was refused.
+
+    The first try may have run, so the refusal of the second is no answer.
+    """
+    is_doubted = again.is_refusal and not first.is_refusal
+    return first if again.target is None or is_doubted else again
--- a/chicoryshunt/request/generation.py
+++ b/chicoryshunt/request/generation.py
@@ -15,7 +15,7 @@
 from chicoryshunt.request.handover import Handovers
 from chicoryshunt.request.reader import Stop, StreamReader
 from chicoryshunt.request.sequence import TokenSequence, check_end
-from chicoryshunt.request.sink import Sink
+from chicoryshunt.request.sink import CallerSide
 from chicoryshunt.request.stall import StallWatch
 from chicoryshunt.request.valve import Pausable
 from chicoryshunt.types import GenerationId, Reason, RunState
@@ -83,7 +83,7 @@
         self,
         relay: Relay,
         engine: Engine,
-        sink: Sink,
+        sink: CallerSide,
         make_token: Callable[[GenerationId], str],
     ) -> None:
         """Bind the generation to an engine and its caller."""
--- a/chicoryshunt/request/reader.py
+++ b/chicoryshunt/request/reader.py
@@ -15,7 +15,7 @@
 )
 from chicoryshunt.request.assembler import Arrival, Assembler
 from chicoryshunt.request.sequence import TokenSequence
-from chicoryshunt.request.sink import Sink
+from chicoryshunt.request.sink import CallerSide
 
 _DECODE = EventDecoder().decode
 _FRESH = Arrival.fresh
@@ -39,7 +39,7 @@
         self,
         assembler: Assembler,
         passed: TokenSequence,
-        sink: Sink,
+        sink: CallerSide,
         max_event_bytes: int,
     ) -> None:
         """Read into the given assembler; count what is passed on."""
--- a/chicoryshunt/request/sink.py
+++ b/chicoryshunt/request/sink.py
@@ -1,6 +1,7 @@
 """The caller's side of one generation: held back or streamed."""
 
 import asyncio
+from typing import Protocol
 
 from chicoryshunt.connection.caller_api import (
     GENERATION_HEADER,
@@ -16,6 +17,31 @@
 from chicoryshunt.verdict import Verdict
 
 
+class CallerSide(Protocol):
+    """Where the relay of one generation writes to."""
+
+    valve: Valve
+
+    @property
+    def is_delivered(self) -> bool:
+        """Say whether the caller may have tokens of this answer."""
+
+    async def wait_gone(self) -> None:
+        """Return when the caller is lost."""
+
+    def may_announce(self, generation: GenerationId) -> bool:
+        """Say whether tokens of a generation may follow what was sent."""
+
+    def announce(self, generation: GenerationId, token: str) -> None:
+        """Name the generation whose frames follow, and how to resume it."""
+
+    def write(self, frames: bytes) -> None:
+        """Pass on or hold back whole frames."""
+
+    def abort(self) -> None:
+        """Cut the caller's connection."""
+
+
 class HoldBudget:
     """Memory for answers that are held back, shared by the process."""
 
@@ -76,8 +102,18 @@
         """Say whether tokens of a generation may follow what was sent."""
         return not self.is_delivered or self._generation == generation
 
-    def announce(self, generation: GenerationId, token: str) -> None:
-        """Name the generation whose frames follow, and how to resume it."""
+    def announce(
+        self,
+        generation: GenerationId,
+        token: str,
+        valve: Valve | None = None,
+    ) -> None:
+        """Name the generation whose frames follow, and how to resume it.
+
+        ``valve`` holds back the engine that the frames come from.
+        """
+        if valve is not None:
+            self.valve = valve
         self._generation = generation
         self._exchange.set_header('content-type', 'text/event-stream')
         self._exchange.set_header('cache-control', 'no-store')
--- a/tests/test_caller.py
+++ b/tests/test_caller.py
@@ -35,6 +35,7 @@
 
 SERVER_BOUNDS = ServerBounds(64, 5, 10_000, 5, 100_000)
 _LENGTH = 6
+_PAST_HEDGES_SECONDS = 1.0
 _HELD_AT = 3
 _CALLER_CUTS = (
     ((1,), ()),
@@ -52,6 +53,7 @@
         self.refusals = 0
         self.deaths = 0
         self.starts = 0
+        self.silences: list[str] = []
         self.may_go_on = asyncio.Event()
         self.may_go_on.set()
         self.resumed_from: list[int] = []
@@ -79,7 +81,16 @@
             exchange.abort()
         else:
             self.starts += 1
-            await self._stream(exchange, 0)
+            if self.silences:
+                await self._keep_silent(exchange)
+            else:
+                await self._stream(exchange, 0)
+
+    async def _keep_silent(self, exchange: Exchange) -> None:
+        self.silences.pop()
+        exchange.set_header('x-generation', 'silent')
+        exchange.write(b': accepted\n\n')
+        await exchange.wait_gone()
 
     async def _stream(self, exchange: Exchange, index: int) -> None:
         stop = self.cuts.pop(0) if self.cuts else _LENGTH
@@ -441,3 +452,29 @@
         assert not fleet.engines[0].resumed_from
 
     run_fleet_test(test, nodes=1)
+
+
+def test_silent_engine_is_hedged_and_cancelled() -> None:
+    async def test(fleet: Fleet) -> None:
+        silences = ['first start']
+        for engine in fleet.engines:
+            engine.silences = silences
+        assert_whole(await fleet.generate())
+        assert [engine.starts for engine in fleet.engines] == [1, 1]
+        cancelled = [name for one in fleet.engines for name in one.cancelled]
+        assert cancelled == ['silent']
+
+    run_fleet_test(test, engines=2)
+
+
+def test_unrepeatable_request_is_not_hedged() -> None:
+    async def test(fleet: Fleet) -> None:
+        silences = ['first start']
+        for engine in fleet.engines:
+            engine.silences = silences
+        asking = asyncio.ensure_future(fleet.generate(repeatable=False))
+        await asyncio.sleep(_PAST_HEDGES_SECONDS)
+        assert sum(engine.starts for engine in fleet.engines) == 1
+        asking.cancel()
+
+    run_fleet_test(test, engines=2)
