--- /dev/null
+++ b/chicoryshunt/address.py
@@ -0,0 +1,37 @@
+"""IP numbers with ports."""
+
+import ipaddress
+from typing import NamedTuple
+
+MAX_PORT = 65535
+
+
+class Address(NamedTuple):
+    """IP number and port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return host:port."""
+        return f'{self.host}:{self.port}'
+
+
+def is_ip_number(host: str) -> bool:
+    """Say whether the text is an IPv4 or IPv6 number."""
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return True
+
+
+def is_address(text: str) -> bool:
+    """Say whether the text is an IP number, a colon and a port."""
+    host, _, port = text.rpartition(':')
+    return (
+        is_ip_number(host)
+        and port.isascii()
+        and port.isdecimal()
+        and int(port) <= MAX_PORT
+    )
--- a/chicoryshunt/connection/client.py
+++ b/chicoryshunt/connection/client.py
@@ -26,10 +26,10 @@
 from twisted.web.iweb import IAgentEndpointFactory
 from zope.interface import implementer
 
+from chicoryshunt.address import is_ip_number
 from chicoryshunt.connection.loop import await_deferred, get_reactor
 from chicoryshunt.connection.loop_transport import LoopClientEndpoint
 from chicoryshunt.exceptions import ChicoryshuntError
-from chicoryshunt.settings import is_ip_number
 
 _BROKEN = (
     RequestTransmissionFailed,
--- /dev/null
+++ b/chicoryshunt/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on one request: where, when, whether; no input or output."""
--- /dev/null
+++ b/chicoryshunt/dispatch/engines.py
@@ -0,0 +1,156 @@
+"""Chooses the engine of a generation, or says when there will be room."""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from chicoryshunt.dispatch.forecast import (
+    HORIZONS,
+    Curve,
+    RunView,
+    add_curves,
+    find_room_time,
+    forecast_engine,
+    forecast_run,
+)
+from chicoryshunt.types import DataCentreId, TargetId
+
+# Part of an engine's memory that predicted runs may fill. What is left
+# absorbs answers that outlast their estimate.
+ADMIT_PART = 0.9
+# A copy is worth less than a run, so it leaves more room.
+BACKUP_PART = 0.72
+# An engine in another data centre must be emptier by this part of its
+# memory: its tokens cross a priced link.
+_REMOTE_PART = 0.1
+# Seconds of waiting prompts that weigh like a full memory.
+_BACKLOG_SECONDS = 1.5
+_PREFILL_TOKENS_PER_SECOND = 7000.0
+# Prompts are taken to be read after this many seconds at the latest.
+_PREFILL_SECONDS = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Engine:
+    """An engine with what runs on it and the copies that it keeps."""
+
+    target: TargetId
+    data_centre: DataCentreId
+    slots: int
+    memory_tokens: int
+    runs: tuple[RunView, ...] = ()
+    copies: tuple[RunView, ...] = ()
+    penalty: float = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Placed:
+    """Send the request to this engine."""
+
+    target: TargetId
+    part_used: float
+
+
+@dataclass(frozen=True, slots=True)
+class Full:
+    """No engine has room; ``seconds`` until one is expected to have."""
+
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class Hopeless:
+    """No engine can ever hold the request."""
+
+    need_tokens: int
+
+
+Choice = Placed | Full | Hopeless
+
+
+def choose_engine(
+    engines: Sequence[Engine],
+    demand: RunView,
+    home: DataCentreId,
+    pace: float,
+) -> Choice:
+    """Return the engine that is predicted to have the most room.
+
+    Load pattern: every node sees the same load, a little late. Each counts
+    what all others have placed since, so that they do not all choose the
+    same engine, and each prefers its own data centre, which spreads them.
+    """
+    need = demand.prompt_tokens + demand.most_tokens
+    if engines and all(one.memory_tokens < need for one in engines):
+        return Hopeless(need)
+    curve = forecast_run(demand, pace)
+    fitting = []
+    waits = []
+    for engine in engines:
+        held = _forecast_all(engine, pace)
+        if _fits(engine, held, curve):
+            score = _rate(engine, add_curves(held, curve), home, pace)
+            fitting.append((score, engine.target))
+        else:
+            waits.append(_expect_wait(engine, held, curve))
+    if fitting:
+        score, target = min(fitting)
+        return Placed(target, score)
+    return Full(min(waits, default=HORIZONS[-1]))
+
+
+def choose_holder(
+    engines: Iterable[Engine],
+    demand: RunView,
+    source: Engine,
+    pace: float,
+) -> TargetId | None:
+    """Return the engine that is to keep a copy of a run, if one has room.
+
+    Another data centre is preferred, for a whole one may lose its power.
+    """
+    curve = forecast_run(demand, pace)
+    found: list[tuple[float, TargetId]] = []
+    for engine in engines:
+        if engine.target == source.target:
+            continue
+        held = add_curves(_forecast_all(engine, pace), curve)
+        part = max(held) / engine.memory_tokens
+        taken = len(engine.runs) + len(engine.copies)
+        if part <= BACKUP_PART and taken < engine.slots:
+            near = engine.data_centre == source.data_centre
+            found.append((part + near * _REMOTE_PART, engine.target))
+    return min(found)[1] if found else None
+
+
+def _forecast_all(engine: Engine, pace: float) -> Curve:
+    return forecast_engine((*engine.runs, *engine.copies), pace)
+
+
+def _fits(engine: Engine, held: Curve, curve: Curve) -> bool:
+    taken = len(engine.runs) + len(engine.copies)
+    if taken >= engine.slots:
+        return False
+    most = engine.memory_tokens * ADMIT_PART
+    return max(add_curves(held, curve)) <= most or not taken
+
+
+def _expect_wait(engine: Engine, held: Curve, curve: Curve) -> float:
+    most = engine.memory_tokens * ADMIT_PART
+    found = find_room_time(held, curve, most)
+    return HORIZONS[-1] if found is None else max(found, HORIZONS[1])
+
+
+def _rate(
+    engine: Engine,
+    after: Curve,
+    home: DataCentreId,
+    pace: float,
+) -> float:
+    """Return how much a request would suffer here; less is better."""
+    part = max(after) / engine.memory_tokens
+    backlog = sum(
+        run.prompt_tokens for run in engine.runs if run.age < _PREFILL_SECONDS
+    )
+    waits = backlog / _PREFILL_TOKENS_PER_SECOND / _BACKLOG_SECONDS
+    is_remote = engine.data_centre != home
+    return part + waits + engine.penalty + is_remote * _REMOTE_PART
--- /dev/null
+++ b/chicoryshunt/dispatch/forecast.py
@@ -0,0 +1,105 @@
+"""Predicts the memory that the runs on an engine hold over time.
+
+Load pattern: many long answers at once whose lengths nobody knows. Room for
+everyone's longest end wastes memory; room for the present alone ends in
+preemptions some seconds later.
+"""
+
+import math
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+# Seconds ahead at which the memory is predicted; answers last some 10 s.
+HORIZONS = (0.0, 1.0, 2.0, 4.0, 8.0)
+# Tokens that an engine generates a second for one run; measured streams
+# replace it.
+DEFAULT_TOKENS_PER_SECOND = 100.0
+# Spread of the logarithm of true length to the caller's estimate.
+_LENGTH_SIGMA = 0.9
+_SQRT_2 = math.sqrt(2)
+# Below this chance a run is taken to have ended.
+_LEAST_CHANCE = 1e-6
+
+Curve = tuple[float, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RunView:
+    """One run as a forecast sees it; ``age`` is in seconds."""
+
+    prompt_tokens: int
+    expected_tokens: int
+    most_tokens: int
+    age: float = 0
+
+    def count_produced(self, pace: float) -> float:
+        """Return how many tokens it has generated, about."""
+        return min(self.age * pace, self.most_tokens)
+
+    def count_held(self, pace: float) -> float:
+        """Return the memory tokens that it holds now, about."""
+        return self.prompt_tokens + self.count_produced(pace)
+
+
+def forecast_run(run: RunView, pace: float) -> Curve:
+    """Return the expected memory tokens of a run at each horizon."""
+    produced = run.count_produced(pace)
+    alive = max(_survive(run, produced), _LEAST_CHANCE)
+    return tuple(
+        _expect_memory(run, produced + ahead * pace, alive)
+        for ahead in HORIZONS
+    )
+
+
+def forecast_engine(runs: Iterable[RunView], pace: float) -> Curve:
+    """Return the expected memory tokens of all runs at each horizon."""
+    total = [0.0] * len(HORIZONS)
+    for run in runs:
+        for index, tokens in enumerate(forecast_run(run, pace)):
+            total[index] += tokens
+    return tuple(total)
+
+
+def add_curves(one: Curve, other: Curve) -> Curve:
+    """Return the memory of two sets of runs together."""
+    return tuple(map(sum, zip(one, other, strict=True)))
+
+
+def expect_remaining(run: RunView, pace: float) -> float:
+    """Return the tokens that a run is expected to generate yet."""
+    produced = run.count_produced(pace)
+    alive = max(_survive(run, produced), _LEAST_CHANCE)
+    step = max(run.most_tokens - produced, 0) / _STEPS
+    points = (produced + step * (index + 0.5) for index in range(_STEPS))
+    return sum(_survive(run, point) / alive * step for point in points)
+
+
+def find_room_time(
+    curve: Sequence[float],
+    demand: Sequence[float],
+    most: float,
+) -> float | None:
+    """Return the first horizon at which a demand fits; ``None`` if none."""
+    for ahead, held in zip(HORIZONS, curve, strict=True):
+        if held + max(demand) <= most:
+            return ahead
+    return None
+
+
+_STEPS = 8
+
+
+def _survive(run: RunView, produced: float) -> float:
+    """Return the chance that an answer is longer than this."""
+    if produced <= 0:
+        return 1
+    if produced >= run.most_tokens:
+        return 0
+    median = max(run.expected_tokens, 1)
+    deviation = math.log(produced / median) / _LENGTH_SIGMA
+    return math.erfc(deviation / _SQRT_2) / 2
+
+
+def _expect_memory(run: RunView, later: float, alive: float) -> float:
+    chance = min(_survive(run, later) / alive, 1)
+    return chance * (run.prompt_tokens + min(later, run.most_tokens))
--- /dev/null
+++ b/chicoryshunt/dispatch/handover.py
@@ -0,0 +1,134 @@
+"""Plans how the runs of a leaving engine are moved, within its notice."""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+
+from chicoryshunt.dispatch.engines import Engine
+from chicoryshunt.dispatch.forecast import (
+    RunView,
+    expect_remaining,
+    forecast_engine,
+    forecast_run,
+)
+from chicoryshunt.types import RequestId, TargetId
+
+# Time between an engine's notice and its end, where it is not told.
+DEFAULT_NOTICE_SECONDS = 1.5
+# Two calls, the last tokens and the new connection, beside the copying.
+_STEP_SECONDS = 0.045
+# A copy to another data centre takes this many times as long.
+_REMOTE_FACTOR = 2.0
+# Part of a destination's memory that moved runs may fill.
+_ROOM_PART = 0.95
+# A run that ends by itself with this chance in time is moved last.
+_NEARLY_DONE_PART = 0.6
+
+
+@dataclass(frozen=True, slots=True)
+class Link:
+    """How fast engines copy memory to each other."""
+
+    bytes_per_token: int
+    bytes_per_second: float
+
+    def measure_copy(self, tokens: float, *, is_remote: bool) -> float:
+        """Return the seconds that copying some tokens takes."""
+        seconds = tokens * self.bytes_per_token / self.bytes_per_second
+        return seconds * (_REMOTE_FACTOR if is_remote else 1)
+
+
+@dataclass(frozen=True, slots=True)
+class Leaving:
+    """One run on the leaving engine."""
+
+    request: RequestId
+    run: RunView
+    has_backup: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Move:
+    """Begin to copy a run after some seconds, to this engine."""
+
+    request: RequestId
+    destination: TargetId
+    after: float
+
+
+@dataclass(slots=True)
+class _Room:
+    """What a destination can still take, in tokens and slots."""
+
+    engine: Engine
+    tokens: float
+    slots: int
+    taken: list[RunView] = field(default_factory=list)
+
+
+def plan_moves(
+    source: Engine,
+    leaving: Iterable[Leaving],
+    others: Sequence[Engine],
+    link: Link,
+    pace: float,
+) -> list[Move]:
+    """Return the moves in their order; every node plans the same ones.
+
+    Load pattern: an engine is reclaimed a second or two after its notice,
+    and its runs share one link. One run is finished before the next begins,
+    so that those which were moved are safe whenever the engine ends. Runs
+    with a live copy elsewhere need no move.
+    """
+    rooms = [_measure_room(engine, pace) for engine in others]
+    ordered = sorted(
+        (one for one in leaving if not one.has_backup),
+        key=lambda one: _rank(one, pace),
+    )
+    moves = []
+    after = 0.0
+    for one in ordered:
+        held = one.run.count_held(pace)
+        room = _find_room(rooms, one.run, source, pace)
+        if room is None:
+            continue
+        moves.append(Move(one.request, room.engine.target, after))
+        is_remote = room.engine.data_centre != source.data_centre
+        after += link.measure_copy(held, is_remote=is_remote) + _STEP_SECONDS
+    return moves
+
+
+def _rank(one: Leaving, pace: float) -> tuple[bool, float, RequestId]:
+    """Order by what a second on the link saves; ended ones last."""
+    remaining = expect_remaining(one.run, pace)
+    window = DEFAULT_NOTICE_SECONDS * pace * _NEARLY_DONE_PART
+    worth = one.run.count_produced(pace) + remaining
+    saved = worth / max(one.run.count_held(pace), 1)
+    return remaining < window, -saved, one.request
+
+
+def _measure_room(engine: Engine, pace: float) -> _Room:
+    held = max(forecast_engine((*engine.runs, *engine.copies), pace))
+    taken = len(engine.runs) + len(engine.copies)
+    free = engine.memory_tokens * _ROOM_PART - held
+    return _Room(engine, free, engine.slots - taken)
+
+
+def _find_room(
+    rooms: Sequence[_Room],
+    run: RunView,
+    source: Engine,
+    pace: float,
+) -> _Room | None:
+    need = max(forecast_run(run, pace))
+    fitting = [room for room in rooms if room.tokens >= need and room.slots > 0]
+    if not fitting:
+        return None
+    chosen = max(fitting, key=lambda room: _prefer(room, source))
+    chosen.tokens -= need
+    chosen.slots -= 1
+    return chosen
+
+
+def _prefer(room: _Room, source: Engine) -> tuple[bool, float, TargetId]:
+    is_near = room.engine.data_centre == source.data_centre
+    return is_near, room.tokens, room.engine.target
--- /dev/null
+++ b/chicoryshunt/fleet/entrances.py
@@ -0,0 +1,25 @@
+"""Which nodes a caller is told to connect to."""
+
+from random import Random
+
+from chicoryshunt.process.entries import order_entries
+from chicoryshunt.process.roster import Roster
+from chicoryshunt.types import DataCentreId
+
+# Nodes of other data centres that are named beside the caller's own, for a
+# whole data centre may lose its power while callers keep their answer.
+_REMOTE_NAMED = 1
+# Fewer nodes than this in the caller's data centre are made up elsewhere.
+_LEAST_NAMED = 3
+
+
+def list_entrances(
+    roster: Roster,
+    data_centre: DataCentreId,
+    rng: Random,
+) -> list[str]:
+    """Return addresses of live nodes, the caller's data centre first."""
+    ordered = order_entries(roster, data_centre, rng)
+    near = sum(one.published.data_centre == data_centre for one in ordered)
+    count = max(near + _REMOTE_NAMED, _LEAST_NAMED)
+    return [one.published.caller for one in ordered[:count]]
--- /dev/null
+++ b/chicoryshunt/fleet/feed.py
@@ -0,0 +1,219 @@
+"""Spreads what a few nodes read from the platform to all others."""
+
+from collections.abc import Callable, Iterable, Iterator, Sequence
+from dataclasses import dataclass
+from enum import Enum
+
+import msgspec
+
+from chicoryshunt.events import log_event
+from chicoryshunt.fleet.catalog import Catalog
+from chicoryshunt.fleet.facts import Fact
+from chicoryshunt.process.core import Message, Send
+from chicoryshunt.process.membership import Membership
+from chicoryshunt.process.rendezvous import rank_vms
+from chicoryshunt.types import ConfigVersion, DataCentreId, VmId
+
+# Two readers in different data centres: one may fail without a gap.
+_READERS = 2
+_BEACON_INTERVAL_SECONDS = 0.5
+# Two beacons may be lost before another node reads in a reader's place.
+_SILENCE_SECONDS = 1.3
+# The next in rank waits longer, so that not all begin to read at once.
+_RANK_DELAY_SECONDS = 0.3
+_MOST_RANK_DELAY_SECONDS = 2.0
+# Who took over reads on for a while, or readers would change all the time.
+_TAKEOVER_SECONDS = 6.0
+_REQUEST_INTERVAL_SECONDS = 0.6
+# A datagram of 1400 bytes holds this many facts.
+_FACTS_PER_MESSAGE = 7
+# Differences that requests could not settle are settled by reading.
+_REQUESTS_BEFORE_READ = 3
+
+
+class Duty(Enum):
+    """Say whether a node reads the platform, and why."""
+
+    none = 'none'
+    regular = 'regular'
+    takeover = 'takeover'
+    uncertain = 'uncertain'
+
+
+class Beacon(msgspec.Struct, frozen=True, array_like=True, tag='fb'):
+    """Say what a reader holds and how long ago the platform answered it."""
+
+    digest: int
+    rules_version: ConfigVersion
+    age_seconds: float
+
+
+class FactNews(msgspec.Struct, frozen=True, array_like=True, tag='fn'):
+    """Pass facts on."""
+
+    facts: tuple[Fact, ...]
+
+
+class FactRequest(msgspec.Struct, frozen=True, array_like=True, tag='fr'):
+    """Ask a node for every fact that it holds."""
+
+
+RulesBehind = Callable[[VmId, ConfigVersion], None]
+
+
+@dataclass(slots=True)
+class _Mismatch:
+    """How often facts were asked for since the catalogs were last equal."""
+
+    requests: int = 0
+    next_request: float = 0
+
+
+class Feed:
+    """Core that keeps the catalogs of all nodes alike."""
+
+    kinds = (Beacon, FactNews, FactRequest)
+
+    def __init__(
+        self,
+        catalog: Catalog,
+        membership: Membership,
+        data_centre: DataCentreId,
+        now: float,
+    ) -> None:
+        """Start without any contact with the platform."""
+        self._catalog = catalog
+        self._membership = membership
+        self._data_centre = data_centre
+        self._contact = float('-inf')
+        self._started = now
+        self._next_beacon = now
+        self._takeover_until = float('-inf')
+        self._mismatch = _Mismatch()
+        self._duty = Duty.none
+        self._rules_behind: list[RulesBehind] = []
+        self.reads_anew = True
+
+    def on_rules_behind(self, notify: RulesBehind) -> None:
+        """Call ``notify(vm, version)`` when a node has newer rules."""
+        self._rules_behind.append(notify)
+
+    def note_contact(self, now: float) -> None:
+        """Remember that the platform answered this node."""
+        self._contact = max(self._contact, now)
+
+    def measure_age(self, now: float) -> float:
+        """Return for how many seconds nobody is known to have read."""
+        return now - self._contact
+
+    def decide_duty(self, now: float) -> Duty:
+        """Say whether this node is to read the platform now."""
+        duty = self._decide_duty(now)
+        if duty is not self._duty:
+            log_event(
+                'reading_duty',
+                duty=duty.value,
+                before=self._duty.value,
+                age_seconds=min(self.measure_age(now), now - self._started),
+            )
+            self._duty = duty
+        return duty
+
+    def publish(self, facts: Sequence[Fact]) -> Iterator[Send]:
+        """Return the messages that tell all others some news."""
+        for receiver in self._membership.roster.list_others():
+            yield from _tell(receiver, facts)
+
+    def receive(
+        self,
+        sender: VmId,
+        message: Message,
+        now: float,
+    ) -> Iterator[Send]:
+        """Take what a reader tells, or answer who asks for facts."""
+        match message:
+            case Beacon():
+                yield from self._take_beacon(sender, message, now)
+            case FactNews(facts):
+                for fact in facts:
+                    self._catalog.take(fact, now, sender)
+            case FactRequest():
+                yield from _tell(sender, self._catalog.list_facts())
+
+    def tick(self, now: float) -> Iterator[Send]:
+        """Tell the others what this node holds while it reads."""
+        if now < self._next_beacon or self._duty is Duty.none:
+            return
+        self._next_beacon = now + _BEACON_INTERVAL_SECONDS
+        age = self.measure_age(now)
+        if age < _SILENCE_SECONDS:
+            beacon = Beacon(
+                self._catalog.digest,
+                self._catalog.rules_version,
+                age,
+            )
+            for receiver in self._membership.roster.list_others():
+                yield Send(receiver, beacon)
+
+    def wake(self, now: float, paused_seconds: float) -> None:
+        """Believe that what is held is as old as the pause."""
+        self._contact -= paused_seconds
+        self.reads_anew = True
+
+    def _decide_duty(self, now: float) -> Duty:
+        if self.reads_anew:
+            return Duty.uncertain
+        ranked = self._rank_readers()
+        rank = ranked.index(self._membership.own)
+        if rank < _READERS:
+            return Duty.regular
+        delay = min(rank * _RANK_DELAY_SECONDS, _MOST_RANK_DELAY_SECONDS)
+        if self.measure_age(now) > _SILENCE_SECONDS + delay:
+            self._takeover_until = now + _TAKEOVER_SECONDS
+        return Duty.takeover if now < self._takeover_until else Duty.none
+
+    def _rank_readers(self) -> list[VmId]:
+        roster = self._membership.roster
+        serving = set(roster.list_serving()) | {self._membership.own}
+        ranked = rank_vms('platform-reader', serving)
+        first = roster.find(ranked[0])
+        if first is None:
+            return ranked
+        others = roster.list_serving(first.published.data_centre)
+        apart = next((vm for vm in ranked if vm not in others), None)
+        if apart is not None:
+            ranked.remove(apart)
+            ranked.insert(1, apart)
+        return ranked
+
+    def _take_beacon(
+        self,
+        sender: VmId,
+        beacon: Beacon,
+        now: float,
+    ) -> Iterator[Send]:
+        self._contact = max(self._contact, now - beacon.age_seconds)
+        if beacon.rules_version > self._catalog.rules_version:
+            for notify in self._rules_behind:
+                notify(sender, beacon.rules_version)
+        if beacon.digest == self._catalog.digest:
+            self._mismatch = _Mismatch()
+        elif now >= self._mismatch.next_request:
+            self._mismatch.next_request = now + _REQUEST_INTERVAL_SECONDS
+            self._mismatch.requests += 1
+            yield from self._settle(sender)
+
+    def _settle(self, sender: VmId) -> Iterator[Send]:
+        if self._mismatch.requests > _REQUESTS_BEFORE_READ:
+            log_event('facts_differ', reader=sender)
+            self._mismatch.requests = 0
+            self.reads_anew = True
+        else:
+            yield Send(sender, FactRequest())
+
+
+def _tell(receiver: VmId, facts: Iterable[Fact]) -> Iterator[Send]:
+    waiting = list(facts)
+    for start in range(0, len(waiting), _FACTS_PER_MESSAGE):
+        part = waiting[start : start + _FACTS_PER_MESSAGE]
+        yield Send(receiver, FactNews(tuple(part)))
--- /dev/null
+++ b/chicoryshunt/fleet/workload.py
@@ -0,0 +1,167 @@
+"""What every node has placed on engines, as each node believes it."""
+
+import itertools
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import msgspec
+
+from chicoryshunt.process.core import Message, Send
+from chicoryshunt.process.membership import Membership
+from chicoryshunt.types import RequestId, TargetId, VmId, VmState
+
+# Every node repeats all that it has placed, for notes may be lost.
+_REPEAT_SECONDS = 2.0
+_RUNS_PER_MESSAGE = 14
+
+
+class PlacedRun(msgspec.Struct, frozen=True, array_like=True):
+    """One run on an engine; ``age`` is seconds since it was placed.
+
+    ``holder`` is the engine that keeps a copy of its memory, if any.
+    """
+
+    request: RequestId
+    target: TargetId
+    prompt_tokens: int
+    expected_tokens: int
+    most_tokens: int
+    age: float
+    holder: TargetId = TargetId('')
+
+
+class RunNews(msgspec.Struct, frozen=True, array_like=True, tag='wn'):
+    """Tell of runs that were placed or moved, and of ended ones."""
+
+    placed: tuple[PlacedRun, ...] = ()
+    ended: tuple[RequestId, ...] = ()
+
+
+class RunList(msgspec.Struct, frozen=True, array_like=True, tag='wl'):
+    """Part of all runs of a node; ``round`` numbers the repeats."""
+
+    round: int
+    part: int
+    parts: int
+    runs: tuple[PlacedRun, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class KnownRun:
+    """A run with the node that placed it and when, in monotonic seconds."""
+
+    run: PlacedRun
+    node: VmId
+    placed: float
+
+
+class Workload:
+    """Core that knows the runs of all nodes, its own ones exactly."""
+
+    kinds = (RunNews, RunList)
+
+    def __init__(self, membership: Membership, now: float) -> None:
+        """Start without runs; those of nodes that are gone are dropped."""
+        self._membership = membership
+        self._runs: dict[RequestId, KnownRun] = {}
+        self._listed: dict[VmId, dict[int, RunList]] = {}
+        self._news: list[Send] = []
+        self._round = 0
+        self._next_repeat = now + _REPEAT_SECONDS
+        membership.subscribe(self._follow)
+
+    def list_runs(self) -> Iterator[KnownRun]:
+        """Return the runs of all nodes."""
+        return iter(self._runs.values())
+
+    def place(self, run: PlacedRun, now: float) -> Iterator[Send]:
+        """Count a run of this node; return the messages to send."""
+        own = self._membership.own
+        self._runs[run.request] = KnownRun(run, own, now - run.age)
+        return self._tell(RunNews(placed=(run,)))
+
+    def end(self, request: RequestId) -> Iterator[Send]:
+        """Drop a run of this node; return the messages to send."""
+        if self._runs.pop(request, None) is None:
+            return iter(())
+        return self._tell(RunNews(ended=(request,)))
+
+    def receive(
+        self,
+        sender: VmId,
+        message: Message,
+        now: float,
+    ) -> Iterator[Send]:
+        """Take what another node placed; nothing is answered."""
+        match message:
+            case RunNews(placed, ended):
+                for run in placed:
+                    self._take(sender, run, now)
+                for request in ended:
+                    self._runs.pop(request, None)
+            case RunList():
+                self._take_list(sender, message, now)
+        return iter(())
+
+    def tick(self, now: float) -> Iterator[Send]:
+        """Repeat all runs of this node when that is due."""
+        if now < self._next_repeat:
+            return
+        self._next_repeat = now + _REPEAT_SECONDS
+        self._round += 1
+        own = self._membership.own
+        runs = [
+            msgspec.structs.replace(known.run, age=now - known.placed)
+            for known in self._runs.values()
+            if known.node == own
+        ]
+        for message in _split(self._round, runs):
+            yield from self._tell(message)
+
+    def wake(self, now: float, paused_seconds: float) -> None:
+        """Forget the runs of other nodes, which went on without this one."""
+        own = self._membership.own
+        self._runs = {
+            request: known
+            for request, known in self._runs.items()
+            if known.node == own
+        }
+
+    def _take(self, sender: VmId, run: PlacedRun, now: float) -> None:
+        self._runs[run.request] = KnownRun(run, sender, now - run.age)
+
+    def _take_list(self, sender: VmId, message: RunList, now: float) -> None:
+        parts = self._listed.get(sender, {})
+        if any(one.round != message.round for one in parts.values()):
+            parts = {}
+        parts[message.part] = message
+        self._listed[sender] = parts
+        if len(parts) < message.parts:
+            return
+        self._listed.pop(sender)
+        self._drop_runs(sender)
+        for run in itertools.chain.from_iterable(
+            one.runs for one in parts.values()
+        ):
+            self._take(sender, run, now)
+
+    def _drop_runs(self, node: VmId) -> None:
+        for request, known in tuple(self._runs.items()):
+            if known.node == node:
+                self._runs.pop(request)
+
+    def _follow(self, vm: VmId, state: VmState) -> None:
+        if state is VmState.gone:
+            self._drop_runs(vm)
+            self._listed.pop(vm, None)
+
+    def _tell(self, message: Message) -> Iterator[Send]:
+        for receiver in self._membership.roster.list_others():
+            yield Send(receiver, message)
+
+
+def _split(number: int, runs: list[PlacedRun]) -> Iterator[RunList]:
+    starts = range(0, max(len(runs), 1), _RUNS_PER_MESSAGE)
+    for part, start in enumerate(starts):
+        chunk = tuple(runs[start : start + _RUNS_PER_MESSAGE])
+        yield RunList(number, part, len(starts), chunk)
--- /dev/null
+++ b/chicoryshunt/platform/__main__.py
@@ -0,0 +1,26 @@
+"""Runs a node on the users' platform."""
+
+import sys
+
+from chicoryshunt.connection.loop import install_reactor
+from chicoryshunt.events import configure_logging
+from chicoryshunt.exceptions import ChicoryshuntError
+
+
+def main() -> int:
+    """Run a node and return the exit status."""
+    configure_logging(sys.stdout)
+    install_reactor()
+    # These modules need the reactor that was just installed.
+    from chicoryshunt.platform.node import run_node
+
+    try:
+        run_node()
+    except ChicoryshuntError as error:
+        print(f'chicoryshunt: {error}', file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/chicoryshunt/platform/items.py
@@ -0,0 +1,294 @@
+"""Decodes the items of the platform's store into rules and facts."""
+
+import base64
+import binascii
+from enum import Enum
+
+import msgspec
+
+from chicoryshunt.fleet.facts import (
+    EvacuationFact,
+    Revision,
+    TargetFact,
+    TargetPhase,
+)
+from chicoryshunt.rules.model import (
+    ApiKey,
+    CallerLimits,
+    EngineRules,
+    Route,
+    RouteId,
+    Rules,
+    ServiceRules,
+    ServiceShare,
+    TeamRules,
+    Work,
+)
+from chicoryshunt.types import (
+    ConfigVersion,
+    DataCentreId,
+    ServiceId,
+    TargetId,
+    TeamId,
+)
+
+CONFIG_KEY = 'op/config'
+EVACUATION_PREFIX = 'op/evacuate/'
+TARGET_PREFIX = 'servers/'
+_MILLISECONDS = 1000
+_BITS_PER_MBIT = 1000000
+_BITS_PER_BYTE = 8
+
+
+class Item(msgspec.Struct):
+    """One item, or the note that it was deleted.
+
+    ``value`` is base64; ``revision`` is that of its last change.
+    """
+
+    key: str
+    revision: int
+    value: str = ''
+    deleted: bool = False
+
+
+class Page(msgspec.Struct):
+    """Answer to a read of a prefix; ``current_rev`` is the store's own."""
+
+    items: list[msgspec.Raw]
+    current_rev: int
+    more_pages: bool = False
+
+
+class Changes(msgspec.Struct):
+    """Answer to a watch; the next one goes on from ``current_rev``."""
+
+    events: list[msgspec.Raw]
+    current_rev: int
+
+
+class Kind(Enum):
+    """Kinds of routes, as the configuration names them."""
+
+    safe = 'safe'
+    unsafe = 'unsafe'
+    streaming = 'streaming'
+
+
+class _Server(msgspec.Struct):
+    """What a target writes of itself.
+
+    ``sequence`` counts its writes; ``state`` is ``ready`` or ``draining``.
+    """
+
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int = 0
+    cold_remaining_ms: float = 0
+    born: int = 0
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    """One route; ``session_affinity`` marks those with prompts."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: Kind
+    timeout_ms: float
+    target_latency_ms: float = 1000
+    priority: int = 0
+    service: str = ''
+    traffic_split: list[_Split] = []
+    max_attempts: int = 1
+    public: bool = False
+    stream_resume: bool = False
+    target_gap_ms: float | None = None
+
+
+class _Engine(msgspec.Struct):
+    """Engine of a service; ``stride`` is the tokens that an event holds."""
+
+    slots: int
+    kv_capacity: int
+    kv_token_bytes: int = 0
+    link_mbps: float = 1
+    moves: bool = False
+    backups: bool = False
+    stride: int = 1
+    handle_s: float = 1
+
+
+class _Service(msgspec.Struct):
+    name: str
+    max_connections: int = 0
+    cold_start_s: float = 0
+    cold_per_s: float = 0
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4194304
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15000
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] | None = None
+
+
+class Unreadable(msgspec.Struct, frozen=True):
+    """An item that cannot be used, and why."""
+
+    key: str
+    reason: str
+
+
+def decode_item(raw: msgspec.Raw) -> Item | Unreadable:
+    """Return an item of a page or of a watch."""
+    try:
+        return msgspec.json.decode(raw, type=Item)
+    except msgspec.DecodeError as error:
+        return Unreadable('', str(error))
+
+
+def decode_target(item: Item) -> TargetFact | Unreadable:
+    """Return what an entry says of a target.
+
+    Entries of other writers may hold anything; one that cannot be read names
+    no target.
+    """
+    try:
+        server = msgspec.json.decode(_decode_value(item), type=_Server)
+        phase = _PHASES[server.state]
+    except (msgspec.DecodeError, binascii.Error, KeyError) as error:
+        return Unreadable(item.key, repr(error))
+    return TargetFact(
+        target=get_target(item.key),
+        revision=Revision(item.revision),
+        phase=phase,
+        service=ServiceId(server.service),
+        address=server.address,
+        data_centre=DataCentreId(server.zone),
+        slots=server.slots,
+        cold_seconds=max(server.cold_remaining_ms, 0) / _MILLISECONDS,
+        born=server.born,
+    )
+
+
+def get_target(key: str) -> TargetId:
+    """Return the target that the key of an entry names."""
+    return TargetId(key.removeprefix(TARGET_PREFIX))
+
+
+def decode_evacuation(item: Item) -> EvacuationFact:
+    """Return the order to send nothing to a data centre, or its end."""
+    return EvacuationFact(
+        DataCentreId(item.key.removeprefix(EVACUATION_PREFIX)),
+        Revision(item.revision),
+        is_ordered=not item.deleted,
+    )
+
+
+def decode_rules(item: Item) -> Rules | Unreadable:
+    """Return the rules of a configuration."""
+    try:
+        config = msgspec.json.decode(_decode_value(item), type=_Config)
+    except (msgspec.DecodeError, binascii.Error) as error:
+        return Unreadable(item.key, repr(error))
+    limits = config.limits
+    return Rules(
+        version=ConfigVersion(config.version),
+        routes=tuple(_build_route(one) for one in config.routes),
+        services=tuple(_build_service(one) for one in config.services),
+        limits=CallerLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_ms / _MILLISECONDS,
+            limits.idle_timeout_ms / _MILLISECONDS,
+        ),
+        teams=tuple(_build_team(one) for one in config.tenants or ()),
+        asks_for_keys=config.tenants is not None,
+    )
+
+
+_PHASES = {'ready': TargetPhase.ready, 'draining': TargetPhase.leaving}
+
+
+def _decode_value(item: Item) -> bytes:
+    return base64.b64decode(item.value, validate=True)
+
+
+def _build_route(route: _Route) -> Route:
+    shares = tuple(
+        ServiceShare(ServiceId(one.service), one.weight)
+        for one in route.traffic_split
+        if one.weight > 0
+    )
+    gap = route.target_gap_ms
+    return Route(
+        name=RouteId(route.name),
+        host=route.host.lower(),
+        prefix=route.prefix,
+        work=Work.generation if route.kind is Kind.streaming else Work.call,
+        shares=shares or (ServiceShare(ServiceId(route.service), 1),),
+        timeout=route.timeout_ms / _MILLISECONDS,
+        target_latency=route.target_latency_ms / _MILLISECONDS,
+        max_gap=None if gap is None else gap / _MILLISECONDS,
+        max_attempts=route.max_attempts,
+        priority=route.priority,
+        is_repeatable=route.kind is Kind.safe,
+        is_resumable=route.stream_resume,
+        is_public=route.public,
+    )
+
+
+def _build_service(service: _Service) -> ServiceRules:
+    engine = service.engine
+    return ServiceRules(
+        ServiceId(service.name),
+        service.max_connections,
+        service.cold_start_s,
+        service.cold_per_s,
+        None if engine is None else _build_engine(engine),
+    )
+
+
+def _build_engine(engine: _Engine) -> EngineRules:
+    bits_per_second = engine.link_mbps * _BITS_PER_MBIT
+    return EngineRules(
+        slots=engine.slots,
+        memory_tokens=engine.kv_capacity,
+        bytes_per_token=engine.kv_token_bytes,
+        link_bytes_per_second=bits_per_second / _BITS_PER_BYTE,
+        can_move=engine.moves,
+        can_back_up=engine.backups,
+        tokens_per_event=engine.stride,
+        handle_seconds=engine.handle_s,
+    )
+
+
+def _build_team(tenant: _Tenant) -> TeamRules:
+    return TeamRules(
+        TeamId(tenant.name),
+        tuple(ApiKey(key) for key in tenant.api_keys),
+        tenant.priority,
+    )
--- /dev/null
+++ b/chicoryshunt/platform/settings.py
@@ -0,0 +1,140 @@
+"""Settings file that the platform writes: lines of the form a.b=text."""
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Final
+
+from chicoryshunt.address import Address, is_address
+from chicoryshunt.dispatch.extras import ExtraBound
+from chicoryshunt.exceptions import SettingsError
+from chicoryshunt.types import DataCentreId, VmId
+
+SETTINGS_VARIABLE: Final = 'CHICORYSHUNT_BOOT'
+_MILLISECONDS = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """Promises that the deployment asks for, in seconds.
+
+    ``entry_keep_most`` is how long callers may keep a list of nodes.
+    """
+
+    extra: ExtraBound
+    config_apply: float
+    stop_grace: float
+    entry_keep_most: float
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """What a process is told when it starts.
+
+    ``first_internal_port`` and the one after it are free for traffic between
+    nodes, on every VM.
+    """
+
+    vm: VmId
+    data_centre: DataCentreId
+    callers: Address
+    readiness: Address
+    peers: Address
+    directory: Address
+    first_internal_port: int
+    seeds: tuple[Address, ...]
+    store: Address
+    bounds: Bounds
+
+
+class _Lines:
+    """Texts of a settings file by name; every error names its line."""
+
+    def __init__(self, text: str, source: str) -> None:
+        self._source = source
+        self._texts: dict[str, str] = {}
+        for line in text.splitlines():
+            name, mark, setting = line.partition('=')
+            if mark:
+                self._texts[name.strip()] = setting.strip()
+
+    def get_text(self, name: str) -> str:
+        found = self._texts.get(name)
+        if not found:
+            raise SettingsError(f'{self._source}: {name} is missing')
+        return found
+
+    def get_number(self, name: str, default: float | None = None) -> float:
+        if default is not None and name not in self._texts:
+            return default
+        text = self.get_text(name)
+        try:
+            return float(text)
+        except ValueError:
+            raise SettingsError(
+                f'{self._source}: {name}={text!r} is no number',
+            ) from None
+
+    def get_address(self, name: str) -> Address:
+        return self._parse_address(name, self.get_text(name))
+
+    def list_addresses(self, name: str) -> tuple[Address, ...]:
+        texts = self._texts.get(name, '').split(',')
+        return tuple(
+            self._parse_address(name, text.strip()) for text in texts if text
+        )
+
+    def get_first_port(self, name: str) -> int:
+        text = self.get_text(name).split(',')[0]
+        if not text.isdigit():
+            raise SettingsError(f'{self._source}: {name} is no port range')
+        return int(text)
+
+    def _parse_address(self, name: str, text: str) -> Address:
+        if not is_address(text):
+            raise SettingsError(
+                f'{self._source}: {name}={text!r} is no IP:PORT',
+            )
+        host, _, port = text.rpartition(':')
+        return Address(host, int(port))
+
+
+def load_settings(path: Path) -> PlatformSettings:
+    """Read and check the file; raise ``SettingsError`` with one line."""
+    try:
+        text = path.read_text(encoding='utf-8')
+    except OSError as error:
+        raise SettingsError(f'{path}: {error.strerror}') from error
+    return parse_settings(text, str(path))
+
+
+def parse_settings(text: str, source: str) -> PlatformSettings:
+    """Check the text of a settings file; unknown names are ignored."""
+    lines = _Lines(text, source)
+    return PlatformSettings(
+        # The address is unique among VMs, and seeds tell nothing else.
+        vm=VmId(lines.get_text('ip')),
+        data_centre=DataCentreId(lines.get_text('zone')),
+        callers=lines.get_address('listen.front'),
+        readiness=lines.get_address('listen.readiness'),
+        peers=lines.get_address('listen.control'),
+        directory=lines.get_address('listen.directory'),
+        first_internal_port=lines.get_first_port('internal_port_range'),
+        seeds=lines.list_addresses('seeds'),
+        store=lines.get_address('platform.address'),
+        bounds=_parse_bounds(lines),
+    )
+
+
+def _parse_bounds(lines: _Lines) -> Bounds:
+    return Bounds(
+        extra=ExtraBound(
+            ratio=lines.get_number('bounds.retry_ratio', 0),
+            slack=lines.get_number('bounds.retry_slack', 0),
+            window_seconds=lines.get_number('bounds.retry_window_s', 10),
+        ),
+        config_apply=(
+            lines.get_number('bounds.config_apply_ms', 2000) / _MILLISECONDS
+        ),
+        stop_grace=lines.get_number('bounds.grace_s', 8),
+        entry_keep_most=lines.get_number('bounds.ttl_max_s', 5),
+    )
--- /dev/null
+++ b/chicoryshunt/platform/store.py
@@ -0,0 +1,339 @@
+"""Reads the platform's store: a full read, then changes as they come."""
+
+import asyncio
+from collections.abc import Iterable
+from typing import TypeVar
+from urllib.parse import urlencode
+
+import msgspec
+
+from chicoryshunt.address import Address
+from chicoryshunt.clock import Clock
+from chicoryshunt.connection.upstream import (
+    LostError,
+    NotSentError,
+    Sending,
+    Upstream,
+    UpstreamPool,
+)
+from chicoryshunt.events import log_event, log_problem
+from chicoryshunt.exceptions import ChicoryshuntError
+from chicoryshunt.fleet.catalog import Catalog, withdraw
+from chicoryshunt.fleet.facts import (
+    EvacuationFact,
+    Fact,
+    Revision,
+    TargetFact,
+)
+from chicoryshunt.fleet.feed import Duty, Feed
+from chicoryshunt.platform import items, wire
+from chicoryshunt.process.mesh import Mesh
+from chicoryshunt.process.metrics import Metrics
+
+_PREFIXES = ('op/', items.TARGET_PREFIX)
+# A watch returns with the first change, and targets write all the time: the
+# pause bounds the calls to some five a second for each reader.
+_PAUSE_SECONDS = 0.18
+# A watch for orders alone waits long, for there are few.
+_WAIT_MILLISECONDS = 1500
+_READ_SECONDS = 1.0
+_WATCH_SECONDS = 2.5
+_IDLE_POLL_SECONDS = 0.1
+_FIRST_RETRY_SECONDS = 0.15
+_MOST_RETRY_SECONDS = 1.2
+# Entries that lapsed during an outage are back this long after its end.
+_RETURN_SECONDS = 2.5
+_MOST_BYTES = 8388608
+_IDLE_SECONDS = 5.0
+_SOURCE = 'store'
+
+_Read = TypeVar('_Read')
+
+
+class StoreError(ChicoryshuntError):
+    """The store did not answer as its page says."""
+
+
+class HistoryGoneError(StoreError):
+    """Changes were missed; everything has to be read again."""
+
+
+class StoreClient:
+    """Calls of the platform's store; it can only be read."""
+
+    def __init__(
+        self,
+        address: Address,
+        pool: UpstreamPool,
+        metrics: Metrics,
+    ) -> None:
+        """Call the store at this address."""
+        self._address = str(address)
+        self._pool = pool
+        self._metrics = metrics
+
+    async def read_range(self, prefix: str, after: str) -> items.Page:
+        """Return one page of the items under a prefix.
+
+        ``after`` is the key that the page begins after, empty for the first.
+        """
+        query = {'prefix': prefix}
+        if after:
+            # The wire's name for this is that of a revision.
+            query['since_revision'] = after
+        return await self._call(
+            wire.RANGE_PATH,
+            query,
+            items.Page,
+            _READ_SECONDS,
+        )
+
+    async def watch(self, prefix: str, revision: int) -> items.Changes:
+        """Return the changes after a revision, once there are any."""
+        query = {
+            'prefix': prefix,
+            'since_revision': str(revision),
+            'wait_ms': str(_WAIT_MILLISECONDS),
+        }
+        return await self._call(
+            wire.WATCH_PATH,
+            query,
+            items.Changes,
+            _WATCH_SECONDS,
+        )
+
+    async def _call(
+        self,
+        path: str,
+        query: dict[str, str],
+        kind: type[_Read],
+        seconds: float,
+    ) -> _Read:
+        headers = [(wire.HOST, self._address.encode())]
+        uri = f'{path}?{urlencode(query)}'.encode()
+        self._metrics.count(
+            'store_calls',
+            'Calls of the platform store',
+            path=path,
+        )
+        try:
+            upstream = await self._pool.acquire(self._address, _IDLE_SECONDS)
+        except NotSentError as error:
+            raise StoreError(str(error)) from error
+        return await self._exchange(
+            upstream,
+            Sending(b'GET', uri, headers),
+            kind,
+            seconds,
+        )
+
+    async def _exchange(
+        self,
+        upstream: Upstream,
+        sending: Sending,
+        kind: type[_Read],
+        seconds: float,
+    ) -> _Read:
+        is_done = False
+        try:
+            async with asyncio.timeout(seconds):
+                answer = await upstream.send(sending, seconds)
+                body = await answer.body.read_all(_MOST_BYTES)
+            if answer.status == 410:
+                raise HistoryGoneError('the history is gone')
+            if answer.status != 200 or not isinstance(body, bytes):
+                raise StoreError(f'status {answer.status}')
+            decoded = msgspec.json.decode(body, type=kind)
+            is_done = True
+        except (LostError, NotSentError, TimeoutError) as error:
+            raise StoreError(repr(error)) from error
+        except msgspec.DecodeError as error:
+            raise StoreError(f'unreadable answer: {error}') from error
+        finally:
+            if not is_done:
+                upstream.abort()
+        return decoded
+
+
+class StoreReader:
+    """Keeps the catalog as the store is, while this node has to read."""
+
+    def __init__(
+        self,
+        client: StoreClient,
+        catalog: Catalog,
+        feed: Feed,
+        mesh: Mesh,
+        clock: Clock,
+    ) -> None:
+        """Start with nothing read."""
+        self._client = client
+        self._catalog = catalog
+        self._feed = feed
+        self._mesh = mesh
+        self._clock = clock
+        self._revision = 0
+        self._retry_seconds = _FIRST_RETRY_SECONDS
+        self._failed_since: float | None = None
+        self._trust_absence_from = float('-inf')
+        self._returned_at: float | None = None
+
+    async def run(self) -> None:
+        """Read for as long as the process lives."""
+        while True:
+            if self._feed.decide_duty(self._clock.now()) is Duty.none:
+                self._revision = 0
+                await asyncio.sleep(_IDLE_POLL_SECONDS)
+                continue
+            try:
+                await self._read_once()
+            except HistoryGoneError:
+                log_event('store_history_gone', revision=self._revision)
+                self._revision = 0
+            except StoreError as error:
+                await self._note_failure(error)
+            else:
+                self._note_success()
+
+    async def _read_once(self) -> None:
+        if self._must_read_all():
+            await self._read_all()
+        else:
+            await self._read_changes()
+            await asyncio.sleep(_PAUSE_SECONDS)
+
+    def _must_read_all(self) -> bool:
+        if not self._revision or self._feed.reads_anew:
+            return True
+        now = self._clock.now()
+        return self._returned_at is not None and now >= self._returned_at
+
+    async def _read_all(self) -> None:
+        found: list[items.Item] = []
+        revision = None
+        for prefix in _PREFIXES:
+            page_revision = await self._read_prefix(prefix, found)
+            # Pages are no snapshot: changes after the first are read again.
+            revision = page_revision if revision is None else revision
+        self._revision = revision or 0
+        now = self._clock.now()
+        if self._returned_at is not None and now >= self._returned_at:
+            self._returned_at = None
+        self._take_all(found)
+        self._feed.reads_anew = False
+
+    async def _read_prefix(
+        self,
+        prefix: str,
+        found: list[items.Item],
+    ) -> int:
+        after = ''
+        revision = None
+        while True:
+            page = await self._client.read_range(prefix, after)
+            revision = page.current_rev if revision is None else revision
+            read = [items.decode_item(raw) for raw in page.items]
+            found.extend(one for one in read if isinstance(one, items.Item))
+            if not page.more_pages or not found:
+                return revision
+            after = found[-1].key
+
+    async def _read_changes(self) -> None:
+        changes = await self._client.watch('', self._revision)
+        read = [items.decode_item(raw) for raw in changes.events]
+        for one in read:
+            if isinstance(one, items.Unreadable):
+                log_problem('item_unreadable', reason=one.reason)
+        self._take(one for one in read if isinstance(one, items.Item))
+        self._revision = max(self._revision, changes.current_rev)
+
+    def _take_all(self, found: list[items.Item]) -> None:
+        self._take(found)
+        if self._clock.now() < self._trust_absence_from:
+            return
+        keys = {item.key for item in found}
+        revision = Revision(self._revision)
+        absent: list[Fact] = [
+            withdraw(fact.target, revision)
+            for fact in tuple(self._catalog.list_present())
+            if f'{items.TARGET_PREFIX}{fact.target}' not in keys
+        ]
+        for fact in self._catalog.list_facts():
+            is_ordered = isinstance(fact, EvacuationFact) and fact.is_ordered
+            if is_ordered and _get_evacuation_key(fact) not in keys:
+                absent.append(
+                    EvacuationFact(fact.data_centre, revision, False),
+                )
+        self._believe(absent)
+
+    def _take(self, changed: Iterable[items.Item]) -> None:
+        facts = []
+        for item in changed:
+            fact = self._decode(item)
+            if fact is not None:
+                facts.append(fact)
+        self._believe(facts)
+
+    def _decode(self, item: items.Item) -> Fact | None:
+        if item.key == items.CONFIG_KEY:
+            self._take_rules(item)
+        elif item.key.startswith(items.EVACUATION_PREFIX):
+            return items.decode_evacuation(item)
+        elif item.key.startswith(items.TARGET_PREFIX):
+            return self._decode_target(item)
+        return None
+
+    def _decode_target(self, item: items.Item) -> TargetFact | None:
+        target = items.get_target(item.key)
+        revision = Revision(item.revision)
+        if item.deleted:
+            if self._clock.now() < self._trust_absence_from:
+                # It may have lapsed while the store was away.
+                return None
+            return withdraw(target, revision)
+        fact = items.decode_target(item)
+        if isinstance(fact, TargetFact):
+            return fact
+        log_problem('entry_unreadable', key=fact.key, reason=fact.reason)
+        return withdraw(target, revision)
+
+    def _take_rules(self, item: items.Item) -> None:
+        rules = items.decode_rules(item)
+        if isinstance(rules, items.Unreadable):
+            log_problem('rules_unreadable', reason=rules.reason)
+        else:
+            self._catalog.take_rules(rules, _SOURCE)
+
+    def _believe(self, facts: Iterable[Fact]) -> None:
+        now = self._clock.now()
+        news = [
+            fact for fact in facts if self._catalog.take(fact, now, _SOURCE)
+        ]
+        if news:
+            self._mesh.send_all(self._feed.publish(news))
+
+    async def _note_failure(self, error: StoreError) -> None:
+        if self._failed_since is None:
+            self._failed_since = self._clock.now()
+            log_problem('store_lost', error=str(error))
+        await asyncio.sleep(self._retry_seconds)
+        self._retry_seconds = min(
+            self._retry_seconds * 2,
+            _MOST_RETRY_SECONDS,
+        )
+
+    def _note_success(self) -> None:
+        now = self._clock.now()
+        if self._failed_since is not None:
+            away = now - self._failed_since
+            log_event('store_regained', away_seconds=away)
+            self._trust_absence_from = now + _RETURN_SECONDS
+            self._returned_at = self._trust_absence_from
+            self._failed_since = None
+            self._retry_seconds = _FIRST_RETRY_SECONDS
+        self._feed.note_contact(now)
+
+
+def _get_evacuation_key(fact: Fact) -> str:
+    data_centre = getattr(fact, 'data_centre', '')
+    return f'{items.EVACUATION_PREFIX}{data_centre}'
--- /dev/null
+++ b/chicoryshunt/platform/targets.py
@@ -0,0 +1,119 @@
+"""Encodes what targets are sent and decodes what they answer."""
+
+import msgspec
+
+from chicoryshunt.connection.upstream import Answer, Sending
+from chicoryshunt.platform import wire
+from chicoryshunt.relay.incoming import Incoming
+from chicoryshunt.relay.ports import (
+    Copied,
+    CopyFailed,
+    CopyFailure,
+    Dispatch,
+    Receipt,
+)
+from chicoryshunt.types import RequestId
+
+_MILLISECONDS = 1000
+_LAST_PRIORITY = 9
+_MISDIRECTED = 421
+_SUCCESS = range(200, 300)
+_FAILURES = {
+    404: CopyFailure.no_run,
+    409: CopyFailure.busy,
+    503: CopyFailure.no_room,
+}
+
+
+class CopyAnswer(msgspec.Struct):
+    """Answer to an order to copy; ``created`` counts events, no time."""
+
+    handle: str = ''
+    created: int = 0
+
+
+class TargetWire:
+    """The targets' side of the users' wire."""
+
+    def encode(self, incoming: Incoming, dispatch: Dispatch) -> Sending:
+        """Return the request as it is written to a target."""
+        patience = max(round(dispatch.remaining * _MILLISECONDS), 1)
+        headers = [
+            *incoming.headers,
+            (wire.PATIENCE_MS, b'%d' % patience),
+            (wire.EXPECTED_TARGET, dispatch.target.encode()),
+        ]
+        if dispatch.team is not None:
+            headers.append((wire.TEAM, dispatch.team.encode()))
+        if incoming.ask is not None:
+            priority = min(dispatch.priority, _LAST_PRIORITY)
+            headers.append((wire.PRIORITY, b'%d' % priority))
+        if dispatch.holder_address:
+            headers.append((wire.HOLDER, dispatch.holder_address.encode()))
+        if dispatch.last_event is not None:
+            headers.append((wire.LAST_EVENT, b'%d' % dispatch.last_event))
+        if dispatch.memory is not None:
+            memory = dispatch.memory
+            place = f'{memory.address}/{memory.name}'
+            headers.append((wire.MEMORY, place.encode()))
+        return Sending(
+            incoming.method,
+            incoming.uri,
+            headers,
+            incoming.body,
+        )
+
+    def judge(self, incoming: Incoming, answer: Answer) -> Receipt:
+        """Return what an answer proves about the run."""
+        echoed = answer.get(wire.REQUEST_ID).decode('latin-1')
+        if echoed and echoed != incoming.request:
+            return Receipt.foreign
+        if answer.status == _MISDIRECTED:
+            return Receipt.other_target
+        if answer.get(wire.NOT_RUN):
+            return Receipt.not_run
+        is_success = answer.status in _SUCCESS
+        if is_success and not answer.get(wire.RECEIPT):
+            return Receipt.foreign
+        if answer.get(b'Content-Encoding'):
+            return Receipt.foreign
+        return Receipt.ran
+
+    def encode_copy(
+        self,
+        request: RequestId,
+        destination: str,
+        *,
+        stops_run: bool,
+    ) -> Sending:
+        """Return the order to copy a run's memory to another engine."""
+        order: dict[str, object] = {'id': request, 'to': destination}
+        if stops_run:
+            order['last'] = True
+        return Sending(
+            b'POST',
+            wire.MOVE_PATH,
+            [(wire.HOST, b'engine'), (wire.CONTENT_TYPE, b'application/json')],
+            msgspec.json.encode(order),
+        )
+
+    def decode_copy(self, answer: Answer, body: bytes) -> Copied | CopyFailed:
+        """Return the outcome of an order to copy."""
+        decoded = CopyAnswer()
+        if body:
+            try:
+                decoded = msgspec.json.decode(body, type=CopyAnswer)
+            except msgspec.DecodeError:
+                return CopyFailed(CopyFailure.unreachable)
+        if answer.status in _SUCCESS and decoded.handle:
+            return Copied(decoded.handle, decoded.created)
+        reason = _FAILURES.get(answer.status, CopyFailure.unreachable)
+        return CopyFailed(reason, decoded.handle)
+
+    def encode_release(self, handle: str) -> Sending:
+        """Return the order to drop a copy that is not needed."""
+        return Sending(
+            b'DELETE',
+            wire.HANDLE_PATH + handle.encode(),
+            [(wire.HOST, b'engine')],
+        )
--- /dev/null
+++ b/chicoryshunt/platform/wire.py
@@ -0,0 +1,74 @@
+"""Names on the users' wire, as their pages spell them."""
+
+from typing import Final
+
+REQUEST_ID: Final = b'X-Chicoryshunt-Request-Id'
+# How long the sender waits, in milliseconds; no point in time.
+PATIENCE_MS: Final = b'X-Chicoryshunt-Deadline-Ms'
+# Parts of the prompt, ID:TOKENS each; no hash of anything.
+PROMPT_PARTS: Final = b'X-Chicoryshunt-Prefix-Hash'
+# Tokens of the prompt, and the most that may be generated.
+TOKEN_COUNTS: Final = b'X-Chicoryshunt-Token-Count'
+LENGTH_ESTIMATE: Final = b'X-Chicoryshunt-Length-Hint'
+MODEL: Final = b'X-Chicoryshunt-Model'
+LAST_EVENT: Final = b'Last-Event-Id'
+AUTHORIZATION: Final = b'Authorization'
+# Proof that a target answered; returned to the caller as it is.
+RECEIPT: Final = b'X-Chicoryshunt-Response-Seal'
+NOT_RUN: Final = b'X-Chicoryshunt-Not-Executed'
+TEAM: Final = b'X-Chicoryshunt-Tenant'
+EXPECTED_TARGET: Final = b'X-Chicoryshunt-Expect-Instance'
+EXPECTED_WEIGHTS: Final = b'X-Chicoryshunt-Expect-Version'
+PRIORITY: Final = b'X-Chicoryshunt-Request-Priority'
+HOLDER: Final = b'X-Chicoryshunt-Kv-Backup'
+# IP:PORT/NAME of the memory that a run goes on from.
+MEMORY: Final = b'Kv-From'
+PREFIX_SOURCE: Final = b'Kv-Fetch'
+PIN_MS: Final = b'X-Chicoryshunt-Pin-Ms'
+HOLD: Final = b'X-Chicoryshunt-Hold'
+HOST: Final = b'Host'
+RETRY_AFTER: Final = b'Retry-After'
+CONTENT_LENGTH: Final = b'Content-Length'
+CONTENT_TYPE: Final = b'Content-Type'
+
+READY_PATH: Final = '/chicoryshunt/ready'
+RESOLVE_PATH: Final = '/chicoryshunt/resolve'
+MOVE_PATH: Final = b'/chicoryshunt/kv-move'
+HANDLE_PATH: Final = b'/chicoryshunt/kv-handle/'
+RANGE_PATH: Final = '/chicoryshunt/kv-range'
+WATCH_PATH: Final = '/chicoryshunt/kv-watch'
+
+# Headers that concern one connection alone.
+CONNECTION_HEADERS: Final = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+        b'content-length',
+        b'expect',
+    ),
+)
+# Headers that only the system sets; a caller's own are dropped.
+SYSTEM_HEADERS: Final = frozenset(
+    name.lower()
+    for name in (
+        PATIENCE_MS,
+        AUTHORIZATION,
+        TEAM,
+        EXPECTED_TARGET,
+        EXPECTED_WEIGHTS,
+        PRIORITY,
+        HOLDER,
+        MEMORY,
+        PREFIX_SOURCE,
+        PIN_MS,
+        HOLD,
+        LAST_EVENT,
+    )
+)
--- a/chicoryshunt/process/links.py
+++ b/chicoryshunt/process/links.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Iterable
 
+from chicoryshunt.address import Address
 from chicoryshunt.connection.platform_api import PublishedVm
-from chicoryshunt.settings import Address
 from chicoryshunt.types import VmId
 
 
--- /dev/null
+++ b/chicoryshunt/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Requests on their way between callers and targets."""
--- /dev/null
+++ b/chicoryshunt/relay/gateway.py
@@ -0,0 +1,233 @@
+"""Takes the requests of callers and sees them to their end."""
+
+import asyncio
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Protocol
+
+from chicoryshunt.connection.exchange import Exchange
+from chicoryshunt.events import log_event
+from chicoryshunt.fleet.facts import Fact, TargetFact
+from chicoryshunt.relay.calls import CallRelay
+from chicoryshunt.relay.generations import GenerationRelay
+from chicoryshunt.relay.incoming import Incoming
+from chicoryshunt.relay.results import Delivered, Result, Streamed
+from chicoryshunt.relay.surroundings import Surroundings
+from chicoryshunt.rules.model import Work
+from chicoryshunt.rules.routing import Admitted, RuleIndex, choose_service
+from chicoryshunt.types import Reason, RunState, Seconds
+from chicoryshunt.verdict import Verdict, doubt, refuse
+
+_RETRY_SECONDS = Seconds(0.5)
+# A timeout is answered this much before it passes, so that the answer still
+# reaches the caller.
+_ANSWER_MARGIN_SECONDS = 0.01
+_UNKNOWN = frozenset((Reason.unknown_path, Reason.unknown_team))
+
+
+class CallerPort(Protocol):
+    """Words of the wire between callers and the node."""
+
+    def decode(self, exchange: Exchange) -> Incoming | Verdict:
+        """Return the request of an exchange."""
+
+    def respond(
+        self,
+        exchange: Exchange,
+        result: Delivered | Verdict,
+        *,
+        closes: bool,
+    ) -> None:
+        """Answer with what a target said, or with a verdict."""
+
+
+class Gateway:
+    """Serves callers from the rules and targets that are believed in."""
+
+    def __init__(
+        self,
+        around: Surroundings,
+        port: CallerPort,
+        stale_seconds: float,
+    ) -> None:
+        """Refuse what is unknown to rules that are older than a bound.
+
+        ``stale_seconds`` is the age from which newer rules may be in force
+        elsewhere.
+        """
+        self._around = around
+        self._port = port
+        self._stale_seconds = stale_seconds
+        self._calls = CallRelay(around)
+        self._generations = GenerationRelay(around)
+        self._age = 0.0
+        self.active = 0
+        self.is_leaving = False
+        around.catalog.follow(self._follow)
+
+    def set_rules_age(self, seconds: float) -> None:
+        """Note how long ago the rules were known to be the newest."""
+        self._age = seconds
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Serve one request until its answer is sent or its caller left."""
+        incoming = self._port.decode(exchange)
+        if isinstance(incoming, Verdict):
+            self._respond(exchange, incoming)
+            return
+        with self._count():
+            await self._serve(incoming, exchange)
+
+    @contextmanager
+    def _count(self) -> Iterator[None]:
+        self.active += 1
+        try:
+            yield
+        finally:
+            self.active -= 1
+
+    async def _serve(self, incoming: Incoming, exchange: Exchange) -> None:
+        index = self._around.catalog.rules
+        admitted = self._admit(incoming, index)
+        if isinstance(admitted, Verdict):
+            self._finish(incoming, exchange, admitted)
+            return
+        serving = asyncio.ensure_future(
+            self._relay(incoming, admitted, exchange),
+        )
+        leaving = asyncio.ensure_future(exchange.wait_gone())
+        is_once = (
+            admitted.route.work is Work.call
+            and not admitted.route.is_repeatable
+        )
+        try:
+            await asyncio.wait(
+                (serving, leaving),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not serving.done():
+                log_event('caller_left', request=incoming.request)
+            if serving.done() or is_once:
+                # What may run once is not cut short; its outcome is logged.
+                result = await serving
+                self._finish(incoming, exchange, result)
+        finally:
+            leaving.cancel()
+            serving.cancel()
+
+    def _admit(
+        self,
+        incoming: Incoming,
+        index: RuleIndex | None,
+    ) -> Admitted | Verdict:
+        if index is None:
+            return refuse(
+                Reason.config_missing,
+                'no rules are known yet',
+                _RETRY_SECONDS,
+            )
+        admitted = index.admit(incoming.host, incoming.path, incoming.key)
+        if isinstance(admitted, Admitted):
+            return admitted
+        if admitted in _UNKNOWN and self._age > self._stale_seconds:
+            return refuse(
+                Reason.config_missing,
+                f'{admitted.value}, by rules that are {self._age:.1f} s old',
+                _RETRY_SECONDS,
+            )
+        return refuse(admitted, f'version {index.rules.version}')
+
+    async def _relay(
+        self,
+        incoming: Incoming,
+        admitted: Admitted,
+        exchange: Exchange,
+    ) -> Result:
+        route = admitted.route
+        patience = route.timeout
+        if incoming.patience is not None:
+            patience = min(patience, incoming.patience)
+        deadline = incoming.received + patience - _ANSWER_MARGIN_SECONDS
+        service = choose_service(route, incoming.request)
+        self._around.extras.record_first(service, incoming.received)
+        if route.work is Work.call:
+            relaying = self._calls.relay(
+                incoming,
+                admitted,
+                service,
+                deadline,
+            )
+        else:
+            relaying = self._generations.relay(
+                incoming,
+                admitted,
+                service,
+                deadline,
+                exchange,
+            )
+        try:
+            return await relaying
+        except asyncio.CancelledError:
+            raise
+        except Exception as error:
+            log_event(
+                'relay_failed',
+                request=incoming.request,
+                error=repr(error),
+            )
+            return doubt(Reason.internal_error, repr(error))
+
+    def _finish(
+        self,
+        incoming: Incoming,
+        exchange: Exchange,
+        result: Result,
+    ) -> None:
+        self._log_end(incoming, result)
+        if not isinstance(result, Streamed):
+            self._respond(exchange, result)
+
+    def _respond(self, exchange: Exchange, result: Delivered | Verdict) -> None:
+        if exchange.is_started:
+            exchange.abort()
+        elif exchange.is_open:
+            self._port.respond(exchange, result, closes=self.is_leaving)
+
+    def _log_end(self, incoming: Incoming, result: Result) -> None:
+        seconds = self._around.clock.now() - incoming.received
+        match result:
+            case Delivered(target, status):
+                log_event(
+                    'request_answered',
+                    request=incoming.request,
+                    target=target,
+                    status=status,
+                    seconds=seconds,
+                )
+            case Streamed(is_whole, events):
+                log_event(
+                    'request_streamed',
+                    request=incoming.request,
+                    whole=is_whole,
+                    events=events,
+                    seconds=seconds,
+                )
+            case Verdict(run, reason, detail, retry_after):
+                log_event(
+                    'request_refused',
+                    request=incoming.request,
+                    run=run.value,
+                    reason=reason.value,
+                    detail=detail,
+                    retry_after=retry_after,
+                    seconds=seconds,
+                )
+
+    def _follow(self, fact: Fact) -> None:
+        if isinstance(fact, TargetFact):
+            self._generations.follow_target(fact)
+
+
+def is_proved(verdict: Verdict) -> bool:
+    """Say whether a verdict promises that the request did not run."""
+    return verdict.run is RunState.not_run
--- /dev/null
+++ b/chicoryshunt/relay/ports.py
@@ -0,0 +1,96 @@
+"""What the relay asks of the adapter that speaks to targets."""
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+from chicoryshunt.connection.upstream import Answer, Sending
+from chicoryshunt.relay.incoming import Incoming
+from chicoryshunt.types import RequestId, TargetId, TeamId
+
+
+@dataclass(frozen=True, slots=True)
+class Memory:
+    """Memory of a run that another run goes on from.
+
+    ``name`` names the copy at the target that holds or made it.
+    """
+
+    address: str
+    name: str
+
+
+@dataclass(frozen=True, slots=True)
+class Dispatch:
+    """How a request is sent to one target; times are in seconds.
+
+    ``holder_address`` names the engine that is to keep a copy of the run's
+    memory; ``last_event`` is the last event that the caller has.
+    """
+
+    target: TargetId
+    remaining: float
+    priority: int
+    team: TeamId | None = None
+    holder_address: str = ''
+    memory: Memory | None = None
+    last_event: int | None = None
+
+
+class Receipt(Enum):
+    """What an answer proves about the run of a request."""
+
+    ran = 'ran'
+    not_run = 'not_run'
+    other_target = 'other_target'
+    foreign = 'foreign'
+
+
+class CopyFailure(Enum):
+    """Why the memory of a run was not copied."""
+
+    no_run = 'no_run'
+    busy = 'busy'
+    no_room = 'no_room'
+    unreachable = 'unreachable'
+
+
+@dataclass(frozen=True, slots=True)
+class Copied:
+    """The memory of a run was copied; ``events`` were generated so far."""
+
+    handle: str
+    events: int
+
+
+@dataclass(frozen=True, slots=True)
+class CopyFailed:
+    """The memory was not copied; a handle means that the run has stopped."""
+
+    reason: CopyFailure
+    handle: str = ''
+
+
+class TargetPort(Protocol):
+    """Words of the wire between the node and a target."""
+
+    def encode(self, incoming: Incoming, dispatch: Dispatch) -> Sending:
+        """Return the request as it is written to a target."""
+
+    def judge(self, incoming: Incoming, answer: Answer) -> Receipt:
+        """Return what an answer proves."""
+
+    def encode_copy(
+        self,
+        request: RequestId,
+        destination: str,
+        *,
+        stops_run: bool,
+    ) -> Sending:
+        """Return the order to copy a run's memory to another engine."""
+
+    def decode_copy(self, answer: Answer, body: bytes) -> Copied | CopyFailed:
+        """Return the outcome of an order to copy."""
+
+    def encode_release(self, handle: str) -> Sending:
+        """Return the order to drop a copy that is not needed."""
--- /dev/null
+++ b/chicoryshunt/relay/surroundings.py
@@ -0,0 +1,178 @@
+"""What every request on this node shares."""
+
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+from chicoryshunt.clock import Clock
+from chicoryshunt.connection.upstream import UpstreamPool
+from chicoryshunt.dispatch.cold import ColdGate
+from chicoryshunt.dispatch.engines import Engine
+from chicoryshunt.dispatch.extras import ExtraBudget
+from chicoryshunt.dispatch.forecast import (
+    DEFAULT_TOKENS_PER_SECOND,
+    RunView,
+)
+from chicoryshunt.dispatch.outliers import Outcome, Outliers
+from chicoryshunt.events import log_event
+from chicoryshunt.fleet.catalog import Catalog
+from chicoryshunt.fleet.facts import TargetFact, TargetPhase
+from chicoryshunt.fleet.workload import PlacedRun, Workload
+from chicoryshunt.process.core import Send
+from chicoryshunt.process.membership import Membership
+from chicoryshunt.process.metrics import Metrics
+from chicoryshunt.relay.ports import TargetPort
+from chicoryshunt.rules.model import EngineRules, ServiceRules
+from chicoryshunt.types import DataCentreId, ServiceId, TargetId
+
+# Weight of the newest stream in the pace that forecasts use.
+_NEWEST_PACE_WEIGHT = 0.05
+_LEAST_PACE = 20.0
+_MOST_PACE = 500.0
+
+
+@dataclass(slots=True)
+class Surroundings:
+    """Beliefs, connections and counters of the process."""
+
+    data_centre: DataCentreId
+    clock: Clock
+    catalog: Catalog
+    membership: Membership
+    workload: Workload
+    pool: UpstreamPool
+    port: TargetPort
+    extras: ExtraBudget
+    metrics: Metrics
+    send: Callable[[Iterable[Send]], None]
+    outliers: Outliers = field(default_factory=Outliers)
+    cold: ColdGate = field(default_factory=ColdGate)
+    open_calls: Counter[TargetId] = field(default_factory=Counter)
+    pace: float = DEFAULT_TOKENS_PER_SECOND
+    most_nodes: int = 1
+
+    def count_nodes(self) -> int:
+        """Return how many nodes may share a bound: the most ever known."""
+        known = len(tuple(self.membership.roster))
+        self.most_nodes = max(self.most_nodes, known)
+        return self.most_nodes
+
+    def list_candidates(
+        self,
+        service: ServiceId,
+        tried: Iterable[TargetId],
+    ) -> list[TargetFact]:
+        """Return the targets that may get a request of a service now.
+
+        Paused ones are left out, unless all of them are paused.
+        """
+        now = self.clock.now()
+        rules = self._find_rules(service)
+        usable = [
+            known.fact
+            for known in self.catalog.list_usable(service)
+            if isinstance(known.fact, TargetFact)
+            and known.fact.target not in tried
+            and self._bears_more(known.fact, known.learned, rules, now)
+        ]
+        sound = [
+            fact
+            for fact in usable
+            if not self.outliers.is_paused(fact.target, now)
+        ]
+        return sound or usable
+
+    def record(self, target: TargetId, outcome: Outcome) -> None:
+        """Count how an exchange ended."""
+        self.metrics.count(
+            'exchanges',
+            'Exchanges with targets, by how they ended',
+            outcome=outcome.value,
+        )
+        if self.outliers.record(target, outcome, self.clock.now()):
+            log_event(
+                'target_paused',
+                target=target,
+                outcome=outcome.value,
+                failure_rate=self.outliers.get_rate(target),
+            )
+
+    @contextmanager
+    def count_call(self, target: TargetId) -> Iterator[None]:
+        """Count a call as open on a target."""
+        self.open_calls[target] += 1
+        self.cold.spend(target)
+        try:
+            yield
+        finally:
+            self.open_calls[target] -= 1
+            if not self.open_calls[target]:
+                self.open_calls.pop(target)
+
+    def learn_pace(self, tokens: float, seconds: float) -> None:
+        """Count the tokens a second of a finished stream."""
+        if seconds <= 0:
+            return
+        seen = min(max(tokens / seconds, _LEAST_PACE), _MOST_PACE)
+        self.pace += _NEWEST_PACE_WEIGHT * (seen - self.pace)
+
+    def view_engines(
+        self,
+        facts: Iterable[TargetFact],
+        rules: EngineRules,
+    ) -> list[Engine]:
+        """Return engines with all that the fleet has placed on them."""
+        now = self.clock.now()
+        runs: dict[TargetId, list[RunView]] = {}
+        copies: dict[TargetId, list[RunView]] = {}
+        for known in self.workload.list_runs():
+            view = view_run(known.run, now - known.placed)
+            runs.setdefault(known.run.target, []).append(view)
+            if known.run.holder:
+                copies.setdefault(known.run.holder, []).append(view)
+        return [
+            Engine(
+                fact.target,
+                fact.data_centre,
+                fact.slots or rules.slots,
+                rules.memory_tokens,
+                tuple(runs.get(fact.target, ())),
+                tuple(copies.get(fact.target, ())),
+                self.outliers.get_rate(fact.target),
+            )
+            for fact in facts
+        ]
+
+    def _find_rules(self, service: ServiceId) -> ServiceRules | None:
+        index = self.catalog.rules
+        return None if index is None else index.find_service(service)
+
+    def _bears_more(
+        self,
+        fact: TargetFact,
+        learned: float,
+        rules: ServiceRules | None,
+        now: float,
+    ) -> bool:
+        is_cold = now - learned < fact.cold_seconds
+        if not is_cold or rules is None or not rules.cold_per_second:
+            self.cold.forget(fact.target)
+            return fact.phase is TargetPhase.ready
+        nodes = self.count_nodes()
+        return self.cold.has_room(
+            fact.target,
+            rules.cold_per_second,
+            nodes,
+            now,
+        )
+
+
+def view_run(run: PlacedRun, age: float) -> RunView:
+    """Return a placed run as a forecast sees it."""
+    return RunView(
+        run.prompt_tokens,
+        run.expected_tokens,
+        run.most_tokens,
+        age,
+    )
--- /dev/null
+++ b/chicoryshunt/rules/__init__.py
@@ -0,0 +1,1 @@
+"""What operators have in force: routes, services, teams and limits."""
--- a/chicoryshunt/settings.py
+++ b/chicoryshunt/settings.py
@@ -1,34 +1,22 @@
 """Settings of a node, read from JSON with comments and checked."""
 
-import ipaddress
 from pathlib import Path
-from typing import Annotated, NamedTuple
+from typing import Annotated
 
 import json5
 import msgspec
 
+from chicoryshunt.address import MAX_PORT, is_ip_number
 from chicoryshunt.exceptions import SettingsError
 from chicoryshunt.types import DataCentreId, VmId
 
-_MAX_PORT = 65535
 _KEY_BYTES = 32
 
-Port = Annotated[int, msgspec.Meta(ge=0, le=_MAX_PORT)]
+Port = Annotated[int, msgspec.Meta(ge=0, le=MAX_PORT)]
 PositiveSeconds = Annotated[float, msgspec.Meta(gt=0)]
 PositiveInt = Annotated[int, msgspec.Meta(gt=0)]
 
 
-class Address(NamedTuple):
-    """IP number and port."""
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        """Return host:port."""
-        return f'{self.host}:{self.port}'
-
-
 class Listen(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Ports a node listens on, all on one IP number."""
 
@@ -152,23 +140,3 @@
             f'{source}: without a fleet key a node listens on loopback '
             + 'only - at `$.listen.host`',
         )
-
-
-def is_ip_number(host: str) -> bool:
-    """Say whether the text is an IPv4 or IPv6 number."""
-    try:
-        ipaddress.ip_address(host)
-    except ValueError:
-        return False
-    return True
-
-
-def is_address(text: str) -> bool:
-    """Say whether the text is an IP number, a colon and a port."""
-    host, _, port = text.rpartition(':')
-    return (
-        is_ip_number(host)
-        and port.isascii()
-        and port.isdecimal()
-        and int(port) <= _MAX_PORT
-    )
--- a/chicoryshunt/version/draft.py
+++ b/chicoryshunt/version/draft.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from chicoryshunt.settings import is_address
+from chicoryshunt.address import is_address
 from chicoryshunt.types import ConfigVersion, TargetId
 from chicoryshunt.version.config import Config, Target
 from chicoryshunt.version.patch import (
