--- a/chicoryshunt/dispatch/engines.py
+++ b/chicoryshunt/dispatch/engines.py
@@ -18,7 +18,10 @@
 # absorbs answers that outlast their estimate.
 ADMIT_PART = 0.9
 # A copy is worth less than a run, so it leaves more room.
-BACKUP_PART = 0.72
+BACKUP_PART = 0.6
+# A short answer is over before the long ones have grown, so it may use all.
+_SHORT_PART = 1.0
+_SHORT_TOKENS = 64
 # An engine in another data centre must be emptier by this part of its
 # memory: its tokens cross a priced link.
 _REMOTE_PART = 0.1
@@ -47,7 +50,7 @@
     """Send the request to this engine."""
 
     target: TargetId
-    part_used: float
+    score: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,7 +90,7 @@
     waits = []
     for engine in engines:
         held = _forecast_all(engine, pace)
-        if _fits(engine, held, curve):
+        if _fits(engine, held, curve, demand):
             score = _rate(engine, add_curves(held, curve), home, pace)
             fitting.append((score, engine.target))
         else:
@@ -106,7 +109,8 @@
 ) -> TargetId | None:
     """Return the engine that is to keep a copy of a run, if one has room.
 
-    Another data centre is preferred, for a whole one may lose its power.
+    The source's own data centre is preferred: copies take half the time
+    there, and the links are what moves wait for.
     """
     curve = forecast_run(demand, pace)
     found: list[tuple[float, TargetId]] = []
@@ -126,11 +130,17 @@
     return forecast_engine((*engine.runs, *engine.copies), pace)
 
 
-def _fits(engine: Engine, held: Curve, curve: Curve) -> bool:
+def _fits(
+    engine: Engine,
+    held: Curve,
+    curve: Curve,
+    demand: RunView,
+) -> bool:
     taken = len(engine.runs) + len(engine.copies)
     if taken >= engine.slots:
         return False
-    most = engine.memory_tokens * ADMIT_PART
+    is_short = demand.expected_tokens <= _SHORT_TOKENS
+    most = engine.memory_tokens * (_SHORT_PART if is_short else ADMIT_PART)
     return max(add_curves(held, curve)) <= most or not taken
 
 
--- a/chicoryshunt/dispatch/handover.py
+++ b/chicoryshunt/dispatch/handover.py
@@ -1,7 +1,7 @@
 """Plans how the runs of a leaving engine are moved, within its notice."""
 
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from chicoryshunt.dispatch.engines import Engine
 from chicoryshunt.dispatch.forecast import (
@@ -14,8 +14,9 @@
 
 # Time between an engine's notice and its end, where it is not told.
 DEFAULT_NOTICE_SECONDS = 1.5
-# Two calls, the last tokens and the new connection, beside the copying.
-_STEP_SECONDS = 0.045
+# Two calls, the last tokens and the new connection, beside the copying. A
+# copy that begins earlier delays the last tokens of the run before it.
+_STEP_SECONDS = 0.1
 # A copy to another data centre takes this many times as long.
 _REMOTE_FACTOR = 2.0
 # Part of a destination's memory that moved runs may fill.
@@ -61,8 +62,8 @@
 
     engine: Engine
     tokens: float
+    tokens_now: float
     slots: int
-    taken: list[RunView] = field(default_factory=list)
 
 
 def plan_moves(
@@ -107,10 +108,15 @@
 
 
 def _measure_room(engine: Engine, pace: float) -> _Room:
-    held = max(forecast_engine((*engine.runs, *engine.copies), pace))
+    held = forecast_engine((*engine.runs, *engine.copies), pace)
     taken = len(engine.runs) + len(engine.copies)
-    free = engine.memory_tokens * _ROOM_PART - held
-    return _Room(engine, free, engine.slots - taken)
+    most = engine.memory_tokens * _ROOM_PART
+    return _Room(
+        engine,
+        most - max(held),
+        most - held[0],
+        engine.slots - taken,
+    )
 
 
 def _find_room(
@@ -119,12 +125,21 @@
     source: Engine,
     pace: float,
 ) -> _Room | None:
+    """Return the room of a run: one that lasts, or one for the present.
+
+    A lost answer is worse than a preemption that may come later.
+    """
     need = max(forecast_run(run, pace))
-    fitting = [room for room in rooms if room.tokens >= need and room.slots > 0]
+    held = run.count_held(pace)
+    open_rooms = [room for room in rooms if room.slots > 0]
+    fitting = [room for room in open_rooms if room.tokens >= need]
+    if not fitting:
+        fitting = [room for room in open_rooms if room.tokens_now >= held]
     if not fitting:
         return None
     chosen = max(fitting, key=lambda room: _prefer(room, source))
     chosen.tokens -= need
+    chosen.tokens_now -= held
     chosen.slots -= 1
     return chosen
 
--- a/chicoryshunt/fleet/entrances.py
+++ b/chicoryshunt/fleet/entrances.py
@@ -8,9 +8,9 @@
 
 # Nodes of other data centres that are named beside the caller's own, for a
 # whole data centre may lose its power while callers keep their answer.
-_REMOTE_NAMED = 1
+_REMOTE_NAMED = 2
 # Fewer nodes than this in the caller's data centre are made up elsewhere.
-_LEAST_NAMED = 3
+_LEAST_NAMED = 4
 
 
 def list_entrances(
--- a/chicoryshunt/platform/node.py
+++ b/chicoryshunt/platform/node.py
@@ -55,7 +55,7 @@
 _MILLISECONDS = 1000
 _CONNECT_SECONDS = 0.4
 # Callers keep a list of nodes for this long.
-_KEEP_SECONDS = 2.0
+_KEEP_SECONDS = 1.0
 # A leaving node serves on until kept lists that name it have expired.
 _LINGER_SECONDS = 3.0
 _GRACE_MARGIN_SECONDS = 0.5
--- a/chicoryshunt/relay/course.py
+++ b/chicoryshunt/relay/course.py
@@ -50,6 +50,13 @@
     end: LegEnd
 
 
+@dataclass(frozen=True, slots=True)
+class Opened:
+    """An engine took the run over."""
+
+    leg: LegId
+
+
 @dataclass(frozen=True, slots=True)
 class Refused:
     """A leg did not begin."""
@@ -57,6 +64,13 @@
     leg: LegId
 
 
+@dataclass(frozen=True, slots=True)
+class Silent:
+    """No event came for longer than engines ever pause."""
+
+    leg: LegId
+
+
 @dataclass(frozen=True, slots=True)
 class Noticed:
     """The engine of the current leg leaves; move to this one, if any."""
@@ -82,7 +96,17 @@
     """The engine that keeps a copy of the run leaves or is gone."""
 
 
-Input = Event | Ended | Refused | Noticed | CopyEnded | StopSettled | HolderLost
+Input = (
+    Event
+    | Ended
+    | Opened
+    | Refused
+    | Silent
+    | Noticed
+    | CopyEnded
+    | StopSettled
+    | HolderLost
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,6 +146,11 @@
     leg: LegId
 
 
+@dataclass(frozen=True, slots=True)
+class Replan:
+    """Look for another way off an engine that leaves."""
+
+
 @dataclass(frozen=True, slots=True)
 class Release:
     """Drop a copy that nothing will use."""
@@ -141,7 +170,17 @@
     reason: str
 
 
-Action = Forward | Copy | AwaitStop | Open | Close | Release | Finish | Abort
+Action = (
+    Forward
+    | Copy
+    | AwaitStop
+    | Open
+    | Close
+    | Replan
+    | Release
+    | Finish
+    | Abort
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,6 +199,7 @@
     handle: str = ''
     has_stopped: bool = False
     leg_ended: bool = False
+    went_back: bool = False
 
 
 @dataclass(slots=True)
@@ -204,8 +244,12 @@
                 yield from self._take_event(one)
             case Ended(leg, end):
                 yield from self._take_end(leg, end)
+            case Opened(leg):
+                yield from self._take_opening(leg)
             case Refused(leg):
                 yield from self._take_refusal(leg)
+            case Silent(leg):
+                yield from self._take_silence(leg)
             case Noticed(destination):
                 yield from self._take_notice(destination)
             case CopyEnded(outcome, stopped_run):
@@ -222,15 +266,12 @@
             self._switch.place = place
 
     def _take_event(self, event: Event) -> Iterator[Action]:
-        switch = self._switch
-        if switch is not None and event.leg == switch.leg:
-            yield from self._commit(switch)
+        if event.leg != self.leg:
+            return
+        if self._switch is None:
             yield from self._forward(event)
-        elif event.leg == self.leg:
-            if switch is None:
-                yield from self._forward(event)
-            else:
-                switch.held.append(event)
+        else:
+            self._switch.held.append(event)
 
     def _forward(self, event: Event) -> Iterator[Action]:
         number = event.number
@@ -240,8 +281,16 @@
             self.last_event = number
         yield Forward((event.frame,))
 
-    def _commit(self, switch: _Switch) -> Iterator[Action]:
-        """Make the new leg the current one."""
+    def _take_opening(self, leg: LegId) -> Iterator[Action]:
+        """Make the new leg the current one, and stop the old run at once.
+
+        Events of the old leg that were held back are dropped, for the new
+        leg begins after the last one that was forwarded.
+        """
+        switch = self._switch
+        if switch is None or leg != switch.leg:
+            yield Close(leg)
+            return
         if switch.old_end is None:
             yield Close(self.leg)
         self.leg = switch.leg
@@ -252,20 +301,14 @@
         self.phase = Phase.flowing
 
     def _take_end(self, leg: LegId, end: LegEnd) -> Iterator[Action]:
-        switch = self._switch
-        if switch is not None and leg == switch.leg:
-            if end is LegEnd.whole:
-                yield from self._commit(switch)
-                yield from self._finish()
-            else:
-                yield from self._take_refusal(leg)
-        elif leg == self.leg:
-            if switch is not None:
-                yield from self._end_old(switch, end)
-            elif end is LegEnd.whole:
-                yield from self._finish()
-            else:
-                yield from self._take_cut()
+        if leg != self.leg:
+            return
+        if self._switch is not None:
+            yield from self._end_old(self._switch, end)
+        elif end is LegEnd.whole:
+            yield from self._finish()
+        else:
+            yield from self._take_cut()
 
     def _end_old(self, switch: _Switch, end: LegEnd) -> Iterator[Action]:
         """Note that the old leg ended while a new one is being opened."""
@@ -335,6 +378,8 @@
         self.phase = Phase.flowing
         if move.leg_ended:
             yield from self._recover('the engine broke off during a move')
+        else:
+            yield Replan()
 
     def _settle_stop(self) -> Iterator[Action]:
         move = self._move
@@ -376,25 +421,39 @@
         if switch is None or leg != switch.leg:
             return
         self._switch = None
+        for event in switch.held:
+            yield from self._forward(event)
+        self.phase = Phase.flowing
         if switch.old_end is None:
-            self.phase = Phase.flowing
             self._move = None
-            for event in switch.held:
-                yield from self._forward(event)
+            yield Replan()
         else:
-            for event in switch.held:
-                yield from self._forward(event)
             yield from self._recover('no engine took the run over')
 
+    def _take_silence(self, leg: LegId) -> Iterator[Action]:
+        """Go on elsewhere if there is a way; silence alone ends nothing."""
+        if leg != self.leg or self.phase is not Phase.flowing:
+            return
+        if self.holder is not None:
+            yield self._open_copy(self.holder)
+        elif self._is_resumable:
+            yield self._open(None, None, is_old_over=False)
+
     def _recover(self, reason: str) -> Iterator[Action]:
         """Go on after the current leg was cut, by the best way that is left."""
         move = self._move
-        self._move = None
         if self.holder is not None:
             yield self._open_copy(self.holder, is_old_over=True)
-        elif move is not None and move.handle and not move.has_stopped:
-            yield from self._go_on_from_move(move)
+        elif move is not None and move.handle and not move.went_back:
+            move.went_back = True
+            # A stopped run may go on at its own engine; the copy of one that
+            # was cut is all that is left of it.
+            target = move.destination
+            if move.has_stopped:
+                target = self.place.target
+            yield from self._go_on_at(target, move.handle)
         elif self._is_resumable:
+            self._move = None
             yield self._open(None, None, is_old_over=True)
         else:
             self.phase = Phase.done
--- a/chicoryshunt/relay/gateway.py
+++ b/chicoryshunt/relay/gateway.py
@@ -204,12 +204,15 @@
                     status=status,
                     seconds=seconds,
                 )
-            case Streamed(is_whole, events):
+            case Streamed():
                 log_event(
                     'request_streamed',
                     request=incoming.request,
-                    whole=is_whole,
-                    events=events,
+                    whole=result.is_whole,
+                    events=result.events,
+                    first_event_seconds=result.first_event_seconds,
+                    longest_gap_seconds=result.longest_gap_seconds,
+                    legs=result.legs,
                     seconds=seconds,
                 )
             case Verdict(run, reason, detail, retry_after):
--- a/chicoryshunt/relay/legs.py
+++ b/chicoryshunt/relay/legs.py
@@ -12,7 +12,7 @@
 )
 from chicoryshunt.dispatch.outliers import Outcome
 from chicoryshunt.fleet.facts import TargetFact
-from chicoryshunt.relay.course import Ended, Event, LegEnd, LegId
+from chicoryshunt.relay.course import Ended, Event, Input, LegEnd, LegId, Silent
 from chicoryshunt.relay.frames import EventReader
 from chicoryshunt.relay.incoming import Incoming
 from chicoryshunt.relay.ports import Dispatch, Receipt
@@ -22,7 +22,17 @@
 _MOST_FAILURE_BYTES = 1048576
 _SUCCESS = range(200, 300)
 
-Mail = asyncio.Queue[object]
+# Engines pause for a prompt or two, not for longer; callers leave after two
+# seconds.
+_SILENCE_SECONDS = 0.7
+
+
+@dataclass(frozen=True, slots=True)
+class Deadline:
+    """The caller waits no longer."""
+
+
+Mail = asyncio.Queue[Input | Deadline]
 
 
 @dataclass(slots=True)
@@ -35,9 +45,9 @@
     answer: Answer
     pump: asyncio.Task[None] | None = None
 
-    def start(self, mail: Mail, silence_seconds: float) -> None:
+    def start(self, mail: Mail) -> None:
         """Put every event, and then the end, into the mailbox."""
-        self.pump = asyncio.ensure_future(self._pump(mail, silence_seconds))
+        self.pump = asyncio.ensure_future(self._pump(mail))
 
     def close(self) -> None:
         """Drop the connection; the engine then stops its run."""
@@ -45,20 +55,27 @@
             self.pump.cancel()
         self.upstream.abort()
 
-    async def _pump(self, mail: Mail, silence_seconds: float) -> None:
+    async def _pump(self, mail: Mail) -> None:
         reader = EventReader()
+        loop = asyncio.get_running_loop()
+        has_begun = False
         while True:
+            silence = loop.call_later(
+                _SILENCE_SECONDS,
+                mail.put_nowait,
+                Silent(self.leg),
+            )
+            if not has_begun:
+                # The first event may wait for the engine's queue.
+                silence.cancel()
             try:
-                piece = await asyncio.wait_for(
-                    self.answer.body.read(),
-                    silence_seconds,
-                )
-            except TimeoutError:
-                piece = BodyEnd.cut
-                self.upstream.abort()
+                piece = await self.answer.body.read()
+            finally:
+                silence.cancel()
             if isinstance(piece, BodyEnd):
                 mail.put_nowait(Ended(self.leg, _judge_end(piece, reader)))
                 return
+            has_begun = True
             for number, frame in reader.read(piece):
                 mail.put_nowait(Event(self.leg, number, frame))
 
--- /dev/null
+++ b/chicoryshunt/relay/moving.py
@@ -0,0 +1,202 @@
+"""Moves runs off engines that leave."""
+
+import asyncio
+from collections.abc import Sequence
+
+from chicoryshunt.connection.upstream import LostError, NotSentError, Sending
+from chicoryshunt.dispatch.handover import Leaving, Link, Move, plan_moves
+from chicoryshunt.events import log_event
+from chicoryshunt.fleet.facts import TargetFact, TargetPhase
+from chicoryshunt.relay.course import CopyEnded, HolderLost, Noticed
+from chicoryshunt.relay.ports import Copied, CopyFailed, CopyFailure
+from chicoryshunt.relay.stream import Stream
+from chicoryshunt.relay.surroundings import Surroundings, view_run
+from chicoryshunt.types import TargetId
+
+_COPY_SECONDS = 2.5
+_MOST_ANSWER_BYTES = 65536
+# Ways that are tried off one engine before its run is left to its luck.
+_MOST_REPLANS = 6
+
+
+class Mover:
+    """Plans moves and orders the copies that they need."""
+
+    def __init__(self, around: Surroundings) -> None:
+        """Work on what the process shares."""
+        self._around = around
+        # Orders that outlive the stream they are for.
+        self._releases: set[asyncio.Task[Copied | CopyFailed]] = set()
+
+    def is_leaving(self, target: TargetId) -> bool:
+        """Say whether an engine has announced its end or is gone."""
+        fact = self._find(target)
+        return fact is None or fact.phase is not TargetPhase.ready
+
+    def check_holder(self, stream: Stream) -> None:
+        """Forget a copy whose engine leaves."""
+        course = stream.course
+        if course is None or course.holder is None:
+            return
+        if self.is_leaving(course.holder.target):
+            log_event(
+                'copy_lost',
+                request=stream.request,
+                holder=course.holder.target,
+            )
+            stream.mail.put_nowait(HolderLost())
+
+    def plan(self, source: TargetId, streams: Sequence[Stream]) -> None:
+        """Start to move this node's runs off an engine, in their turn."""
+        if not streams:
+            return
+        moves = {
+            move.request: move
+            for move in self._list_moves(source, streams[0], frozenset())
+        }
+        for stream in streams:
+            self.check_holder(stream)
+            move = moves.get(stream.request)
+            self._announce(stream, move, 0 if move is None else move.after)
+
+    def replan(self, stream: Stream) -> None:
+        """Look for another way for one run, at once."""
+        course = stream.course
+        if course is None or not self.is_leaving(course.place.target):
+            return
+        stream.replans += 1
+        if stream.replans > _MOST_REPLANS:
+            return
+        self.check_holder(stream)
+        moves = self._list_moves(
+            course.place.target,
+            stream,
+            frozenset(stream.avoided),
+        )
+        for move in moves:
+            if move.request == stream.request:
+                self._announce(stream, move, 0)
+
+    async def copy(
+        self,
+        stream: Stream,
+        destination: TargetId,
+        *,
+        stops_run: bool,
+    ) -> None:
+        """Order a copy and put its outcome into the stream's mailbox."""
+        course = stream.course
+        fact = self._find(destination)
+        outcome: Copied | CopyFailed = CopyFailed(CopyFailure.unreachable)
+        if course is not None and fact is not None:
+            outcome = await self._order(
+                course.place.address,
+                self._around.port.encode_copy(
+                    stream.request,
+                    fact.address,
+                    stops_run=stops_run,
+                ),
+            )
+        if isinstance(outcome, CopyFailed):
+            stream.avoided.add(destination)
+        log_event(
+            'memory_copied',
+            request=stream.request,
+            source=course and course.place.target,
+            destination=destination,
+            stops_run=stops_run,
+            outcome=outcome,
+        )
+        stream.mail.put_nowait(CopyEnded(outcome, stops_run))
+
+    def release(self, address: str, handle: str) -> None:
+        """Let an engine drop a copy that is not needed."""
+        sending = self._around.port.encode_release(handle)
+        task = asyncio.ensure_future(self._order(address, sending))
+        self._releases.add(task)
+        task.add_done_callback(self._releases.discard)
+
+    def _announce(
+        self,
+        stream: Stream,
+        move: Move | None,
+        after: float,
+    ) -> None:
+        destination = None if move is None else move.destination
+        asyncio.get_running_loop().call_later(
+            after,
+            stream.mail.put_nowait,
+            Noticed(destination),
+        )
+        course = stream.course
+        log_event(
+            'move_planned',
+            request=stream.request,
+            source=course and course.place.target,
+            destination=destination,
+            after_seconds=after,
+            holder=course and course.holder and course.holder.target,
+        )
+
+    def _list_moves(
+        self,
+        source: TargetId,
+        example: Stream,
+        avoided: frozenset[TargetId],
+    ) -> list[Move]:
+        around = self._around
+        now = around.clock.now()
+        fact = self._find(source)
+        if fact is None:
+            return []
+        others = around.list_candidates(example.service, avoided | {source})
+        engines = around.view_engines([fact, *others], example.engine)
+        leaving = [
+            Leaving(
+                one.run.request,
+                view_run(one.run, now - one.placed),
+                has_backup=bool(one.run.holder)
+                and not self.is_leaving(one.run.holder),
+            )
+            for one in around.workload.list_runs()
+            if one.run.target == source
+        ]
+        return plan_moves(
+            engines[0],
+            leaving,
+            engines[1:],
+            Link(
+                example.engine.bytes_per_token,
+                example.engine.link_bytes_per_second,
+            ),
+            around.pace,
+        )
+
+    async def _order(
+        self,
+        address: str,
+        sending: Sending,
+    ) -> Copied | CopyFailed:
+        failed = CopyFailed(CopyFailure.unreachable)
+        try:
+            upstream = await self._around.pool.open(address)
+        except NotSentError as error:
+            log_event('copy_not_ordered', error=str(error))
+            return failed
+        try:
+            answer = await upstream.send(sending, _COPY_SECONDS)
+        except (NotSentError, LostError) as error:
+            log_event('copy_not_answered', error=str(error))
+            return failed
+        else:
+            body = await answer.body.read_all(_MOST_ANSWER_BYTES)
+        finally:
+            upstream.abort()
+        received = body if isinstance(body, bytes) else b''
+        return self._around.port.decode_copy(answer, received)
+
+    def _find(self, target: TargetId) -> TargetFact | None:
+        known = self._around.catalog.find(target)
+        if known is None or not isinstance(known.fact, TargetFact):
+            return None
+        return known.fact
--- /dev/null
+++ b/chicoryshunt/relay/placing.py
@@ -0,0 +1,218 @@
+"""Finds engines for generations, and engines that keep copies of runs."""
+
+import asyncio
+import random
+from collections.abc import Iterable, Sequence
+
+from chicoryshunt.dispatch.engines import (
+    Choice,
+    Full,
+    Hopeless,
+    Placed,
+    choose_engine,
+    choose_holder,
+)
+from chicoryshunt.dispatch.waiting import Ticket, WaitingRoom
+from chicoryshunt.events import log_event
+from chicoryshunt.fleet.facts import TargetFact
+from chicoryshunt.fleet.workload import PlacedRun
+from chicoryshunt.relay.course import Open
+from chicoryshunt.relay.ports import Dispatch
+from chicoryshunt.relay.stream import Stream
+from chicoryshunt.relay.surroundings import Surroundings
+from chicoryshunt.types import Reason, Seconds, TargetId
+from chicoryshunt.verdict import Verdict, refuse
+
+# How often a waiting request looks for room.
+_POLL_SECONDS = 0.03
+# Returns are spread over this part of the expected wait.
+_RETRY_SPREAD = 0.5
+# Callers heed a time to return up to this part of the time they have left.
+_RETRY_PART = 1 / 3
+_FIRST_RETRY_SECONDS = 1.0
+_LEAST_SECONDS = 0.02
+
+
+class Placer:
+    """Places generations by what the whole fleet has placed."""
+
+    def __init__(self, around: Surroundings) -> None:
+        """Start with nobody waiting."""
+        self._around = around
+        self._room = WaitingRoom()
+
+    async def find_room(
+        self,
+        stream: Stream,
+        tried: Sequence[TargetId],
+    ) -> TargetFact | Verdict:
+        """Wait for an engine with room; refuse at once what is hopeless."""
+        ticket = Ticket(
+            stream.request,
+            stream.admitted.priority,
+            self._around.clock.now(),
+            stream.route.target_latency,
+        )
+        self._room.enter(ticket)
+        try:
+            while True:
+                found = self._look(stream, tried, ticket)
+                if found is not None:
+                    return found
+                await asyncio.sleep(_POLL_SECONDS)
+        finally:
+            self._room.leave(ticket)
+
+    def find_other(self, stream: Stream) -> TargetFact | None:
+        """Return an engine with room, other than the present one."""
+        course = stream.course
+        tried = () if course is None else (course.place.target,)
+        facts = self._around.list_candidates(stream.service, tried)
+        choice = self._choose(stream, facts)
+        if isinstance(choice, Placed):
+            return _find(facts, choice.target)
+        return None
+
+    def choose_holder(
+        self,
+        stream: Stream,
+        target: TargetFact,
+    ) -> TargetFact | None:
+        """Return who is to keep a copy of a run.
+
+        A run that may be repeated needs none.
+        """
+        if not stream.engine.can_back_up or stream.route.is_resumable:
+            return None
+        facts = self._around.list_candidates(stream.service, ())
+        engines = self._around.view_engines(facts, stream.engine)
+        for engine in engines:
+            if engine.target == target.target:
+                holder = choose_holder(
+                    engines,
+                    stream.view,
+                    engine,
+                    self._around.pace,
+                )
+                return None if holder is None else _find(facts, holder)
+        return None
+
+    def note_run(
+        self,
+        stream: Stream,
+        target: TargetId,
+        holder: TargetFact | None,
+    ) -> None:
+        """Tell the fleet where a run is."""
+        around = self._around
+        now = around.clock.now()
+        stream.placed = stream.placed or now
+        run = PlacedRun(
+            stream.request,
+            target,
+            stream.view.prompt_tokens,
+            stream.view.expected_tokens,
+            stream.view.most_tokens,
+            now - stream.placed,
+            TargetId('') if holder is None else holder.target,
+        )
+        around.send(around.workload.place(run, now))
+
+    def build_dispatch(
+        self,
+        stream: Stream,
+        target: TargetFact,
+        holder: TargetFact | None,
+        opening: Open | None = None,
+    ) -> Dispatch:
+        """Return how a run is sent to an engine, first or later."""
+        team = stream.admitted.team
+        memory = None
+        last_event = stream.incoming.last_event
+        if opening is not None:
+            memory = opening.memory
+            last_event = opening.last_event
+        self._around.cold.spend(target.target)
+        return Dispatch(
+            target=target.target,
+            remaining=stream.deadline - self._around.clock.now(),
+            priority=stream.admitted.priority,
+            team=None if team is None else team.team,
+            holder_address='' if holder is None else holder.address,
+            memory=memory,
+            last_event=last_event,
+        )
+
+    def may_try_again(self, stream: Stream) -> bool:
+        """Take one extra arrival from the budget."""
+        return self._around.extras.spend(
+            stream.service,
+            self._around.count_nodes(),
+            self._around.clock.now(),
+        )
+
+    def refuse_full(
+        self,
+        stream: Stream,
+        detail: str,
+        seconds: float = _FIRST_RETRY_SECONDS,
+    ) -> Verdict:
+        """Refuse for want of room, and say when there may be some."""
+        patience = max(stream.deadline - self._around.clock.now(), 0)
+        spread = 1 + random.random() * _RETRY_SPREAD
+        wait = min(seconds * spread, patience * _RETRY_PART)
+        return refuse(Reason.no_capacity, detail, Seconds(wait))
+
+    def _look(
+        self,
+        stream: Stream,
+        tried: Iterable[TargetId],
+        ticket: Ticket,
+    ) -> TargetFact | Verdict | None:
+        facts = self._around.list_candidates(stream.service, tried)
+        choice = self._choose(stream, facts)
+        now = self._around.clock.now()
+        remaining = stream.deadline - now
+        ticket.is_blocked = not isinstance(choice, Placed)
+        match choice:
+            case Placed(target) if self._room.may_go(ticket, now):
+                self._log_placed(stream, choice, now - ticket.since)
+                return _find(facts, target)
+            case Hopeless(need):
+                detail = f'no engine holds {need} tokens'
+                return refuse(Reason.no_capacity, detail)
+            case Full(seconds) if seconds >= remaining:
+                return self.refuse_full(stream, 'no room in time', seconds)
+        if remaining < _LEAST_SECONDS:
+            return refuse(Reason.queue_timeout, 'no room in time')
+        return None
+
+    def _choose(self, stream: Stream, facts: Iterable[TargetFact]) -> Choice:
+        return choose_engine(
+            self._around.view_engines(facts, stream.engine),
+            stream.view,
+            self._around.data_centre,
+            self._around.pace,
+        )
+
+    def _log_placed(
+        self,
+        stream: Stream,
+        placed: Placed,
+        waited: float,
+    ) -> None:
+        log_event(
+            'run_placed',
+            request=stream.request,
+            target=placed.target,
+            score=placed.score,
+            waited_seconds=waited,
+            waiting=len(self._room),
+            pace=self._around.pace,
+            prompt_tokens=stream.view.prompt_tokens,
+            expected_tokens=stream.view.expected_tokens,
+        )
+
+
+def _find(facts: Iterable[TargetFact], target: TargetId) -> TargetFact | None:
+    return next((one for one in facts if one.target == target), None)
--- a/chicoryshunt/relay/results.py
+++ b/chicoryshunt/relay/results.py
@@ -36,10 +36,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Streamed:
-    """The answer was streamed to the caller, whole or cut."""
+    """The answer was streamed to the caller, whole or cut.
+
+    Times are in seconds; ``legs`` counts the engines that were asked.
+    """
 
     is_whole: bool
     events: int
+    first_event_seconds: float
+    longest_gap_seconds: float
+    legs: int
 
 
 Attempt = Delivered | NotRun | Doubtful
--- /dev/null
+++ b/chicoryshunt/relay/stream.py
@@ -0,0 +1,97 @@
+"""One generation that is being relayed, and what it owns."""
+
+import asyncio
+from collections.abc import Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+from chicoryshunt.connection.exchange import Exchange
+from chicoryshunt.dispatch.forecast import RunView
+from chicoryshunt.fleet.facts import TargetFact
+from chicoryshunt.relay.course import Course, LegId, Place
+from chicoryshunt.relay.incoming import GenerationAsk, Incoming
+from chicoryshunt.relay.legs import Leg, Mail
+from chicoryshunt.rules.model import EngineRules, Route
+from chicoryshunt.rules.routing import Admitted
+from chicoryshunt.types import RequestId, ServiceId, TargetId
+
+# A caller without an estimate gets this part of the longest answer.
+_UNKNOWN_LENGTH_PART = 0.4
+
+
+@dataclass(slots=True)
+class Stream:
+    """One generation; moments are in monotonic seconds, 0 before them."""
+
+    incoming: Incoming
+    admitted: Admitted
+    service: ServiceId
+    engine: EngineRules
+    deadline: float
+    exchange: Exchange
+    view: RunView
+    mail: Mail = field(default_factory=asyncio.Queue)
+    legs: dict[LegId, Leg] = field(default_factory=dict)
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    avoided: set[TargetId] = field(default_factory=set)
+    course: Course | None = None
+    placed: float = 0
+    first_event: float = 0
+    last_forward: float = 0
+    longest_gap: float = 0
+    events: int = 0
+    replans: int = 0
+
+    @property
+    def request(self) -> RequestId:
+        """Return the id of the caller's request."""
+        return self.incoming.request
+
+    @property
+    def route(self) -> Route:
+        """Return the route of the request."""
+        return self.admitted.route
+
+    def count_events(self, count: int, now: float) -> None:
+        """Count events that were forwarded, and the pause before them."""
+        if self.last_forward:
+            gap = now - self.last_forward
+            self.longest_gap = max(self.longest_gap, gap)
+        self.last_forward = now
+        self.events += count
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run a coroutine for no longer than the stream lasts."""
+        task = asyncio.ensure_future(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def close(self) -> None:
+        """Drop every connection and every task."""
+        for leg in self.legs.values():
+            leg.close()
+        for task in self.tasks:
+            task.cancel()
+
+    def close_leg(self, leg: LegId) -> None:
+        """Drop the connection of one leg."""
+        closed = self.legs.pop(leg, None)
+        if closed is not None:
+            closed.close()
+
+
+def view_ask(ask: GenerationAsk) -> RunView:
+    """Return a request that has not begun as a forecast sees it."""
+    expected = ask.expected_tokens
+    if expected is None:
+        expected = round(ask.most_tokens * _UNKNOWN_LENGTH_PART)
+    return RunView(
+        ask.prompt_tokens,
+        max(min(expected, ask.most_tokens), 1),
+        ask.most_tokens,
+    )
+
+
+def build_place(target: TargetFact) -> Place:
+    """Return an engine with its address."""
+    return Place(target.target, target.address)
