Move runs in turn, near engines first; keep no copies in advance

Copies kept in advance filled a third of the memory under load and the links with it. Ruled out: wrong memory forecasts (predicted and reported use agree within a few percent). Change: a run planned late waits for the others' turns; where the notice is too short for far copies, near engines with room for the present go first; no copies in advance; engines' own reports tell of notices while the store is away.

--- a/chicoryshunt/dispatch/engines.py
+++ b/chicoryshunt/dispatch/engines.py
@@ -18,7 +18,7 @@
 # absorbs answers that outlast their estimate.
 ADMIT_PART = 0.9
 # A copy is worth less than a run, so it leaves more room.
-BACKUP_PART = 0.6
+BACKUP_PART = 0.0
 # A short answer is over before the long ones have grown, so it may use all.
 _SHORT_PART = 1.0
 _SHORT_TOKENS = 64
--- a/chicoryshunt/dispatch/handover.py
+++ b/chicoryshunt/dispatch/handover.py
@@ -49,11 +49,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Move:
-    """Begin to copy a run after some seconds, to this engine."""
+    """Begin to copy a run after some seconds; it takes ``seconds``."""
 
     request: RequestId
     destination: TargetId
     after: float
+    seconds: float
 
 
 @dataclass(slots=True)
@@ -85,19 +86,42 @@
         (one for one in leaving if not one.has_backup),
         key=lambda one: _rank(one, pace),
     )
+    is_hurried = _measure_far(ordered, link, pace) > DEFAULT_NOTICE_SECONDS
     moves = []
-    after = 0.0
+    after = float()
     for one in ordered:
-        held = one.run.count_held(pace)
-        room = _find_room(rooms, one.run, source, pace)
+        room = _find_room(rooms, one.run, source, pace, is_hurried=is_hurried)
         if room is None:
             continue
-        moves.append(Move(one.request, room.engine.target, after))
         is_remote = room.engine.data_centre != source.data_centre
-        after += link.measure_copy(held, is_remote=is_remote) + _STEP_SECONDS
+        held = one.run.count_held(pace)
+        seconds = link.measure_copy(held, is_remote=is_remote) + _STEP_SECONDS
+        moves.append(Move(one.request, room.engine.target, after, seconds))
+        after += seconds
     return moves
 
 
+def find_turn(moves: Sequence[Move], request: RequestId) -> Move | None:
+    """Return the move of a run that is planned later than the others.
+
+    The others keep their turns, so it waits for all of them.
+    """
+    after = sum(one.seconds for one in moves if one.request != request)
+    for move in moves:
+        if move.request == request:
+            return Move(request, move.destination, after, move.seconds)
+    return None
+
+
+def _measure_far(leaving: Iterable[Leaving], link: Link, pace: float) -> float:
+    """Return how long all moves to other data centres would take."""
+    return sum(
+        link.measure_copy(one.run.count_held(pace), is_remote=True)
+        + _STEP_SECONDS
+        for one in leaving
+    )
+
+
 def _rank(one: Leaving, pace: float) -> tuple[bool, float, RequestId]:
     """Order by what a second on the link saves; ended ones last."""
     remaining = expect_remaining(one.run, pace)
@@ -124,17 +148,22 @@
     run: RunView,
     source: Engine,
     pace: float,
+    *,
+    is_hurried: bool,
 ) -> _Room | None:
     """Return the room of a run: one that lasts, or one for the present.
 
-    A lost answer is worse than a preemption that may come later.
+    A lost answer is worse than a preemption that may come later. Where the
+    notice is too short for copies to other data centres, a near engine with
+    room for the present goes before a far one with room that lasts.
     """
     need = max(forecast_run(run, pace))
     held = run.count_held(pace)
-    open_rooms = [room for room in rooms if room.slots > 0]
-    fitting = [room for room in open_rooms if room.tokens >= need]
-    if not fitting:
-        fitting = [room for room in open_rooms if room.tokens_now >= held]
+    now = [room for room in rooms if room.slots and room.tokens_now >= held]
+    lasting = [room for room in now if room.tokens >= need]
+    home = source.data_centre
+    near = [room for room in now if room.engine.data_centre == home]
+    fitting = (is_hurried and near) or lasting or now
     if not fitting:
         return None
     chosen = max(fitting, key=lambda room: _prefer(room, source))
--- a/chicoryshunt/platform/node.py
+++ b/chicoryshunt/platform/node.py
@@ -4,7 +4,7 @@
 import os
 import signal
 import time
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Iterable, Sequence
 from contextlib import asynccontextmanager
 from pathlib import Path
 from random import Random
@@ -28,6 +28,7 @@
 from chicoryshunt.fleet.catalog import Catalog
 from chicoryshunt.fleet.discovery import Discovery
 from chicoryshunt.fleet.entrances import list_entrances
+from chicoryshunt.fleet.facts import Fact
 from chicoryshunt.fleet.feed import Feed
 from chicoryshunt.fleet.rules_exchange import RulesExchange
 from chicoryshunt.fleet.workload import Workload
@@ -49,6 +50,7 @@
 from chicoryshunt.process.pause import Pulse
 from chicoryshunt.process.seal import Purpose, Seal
 from chicoryshunt.relay.gateway import Gateway
+from chicoryshunt.relay.reports import ReportWatch
 from chicoryshunt.relay.surroundings import Surroundings
 from chicoryshunt.types import ConfigVersion, DataCentreId, Incarnation, VmId
 
@@ -147,6 +149,7 @@
                     drive_cores(self.cores, self.mesh, self.pulse),
                 ),
                 asyncio.ensure_future(self._build_reader().run()),
+                asyncio.ensure_future(self._build_reports().run()),
                 asyncio.ensure_future(self._watch_age()),
             ]
             await self._wait_stop(background)
@@ -248,7 +251,7 @@
             self.rules_exchange.fetch(vm, known.peer, version)
 
     def _build_gateway(self) -> Gateway:
-        around = Surroundings(
+        self.around = Surroundings(
             data_centre=self.settings.data_centre,
             clock=self.clock,
             catalog=self.catalog,
@@ -259,13 +262,24 @@
             extras=ExtraBudget(self.settings.bounds.extra),
             metrics=self.metrics,
             send=self.mesh.send_all,
+            publish=self._publish,
         )
         return Gateway(
-            around,
+            self.around,
             CallerWire(self.clock),
             self.settings.bounds.config_apply,
         )
 
+    def _publish(self, facts: Sequence[Fact]) -> None:
+        self.mesh.send_all(self.feed.publish(facts))
+
+    def _build_reports(self) -> ReportWatch:
+        return ReportWatch(
+            self.around,
+            self.gateway.generations.list_engines,
+            self.feed.measure_age,
+        )
+
     def _build_reader(self) -> StoreReader:
         client = StoreClient(self.settings.store, self.pool, self.metrics)
         return StoreReader(
--- a/chicoryshunt/platform/targets.py
+++ b/chicoryshunt/platform/targets.py
@@ -10,6 +10,7 @@
     CopyFailed,
     CopyFailure,
     Dispatch,
+    EngineReport,
     Receipt,
 )
 from chicoryshunt.types import RequestId
@@ -17,6 +18,7 @@
 _MILLISECONDS = 1000
 _LAST_PRIORITY = 9
 _MISDIRECTED = 421
+_DRAINING = 'draining'
 _SUCCESS = range(200, 300)
 _FAILURES = {
     404: CopyFailure.no_run,
@@ -32,6 +34,16 @@
     created: int = 0
 
 
+class ReportAnswer(msgspec.Struct):
+    """Report of an engine; ``kv_used`` is the memory that cannot yield."""
+
+    state: str = ''
+    leaves_ms: float | None = None
+    running: int = 0
+    queued: int = 0
+    kv_used: int = 0
+
+
 class TargetWire:
     """The targets' side of the users' wire."""
 
@@ -110,6 +122,27 @@
         reason = _FAILURES.get(answer.status, CopyFailure.unreachable)
         return CopyFailed(reason, decoded.handle)
 
+    def encode_report(self) -> Sending:
+        """Return the question for an engine's report."""
+        return Sending(b'GET', wire.REPORT_PATH, [(wire.HOST, b'engine')])
+
+    def decode_report(self, answer: Answer, body: bytes) -> EngineReport | None:
+        """Return an engine's report, if that is what the answer holds."""
+        if answer.status not in _SUCCESS:
+            return None
+        try:
+            decoded = msgspec.json.decode(body, type=ReportAnswer)
+        except msgspec.DecodeError:
+            return None
+        leaves = decoded.leaves_ms
+        return EngineReport(
+            is_leaving=decoded.state == _DRAINING or leaves is not None,
+            leaves_in=None if leaves is None else leaves / _MILLISECONDS,
+            running=decoded.running,
+            waiting=decoded.queued,
+            memory_used=decoded.kv_used,
+        )
+
     def encode_release(self, handle: str) -> Sending:
         """Return the order to drop a copy that is not needed."""
         return Sending(
--- a/chicoryshunt/platform/wire.py
+++ b/chicoryshunt/platform/wire.py
@@ -33,6 +33,7 @@
 
 READY_PATH: Final = '/chicoryshunt/ready'
 RESOLVE_PATH: Final = '/chicoryshunt/resolve'
+REPORT_PATH: Final = b'/chicoryshunt/report'
 MOVE_PATH: Final = b'/chicoryshunt/kv-move'
 HANDLE_PATH: Final = b'/chicoryshunt/kv-handle/'
 RANGE_PATH: Final = '/chicoryshunt/kv-range'
--- a/chicoryshunt/relay/course.py
+++ b/chicoryshunt/relay/course.py
@@ -431,13 +431,15 @@
             yield from self._recover('no engine took the run over')
 
     def _take_silence(self, leg: LegId) -> Iterator[Action]:
-        """Go on elsewhere if there is a way; silence alone ends nothing."""
+        """Go on from a copy if there is one; silence alone ends nothing.
+
+        Reading the whole prompt again elsewhere would take longer than most
+        pauses.
+        """
         if leg != self.leg or self.phase is not Phase.flowing:
             return
         if self.holder is not None:
             yield self._open_copy(self.holder)
-        elif self._is_resumable:
-            yield self._open(None, None, is_old_over=False)
 
     def _recover(self, reason: str) -> Iterator[Action]:
         """Go on after the current leg was cut, by the best way that is left."""
--- a/chicoryshunt/relay/gateway.py
+++ b/chicoryshunt/relay/gateway.py
@@ -59,7 +59,7 @@
         self._port = port
         self._stale_seconds = stale_seconds
         self._calls = CallRelay(around)
-        self._generations = GenerationRelay(around)
+        self.generations = GenerationRelay(around)
         self._age = 0.0
         self.active = 0
         self.is_leaving = False
@@ -158,7 +158,7 @@
                 deadline,
             )
         else:
-            relaying = self._generations.relay(
+            relaying = self.generations.relay(
                 incoming,
                 admitted,
                 service,
@@ -228,7 +228,7 @@
 
     def _follow(self, fact: Fact) -> None:
         if isinstance(fact, TargetFact):
-            self._generations.follow_target(fact)
+            self.generations.follow_target(fact)
 
 
 def is_proved(verdict: Verdict) -> bool:
--- a/chicoryshunt/relay/generations.py
+++ b/chicoryshunt/relay/generations.py
@@ -45,6 +45,8 @@
 
 # A run that goes on elsewhere has to begin within this time.
 _SWITCH_SECONDS = 1.0
+# A run that begins anew waits for its prompt to be read once more.
+_RESTART_SECONDS = 3.0
 # Last events of a stopped engine are on their way for no longer than this.
 _SETTLE_SECONDS = 0.03
 _MOST_REFUSALS = 4
@@ -86,6 +88,12 @@
         with self._own(stream):
             return await self._run(stream)
 
+    def list_engines(self) -> Iterator[TargetId]:
+        """Return the engines that run this node's streams."""
+        for stream in self._streams.values():
+            if stream.course is not None:
+                yield stream.course.place.target
+
     def follow_target(self, fact: TargetFact) -> None:
         """Move runs off an engine that leaves, and forget its copies."""
         if fact.phase is TargetPhase.ready:
@@ -310,7 +318,7 @@
             stream.incoming,
             target,
             self._placer.build_dispatch(stream, target, holder, opening),
-            _SWITCH_SECONDS,
+            _RESTART_SECONDS if opening.memory is None else _SWITCH_SECONDS,
             opening.leg,
         )
         log_event(
--- a/chicoryshunt/relay/moving.py
+++ b/chicoryshunt/relay/moving.py
@@ -4,7 +4,13 @@
 from collections.abc import Sequence
 
 from chicoryshunt.connection.upstream import LostError, NotSentError, Sending
-from chicoryshunt.dispatch.handover import Leaving, Link, Move, plan_moves
+from chicoryshunt.dispatch.handover import (
+    Leaving,
+    Link,
+    Move,
+    find_turn,
+    plan_moves,
+)
 from chicoryshunt.events import log_event
 from chicoryshunt.fleet.facts import TargetFact, TargetPhase
 from chicoryshunt.relay.course import CopyEnded, HolderLost, Noticed
@@ -60,7 +66,7 @@
             self._announce(stream, move, 0 if move is None else move.after)
 
     def replan(self, stream: Stream) -> None:
-        """Look for another way for one run, at once."""
+        """Look for another way for one run, in the turn after the others."""
         course = stream.course
         if course is None or not self.is_leaving(course.place.target):
             return
@@ -73,9 +79,9 @@
             stream,
             frozenset(stream.avoided),
         )
-        for move in moves:
-            if move.request == stream.request:
-                self._announce(stream, move, 0)
+        move = find_turn(moves, stream.request)
+        if move is not None:
+            self._announce(stream, move, move.after)
 
     async def copy(
         self,
--- a/chicoryshunt/relay/ports.py
+++ b/chicoryshunt/relay/ports.py
@@ -71,6 +71,20 @@
     handle: str = ''
 
 
+@dataclass(frozen=True, slots=True)
+class EngineReport:
+    """What an engine says of itself, some tenths of a second late.
+
+    ``leaves_in`` is in seconds, ``None`` where the engine does not know.
+    """
+
+    is_leaving: bool
+    leaves_in: float | None
+    running: int
+    waiting: int
+    memory_used: int
+
+
 class TargetPort(Protocol):
     """Words of the wire between the node and a target."""
 
@@ -92,5 +106,11 @@
     def decode_copy(self, answer: Answer, body: bytes) -> Copied | CopyFailed:
         """Return the outcome of an order to copy."""
 
+    def encode_report(self) -> Sending:
+        """Return the question for an engine's report."""
+
+    def decode_report(self, answer: Answer, body: bytes) -> EngineReport | None:
+        """Return an engine's report, if that is what the answer holds."""
+
     def encode_release(self, handle: str) -> Sending:
         """Return the order to drop a copy that is not needed."""
--- /dev/null
+++ b/chicoryshunt/relay/reports.py
@@ -0,0 +1,87 @@
+"""Asks engines themselves whether they leave, while nobody can read it.
+
+Load pattern: the platform's store is away for seconds, engines are reclaimed
+all the same, and their notices are only seen when it is back.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from chicoryshunt.connection.upstream import LostError, NotSentError
+from chicoryshunt.events import log_event
+from chicoryshunt.fleet.facts import Revision, TargetFact, TargetPhase
+from chicoryshunt.relay.ports import EngineReport
+from chicoryshunt.relay.surroundings import Surroundings
+from chicoryshunt.types import TargetId
+
+# Beliefs that are older than this are checked with the engines.
+_STALE_SECONDS = 0.8
+_INTERVAL_SECONDS = 0.3
+_ANSWER_SECONDS = 0.5
+_IDLE_SECONDS = 2.0
+_MOST_BYTES = 1048576
+_SOURCE = 'report'
+
+
+class ReportWatch:
+    """Reads the reports of the engines that run this node's streams."""
+
+    def __init__(
+        self,
+        around: Surroundings,
+        list_engines: Callable[[], Iterable[TargetId]],
+        measure_age: Callable[[float], float],
+    ) -> None:
+        """Ask the listed engines when beliefs are old."""
+        self._around = around
+        self._list_engines = list_engines
+        self._measure_age = measure_age
+
+    async def run(self) -> None:
+        """Watch for as long as the process lives."""
+        while True:
+            await asyncio.sleep(_INTERVAL_SECONDS)
+            if self._measure_age(self._around.clock.now()) > _STALE_SECONDS:
+                engines = set(self._list_engines())
+                await asyncio.gather(*map(self._check, engines))
+
+    async def _check(self, target: TargetId) -> None:
+        known = self._around.catalog.find(target)
+        if known is None or not isinstance(known.fact, TargetFact):
+            return
+        fact = known.fact
+        if fact.phase is not TargetPhase.ready:
+            return
+        report = await self._read(fact)
+        if report is not None and report.is_leaving:
+            self._note_leaving(fact)
+
+    async def _read(self, fact: TargetFact) -> EngineReport | None:
+        port = self._around.port
+        try:
+            upstream = await self._around.pool.acquire(
+                fact.address,
+                _IDLE_SECONDS,
+            )
+            answer = await upstream.send(port.encode_report(), _ANSWER_SECONDS)
+        except (NotSentError, LostError) as error:
+            log_event('report_not_read', target=fact.target, error=str(error))
+            return None
+        body = await answer.body.read_all(_MOST_BYTES)
+        if not isinstance(body, bytes):
+            upstream.abort()
+            return None
+        return port.decode_report(answer, body)
+
+    def _note_leaving(self, fact: TargetFact) -> None:
+        # The entry that says so is written later than the one believed in.
+        leaving = msgspec.structs.replace(
+            fact,
+            phase=TargetPhase.leaving,
+            revision=Revision(fact.revision + 1),
+        )
+        now = self._around.clock.now()
+        if self._around.catalog.take(leaving, now, _SOURCE):
+            self._around.publish([leaving])
--- a/chicoryshunt/relay/surroundings.py
+++ b/chicoryshunt/relay/surroundings.py
@@ -1,7 +1,7 @@
 """What every request on this node shares."""
 
 from collections import Counter
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
@@ -17,7 +17,7 @@
 from chicoryshunt.dispatch.outliers import Outcome, Outliers
 from chicoryshunt.events import log_event
 from chicoryshunt.fleet.catalog import Catalog
-from chicoryshunt.fleet.facts import TargetFact, TargetPhase
+from chicoryshunt.fleet.facts import Fact, TargetFact, TargetPhase
 from chicoryshunt.fleet.workload import PlacedRun, Workload
 from chicoryshunt.process.core import Send
 from chicoryshunt.process.membership import Membership
@@ -46,6 +46,7 @@
     extras: ExtraBudget
     metrics: Metrics
     send: Callable[[Iterable[Send]], None]
+    publish: Callable[[Sequence[Fact]], None]
     outliers: Outliers = field(default_factory=Outliers)
     cold: ColdGate = field(default_factory=ColdGate)
     open_calls: Counter[TargetId] = field(default_factory=Counter)
