Try another destination within the same turn

Cause (trace): an engine that has no room says so in 5 ms, but the run then waited behind all others.

--- a/chicoryshunt/dispatch/handover.py
+++ b/chicoryshunt/dispatch/handover.py
@@ -16,7 +16,7 @@
 DEFAULT_NOTICE_SECONDS = 1.5
 # Two calls, the last tokens and the new connection, beside the copying. A
 # copy that begins earlier delays the last tokens of the run before it.
-_STEP_SECONDS = 0.1
+_STEP_SECONDS = 0.07
 # A copy to another data centre takes this many times as long.
 _REMOTE_FACTOR = 2.0
 # Part of a destination's memory that moved runs may fill.
@@ -160,6 +160,8 @@
     need = max(forecast_run(run, pace))
     held = run.count_held(pace)
     now = [room for room in rooms if room.slots and room.tokens_now >= held]
+    # An engine refuses at once what it has no room for.
+    now = now or [room for room in rooms if room.slots]
     lasting = [room for room in now if room.tokens >= need]
     home = source.data_centre
     near = [room for room in now if room.engine.data_centre == home]
--- a/chicoryshunt/relay/generations.py
+++ b/chicoryshunt/relay/generations.py
@@ -233,7 +233,7 @@
         if not stream.first_event:
             stream.first_event = self._around.clock.now()
             # The engine's notice may have come before there was a run.
-            self._mover.replan(stream)
+            self._mover.replan(stream, has_turn=False)
 
     def _act(self, stream: Stream, action: Action) -> Result | None:
         match action:
@@ -260,7 +260,7 @@
                 stream.close_leg(leg)
             case Replan():
                 self._note_holder(stream)
-                self._mover.replan(stream)
+                self._mover.replan(stream, has_turn=True)
             case Release(handle):
                 self._release(stream, handle)
             case Finish():
--- a/chicoryshunt/relay/moving.py
+++ b/chicoryshunt/relay/moving.py
@@ -65,8 +65,11 @@
             move = moves.get(stream.request)
             self._announce(stream, move, 0 if move is None else move.after)
 
-    def replan(self, stream: Stream) -> None:
-        """Look for another way for one run, in the turn after the others."""
+    def replan(self, stream: Stream, *, has_turn: bool) -> None:
+        """Look for another way for one run.
+
+        Without a turn on the link it waits until the other runs have moved.
+        """
         course = stream.course
         if course is None or not self.is_leaving(course.place.target):
             return
@@ -81,7 +84,7 @@
         )
         move = find_turn(moves, stream.request)
         if move is not None:
-            self._announce(stream, move, move.after)
+            self._announce(stream, move, 0 if has_turn else move.after)
 
     async def copy(
         self,
