--- a/chicoryshunt/connection/exchange.py
+++ b/chicoryshunt/connection/exchange.py
@@ -1,13 +1,12 @@
 """One HTTP request and its answer."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any, cast
 
 import msgspec
 from twisted.web import server
-from twisted.web.http_headers import Headers
 
 from chicoryshunt.connection.caller_api import (
     RETRY_HEADER,
@@ -96,37 +95,6 @@
         """Set the header that carries the verdict."""
         self.set_header(VERDICT_HEADER, run.value)
 
-    @property
-    def uri(self) -> bytes:
-        """Return path and query as they were sent."""
-        return cast(bytes, self._request.uri)
-
-    def list_headers(self) -> list[tuple[bytes, bytes]]:
-        """Return every header of the request as it was sent."""
-        return [
-            (name, text)
-            for name, texts in self._request.requestHeaders.getAllRawHeaders()
-            for text in texts
-        ]
-
-    def begin(
-        self,
-        status: int,
-        headers: Iterable[tuple[bytes, bytes]],
-    ) -> None:
-        """Set the status and exactly these headers of the answer."""
-        self._request.setResponseCode(status)
-        self._request.responseHeaders = Headers()
-        for name, text in headers:
-            self._request.responseHeaders.addRawHeader(name, text)
-        if not self._request.channel.persistent:
-            self.close_after()
-
-    def close_after(self) -> None:
-        """Let the caller open a new connection for its next request."""
-        self._request.responseHeaders.setRawHeaders(b'connection', [b'close'])
-        self._request.channel.persistent = False
-
     def write(self, chunk: bytes) -> None:
         """Write a part of the answer while the caller is there."""
         if self.is_open:
--- a/chicoryshunt/connection/upstream.py
+++ b/chicoryshunt/connection/upstream.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from enum import Enum
+from http import HTTPStatus
 from typing import Any, cast
 
 from twisted.internet.defer import succeed
@@ -12,10 +13,10 @@
 from twisted.internet.protocol import Protocol
 from twisted.web._newclient import (
     HTTP11ClientProtocol,
-    PotentialDataLoss,
     Request,
     ResponseDone,
 )
+from twisted.web.http import PotentialDataLoss
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import UNKNOWN_LENGTH, IBodyProducer
 from zope.interface import implementer
@@ -77,6 +78,11 @@
     length: int | None
     body: 'Body'
 
+    @property
+    def is_success(self) -> bool:
+        """Say whether the status is one of success."""
+        return HTTPStatus.OK <= self.status < HTTPStatus.MULTIPLE_CHOICES
+
     def get(self, name: bytes) -> bytes:
         """Return the first value of a header, empty when absent."""
         lowered = name.lower()
@@ -111,18 +117,16 @@
             return received
         return cast(BodyEnd, self._end)
 
-    async def read_all(self, most_bytes: int) -> bytes | BodyEnd:
-        """Return the whole body; ``cut`` when it is cut or too large."""
-        received = bytearray()
-        while True:
-            piece = await self.read()
-            if piece is BodyEnd.whole:
-                return bytes(received)
-            if isinstance(piece, BodyEnd):
-                return piece
-            received += piece
-            if len(received) > most_bytes:
-                return BodyEnd.cut
+    async def read_all(
+        self,
+        most_bytes: int,
+        seconds: float | None = None,
+    ) -> bytes | BodyEnd:
+        """Return the whole body; ``cut`` if it is cut, too large or late."""
+        try:
+            return await asyncio.wait_for(self._collect(most_bytes), seconds)
+        except TimeoutError:
+            return BodyEnd.cut
 
     def dataReceived(self, data: bytes) -> None:
         """Keep a piece; stop reading when too much waits."""
@@ -144,6 +148,18 @@
             self._end = BodyEnd.whole
         self._arrived.set()
 
+    async def _collect(self, most_bytes: int) -> bytes | BodyEnd:
+        received = bytearray()
+        while True:
+            piece = await self.read()
+            if piece is BodyEnd.whole:
+                return bytes(received)
+            if isinstance(piece, BodyEnd):
+                return piece
+            received += piece
+            if len(received) > most_bytes:
+                return BodyEnd.cut
+
     def _resume(self) -> None:
         if self._is_paused:
             self._is_paused = False
@@ -158,7 +174,7 @@
         super().__init__(lambda _: on_idle(self))
         self.address = ''
         self.idle_seconds = _IDLE_SECONDS
-        self.idle_since = 0.0
+        self.idle_since: float = 0
         self.is_closed = False
 
     @property
@@ -204,7 +220,7 @@
         if self.transport is not None:
             cast(Any, self.transport).abortConnection()
 
-    def connectionLost(self, reason: Any) -> None:
+    def connectionLost(self, reason: Any = None) -> None:
         """Note whether the other side closed the connection in order."""
         self.is_closed = bool(reason.check(ConnectionDone))
         super().connectionLost(reason)
--- a/chicoryshunt/connection/web.py
+++ b/chicoryshunt/connection/web.py
@@ -10,14 +10,14 @@
 
 from chicoryshunt.connection.bounds import ServerBounds, Usage
 from chicoryshunt.connection.channel import BoundedChannel, BoundedRequest
-from chicoryshunt.connection.exchange import Exchange
+from chicoryshunt.connection.relayed_exchange import RelayedExchange
 from chicoryshunt.events import log_problem
 from chicoryshunt.types import Reason
 from chicoryshunt.verdict import doubt
 
 _CLOSE_POLL_SECONDS = 0.05
 
-Handler = Callable[[Exchange], Awaitable[None]]
+Handler = Callable[[RelayedExchange], Awaitable[None]]
 
 
 class BoundedSite(server.Site):
@@ -70,12 +70,12 @@
 
     def render(self, request: server.Request) -> int:
         """Start the handler."""
-        task = asyncio.ensure_future(self._handle(Exchange(request)))
+        task = asyncio.ensure_future(self._handle(RelayedExchange(request)))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return server.NOT_DONE_YET
 
-    async def _handle(self, exchange: Exchange) -> None:
+    async def _handle(self, exchange: RelayedExchange) -> None:
         try:
             await self._handler(exchange)
         except Exception as error:
--- a/chicoryshunt/dispatch/engines.py
+++ b/chicoryshunt/dispatch/engines.py
@@ -1,6 +1,6 @@
 """Chooses the engine of a generation, or says when there will be room."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from chicoryshunt.dispatch.forecast import (
@@ -17,8 +17,6 @@
 # Part of an engine's memory that predicted runs may fill. What is left
 # absorbs answers that outlast their estimate.
 ADMIT_PART = 0.9
-# A copy is worth less than a run, so it leaves more room.
-BACKUP_PART = 0.0
 # A short answer is over before the long ones have grown, so it may use all.
 _SHORT_PART = 1.0
 _SHORT_TOKENS = 64
@@ -34,14 +32,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Engine:
-    """An engine with what runs on it and the copies that it keeps."""
+    """An engine with what runs on it."""
 
     target: TargetId
     data_centre: DataCentreId
     slots: int
     memory_tokens: int
     runs: tuple[RunView, ...] = ()
-    copies: tuple[RunView, ...] = ()
     penalty: float = 0
 
 
@@ -89,7 +86,7 @@
     fitting = []
     waits = []
     for engine in engines:
-        held = _forecast_all(engine, pace)
+        held = forecast_engine(engine.runs, pace)
         if _fits(engine, held, curve, demand):
             score = _rate(engine, add_curves(held, curve), home, pace)
             fitting.append((score, engine.target))
@@ -101,46 +98,18 @@
     return Full(min(waits, default=HORIZONS[-1]))
 
 
-def choose_holder(
-    engines: Iterable[Engine],
-    demand: RunView,
-    source: Engine,
-    pace: float,
-) -> TargetId | None:
-    """Return the engine that is to keep a copy of a run, if one has room.
-
-    The source's own data centre is preferred: copies take half the time
-    there, and the links are what moves wait for.
-    """
-    curve = forecast_run(demand, pace)
-    found: list[tuple[float, TargetId]] = []
-    for engine in engines:
-        if engine.target == source.target:
-            continue
-        held = add_curves(_forecast_all(engine, pace), curve)
-        part = max(held) / engine.memory_tokens
-        taken = len(engine.runs) + len(engine.copies)
-        if part <= BACKUP_PART and taken < engine.slots:
-            near = engine.data_centre == source.data_centre
-            found.append((part + near * _REMOTE_PART, engine.target))
-    return min(found)[1] if found else None
-
-
-def _forecast_all(engine: Engine, pace: float) -> Curve:
-    return forecast_engine((*engine.runs, *engine.copies), pace)
-
-
 def _fits(
     engine: Engine,
     held: Curve,
     curve: Curve,
     demand: RunView,
 ) -> bool:
-    taken = len(engine.runs) + len(engine.copies)
+    taken = len(engine.runs)
     if taken >= engine.slots:
         return False
-    is_short = demand.expected_tokens <= _SHORT_TOKENS
-    most = engine.memory_tokens * (_SHORT_PART if is_short else ADMIT_PART)
+    most = engine.memory_tokens * ADMIT_PART
+    if demand.expected_tokens <= _SHORT_TOKENS:
+        most = engine.memory_tokens * _SHORT_PART
     return max(add_curves(held, curve)) <= most or not taken
 
 
--- a/chicoryshunt/dispatch/forecast.py
+++ b/chicoryshunt/dispatch/forecast.py
@@ -10,18 +10,22 @@
 from dataclasses import dataclass
 
 # Seconds ahead at which the memory is predicted; answers last some 10 s.
-HORIZONS = (0.0, 1.0, 2.0, 4.0, 8.0)
+HORIZONS = (0, 1, 2, 4, 8)
 # Tokens that an engine generates a second for one run; measured streams
 # replace it.
 DEFAULT_TOKENS_PER_SECOND = 100.0
 # Spread of the logarithm of true length to the caller's estimate.
 _LENGTH_SIGMA = 0.9
-_SQRT_2 = math.sqrt(2)
+_ROOT_OF_TWO = math.sqrt(2)
 # Below this chance a run is taken to have ended.
 _LEAST_CHANCE = 1e-6
 
 Curve = tuple[float, ...]
 
+_EMPTY: Curve = (0,) * len(HORIZONS)
+# Points at which a chance is summed up over an answer's length.
+_STEPS = 8
+
 
 @dataclass(frozen=True, slots=True)
 class RunView:
@@ -53,11 +57,8 @@
 
 def forecast_engine(runs: Iterable[RunView], pace: float) -> Curve:
     """Return the expected memory tokens of all runs at each horizon."""
-    total = [0.0] * len(HORIZONS)
-    for run in runs:
-        for index, tokens in enumerate(forecast_run(run, pace)):
-            total[index] += tokens
-    return tuple(total)
+    curves = [forecast_run(run, pace) for run in runs]
+    return tuple(map(sum, zip(*curves, strict=True))) or _EMPTY
 
 
 def add_curves(one: Curve, other: Curve) -> Curve:
@@ -86,9 +87,6 @@
     return None
 
 
-_STEPS = 8
-
-
 def _survive(run: RunView, produced: float) -> float:
     """Return the chance that an answer is longer than this."""
     if produced <= 0:
@@ -97,7 +95,7 @@
         return 0
     median = max(run.expected_tokens, 1)
     deviation = math.log(produced / median) / _LENGTH_SIGMA
-    return math.erfc(deviation / _SQRT_2) / 2
+    return math.erfc(deviation / _ROOT_OF_TWO) / 2
 
 
 def _expect_memory(run: RunView, later: float, alive: float) -> float:
--- a/chicoryshunt/dispatch/handover.py
+++ b/chicoryshunt/dispatch/handover.py
@@ -35,7 +35,9 @@
     def measure_copy(self, tokens: float, *, is_remote: bool) -> float:
         """Return the seconds that copying some tokens takes."""
         seconds = tokens * self.bytes_per_token / self.bytes_per_second
-        return seconds * (_REMOTE_FACTOR if is_remote else 1)
+        if is_remote:
+            seconds *= _REMOTE_FACTOR
+        return seconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,7 +46,6 @@
 
     request: RequestId
     run: RunView
-    has_backup: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,17 +79,13 @@
 
     Load pattern: an engine is reclaimed a second or two after its notice,
     and its runs share one link. One run is finished before the next begins,
-    so that those which were moved are safe whenever the engine ends. Runs
-    with a live copy elsewhere need no move.
+    so that those which were moved are safe whenever the engine ends.
     """
     rooms = [_measure_room(engine, pace) for engine in others]
-    ordered = sorted(
-        (one for one in leaving if not one.has_backup),
-        key=lambda one: _rank(one, pace),
-    )
+    ordered = sorted(leaving, key=lambda one: _rank(one, pace))
     is_hurried = _measure_far(ordered, link, pace) > DEFAULT_NOTICE_SECONDS
     moves = []
-    after = float()
+    after: float = 0
     for one in ordered:
         room = _find_room(rooms, one.run, source, pace, is_hurried=is_hurried)
         if room is None:
@@ -132,14 +129,13 @@
 
 
 def _measure_room(engine: Engine, pace: float) -> _Room:
-    held = forecast_engine((*engine.runs, *engine.copies), pace)
-    taken = len(engine.runs) + len(engine.copies)
+    held = forecast_engine(engine.runs, pace)
     most = engine.memory_tokens * _ROOM_PART
     return _Room(
         engine,
         most - max(held),
         most - held[0],
-        engine.slots - taken,
+        engine.slots - len(engine.runs),
     )
 
 
--- a/chicoryshunt/dispatch/services.py
+++ b/chicoryshunt/dispatch/services.py
@@ -44,5 +44,6 @@
 
 def _rate(one: ServiceTarget, home: DataCentreId) -> tuple[float, TargetId]:
     busy = one.open_calls / max(one.slots, 1)
-    remote = _REMOTE_PART if one.data_centre != home else 0
-    return busy + remote + one.failure_rate * _FAILURE_WEIGHT, one.target
+    is_remote = one.data_centre != home
+    failures = one.failure_rate * _FAILURE_WEIGHT
+    return busy + is_remote * _REMOTE_PART + failures, one.target
--- a/chicoryshunt/fleet/discovery.py
+++ b/chicoryshunt/fleet/discovery.py
@@ -52,7 +52,7 @@
         self._rng = rng
         self._known = {own.vm: own}
         self._gone_since: dict[VmId, float] = {}
-        self._next_ask = 0.0
+        self._next_ask: float = 0
         # Seeds are reachable by address before they have introduced
         # themselves.
         self._links.learn((own, *self._seeds))
--- a/chicoryshunt/fleet/feed.py
+++ b/chicoryshunt/fleet/feed.py
@@ -12,7 +12,7 @@
 from chicoryshunt.process.core import Message, Send
 from chicoryshunt.process.membership import Membership
 from chicoryshunt.process.rendezvous import rank_vms
-from chicoryshunt.types import ConfigVersion, DataCentreId, VmId
+from chicoryshunt.types import ConfigVersion, VmId
 
 # Two readers in different data centres: one may fail without a gap.
 _READERS = 2
@@ -78,13 +78,11 @@
         self,
         catalog: Catalog,
         membership: Membership,
-        data_centre: DataCentreId,
         now: float,
     ) -> None:
         """Start without any contact with the platform."""
         self._catalog = catalog
         self._membership = membership
-        self._data_centre = data_centre
         self._contact = float('-inf')
         self._started = now
         self._next_beacon = now
--- /dev/null
+++ b/chicoryshunt/fleet/neighbours.py
@@ -0,0 +1,80 @@
+"""Everything that this node shares with the other nodes of the fleet."""
+
+from collections.abc import Iterable, Sequence
+from random import Random
+from typing import Any, cast
+
+from chicoryshunt.address import Address
+from chicoryshunt.clock import Clock
+from chicoryshunt.connection.platform_api import PublishedVm
+from chicoryshunt.fleet.catalog import Catalog
+from chicoryshunt.fleet.discovery import Discovery
+from chicoryshunt.fleet.facts import Fact
+from chicoryshunt.fleet.feed import Feed
+from chicoryshunt.fleet.workload import Workload
+from chicoryshunt.process.core import Core, Send
+from chicoryshunt.process.driver import drive_cores
+from chicoryshunt.process.links import Links
+from chicoryshunt.process.membership import Membership
+from chicoryshunt.process.mesh import Mesh
+from chicoryshunt.process.metrics import Metrics
+from chicoryshunt.process.pause import Pulse
+from chicoryshunt.process.seal import Purpose, Seal
+from chicoryshunt.types import Incarnation
+
+
+class Neighbours:
+    """Membership, facts and workload, kept alike by datagrams."""
+
+    def __init__(
+        self,
+        own: PublishedVm,
+        seeds: Sequence[PublishedVm],
+        incarnation: Incarnation,
+        clock: Clock,
+        metrics: Metrics,
+        rng: Random,
+    ) -> None:
+        """Know the seeds alone; a higher incarnation replaces a lower one."""
+        now = clock.now()
+        self.membership = Membership(own, incarnation, rng, now)
+        self.catalog = Catalog()
+        self.feed = Feed(self.catalog, self.membership, now)
+        self.workload = Workload(self.membership, now)
+        links = Links()
+        # The deployment hands out no key, so envelopes only show damage.
+        seal = Seal(b'', own.vm, incarnation, Purpose.datagram)
+        self.membership.on_raise(seal.raise_incarnation)
+        self.discovery = Discovery(own, seeds, self.membership, links, rng)
+        self._pulse = Pulse(clock)
+        self._cores: tuple[Core, ...] = (
+            self.membership,
+            self.discovery,
+            self.feed,
+            self.workload,
+        )
+        self._mesh = Mesh(seal, links, self._pulse, metrics, self._cores)
+
+    def listen(self, reactor: Any, address: Address) -> None:
+        """Receive datagrams from now on."""
+        cast(Any, reactor).listenUDP(
+            address.port,
+            self._mesh,
+            interface=address.host,
+        )
+
+    async def run(self) -> None:
+        """Drive the cores for as long as the process lives."""
+        await drive_cores(self._cores, self._mesh, self._pulse)
+
+    def send(self, messages: Iterable[Send]) -> None:
+        """Send what a core returned."""
+        self._mesh.send_all(messages)
+
+    def publish(self, facts: Sequence[Fact]) -> None:
+        """Tell all other nodes some news."""
+        self.send(self.feed.publish(facts))
+
+    def leave(self, now: float) -> None:
+        """Tell all other nodes that this one leaves."""
+        self.send(self.membership.leave(now))
--- a/chicoryshunt/fleet/rules_exchange.py
+++ b/chicoryshunt/fleet/rules_exchange.py
@@ -1,6 +1,7 @@
 """Passes rules from node to node, where they are too large for datagrams."""
 
 import asyncio
+from http import HTTPStatus
 
 import msgspec
 
@@ -19,6 +20,7 @@
 RULES_PATH = '/rules'
 _CONTENT_TYPE = 'application/msgpack'
 _FETCH_SECONDS = 1.0
+_IDLE_SECONDS = 1.0
 _MOST_RULES_BYTES = 8388608
 
 
@@ -35,7 +37,7 @@
     async def handle(self, exchange: Exchange) -> None:
         """Answer a node that asks for the rules."""
         if exchange.path != RULES_PATH or self._catalog.rules is None:
-            exchange.respond(b'', _CONTENT_TYPE, 404)
+            exchange.respond(b'', _CONTENT_TYPE, HTTPStatus.NOT_FOUND)
             return
         exchange.respond(self._encode(), _CONTENT_TYPE)
 
@@ -53,32 +55,28 @@
         address: str,
         version: ConfigVersion,
     ) -> None:
-        headers = [(b'Host', address.encode())]
-        sending = Sending(b'GET', RULES_PATH.encode(), headers)
         try:
-            upstream = await self._pool.acquire(address, 1)
-            answer = await upstream.send(sending, _FETCH_SECONDS)
-            body = await asyncio.wait_for(
-                answer.body.read_all(_MOST_RULES_BYTES),
-                _FETCH_SECONDS,
-            )
-            if not isinstance(body, bytes):
-                raise LostError('the rules are cut')
-            rules = msgspec.msgpack.decode(body, type=Rules)
-        except (
-            NotSentError,
-            LostError,
-            TimeoutError,
-            msgspec.DecodeError,
-        ) as error:
+            rules = await self._read(address)
+        except (NotSentError, LostError, msgspec.DecodeError) as error:
             log_problem(
                 'rules_not_fetched',
                 vm=vm,
                 version=version,
                 error=repr(error),
             )
-            return
-        self._catalog.take_rules(rules, vm)
+        else:
+            self._catalog.take_rules(rules, vm)
+
+    async def _read(self, address: str) -> Rules:
+        headers = [(b'Host', address.encode())]
+        sending = Sending(b'GET', RULES_PATH.encode(), headers)
+        upstream = await self._pool.acquire(address, _IDLE_SECONDS)
+        answer = await upstream.send(sending, _FETCH_SECONDS)
+        body = await answer.body.read_all(_MOST_RULES_BYTES, _FETCH_SECONDS)
+        if not isinstance(body, bytes):
+            upstream.abort()
+            raise LostError(f'{address}: the rules are cut')
+        return msgspec.msgpack.decode(body, type=Rules)
 
     def _encode(self) -> bytes:
         index = self._catalog.rules
--- a/chicoryshunt/fleet/workload.py
+++ b/chicoryshunt/fleet/workload.py
@@ -16,10 +16,7 @@
 
 
 class PlacedRun(msgspec.Struct, frozen=True, array_like=True):
-    """One run on an engine; ``age`` is seconds since it was placed.
-
-    ``holder`` is the engine that keeps a copy of its memory, if any.
-    """
+    """One run on an engine; ``age`` is seconds since it was placed."""
 
     request: RequestId
     target: TargetId
@@ -27,7 +24,6 @@
     expected_tokens: int
     most_tokens: int
     age: float
-    holder: TargetId = TargetId('')
 
 
 class RunNews(msgspec.Struct, frozen=True, array_like=True, tag='wn'):
--- a/chicoryshunt/platform/callers.py
+++ b/chicoryshunt/platform/callers.py
@@ -5,7 +5,7 @@
 from types import MappingProxyType
 
 from chicoryshunt.clock import Clock
-from chicoryshunt.connection.exchange import Exchange
+from chicoryshunt.connection.relayed_exchange import RelayedExchange
 from chicoryshunt.connection.upstream import RawHeaders
 from chicoryshunt.platform import wire
 from chicoryshunt.relay.incoming import GenerationAsk, Incoming
@@ -33,7 +33,7 @@
         """Note with this clock when requests were received."""
         self._clock = clock
 
-    def decode(self, exchange: Exchange) -> Incoming | Verdict:
+    def decode(self, exchange: RelayedExchange) -> Incoming | Verdict:
         """Return the request of an exchange, or why it has none."""
         sent = exchange.list_headers()
         headers = {name.lower(): text for name, text in sent}
@@ -41,29 +41,13 @@
         if not request:
             return refuse(Reason.bad_request, 'the request has no id')
         try:
-            ask = _decode_ask(headers)
-            patience = _decode_number(_get(headers, wire.PATIENCE_MS))
-            last_event = _decode_number(_get(headers, wire.LAST_EVENT))
+            return self._build(exchange, RequestId(request), sent, headers)
         except ValueError as error:
             return refuse(Reason.bad_request, str(error))
-        return Incoming(
-            request=RequestId(request),
-            method=exchange.method.encode(),
-            uri=exchange.uri,
-            path=exchange.path,
-            host=_strip_port(_get(headers, wire.HOST)),
-            headers=_select_forwarded(sent, headers),
-            body=exchange.body,
-            key=_decode_key(headers.get(wire.AUTHORIZATION.lower(), b'')),
-            patience=None if patience is None else patience / _MILLISECONDS,
-            ask=ask,
-            last_event=last_event,
-            received=self._clock.now(),
-        )
 
     def respond(
         self,
-        exchange: Exchange,
+        exchange: RelayedExchange,
         result: Delivered | Verdict,
         *,
         closes: bool,
@@ -84,6 +68,30 @@
         exchange.write(body)
         exchange.finish()
 
+    def _build(
+        self,
+        exchange: RelayedExchange,
+        request: RequestId,
+        sent: RawHeaders,
+        headers: Mapping[bytes, bytes],
+    ) -> Incoming:
+        """Decode every header; raise ``ValueError`` for a broken one."""
+        patience = _decode_number(_get(headers, wire.PATIENCE_MS))
+        return Incoming(
+            request=request,
+            method=exchange.method.encode(),
+            uri=exchange.uri,
+            path=exchange.path,
+            host=_strip_port(_get(headers, wire.HOST)),
+            headers=_select_forwarded(sent, headers),
+            body=exchange.body,
+            key=_decode_key(headers.get(wire.AUTHORIZATION.lower(), b'')),
+            patience=None if patience is None else patience / _MILLISECONDS,
+            ask=_decode_ask(headers),
+            last_event=_decode_number(_get(headers, wire.LAST_EVENT)),
+            received=self._clock.now(),
+        )
+
 
 def _find_status(verdict: Verdict) -> HTTPStatus:
     status = _STATUS_BY_REASON.get(verdict.reason)
--- /dev/null
+++ b/chicoryshunt/platform/doors.py
@@ -0,0 +1,108 @@
+"""The addresses on which a node serves, as the platform assigns them."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from http import HTTPStatus
+from random import Random
+from typing import Final
+
+from chicoryshunt.address import Address
+from chicoryshunt.connection.bounds import ServerBounds
+from chicoryshunt.connection.exchange import Exchange
+from chicoryshunt.connection.loop_transport import open_server
+from chicoryshunt.connection.web import BoundedSite, Handler
+from chicoryshunt.fleet.entrances import list_entrances
+from chicoryshunt.fleet.neighbours import Neighbours
+from chicoryshunt.fleet.rules_exchange import RulesExchange
+from chicoryshunt.platform import wire
+from chicoryshunt.platform.settings import PlatformSettings
+from chicoryshunt.process.metrics import Metrics
+from chicoryshunt.relay.gateway import Gateway
+from chicoryshunt.types import DataCentreId
+
+_JSON: Final = 'application/json'
+_TEXT: Final = 'text/plain; version=0.0.4'
+# Callers keep a list of nodes for this long, some three times as long: a
+# node that dies is out of use after some seconds.
+_KEEP_SECONDS: Final = 1.0
+_CONNECTIONS: Final = 3000
+_HEADER_SECONDS: Final = 10.0
+_BODY_SECONDS: Final = 30.0
+_BODY_BYTES: Final = 4194304
+_OPEN_BODIES_BYTES: Final = 33554432
+_BOUNDS: Final = ServerBounds(
+    connections=_CONNECTIONS,
+    header_seconds=_HEADER_SECONDS,
+    body_bytes=_BODY_BYTES,
+    body_seconds=_BODY_SECONDS,
+    open_bodies_bytes=_OPEN_BODIES_BYTES,
+)
+
+
+class Doors:
+    """Servers for callers, readiness checks, directory and other nodes."""
+
+    def __init__(
+        self,
+        settings: PlatformSettings,
+        gateway: Gateway,
+        neighbours: Neighbours,
+        rules_exchange: RulesExchange,
+        metrics: Metrics,
+    ) -> None:
+        """Serve with these parts; nothing listens yet."""
+        self._settings = settings
+        self._gateway = gateway
+        self._neighbours = neighbours
+        self._rules_exchange = rules_exchange
+        self._metrics = metrics
+        self._rng = Random()
+
+    @asynccontextmanager
+    async def open(self) -> AsyncIterator[BoundedSite]:
+        """Listen on every address; return the site that callers use."""
+        settings = self._settings
+        callers = BoundedSite(self._gateway.handle, _BOUNDS)
+        servers = [
+            await _listen(callers, settings.callers),
+            await _serve(self._answer_readiness, settings.readiness),
+            await _serve(self._answer_directory, settings.directory),
+            await _serve(self._rules_exchange.handle, settings.peers),
+            await _serve(self._answer_metrics, settings.metrics),
+        ]
+        try:
+            yield callers
+        finally:
+            for server in servers:
+                server.close()
+
+    async def _answer_readiness(self, exchange: Exchange) -> None:
+        knows_rules = self._neighbours.catalog.rules is not None
+        status = HTTPStatus.SERVICE_UNAVAILABLE
+        if knows_rules and not self._gateway.is_leaving:
+            status = HTTPStatus.OK
+        exchange.respond(b'', _JSON, status)
+
+    async def _answer_directory(self, exchange: Exchange) -> None:
+        if exchange.path != wire.RESOLVE_PATH:
+            exchange.respond(b'', _JSON, HTTPStatus.NOT_FOUND)
+            return
+        entrances = list_entrances(
+            self._neighbours.membership.roster,
+            DataCentreId(exchange.get_query('zone', '')),
+            self._rng,
+        )
+        keep = min(_KEEP_SECONDS, self._settings.bounds.entry_keep_most)
+        exchange.respond_json({'addresses': entrances, 'ttl_s': keep})
+
+    async def _answer_metrics(self, exchange: Exchange) -> None:
+        exchange.respond(self._metrics.render(), _TEXT)
+
+
+async def _serve(handler: Handler, address: Address) -> asyncio.Server:
+    return await _listen(BoundedSite(handler, _BOUNDS), address)
+
+
+async def _listen(site: BoundedSite, address: Address) -> asyncio.Server:
+    return await open_server(site, address.host, address.port)
--- a/chicoryshunt/platform/items.py
+++ b/chicoryshunt/platform/items.py
@@ -3,9 +3,11 @@
 import base64
 import binascii
 from enum import Enum
+from types import MappingProxyType
 
 import msgspec
 
+from chicoryshunt.address import is_address
 from chicoryshunt.fleet.facts import (
     EvacuationFact,
     Revision,
@@ -178,9 +180,11 @@
     """
     try:
         server = msgspec.json.decode(_decode_value(item), type=_Server)
-        phase = _PHASES[server.state]
-    except (msgspec.DecodeError, binascii.Error, KeyError) as error:
+    except (msgspec.DecodeError, binascii.Error) as error:
         return Unreadable(item.key, repr(error))
+    phase = _PHASES.get(server.state)
+    if phase is None or not is_address(server.address):
+        return Unreadable(item.key, f'{server.state} at {server.address}')
     return TargetFact(
         target=get_target(item.key),
         revision=Revision(item.revision),
@@ -230,7 +234,9 @@
     )
 
 
-_PHASES = {'ready': TargetPhase.ready, 'draining': TargetPhase.leaving}
+_PHASES = MappingProxyType(
+    {'ready': TargetPhase.ready, 'draining': TargetPhase.leaving},
+)
 
 
 def _decode_value(item: Item) -> bytes:
--- a/chicoryshunt/platform/settings.py
+++ b/chicoryshunt/platform/settings.py
@@ -11,6 +11,8 @@
 
 SETTINGS_VARIABLE: Final = 'CHICORYSHUNT_BOOT'
 _MILLISECONDS = 1000
+# What applies where the file sets no bound, as on the first deployments.
+_CONFIG_APPLY_MS = 2000
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,8 +32,8 @@
 class PlatformSettings:
     """What a process is told when it starts.
 
-    ``first_internal_port`` and the one after it are free for traffic between
-    nodes, on every VM.
+    Nodes talk to each other on ``first_internal_port``, the same on all VMs;
+    metrics are served on the next one.
     """
 
     vm: VmId
@@ -41,6 +43,7 @@
     peers: Address
     directory: Address
     first_internal_port: int
+    metrics: Address
     seeds: tuple[Address, ...]
     store: Address
     bounds: Bounds
@@ -110,15 +113,18 @@
 def parse_settings(text: str, source: str) -> PlatformSettings:
     """Check the text of a settings file; unknown names are ignored."""
     lines = _Lines(text, source)
+    callers = lines.get_address('listen.front')
+    internal_port = lines.get_first_port('internal_port_range')
     return PlatformSettings(
         # The address is unique among VMs, and seeds tell nothing else.
         vm=VmId(lines.get_text('ip')),
         data_centre=DataCentreId(lines.get_text('zone')),
-        callers=lines.get_address('listen.front'),
+        callers=callers,
         readiness=lines.get_address('listen.readiness'),
         peers=lines.get_address('listen.control'),
         directory=lines.get_address('listen.directory'),
-        first_internal_port=lines.get_first_port('internal_port_range'),
+        first_internal_port=internal_port,
+        metrics=Address(callers.host, internal_port + 1),
         seeds=lines.list_addresses('seeds'),
         store=lines.get_address('platform.address'),
         bounds=_parse_bounds(lines),
@@ -133,7 +139,8 @@
             window_seconds=lines.get_number('bounds.retry_window_s', 10),
         ),
         config_apply=(
-            lines.get_number('bounds.config_apply_ms', 2000) / _MILLISECONDS
+            lines.get_number('bounds.config_apply_ms', _CONFIG_APPLY_MS)
+            / _MILLISECONDS
         ),
         stop_grace=lines.get_number('bounds.grace_s', 8),
         entry_keep_most=lines.get_number('bounds.ttl_max_s', 5),
--- a/chicoryshunt/platform/store.py
+++ b/chicoryshunt/platform/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Iterable
+from http import HTTPStatus
 from typing import TypeVar
 from urllib.parse import urlencode
 
@@ -18,16 +19,16 @@
 )
 from chicoryshunt.events import log_event, log_problem
 from chicoryshunt.exceptions import ChicoryshuntError
-from chicoryshunt.fleet.catalog import Catalog, withdraw
+from chicoryshunt.fleet.catalog import withdraw
 from chicoryshunt.fleet.facts import (
     EvacuationFact,
     Fact,
     Revision,
     TargetFact,
 )
-from chicoryshunt.fleet.feed import Duty, Feed
+from chicoryshunt.fleet.feed import Duty
+from chicoryshunt.fleet.neighbours import Neighbours
 from chicoryshunt.platform import items, wire
-from chicoryshunt.process.mesh import Mesh
 from chicoryshunt.process.metrics import Metrics
 
 _PREFIXES = ('op/', items.TARGET_PREFIX)
@@ -134,25 +135,27 @@
         kind: type[_Read],
         seconds: float,
     ) -> _Read:
-        is_done = False
         try:
-            async with asyncio.timeout(seconds):
-                answer = await upstream.send(sending, seconds)
-                body = await answer.body.read_all(_MOST_BYTES)
-            if answer.status == 410:
-                raise HistoryGoneError('the history is gone')
-            if answer.status != 200 or not isinstance(body, bytes):
-                raise StoreError(f'status {answer.status}')
-            decoded = msgspec.json.decode(body, type=kind)
-            is_done = True
-        except (LostError, NotSentError, TimeoutError) as error:
-            raise StoreError(repr(error)) from error
-        except msgspec.DecodeError as error:
-            raise StoreError(f'unreadable answer: {error}') from error
-        finally:
-            if not is_done:
-                upstream.abort()
-        return decoded
+            answer = await upstream.send(sending, seconds)
+        except (LostError, NotSentError) as error:
+            upstream.abort()
+            raise StoreError(str(error)) from error
+        body = await answer.body.read_all(_MOST_BYTES, seconds)
+        if not isinstance(body, bytes):
+            upstream.abort()
+            raise StoreError('the answer is cut')
+        return _decode(answer.status, body, kind)
+
+
+def _decode(status: int, body: bytes, kind: type[_Read]) -> _Read:
+    if status == HTTPStatus.GONE:
+        raise HistoryGoneError('the history is gone')
+    if status != HTTPStatus.OK:
+        raise StoreError(f'status {status}')
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.DecodeError as error:
+        raise StoreError(f'unreadable answer: {error}') from error
 
 
 class StoreReader:
@@ -161,16 +164,14 @@
     def __init__(
         self,
         client: StoreClient,
-        catalog: Catalog,
-        feed: Feed,
-        mesh: Mesh,
+        neighbours: Neighbours,
         clock: Clock,
     ) -> None:
         """Start with nothing read."""
         self._client = client
-        self._catalog = catalog
-        self._feed = feed
-        self._mesh = mesh
+        self._catalog = neighbours.catalog
+        self._feed = neighbours.feed
+        self._neighbours = neighbours
         self._clock = clock
         self._revision = 0
         self._retry_seconds = _FIRST_RETRY_SECONDS
@@ -232,19 +233,14 @@
         while True:
             page = await self._client.read_range(prefix, after)
             revision = page.current_rev if revision is None else revision
-            read = [items.decode_item(raw) for raw in page.items]
-            found.extend(one for one in read if isinstance(one, items.Item))
+            found.extend(_decode_items(page.items))
             if not page.more_pages or not found:
                 return revision
             after = found[-1].key
 
     async def _read_changes(self) -> None:
         changes = await self._client.watch('', self._revision)
-        read = [items.decode_item(raw) for raw in changes.events]
-        for one in read:
-            if isinstance(one, items.Unreadable):
-                log_problem('item_unreadable', reason=one.reason)
-        self._take(one for one in read if isinstance(one, items.Item))
+        self._take(_decode_items(changes.events))
         self._revision = max(self._revision, changes.current_rev)
 
     def _take_all(self, found: list[items.Item]) -> None:
@@ -310,7 +306,7 @@
             fact for fact in facts if self._catalog.take(fact, now, _SOURCE)
         ]
         if news:
-            self._mesh.send_all(self._feed.publish(news))
+            self._neighbours.publish(news)
 
     async def _note_failure(self, error: StoreError) -> None:
         if self._failed_since is None:
@@ -334,6 +330,18 @@
         self._feed.note_contact(now)
 
 
+def _decode_items(raw: Iterable[msgspec.Raw]) -> list[items.Item]:
+    """Return the items that can be read; the others hold no fact."""
+    decoded = []
+    for one in raw:
+        item = items.decode_item(one)
+        if isinstance(item, items.Item):
+            decoded.append(item)
+        else:
+            log_problem('item_unreadable', reason=item.reason)
+    return decoded
+
+
 def _get_evacuation_key(fact: Fact) -> str:
     data_centre = getattr(fact, 'data_centre', '')
     return f'{items.EVACUATION_PREFIX}{data_centre}'
--- a/chicoryshunt/platform/targets.py
+++ b/chicoryshunt/platform/targets.py
@@ -1,5 +1,9 @@
 """Encodes what targets are sent and decodes what they answer."""
 
+from collections.abc import Mapping
+from http import HTTPStatus
+from types import MappingProxyType
+
 import msgspec
 
 from chicoryshunt.connection.upstream import Answer, Sending
@@ -17,14 +21,14 @@
 
 _MILLISECONDS = 1000
 _LAST_PRIORITY = 9
-_MISDIRECTED = 421
 _DRAINING = 'draining'
-_SUCCESS = range(200, 300)
-_FAILURES = {
-    404: CopyFailure.no_run,
-    409: CopyFailure.busy,
-    503: CopyFailure.no_room,
-}
+_FAILURES: Mapping[int, CopyFailure] = MappingProxyType(
+    {
+        HTTPStatus.NOT_FOUND: CopyFailure.no_run,
+        HTTPStatus.CONFLICT: CopyFailure.busy,
+        HTTPStatus.SERVICE_UNAVAILABLE: CopyFailure.no_room,
+    },
+)
 
 
 class CopyAnswer(msgspec.Struct):
@@ -60,8 +64,6 @@
         if incoming.ask is not None:
             priority = min(dispatch.priority, _LAST_PRIORITY)
             headers.append((wire.PRIORITY, b'%d' % priority))
-        if dispatch.holder_address:
-            headers.append((wire.HOLDER, dispatch.holder_address.encode()))
         if dispatch.last_event is not None:
             headers.append((wire.LAST_EVENT, b'%d' % dispatch.last_event))
         if dispatch.memory is not None:
@@ -80,12 +82,11 @@
         echoed = answer.get(wire.REQUEST_ID).decode('latin-1')
         if echoed and echoed != incoming.request:
             return Receipt.foreign
-        if answer.status == _MISDIRECTED:
+        if answer.status == HTTPStatus.MISDIRECTED_REQUEST:
             return Receipt.other_target
         if answer.get(wire.NOT_RUN):
             return Receipt.not_run
-        is_success = answer.status in _SUCCESS
-        if is_success and not answer.get(wire.RECEIPT):
+        if answer.is_success and not answer.get(wire.RECEIPT):
             return Receipt.foreign
         if answer.get(b'Content-Encoding'):
             return Receipt.foreign
@@ -117,7 +118,7 @@
                 decoded = msgspec.json.decode(body, type=CopyAnswer)
             except msgspec.DecodeError:
                 return CopyFailed(CopyFailure.unreachable)
-        if answer.status in _SUCCESS and decoded.handle:
+        if answer.is_success and decoded.handle:
             return Copied(decoded.handle, decoded.created)
         reason = _FAILURES.get(answer.status, CopyFailure.unreachable)
         return CopyFailed(reason, decoded.handle)
@@ -128,7 +129,7 @@
 
     def decode_report(self, answer: Answer, body: bytes) -> EngineReport | None:
         """Return an engine's report, if that is what the answer holds."""
-        if answer.status not in _SUCCESS:
+        if not answer.is_success:
             return None
         try:
             decoded = msgspec.json.decode(body, type=ReportAnswer)
--- a/chicoryshunt/relay/calls.py
+++ b/chicoryshunt/relay/calls.py
@@ -7,6 +7,7 @@
     Answer,
     LostError,
     NotSentError,
+    Sending,
     Upstream,
 )
 from chicoryshunt.dispatch.outliers import Outcome
@@ -64,13 +65,9 @@
         """Return the answer of a target, or a verdict without one."""
         tries = _Tries()
         while True:
-            target = self._choose(service, tries)
-            remaining = deadline - self._around.clock.now()
-            if target is None or remaining < _LEAST_SECONDS:
+            target = self._choose_next(service, tries, deadline)
+            if target is None:
                 break
-            if tries.tried and not self._may_try_again(service):
-                break
-            tries.tried.append(target.target)
             attempt = await self._try_target(
                 incoming,
                 admitted,
@@ -82,6 +79,21 @@
                 break
         return _conclude(tries, deadline - self._around.clock.now())
 
+    def _choose_next(
+        self,
+        service: ServiceId,
+        tries: _Tries,
+        deadline: float,
+    ) -> TargetFact | None:
+        """Return the target of the next try, if there is to be one."""
+        target = self._choose(service, tries)
+        if deadline - self._around.clock.now() < _LEAST_SECONDS:
+            return None
+        if target is None or (tries.tried and not self._may_try_again(service)):
+            return None
+        tries.tried.append(target.target)
+        return target
+
     def _choose(self, service: ServiceId, tries: _Tries) -> TargetFact | None:
         facts = self._around.list_candidates(service, tries.tried)
         chosen = choose_target(
@@ -163,7 +175,7 @@
                         target=target.target,
                         remaining=deadline - self._around.clock.now(),
                         priority=admitted.priority,
-                        team=admitted.team and admitted.team.team,
+                        team=admitted.team_id,
                     ),
                     patience,
                 )
@@ -178,21 +190,33 @@
         patience: float,
     ) -> Attempt:
         sending = self._around.port.encode(incoming, dispatch)
-        is_done = False
+        attempt: Attempt = Doubtful(dispatch.target, 'cancelled')
+        try:
+            attempt = await self._send(
+                upstream, incoming, sending, dispatch, patience
+            )
+        finally:
+            if isinstance(attempt, Doubtful):
+                upstream.abort()
+        return attempt
+
+    async def _send(
+        self,
+        upstream: Upstream,
+        incoming: Incoming,
+        sending: Sending,
+        dispatch: Dispatch,
+        patience: float,
+    ) -> Attempt:
         try:
             answer = await upstream.send(sending, patience)
-            attempt = await self._read(incoming, dispatch.target, answer)
-            is_done = not isinstance(attempt, Doubtful)
         except NotSentError as error:
-            attempt = NotRun(dispatch.target, str(error))
+            return NotRun(dispatch.target, str(error))
         except LostError as error:
             self._around.record(dispatch.target, Outcome.silent)
             is_timeout = isinstance(error.__cause__, TimeoutError)
-            attempt = Doubtful(dispatch.target, str(error), is_timeout)
-        finally:
-            if not is_done:
-                upstream.abort()
-        return attempt
+            return Doubtful(dispatch.target, str(error), is_timeout)
+        return await self._read(incoming, dispatch.target, answer)
 
     async def _read(
         self,
--- a/chicoryshunt/relay/gateway.py
+++ b/chicoryshunt/relay/gateway.py
@@ -1,12 +1,12 @@
 """Takes the requests of callers and sees them to their end."""
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Awaitable, Iterator
 from contextlib import contextmanager
 from typing import Protocol
 
-from chicoryshunt.connection.exchange import Exchange
-from chicoryshunt.events import log_event
+from chicoryshunt.connection.relayed_exchange import RelayedExchange
+from chicoryshunt.events import log_event, log_problem
 from chicoryshunt.fleet.facts import Fact, TargetFact
 from chicoryshunt.relay.calls import CallRelay
 from chicoryshunt.relay.generations import GenerationRelay
@@ -15,7 +15,7 @@
 from chicoryshunt.relay.surroundings import Surroundings
 from chicoryshunt.rules.model import Work
 from chicoryshunt.rules.routing import Admitted, RuleIndex, choose_service
-from chicoryshunt.types import Reason, RunState, Seconds
+from chicoryshunt.types import Reason, Seconds
 from chicoryshunt.verdict import Verdict, doubt, refuse
 
 _RETRY_SECONDS = Seconds(0.5)
@@ -28,12 +28,12 @@
 class CallerPort(Protocol):
     """Words of the wire between callers and the node."""
 
-    def decode(self, exchange: Exchange) -> Incoming | Verdict:
+    def decode(self, exchange: RelayedExchange) -> Incoming | Verdict:
         """Return the request of an exchange."""
 
     def respond(
         self,
-        exchange: Exchange,
+        exchange: RelayedExchange,
         result: Delivered | Verdict,
         *,
         closes: bool,
@@ -60,7 +60,7 @@
         self._stale_seconds = stale_seconds
         self._calls = CallRelay(around)
         self.generations = GenerationRelay(around)
-        self._age = 0.0
+        self._age: float = 0
         self.active = 0
         self.is_leaving = False
         around.catalog.follow(self._follow)
@@ -69,7 +69,7 @@
         """Note how long ago the rules were known to be the newest."""
         self._age = seconds
 
-    async def handle(self, exchange: Exchange) -> None:
+    async def handle(self, exchange: RelayedExchange) -> None:
         """Serve one request until its answer is sent or its caller left."""
         incoming = self._port.decode(exchange)
         if isinstance(incoming, Verdict):
@@ -86,7 +86,9 @@
         finally:
             self.active -= 1
 
-    async def _serve(self, incoming: Incoming, exchange: Exchange) -> None:
+    async def _serve(
+        self, incoming: Incoming, exchange: RelayedExchange
+    ) -> None:
         index = self._around.catalog.rules
         admitted = self._admit(incoming, index)
         if isinstance(admitted, Verdict):
@@ -101,20 +103,29 @@
             and not admitted.route.is_repeatable
         )
         try:
-            await asyncio.wait(
-                (serving, leaving),
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            if not serving.done():
-                log_event('caller_left', request=incoming.request)
-            if serving.done() or is_once:
-                # What may run once is not cut short; its outcome is logged.
-                result = await serving
-                self._finish(incoming, exchange, result)
+            await self._await_end(incoming, exchange, serving, leaving, is_once)
         finally:
             leaving.cancel()
             serving.cancel()
 
+    async def _await_end(
+        self,
+        incoming: Incoming,
+        exchange: RelayedExchange,
+        serving: asyncio.Future[Result],
+        leaving: asyncio.Future[None],
+        is_once: bool,
+    ) -> None:
+        await asyncio.wait(
+            (serving, leaving),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if not serving.done():
+            log_event('caller_left', request=incoming.request)
+        if serving.done() or is_once:
+            # What may run once is not cut short; its outcome is logged.
+            self._finish(incoming, exchange, await serving)
+
     def _admit(
         self,
         incoming: Incoming,
@@ -141,7 +152,7 @@
         self,
         incoming: Incoming,
         admitted: Admitted,
-        exchange: Exchange,
+        exchange: RelayedExchange,
     ) -> Result:
         route = admitted.route
         patience = route.timeout
@@ -150,13 +161,9 @@
         deadline = incoming.received + patience - _ANSWER_MARGIN_SECONDS
         service = choose_service(route, incoming.request)
         self._around.extras.record_first(service, incoming.received)
+        relaying: Awaitable[Result]
         if route.work is Work.call:
-            relaying = self._calls.relay(
-                incoming,
-                admitted,
-                service,
-                deadline,
-            )
+            relaying = self._calls.relay(incoming, admitted, service, deadline)
         else:
             relaying = self.generations.relay(
                 incoming,
@@ -167,10 +174,8 @@
             )
         try:
             return await relaying
-        except asyncio.CancelledError:
-            raise
         except Exception as error:
-            log_event(
+            log_problem(
                 'relay_failed',
                 request=incoming.request,
                 error=repr(error),
@@ -180,14 +185,16 @@
     def _finish(
         self,
         incoming: Incoming,
-        exchange: Exchange,
+        exchange: RelayedExchange,
         result: Result,
     ) -> None:
         self._log_end(incoming, result)
         if not isinstance(result, Streamed):
             self._respond(exchange, result)
 
-    def _respond(self, exchange: Exchange, result: Delivered | Verdict) -> None:
+    def _respond(
+        self, exchange: RelayedExchange, result: Delivered | Verdict
+    ) -> None:
         if exchange.is_started:
             exchange.abort()
         elif exchange.is_open:
@@ -229,8 +236,3 @@
     def _follow(self, fact: Fact) -> None:
         if isinstance(fact, TargetFact):
             self.generations.follow_target(fact)
-
-
-def is_proved(verdict: Verdict) -> bool:
-    """Say whether a verdict promises that the request did not run."""
-    return verdict.run is RunState.not_run
--- a/chicoryshunt/relay/generations.py
+++ b/chicoryshunt/relay/generations.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
-from chicoryshunt.connection.exchange import Exchange
+from chicoryshunt.connection.relayed_exchange import RelayedExchange
 from chicoryshunt.events import log_event
 from chicoryshunt.fleet.facts import TargetFact, TargetPhase
 from chicoryshunt.relay.course import (
@@ -17,6 +17,7 @@
     Event,
     Finish,
     Forward,
+    Input,
     LegId,
     Open,
     Opened,
@@ -70,7 +71,7 @@
         admitted: Admitted,
         service: ServiceId,
         deadline: float,
-        exchange: Exchange,
+        exchange: RelayedExchange,
     ) -> Result:
         """Stream the answer of a generation to the caller."""
         engine = self._find_engine_rules(service)
@@ -95,15 +96,16 @@
                 yield stream.course.place.target
 
     def follow_target(self, fact: TargetFact) -> None:
-        """Move runs off an engine that leaves, and forget its copies."""
+        """Move runs off an engine that leaves."""
         if fact.phase is TargetPhase.ready:
             return
-        streams = tuple(self._streams.values())
-        for stream in streams:
-            self._mover.check_holder(stream)
         self._mover.plan(
             fact.target,
-            [one for one in streams if _runs_at(one, fact.target)],
+            [
+                stream
+                for stream in self._streams.values()
+                if _runs_at(stream, fact.target)
+            ],
         )
 
     @contextmanager
@@ -179,9 +181,8 @@
         stream: Stream,
         target: TargetFact,
     ) -> Leg | Delivered | NotRun | Doubtful:
-        holder = self._placer.choose_holder(stream, target)
-        self._placer.note_run(stream, target.target, holder)
-        dispatch = self._placer.build_dispatch(stream, target, holder)
+        self._placer.note_run(stream, target.target)
+        dispatch = self._placer.build_dispatch(stream, target)
         opened = await open_leg(
             self._around,
             stream.incoming,
@@ -192,16 +193,14 @@
         )
         if isinstance(opened, Leg):
             stream.course = Course(
-                stream.request,
                 build_place(target),
-                None if holder is None else build_place(holder),
                 is_resumable=stream.route.is_resumable,
             )
-            self._mover.check_holder(stream)
         return opened
 
     async def _stream(self, stream: Stream, first: Leg) -> Result:
-        stream.exchange.begin(first.answer.status, first.answer.headers)
+        if first.answer is not None:
+            stream.exchange.begin(first.answer.status, first.answer.headers)
         stream.legs[first.leg] = first
         first.start(stream.mail)
         remaining = stream.deadline - self._around.clock.now()
@@ -221,16 +220,18 @@
             received = await stream.mail.get()
             if isinstance(received, Deadline):
                 break
-            if isinstance(received, Event):
-                self._note_first_event(stream)
+            self._note_arrival(stream, received)
             for action in course.take(received):
                 ended = self._act(stream, action)
                 if ended is not None:
                     return ended
+            if isinstance(received, Opened):
+                # The run may have gone back to an engine that leaves.
+                self._mover.replan(stream, has_turn=False)
         return self._cut(stream, 'the deadline passed')
 
-    def _note_first_event(self, stream: Stream) -> None:
-        if not stream.first_event:
+    def _note_arrival(self, stream: Stream, received: Input) -> None:
+        if isinstance(received, Event) and not stream.first_event:
             stream.first_event = self._around.clock.now()
             # The engine's notice may have come before there was a run.
             self._mover.replan(stream, has_turn=False)
@@ -259,7 +260,6 @@
             case Close(leg):
                 stream.close_leg(leg)
             case Replan():
-                self._note_holder(stream)
                 self._mover.replan(stream, has_turn=True)
             case Release(handle):
                 self._release(stream, handle)
@@ -269,12 +269,6 @@
                 return self._cut(stream, reason)
         return None
 
-    def _note_holder(self, stream: Stream) -> None:
-        """Tell the fleet that a copy could not be used."""
-        course = stream.course
-        if course is not None and course.holder is None:
-            self._placer.note_run(stream, course.place.target, None)
-
     def _release(self, stream: Stream, handle: str) -> None:
         if stream.course is not None:
             self._mover.release(stream.course.place.address, handle)
@@ -303,8 +297,7 @@
 
     async def _open_next(self, stream: Stream, opening: Open) -> None:
         target = self._find_destination(stream, opening)
-        course = stream.course
-        if target is None or course is None:
+        if target is None:
             log_event(
                 'no_engine_to_go_on',
                 request=stream.request,
@@ -312,12 +305,11 @@
             )
             stream.mail.put_nowait(Refused(opening.leg))
             return
-        holder = self._placer.choose_holder(stream, target)
         opened = await open_leg(
             self._around,
             stream.incoming,
             target,
-            self._placer.build_dispatch(stream, target, holder, opening),
+            self._placer.build_dispatch(stream, target, opening),
             _RESTART_SECONDS if opening.memory is None else _SWITCH_SECONDS,
             opening.leg,
         )
@@ -328,23 +320,18 @@
             leg=opening.leg,
             last_event=opening.last_event,
             memory=opening.memory and opening.memory.name,
-            holder=holder and holder.target,
             outcome=type(opened).__name__,
             detail=getattr(opened, 'detail', None),
         )
         if not isinstance(opened, Leg):
             stream.mail.put_nowait(Refused(opening.leg))
             return
-        course.settle(
-            build_place(target),
-            None if holder is None else build_place(holder),
-        )
-        self._placer.note_run(stream, target.target, holder)
+        self._placer.note_run(stream, target.target)
         stream.legs[opening.leg] = opened
         stream.replans = 0
-        stream.mail.put_nowait(Opened(opening.leg))
+        place = build_place(target)
+        stream.mail.put_nowait(Opened(opening.leg, place))
         opened.start(stream.mail)
-        self._mover.check_holder(stream)
 
     def _find_destination(
         self,
@@ -363,16 +350,13 @@
 
 
 def _describe_end(stream: Stream, *, is_whole: bool) -> Streamed:
-    waited = 0.0
-    if stream.first_event:
-        waited = stream.first_event - stream.incoming.received
-    legs = 0 if stream.course is None else stream.course.legs
+    began = stream.first_event or stream.incoming.received
     return Streamed(
-        is_whole,
-        stream.events,
-        waited,
-        stream.longest_gap,
-        legs,
+        is_whole=is_whole,
+        events=stream.events,
+        first_event_seconds=began - stream.incoming.received,
+        longest_gap_seconds=stream.longest_gap,
+        legs=0 if stream.course is None else stream.course.legs,
     )
 
 
--- a/chicoryshunt/relay/legs.py
+++ b/chicoryshunt/relay/legs.py
@@ -5,14 +5,16 @@
 
 from chicoryshunt.connection.upstream import (
     Answer,
+    Body,
     BodyEnd,
     LostError,
     NotSentError,
+    Sending,
     Upstream,
 )
 from chicoryshunt.dispatch.outliers import Outcome
 from chicoryshunt.fleet.facts import TargetFact
-from chicoryshunt.relay.course import Ended, Event, Input, LegEnd, LegId, Silent
+from chicoryshunt.relay.course import Ended, Event, Input, LegEnd, LegId
 from chicoryshunt.relay.frames import EventReader
 from chicoryshunt.relay.incoming import Incoming
 from chicoryshunt.relay.ports import Dispatch, Receipt
@@ -20,11 +22,6 @@
 from chicoryshunt.relay.surroundings import Surroundings
 
 _MOST_FAILURE_BYTES = 1048576
-_SUCCESS = range(200, 300)
-
-# Engines pause for a prompt or two, not for longer; callers leave after two
-# seconds.
-_SILENCE_SECONDS = 0.7
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,12 +39,15 @@
     leg: LegId
     target: TargetFact
     upstream: Upstream
-    answer: Answer
+    answer: Answer | None = None
     pump: asyncio.Task[None] | None = None
 
     def start(self, mail: Mail) -> None:
         """Put every event, and then the end, into the mailbox."""
-        self.pump = asyncio.ensure_future(self._pump(mail))
+        if self.answer is not None:
+            self.pump = asyncio.ensure_future(
+                self._pump(self.answer.body, mail),
+            )
 
     def close(self) -> None:
         """Drop the connection; the engine then stops its run."""
@@ -55,27 +55,14 @@
             self.pump.cancel()
         self.upstream.abort()
 
-    async def _pump(self, mail: Mail) -> None:
+    async def _pump(self, body: Body, mail: Mail) -> None:
+        """Read on until the end; silence alone ends nothing."""
         reader = EventReader()
-        loop = asyncio.get_running_loop()
-        has_begun = False
         while True:
-            silence = loop.call_later(
-                _SILENCE_SECONDS,
-                mail.put_nowait,
-                Silent(self.leg),
-            )
-            if not has_begun:
-                # The first event may wait for the engine's queue.
-                silence.cancel()
-            try:
-                piece = await self.answer.body.read()
-            finally:
-                silence.cancel()
+            piece = await body.read()
             if isinstance(piece, BodyEnd):
                 mail.put_nowait(Ended(self.leg, _judge_end(piece, reader)))
                 return
-            has_begun = True
             for number, frame in reader.read(piece):
                 mail.put_nowait(Event(self.leg, number, frame))
 
@@ -104,37 +91,46 @@
     except NotSentError as error:
         around.record(target.target, Outcome.unreachable)
         return NotRun(target.target, str(error))
-    is_kept = False
+    sending = around.port.encode(incoming, dispatch)
+    opened: Leg | Delivered | NotRun | Doubtful
+    opened = Doubtful(target.target, 'cancelled')
     try:
-        answer = await upstream.send(
-            around.port.encode(incoming, dispatch),
-            seconds,
+        opened = await _exchange(
+            around, incoming, sending, seconds, Leg(leg, target, upstream)
         )
-        opened = await _judge(
-            around,
-            incoming,
-            Leg(leg, target, upstream, answer),
-        )
-        is_kept = isinstance(opened, Leg)
-    except NotSentError as error:
-        opened = NotRun(target.target, str(error))
-    except LostError as error:
-        around.record(target.target, Outcome.silent)
-        is_timeout = isinstance(error.__cause__, TimeoutError)
-        opened = Doubtful(target.target, str(error), is_timeout)
     finally:
-        if not is_kept:
+        if not isinstance(opened, Leg):
             upstream.abort()
     return opened
 
 
+async def _exchange(
+    around: Surroundings,
+    incoming: Incoming,
+    sending: Sending,
+    seconds: float,
+    leg: Leg,
+) -> Leg | Delivered | NotRun | Doubtful:
+    target = leg.target.target
+    try:
+        answer = await leg.upstream.send(sending, seconds)
+    except NotSentError as error:
+        return NotRun(target, str(error))
+    except LostError as error:
+        around.record(target, Outcome.silent)
+        is_timeout = isinstance(error.__cause__, TimeoutError)
+        return Doubtful(target, str(error), is_timeout)
+    leg.answer = answer
+    return await _judge(around, incoming, leg, answer)
+
+
 async def _judge(
     around: Surroundings,
     incoming: Incoming,
     leg: Leg,
+    answer: Answer,
 ) -> Leg | Delivered | NotRun | Doubtful:
     target = leg.target.target
-    answer = leg.answer
     receipt = around.port.judge(incoming, answer)
     match receipt:
         case Receipt.not_run | Receipt.other_target:
@@ -143,7 +139,7 @@
         case Receipt.foreign:
             around.record(target, Outcome.garbled)
             return Doubtful(target, 'answer to another request')
-    if answer.status in _SUCCESS:
+    if answer.is_success:
         around.record(target, Outcome.answered)
         return leg
     around.record(target, Outcome.failed)
--- a/chicoryshunt/relay/moving.py
+++ b/chicoryshunt/relay/moving.py
@@ -13,7 +13,7 @@
 )
 from chicoryshunt.events import log_event
 from chicoryshunt.fleet.facts import TargetFact, TargetPhase
-from chicoryshunt.relay.course import CopyEnded, HolderLost, Noticed
+from chicoryshunt.relay.course import CopyEnded, Noticed
 from chicoryshunt.relay.ports import Copied, CopyFailed, CopyFailure
 from chicoryshunt.relay.stream import Stream
 from chicoryshunt.relay.surroundings import Surroundings, view_run
@@ -39,19 +39,6 @@
         fact = self._find(target)
         return fact is None or fact.phase is not TargetPhase.ready
 
-    def check_holder(self, stream: Stream) -> None:
-        """Forget a copy whose engine leaves."""
-        course = stream.course
-        if course is None or course.holder is None:
-            return
-        if self.is_leaving(course.holder.target):
-            log_event(
-                'copy_lost',
-                request=stream.request,
-                holder=course.holder.target,
-            )
-            stream.mail.put_nowait(HolderLost())
-
     def plan(self, source: TargetId, streams: Sequence[Stream]) -> None:
         """Start to move this node's runs off an engine, in their turn."""
         if not streams:
@@ -61,9 +48,8 @@
             for move in self._list_moves(source, streams[0], frozenset())
         }
         for stream in streams:
-            self.check_holder(stream)
             move = moves.get(stream.request)
-            self._announce(stream, move, 0 if move is None else move.after)
+            self._announce(stream, move, has_turn=False)
 
     def replan(self, stream: Stream, *, has_turn: bool) -> None:
         """Look for another way for one run.
@@ -76,15 +62,13 @@
         stream.replans += 1
         if stream.replans > _MOST_REPLANS:
             return
-        self.check_holder(stream)
         moves = self._list_moves(
             course.place.target,
             stream,
             frozenset(stream.avoided),
         )
         move = find_turn(moves, stream.request)
-        if move is not None:
-            self._announce(stream, move, 0 if has_turn else move.after)
+        self._announce(stream, move, has_turn=has_turn)
 
     async def copy(
         self,
@@ -129,23 +113,24 @@
         self,
         stream: Stream,
         move: Move | None,
-        after: float,
+        *,
+        has_turn: bool,
     ) -> None:
-        destination = None if move is None else move.destination
-        asyncio.get_running_loop().call_later(
-            after,
-            stream.mail.put_nowait,
-            Noticed(destination),
-        )
         course = stream.course
         log_event(
             'move_planned',
             request=stream.request,
             source=course and course.place.target,
-            destination=destination,
-            after_seconds=after,
-            holder=course and course.holder and course.holder.target,
+            destination=move and move.destination,
+            after_seconds=move and move.after,
+            has_turn=has_turn,
         )
+        if move is not None:
+            asyncio.get_running_loop().call_later(
+                0 if has_turn else move.after,
+                stream.mail.put_nowait,
+                Noticed(move.destination),
+            )
 
     def _list_moves(
         self,
@@ -161,12 +146,7 @@
         others = around.list_candidates(example.service, avoided | {source})
         engines = around.view_engines([fact, *others], example.engine)
         leaving = [
-            Leaving(
-                one.run.request,
-                view_run(one.run, now - one.placed),
-                has_backup=bool(one.run.holder)
-                and not self.is_leaving(one.run.holder),
-            )
+            Leaving(one.run.request, view_run(one.run, now - one.placed))
             for one in around.workload.list_runs()
             if one.run.target == source
         ]
--- a/chicoryshunt/relay/placing.py
+++ b/chicoryshunt/relay/placing.py
@@ -1,4 +1,4 @@
-"""Finds engines for generations, and engines that keep copies of runs."""
+"""Finds engines for generations, by what the whole fleet has placed."""
 
 import asyncio
 import random
@@ -10,7 +10,6 @@
     Hopeless,
     Placed,
     choose_engine,
-    choose_holder,
 )
 from chicoryshunt.dispatch.waiting import Ticket, WaitingRoom
 from chicoryshunt.events import log_event
@@ -73,36 +72,7 @@
             return _find(facts, choice.target)
         return None
 
-    def choose_holder(
-        self,
-        stream: Stream,
-        target: TargetFact,
-    ) -> TargetFact | None:
-        """Return who is to keep a copy of a run.
-
-        A run that may be repeated needs none.
-        """
-        if not stream.engine.can_back_up or stream.route.is_resumable:
-            return None
-        facts = self._around.list_candidates(stream.service, ())
-        engines = self._around.view_engines(facts, stream.engine)
-        for engine in engines:
-            if engine.target == target.target:
-                holder = choose_holder(
-                    engines,
-                    stream.view,
-                    engine,
-                    self._around.pace,
-                )
-                return None if holder is None else _find(facts, holder)
-        return None
-
-    def note_run(
-        self,
-        stream: Stream,
-        target: TargetId,
-        holder: TargetFact | None,
-    ) -> None:
+    def note_run(self, stream: Stream, target: TargetId) -> None:
         """Tell the fleet where a run is."""
         around = self._around
         now = around.clock.now()
@@ -114,7 +84,6 @@
             stream.view.expected_tokens,
             stream.view.most_tokens,
             now - stream.placed,
-            TargetId('') if holder is None else holder.target,
         )
         around.send(around.workload.place(run, now))
 
@@ -122,11 +91,9 @@
         self,
         stream: Stream,
         target: TargetFact,
-        holder: TargetFact | None,
         opening: Open | None = None,
     ) -> Dispatch:
         """Return how a run is sent to an engine, first or later."""
-        team = stream.admitted.team
         memory = None
         last_event = stream.incoming.last_event
         if opening is not None:
@@ -137,8 +104,7 @@
             target=target.target,
             remaining=stream.deadline - self._around.clock.now(),
             priority=stream.admitted.priority,
-            team=None if team is None else team.team,
-            holder_address='' if holder is None else holder.address,
+            team=stream.admitted.team_id,
             memory=memory,
             last_event=last_event,
         )
--- a/chicoryshunt/relay/ports.py
+++ b/chicoryshunt/relay/ports.py
@@ -24,15 +24,13 @@
 class Dispatch:
     """How a request is sent to one target; times are in seconds.
 
-    ``holder_address`` names the engine that is to keep a copy of the run's
-    memory; ``last_event`` is the last event that the caller has.
+    ``last_event`` is the last event that the caller has.
     """
 
     target: TargetId
     remaining: float
     priority: int
     team: TeamId | None = None
-    holder_address: str = ''
     memory: Memory | None = None
     last_event: int | None = None
 
--- a/chicoryshunt/relay/reports.py
+++ b/chicoryshunt/relay/reports.py
@@ -65,11 +65,16 @@
                 fact.address,
                 _IDLE_SECONDS,
             )
+        except NotSentError as error:
+            log_event('report_not_read', target=fact.target, error=str(error))
+            return None
+        try:
             answer = await upstream.send(port.encode_report(), _ANSWER_SECONDS)
         except (NotSentError, LostError) as error:
+            upstream.abort()
             log_event('report_not_read', target=fact.target, error=str(error))
             return None
-        body = await answer.body.read_all(_MOST_BYTES)
+        body = await answer.body.read_all(_MOST_BYTES, _ANSWER_SECONDS)
         if not isinstance(body, bytes):
             upstream.abort()
             return None
--- a/chicoryshunt/relay/stream.py
+++ b/chicoryshunt/relay/stream.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from chicoryshunt.connection.exchange import Exchange
+from chicoryshunt.connection.relayed_exchange import RelayedExchange
 from chicoryshunt.dispatch.forecast import RunView
 from chicoryshunt.fleet.facts import TargetFact
 from chicoryshunt.relay.course import Course, LegId, Place
@@ -28,7 +28,7 @@
     service: ServiceId
     engine: EngineRules
     deadline: float
-    exchange: Exchange
+    exchange: RelayedExchange
     view: RunView
     mail: Mail = field(default_factory=asyncio.Queue)
     legs: dict[LegId, Leg] = field(default_factory=dict)
--- a/chicoryshunt/relay/surroundings.py
+++ b/chicoryshunt/relay/surroundings.py
@@ -126,12 +126,9 @@
         """Return engines with all that the fleet has placed on them."""
         now = self.clock.now()
         runs: dict[TargetId, list[RunView]] = {}
-        copies: dict[TargetId, list[RunView]] = {}
         for known in self.workload.list_runs():
             view = view_run(known.run, now - known.placed)
             runs.setdefault(known.run.target, []).append(view)
-            if known.run.holder:
-                copies.setdefault(known.run.holder, []).append(view)
         return [
             Engine(
                 fact.target,
@@ -139,7 +136,6 @@
                 fact.slots or rules.slots,
                 rules.memory_tokens,
                 tuple(runs.get(fact.target, ())),
-                tuple(copies.get(fact.target, ())),
                 self.outliers.get_rate(fact.target),
             )
             for fact in facts
--- a/chicoryshunt/rules/routing.py
+++ b/chicoryshunt/rules/routing.py
@@ -11,9 +11,10 @@
     ServiceRules,
     TeamRules,
 )
-from chicoryshunt.types import Reason, ServiceId
+from chicoryshunt.types import Reason, ServiceId, TeamId
 
-_HASH_RANGE = 1 << 64
+_HASH_BITS = 64
+_HASH_RANGE = 1 << _HASH_BITS
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,6 +24,11 @@
     route: Route
     team: TeamRules | None
 
+    @property
+    def team_id(self) -> TeamId | None:
+        """Return the team, if a key named one."""
+        return None if self.team is None else self.team.team
+
     @property
     def priority(self) -> int:
         """Return the rank of the request; 0 is the most urgent."""
--- a/lab/daemon.py
+++ b/lab/daemon.py
@@ -8,7 +8,7 @@
 
 from chicoryshunt.connection import loop
 from chicoryshunt.connection.bounds import ServerBounds
-from chicoryshunt.connection.exchange import Exchange
+from chicoryshunt.connection.relayed_exchange import RelayedExchange
 from chicoryshunt.connection.web import BoundedSite, Handler
 from lab.faults import Fault, FaultKind, Faults
 
@@ -48,7 +48,7 @@
     faults = Faults()
     handler = build(faults)
 
-    async def handle(exchange: Exchange) -> None:
+    async def handle(exchange: RelayedExchange) -> None:
         if exchange.segments == ('faults',):
             fault = msgspec.json.decode(exchange.body, type=Fault)
             faults.apply(fault)
