--- a/chicoryshunt/platform/node.py
+++ b/chicoryshunt/platform/node.py
@@ -69,6 +69,7 @@
             self._around,
             CallerWire(self._clock),
             settings.bounds.config_apply,
+            self._neighbours.feed.measure_age,
         )
         self._stopping = asyncio.Event()
 
@@ -102,7 +103,6 @@
                     asyncio.ensure_future(self._neighbours.run()),
                     asyncio.ensure_future(self._build_reader().run()),
                     asyncio.ensure_future(self._build_reports().run()),
-                    asyncio.ensure_future(self._watch_age()),
                 ],
             )
             await self._leave(callers)
@@ -138,14 +138,6 @@
             log_event('connections_left', count=callers.usage.connections)
         log_event('node_stopped', active=self._gateway.active)
 
-    async def _watch_age(self) -> None:
-        """Tell the gateway how old the rules may be."""
-        while True:
-            self._gateway.set_rules_age(
-                self._neighbours.feed.measure_age(self._clock.now()),
-            )
-            await asyncio.sleep(_POLL_SECONDS)
-
     def _reload(self) -> None:
         """Read the settings file again; addresses change with a restart."""
         try:
--- a/chicoryshunt/relay/gateway.py
+++ b/chicoryshunt/relay/gateway.py
@@ -1,7 +1,7 @@
 """Takes the requests of callers and sees them to their end."""
 
 import asyncio
-from collections.abc import Awaitable, Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
 from typing import Protocol
 
@@ -49,26 +49,23 @@
         around: Surroundings,
         port: CallerPort,
         stale_seconds: float,
+        measure_age: Callable[[float], float],
     ) -> None:
         """Refuse what is unknown to rules that are older than a bound.
 
         ``stale_seconds`` is the age from which newer rules may be in force
-        elsewhere.
+        elsewhere; ``measure_age(now)`` tells how old they may be.
         """
         self._around = around
         self._port = port
         self._stale_seconds = stale_seconds
         self._calls = CallRelay(around)
         self.generations = GenerationRelay(around)
-        self._age: float = 0
+        self._measure_age = measure_age
         self.active = 0
         self.is_leaving = False
         around.catalog.follow(self._follow)
 
-    def set_rules_age(self, seconds: float) -> None:
-        """Note how long ago the rules were known to be the newest."""
-        self._age = seconds
-
     async def handle(self, exchange: RelayedExchange) -> None:
         """Serve one request until its answer is sent or its caller left."""
         incoming = self._port.decode(exchange)
@@ -140,10 +137,11 @@
         admitted = index.admit(incoming.host, incoming.path, incoming.key)
         if isinstance(admitted, Admitted):
             return admitted
-        if admitted in _UNKNOWN and self._age > self._stale_seconds:
+        age = self._measure_age(self._around.clock.now())
+        if admitted in _UNKNOWN and age > self._stale_seconds:
             return refuse(
                 Reason.config_missing,
-                f'{admitted.value}, by rules that are {self._age:.1f} s old',
+                f'{admitted.value}, by rules that are {age:.1f} s old',
                 _RETRY_SECONDS,
             )
         return refuse(admitted, f'version {index.rules.version}')
--- /dev/null
+++ b/lab/platform_store.py
@@ -0,0 +1,115 @@
+"""Stand-in for the platform's store, from the users' pages."""
+
+import asyncio
+import base64
+import json
+from http import HTTPStatus
+from typing import Any
+
+from chicoryshunt.connection.bounds import ServerBounds
+from chicoryshunt.connection.relayed_exchange import RelayedExchange
+from chicoryshunt.connection.web import BoundedSite
+
+BOUNDS = ServerBounds(200, 10, 1 << 20, 10, 1 << 24)
+_PAGE = 3
+
+
+class StandInStore:
+    """Items with revisions, read by ranges and watches."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.site = BoundedSite(self._handle, BOUNDS)
+        self.revision = 10
+        self.is_down = False
+        self.calls = 0
+        self._oldest = 0
+        self._items: dict[str, dict[str, Any]] = {}
+        self._history: list[dict[str, Any]] = []
+        self._changed = asyncio.Event()
+
+    def put(self, key: str, message: object) -> None:
+        """Write an item as JSON."""
+        self.put_raw(key, json.dumps(message).encode())
+
+    def put_raw(self, key: str, content: bytes) -> None:
+        """Write any bytes."""
+        self.revision += 1
+        item = {
+            'key': key,
+            'value': base64.b64encode(content).decode(),
+            'revision': self.revision,
+        }
+        self._items[key] = item
+        self._note(item)
+
+    def delete(self, key: str) -> None:
+        """Remove an item."""
+        self.revision += 1
+        self._items.pop(key, None)
+        self._note({'key': key, 'revision': self.revision, 'deleted': True})
+
+    def compact(self) -> None:
+        """Forget the history."""
+        self._oldest = self.revision
+        self._history.clear()
+
+    def _note(self, change: dict[str, Any]) -> None:
+        self._history.append(change)
+        self._changed.set()
+
+    async def _handle(self, exchange: RelayedExchange) -> None:
+        self.calls += 1
+        prefix = exchange.get_query('prefix', '')
+        since = exchange.get_query('since_revision', '')
+        if self.is_down:
+            exchange.respond(b'', status=HTTPStatus.SERVICE_UNAVAILABLE)
+        elif exchange.path.endswith('/kv-range'):
+            exchange.respond_json(self._read(prefix, since))
+        else:
+            await self._watch(exchange, prefix, int(since))
+
+    def _read(self, prefix: str, after: str) -> dict[str, Any]:
+        keys = sorted(
+            key for key in self._items if key.startswith(prefix) and key > after
+        )
+        return {
+            'items': [self._items[key] for key in keys[:_PAGE]],
+            'more_pages': len(keys) > _PAGE,
+            'current_rev': self.revision,
+        }
+
+    async def _watch(
+        self,
+        exchange: RelayedExchange,
+        prefix: str,
+        since: int,
+    ) -> None:
+        if since < self._oldest:
+            exchange.respond(b'', status=HTTPStatus.GONE)
+            return
+        wait = int(exchange.get_query('wait_ms', '0')) / 1000
+        deadline = asyncio.get_running_loop().time() + wait
+        events = self._list_changes(prefix, since)
+        while not events and asyncio.get_running_loop().time() < deadline:
+            self._changed.clear()
+            remaining = deadline - asyncio.get_running_loop().time()
+            await _wait_briefly(self._changed, remaining)
+            events = self._list_changes(prefix, since)
+        exchange.respond_json(
+            {'events': events, 'current_rev': self.revision},
+        )
+
+    def _list_changes(self, prefix: str, since: int) -> list[dict[str, Any]]:
+        return [
+            change
+            for change in self._history
+            if change['revision'] > since and change['key'].startswith(prefix)
+        ]
+
+
+async def _wait_briefly(event: asyncio.Event, seconds: float) -> None:
+    try:
+        await asyncio.wait_for(event.wait(), max(seconds, 0))
+    except TimeoutError:
+        return
--- /dev/null
+++ b/lab/platform_targets.py
@@ -0,0 +1,134 @@
+"""Stand-ins for the platform's targets, from the users' pages."""
+
+import asyncio
+import json
+from collections import Counter
+from http import HTTPStatus
+
+from chicoryshunt.connection.relayed_exchange import RelayedExchange
+from chicoryshunt.connection.web import BoundedSite
+from lab.platform_store import BOUNDS
+
+_ID = 'x-chicoryshunt-request-id'
+_SEAL = 'X-Chicoryshunt-Response-Seal'
+_NOT_RUN = 'X-Chicoryshunt-Not-Executed'
+_EVENT_SECONDS = 0.01
+
+
+class StandInService:
+    """Plain service that can fail, refuse, hang or answer for another."""
+
+    def __init__(self, name: str) -> None:
+        """Answer every call well."""
+        self.name = name
+        self.site = BoundedSite(self._handle, BOUNDS)
+        self.mode = 'well'
+        self.runs: Counter[str] = Counter()
+        self.headers: list[dict[str, str]] = []
+        self.bodies: list[bytes] = []
+        self.is_released = asyncio.Event()
+
+    async def _handle(self, exchange: RelayedExchange) -> None:
+        request = exchange.get_header(_ID)
+        expected = exchange.get_header('x-chicoryshunt-expect-instance')
+        if expected != self.name or self.mode == 'full':
+            status = HTTPStatus.MISDIRECTED_REQUEST
+            if self.mode == 'full':
+                status = HTTPStatus.SERVICE_UNAVAILABLE
+            exchange.set_header(_NOT_RUN, '1')
+            exchange.respond(b'', status=status)
+            return
+        self.runs[request] += 1
+        self.bodies.append(exchange.body)
+        self.headers.append(
+            {
+                name.decode().lower(): text.decode()
+                for name, text in exchange.list_headers()
+            },
+        )
+        await self._answer(exchange, request)
+
+    async def _answer(self, exchange: RelayedExchange, request: str) -> None:
+        match self.mode:
+            case 'cut':
+                exchange.abort()
+                return
+            case 'hang':
+                await self.is_released.wait()
+            case 'foreign':
+                request = 'another'
+        status = HTTPStatus.OK
+        if self.mode == 'fail':
+            status = HTTPStatus.INTERNAL_SERVER_ERROR
+        exchange.set_header(_ID, request)
+        exchange.set_header(_SEAL, f'seal-{self.name}')
+        body = f'{exchange.method} {exchange.path}'.encode()
+        exchange.respond(body, 'text/plain', status)
+
+
+class StandInEngine:
+    """Engine that streams numbered events and moves its runs.
+
+    Engines of one ``fleet`` find each other's copies by their handle.
+    """
+
+    def __init__(self, name: str, fleet: dict[str, int]) -> None:
+        """Stream events until the length of a run is reached."""
+        self.name = name
+        self.site = BoundedSite(self._handle, BOUNDS)
+        self.length = 40
+        self.has_room = True
+        self.started: list[str] = []
+        self.copies: list[tuple[str, bool]] = []
+        self._made: dict[str, int] = {}
+        self._stopped: set[str] = set()
+        self._fleet = fleet
+
+    async def _handle(self, exchange: RelayedExchange) -> None:
+        if exchange.path == '/chicoryshunt/kv-move':
+            self._move(exchange)
+        elif exchange.path == '/chicoryshunt/report':
+            exchange.respond_json({'state': 'ready', 'running': 1})
+        else:
+            await self._run(exchange)
+
+    def _move(self, exchange: RelayedExchange) -> None:
+        order = json.loads(exchange.body)
+        request = order['id']
+        if request not in self._made:
+            exchange.respond(b'', status=HTTPStatus.NOT_FOUND)
+            return
+        is_last = order.get('last', False)
+        self.copies.append((request, is_last))
+        if not self.has_room:
+            exchange.respond(b'', status=HTTPStatus.SERVICE_UNAVAILABLE)
+            return
+        if is_last:
+            self._stopped.add(request)
+        handle = f'handle-{request}'
+        self._fleet[handle] = self._made[request]
+        exchange.respond_json(
+            {'handle': handle, 'created': self._made[request]},
+        )
+
+    async def _run(self, exchange: RelayedExchange) -> None:
+        request = exchange.get_header(_ID)
+        memory = exchange.get_header('kv-from')
+        last = int(exchange.get_header('last-event-id') or 0)
+        if memory and self._fleet.pop(memory.partition('/')[2], None) is None:
+            exchange.set_header(_NOT_RUN, '1')
+            exchange.respond(b'', status=HTTPStatus.SERVICE_UNAVAILABLE)
+            return
+        self.started.append(request)
+        exchange.set_header(_ID, request)
+        exchange.set_header(_SEAL, f'seal-{self.name}')
+        exchange.set_header('content-type', 'text/event-stream')
+        self._stopped.discard(request)
+        for number in range(last + 1, self.length + 1):
+            if request in self._stopped or not exchange.is_open:
+                exchange.abort()
+                return
+            self._made[request] = number
+            exchange.write(b'id: %d\ndata: token %d\n\n' % (number, number))
+            await asyncio.sleep(_EVENT_SECONDS)
+        exchange.finish()
--- /dev/null
+++ b/tests/platform_builders.py
@@ -0,0 +1,238 @@
+"""Builders of the platform's files and items, and of a small fleet on it."""
+
+import asyncio
+import itertools
+import os
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass
+from typing import Any
+
+from chicoryshunt.connection.upstream import Answer, Sending, UpstreamPool
+from chicoryshunt.platform.node import Node
+from chicoryshunt.platform.settings import parse_settings
+from lab.platform_store import StandInStore
+from lab.platform_targets import StandInEngine, StandInService
+from tests.reactor import listen
+
+_NUMBERS = itertools.count(1)
+HOST = 'club.example'
+CALLERS = 8740
+READINESS = 8749
+PEERS = 8748
+DIRECTORY = 8746
+KEY = 'k1'
+
+
+def build_lines(store: str, host: str, **changes: str) -> str:
+    """Return a settings file of one VM on loopback."""
+    named = {
+        'node_name': 'front-a-1',
+        'ip': host,
+        'zone': 'luzon-a',
+        'listen.front': f'{host}:{CALLERS}',
+        'listen.readiness': f'{host}:{READINESS}',
+        'listen.control': f'{host}:{PEERS}',
+        'listen.directory': f'{host}:{DIRECTORY}',
+        'internal_port_range': '7200,7215',
+        'seeds': f'{host}:{PEERS}',
+        'bounds.retry_ratio': '0.2',
+        'bounds.retry_slack': '58',
+        'bounds.config_apply_ms': '2000',
+        'bounds.grace_s': '8',
+        'platform.address': store,
+    }
+    named.update(changes)
+    return '\n'.join(f'{name}={text}' for name, text in named.items() if text)
+
+
+def build_config(version: int = 1, **changes: Any) -> dict[str, Any]:
+    """Return a configuration with calls, filings and streams."""
+    config: dict[str, Any] = {
+        'version': version,
+        'routes': [
+            _build_route('/reads/', 'safe', 'plain', 2),
+            _build_route('/filings/', 'unsafe', 'plain', 1),
+            _build_route('/drafts/', 'streaming', 'engines', 1),
+        ],
+        'services': [
+            {'name': 'plain', 'max_connections': 50},
+            {
+                'name': 'engines',
+                'max_connections': 50,
+                'engine': {
+                    'slots': 24,
+                    'kv_capacity': 34000,
+                    'kv_token_bytes': 262144,
+                    'link_mbps': 38000,
+                    'moves': True,
+                    'stride': 4,
+                    'handle_s': 5,
+                },
+            },
+        ],
+        'tenants': [{'name': 'club', 'api_keys': [KEY], 'priority': 1}],
+    }
+    config.update(changes)
+    return config
+
+
+def build_entry(
+    service: str,
+    address: str,
+    state: str = 'ready',
+) -> dict[str, Any]:
+    """Return what a target writes of itself."""
+    return {
+        'service': service,
+        'address': address,
+        'zone': 'luzon-a',
+        'version': 'v1',
+        'slots': 6,
+        'state': state,
+        'cold_remaining_ms': 0,
+        'sequence': 1,
+    }
+
+
+def _build_route(
+    prefix: str,
+    kind: str,
+    service: str,
+    attempts: int,
+) -> dict[str, Any]:
+    return {
+        'name': prefix,
+        'host': HOST,
+        'prefix': prefix,
+        'kind': kind,
+        'timeout_ms': 5000,
+        'target_latency_ms': 1000,
+        'priority': 1,
+        'service': service,
+        'max_attempts': attempts,
+    }
+
+
+def take_host() -> str:
+    """Return an address of loopback that no other test uses."""
+    process = os.getpid()
+    number = next(_NUMBERS)
+    return f'127.{process >> 8 & 255}.{process & 255}.{number}'
+
+
+@dataclass
+class SmallPlatform:
+    """A node with its store, two services and two engines."""
+
+    store: StandInStore
+    services: list[StandInService]
+    engines: list[StandInEngine]
+    addresses: dict[str, str]
+    host: str
+    pool: UpstreamPool
+
+    async def ask(
+        self,
+        path: str,
+        request: str = 'r1',
+        method: str = 'GET',
+        **headers: str,
+    ) -> tuple[Answer, bytes]:
+        """Send a caller's request and return the whole answer."""
+        answer = await self.open(path, request, method, **headers)
+        body = await answer.body.read_all(1 << 20)
+        return answer, body if isinstance(body, bytes) else b'(cut)'
+
+    async def open(
+        self,
+        path: str,
+        request: str = 'r1',
+        method: str = 'GET',
+        **headers: str,
+    ) -> Answer:
+        """Send a caller's request and return the answer's headers."""
+        named = {
+            'Host': HOST,
+            'Authorization': f'Bearer {KEY}',
+            'X-Chicoryshunt-Request-Id': request,
+            'X-Chicoryshunt-Deadline-Ms': '5000',
+        }
+        for name, text in headers.items():
+            named[name.replace('_', '-')] = text
+        upstream = await self.pool.open(f'{self.host}:{CALLERS}')
+        sending = Sending(
+            method.encode(),
+            path.encode(),
+            [(one.encode(), text.encode()) for one, text in named.items()],
+            b'the body' if method == 'POST' else b'',
+        )
+        return await upstream.send(sending, 10)
+
+    def leave(self, name: str) -> None:
+        """Let a target announce that it leaves."""
+        kind = 'engines' if name.startswith('e') else 'plain'
+        entry = build_entry(kind, self.addresses[name], 'draining')
+        self.store.put(f'servers/{name}', entry)
+
+
+@asynccontextmanager
+async def run_platform() -> AsyncIterator[SmallPlatform]:
+    """Run one node until the block ends; it is ready when it begins."""
+    fleet: dict[str, int] = {}
+    services = [StandInService(f'p{one}') for one in range(2)]
+    engines = [StandInEngine(f'e{one}', fleet) for one in range(2)]
+    store = StandInStore()
+    async with AsyncExitStack() as stack:
+        addresses = {}
+        for target in (*services, *engines):
+            addresses[target.name] = await stack.enter_async_context(
+                listen(target.site),
+            )
+        _publish(store, addresses)
+        store_address = await stack.enter_async_context(listen(store.site))
+        host = take_host()
+        settings = parse_settings(build_lines(store_address, host), 'test')
+        node = Node(settings)
+        running = asyncio.ensure_future(node.run())
+        platform = SmallPlatform(
+            store,
+            services,
+            engines,
+            addresses,
+            host,
+            UpstreamPool(1),
+        )
+        try:
+            await _wait_ready(host, platform.pool, running)
+            yield platform
+        finally:
+            running.cancel()
+            platform.pool.close_idle()
+
+
+def _publish(store: StandInStore, addresses: dict[str, str]) -> None:
+    store.put('op/config', build_config())
+    for name, address in addresses.items():
+        kind = 'engines' if name.startswith('e') else 'plain'
+        store.put(f'servers/{name}', build_entry(kind, address))
+
+
+async def _wait_ready(
+    host: str,
+    pool: UpstreamPool,
+    running: asyncio.Future[None],
+) -> None:
+    sending = Sending(b'GET', b'/chicoryshunt/ready', [(b'Host', b'node')])
+    while True:
+        if running.done():
+            running.result()
+        await asyncio.sleep(0.02)
+        try:
+            upstream = await pool.open(f'{host}:{READINESS}')
+        except Exception:
+            continue
+        answer = await upstream.send(sending, 1)
+        upstream.abort()
+        if answer.status == 200:
+            return
--- /dev/null
+++ b/tests/test_platform_path.py
@@ -0,0 +1,274 @@
+"""The whole path through the adapter, against the lab's stand-ins."""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from chicoryshunt.connection.upstream import BodyEnd, Sending
+from tests.platform_builders import (
+    CALLERS,
+    DIRECTORY,
+    SmallPlatform,
+    build_config,
+    build_entry,
+    run_platform,
+)
+from tests.reactor import run_on_reactor
+
+GENERATION = {
+    'X_Chicoryshunt_Model': 'm',
+    'X_Chicoryshunt_Token_Count': '1000,160',
+    'X_Chicoryshunt_Prefix_Hash': 'ab:80,cd:920',
+}
+
+
+def _play(trial: Callable[[SmallPlatform], Awaitable[None]]) -> None:
+    async def run() -> None:
+        async with run_platform() as platform:
+            await trial(platform)
+
+    run_on_reactor(run())
+
+
+def test_a_call_is_passed_on_as_it_was_sent() -> None:
+    async def trial(platform: SmallPlatform) -> None:
+        answer, body = await platform.ask(
+            '/filings/7?x=1',
+            method='POST',
+            X_Own='kept',
+            X_Chicoryshunt_Tenant='forged',
+            X_Chicoryshunt_Hold='forged',
+        )
+
+        assert answer.status == 200
+        assert body == b'POST /filings/7'
+        assert answer.get(b'X-Chicoryshunt-Response-Seal')
+        ran = [one for one in platform.services if one.runs]
+        assert len(ran) == 1
+        headers = ran[0].headers[0]
+        assert headers['x-own'] == 'kept'
+        assert headers['x-chicoryshunt-tenant'] == 'club'
+        assert 'authorization' not in headers
+        assert 'x-chicoryshunt-hold' not in headers
+        assert 0 < int(headers['x-chicoryshunt-deadline-ms']) <= 5000
+        assert ran[0].bodies == [b'the body']
+
+    _play(trial)
+
+
+@pytest.mark.parametrize(
+    ('path', 'headers', 'status'),
+    [
+        ('/unknown/1', {}, 404),
+        ('/reads/1', {'Authorization': 'Bearer forged'}, 401),
+        ('/reads/1', {'X_Chicoryshunt_Request_Id': ''}, 400),
+        ('/reads/1', {'X_Chicoryshunt_Deadline_Ms': 'soon'}, 400),
+    ],
+)
+def test_what_is_not_allowed_is_refused(
+    path: str,
+    headers: dict[str, str],
+    status: int,
+) -> None:
+    async def trial(platform: SmallPlatform) -> None:
+        answer, _ = await platform.ask(path, **headers)
+
+        assert answer.status == status
+        assert not any(one.runs for one in platform.services)
+
+    _play(trial)
+
+
+@pytest.mark.parametrize('mode', ['fail', 'cut', 'foreign', 'full'])
+def test_a_read_that_fails_is_tried_at_the_other_target(mode: str) -> None:
+    async def trial(platform: SmallPlatform) -> None:
+        platform.services[0].mode = mode
+        for number in range(4):
+            answer, body = await platform.ask('/reads/1', f'r{number}')
+            assert answer.status == 200
+            assert body == b'GET /reads/1'
+
+    _play(trial)
+
+
+@pytest.mark.parametrize(
+    ('mode', 'status'),
+    [('fail', 500), ('cut', 502), ('foreign', 502)],
+)
+def test_a_filing_runs_once_and_nobody_says_that_it_did_not(
+    mode: str,
+    status: int,
+) -> None:
+    async def trial(platform: SmallPlatform) -> None:
+        for service in platform.services:
+            service.mode = mode
+        answer, _ = await platform.ask('/filings/1', method='POST')
+
+        assert answer.status == status
+        assert sum(one.runs.total() for one in platform.services) == 1
+
+    _play(trial)
+
+
+def test_a_refused_filing_goes_to_another_target() -> None:
+    async def trial(platform: SmallPlatform) -> None:
+        platform.services[0].mode = 'full'
+        answer, _ = await platform.ask('/filings/1', method='POST')
+        assert answer.status == 200
+
+        platform.services[1].mode = 'full'
+        answer, _ = await platform.ask('/filings/1', 'r2', 'POST')
+        assert answer.status == 503
+        assert float(answer.get(b'Retry-After')) > 0
+        assert sum(one.runs.total() for one in platform.services) == 1
+
+    _play(trial)
+
+
+def test_a_stream_is_passed_on_whole() -> None:
+    async def trial(platform: SmallPlatform) -> None:
+        answer, body = await platform.ask(
+            '/drafts/1',
+            method='POST',
+            **GENERATION,
+        )
+
+        assert answer.status == 200
+        assert _list_numbers(body) == list(range(1, 41))
+
+    _play(trial)
+
+
+def test_a_stream_outlives_its_engine() -> None:
+    async def trial(platform: SmallPlatform) -> None:
+        for engine in platform.engines:
+            engine.length = 120
+        answer = await platform.open('/drafts/1', method='POST', **GENERATION)
+        first = await answer.body.read()
+        source = next(one for one in platform.engines if one.started)
+        platform.leave(source.name)
+
+        rest = await answer.body.read_all(1 << 20)
+
+        assert isinstance(first, bytes)
+        assert isinstance(rest, bytes)
+        assert _list_numbers(first + rest) == list(range(1, 121))
+        assert source.copies == [('r1', False), ('r1', True)]
+        other = next(one for one in platform.engines if one is not source)
+        assert other.started == ['r1']
+        seal = answer.get(b'X-Chicoryshunt-Response-Seal').decode()
+        assert seal == f'seal-{source.name}'
+
+    _play(trial)
+
+
+def test_a_stream_stays_where_no_engine_has_room() -> None:
+    async def trial(platform: SmallPlatform) -> None:
+        for engine in platform.engines:
+            engine.length = 60
+            engine.has_room = False
+        answer = await platform.open('/drafts/1', method='POST', **GENERATION)
+        first = await answer.body.read()
+        source = next(one for one in platform.engines if one.started)
+        platform.leave(source.name)
+        rest = await answer.body.read_all(1 << 20)
+
+        assert isinstance(first, bytes)
+        assert isinstance(rest, bytes)
+        assert _list_numbers(first + rest) == list(range(1, 61))
+
+    _play(trial)
+
+
+def test_an_engine_is_stopped_when_its_caller_leaves() -> None:
+    async def trial(platform: SmallPlatform) -> None:
+        for engine in platform.engines:
+            engine.length = 100000
+        answer = await platform.open('/drafts/1', method='POST', **GENERATION)
+        await answer.body.read()
+        source = next(one for one in platform.engines if one.started)
+        platform.pool.close_idle()
+        assert answer.body.transport is not None
+        answer.body.transport.loseConnection()
+
+        while source.site.usage.connections:
+            await asyncio.sleep(0.02)
+
+    _play(trial)
+
+
+def test_broken_entries_name_no_target_and_the_others_hold() -> None:
+    async def trial(platform: SmallPlatform) -> None:
+        store = platform.store
+        store.put_raw('servers/junk', b'\xff\x00')
+        store.put('servers/odd', {'service': 7, 'address': None})
+        store.put('servers/new', build_entry('plain', '127.0.0.1:1', 'odd'))
+        store.put_raw('servers/p0', b'{')
+        await asyncio.sleep(0.5)
+
+        for number in range(3):
+            answer, _ = await platform.ask('/reads/1', f'r{number}')
+            assert answer.status == 200
+        assert not platform.services[0].runs
+
+    _play(trial)
+
+
+def test_a_new_version_is_in_force_and_an_old_one_never_returns() -> None:
+    async def trial(platform: SmallPlatform) -> None:
+        routes = build_config()['routes'][:1]
+        platform.store.put('op/config', build_config(5, routes=routes))
+        while True:
+            answer, _ = await platform.ask('/filings/1', method='POST')
+            if answer.status == 404:
+                break
+        platform.store.put('op/config', build_config(4))
+        await asyncio.sleep(0.5)
+
+        answer, _ = await platform.ask('/filings/1', method='POST')
+        assert answer.status == 404
+
+    _play(trial)
+
+
+def test_changes_are_read_again_after_the_history_was_dropped() -> None:
+    async def trial(platform: SmallPlatform) -> None:
+        platform.store.is_down = True
+        await asyncio.sleep(0.4)
+        platform.store.put('op/config', build_config(9, routes=[]))
+        platform.store.compact()
+        platform.store.is_down = False
+
+        while True:
+            answer, _ = await platform.ask('/reads/1')
+            if answer.status == 404:
+                break
+
+    _play(trial)
+
+
+def test_the_directory_names_this_node() -> None:
+    async def trial(platform: SmallPlatform) -> None:
+        address = f'{platform.host}:{DIRECTORY}'
+        upstream = await platform.pool.open(address)
+        query = b'/chicoryshunt/resolve?name=x&region=r&zone=luzon-a'
+        answer = await upstream.send(
+            Sending(b'GET', query, [(b'Host', b'node')]),
+            2,
+        )
+        body = await answer.body.read_all(4096)
+
+        assert not isinstance(body, BodyEnd)
+        named = json.loads(body)
+        assert named['addresses'] == [f'{platform.host}:{CALLERS}']
+        assert 0 < named['ttl_s'] <= 5
+
+    _play(trial)
+
+
+def _list_numbers(body: bytes) -> list[int]:
+    return [
+        int(line[4:]) for line in body.split(b'\n') if line.startswith(b'id: ')
+    ]
