Bound the log and never block on it; two nodes ask each engine in an outage

Routine lines pass at 100 a second at most, with the number left out; a full pipe drops lines and says how many; failures are never sampled.

--- a/chicoryshunt/events.py
+++ b/chicoryshunt/events.py
@@ -2,7 +2,8 @@
 
 import logging
 import sys
-from typing import TextIO
+import time
+from typing import Protocol
 
 import msgspec
 from pythonjsonlogger.core import BaseJsonFormatter
@@ -16,12 +17,61 @@
     _LOGGER.info(event, extra=fields)
 
 
+def log_routine(event: str, **fields: object) -> None:
+    """Write one event of many alike; some are left out under load."""
+    left_out = _SAMPLER.admit(time.monotonic())
+    if left_out is None:
+        return
+    if left_out:
+        fields['left_out'] = left_out
+    log_event(event, **fields)
+
+
 def log_problem(event: str, **fields: object) -> None:
     """Write one event that an operator should look at."""
     _LOGGER.warning(event, extra=fields)
 
 
-def configure_logging(stream: TextIO = sys.stderr) -> None:
+class Sampler:
+    """Lets a bounded number of routine events through each second."""
+
+    def __init__(self, per_second: float) -> None:
+        """Start with a second's worth of events."""
+        self._per_second = per_second
+        self._tokens = per_second
+        self._updated = float('-inf')
+        self._left_out = 0
+
+    def admit(self, now: float) -> int | None:
+        """Return how many were left out before this one, ``None`` if it is."""
+        gained = (now - self._updated) * self._per_second
+        self._tokens = min(self._tokens + gained, self._per_second)
+        self._updated = now
+        if self._tokens < 1:
+            self._left_out += 1
+            return None
+        self._tokens -= 1
+        left_out = self._left_out
+        self._left_out = 0
+        return left_out
+
+
+class LineStream(Protocol):
+    """What lines are written to."""
+
+    def write(self, text: str, /) -> object:
+        """Write one line."""
+
+    def flush(self) -> object:
+        """Write what waits."""
+
+
+# Lines a second that tell of what went well, on one node.
+_ROUTINE_PER_SECOND = 100
+_SAMPLER = Sampler(_ROUTINE_PER_SECOND)
+
+
+def configure_logging(stream: LineStream = sys.stderr) -> None:
     """Send every event to the stream as key=value lines."""
     handler = logging.StreamHandler(stream)
     handler.setFormatter(
--- a/chicoryshunt/platform/__main__.py
+++ b/chicoryshunt/platform/__main__.py
@@ -5,11 +5,12 @@
 from chicoryshunt.connection.loop import install_reactor
 from chicoryshunt.events import configure_logging
 from chicoryshunt.exceptions import ChicoryshuntError
+from chicoryshunt.log_stream import LogStream
 
 
 def main() -> int:
     """Run a node and return the exit status."""
-    configure_logging(sys.stdout)
+    configure_logging(LogStream(sys.stdout.fileno()))
     install_reactor()
     # These modules need the reactor that was just installed.
     from chicoryshunt.platform.node import run_node
--- a/chicoryshunt/platform/node.py
+++ b/chicoryshunt/platform/node.py
@@ -171,7 +171,6 @@
     def _build_reports(self) -> ReportWatch:
         return ReportWatch(
             self._around,
-            self._gateway.generations.list_engines,
             self._neighbours.feed.measure_age,
         )
 
--- a/chicoryshunt/process/metrics.py
+++ b/chicoryshunt/process/metrics.py
@@ -2,9 +2,18 @@
 
 from typing import cast
 
-from aioprometheus.collectors import Collector, Counter, Gauge, Registry
+from aioprometheus.collectors import (
+    Collector,
+    Counter,
+    Gauge,
+    Histogram,
+    Registry,
+)
 from aioprometheus.renderer import render
 
+# Bounds of latency buckets in seconds, from a quick call to a long stream.
+_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 25, 60)
+
 
 class Metrics:
     """Creates collectors once each and renders them all."""
@@ -32,6 +41,16 @@
         """Set a gauge."""
         self._get_gauge(name, doc).set(labels, reading)
 
+    def observe(
+        self,
+        name: str,
+        doc: str,
+        reading: float,
+        **labels: str,
+    ) -> None:
+        """Count a reading in a histogram; seconds, in the usual buckets."""
+        self._get_histogram(name, doc).observe(labels, reading)
+
     def get(self, name: str, **labels: str) -> float:
         """Return the reading of a counter or gauge, 0 when never set."""
         collector = self._collectors.get(name)
@@ -58,6 +77,18 @@
             self._collectors[name] = collector
         return collector
 
+    def _get_histogram(self, name: str, doc: str) -> Histogram:
+        collector = self._collectors.get(name)
+        if not isinstance(collector, Histogram):
+            collector = Histogram(
+                f'chicoryshunt_{name}',
+                doc,
+                registry=self._registry,
+                buckets=_BUCKETS,
+            )
+            self._collectors[name] = collector
+        return collector
+
     def _get_gauge(self, name: str, doc: str) -> Gauge:
         collector = self._collectors.get(name)
         if not isinstance(collector, Gauge):
--- a/chicoryshunt/relay/gateway.py
+++ b/chicoryshunt/relay/gateway.py
@@ -3,10 +3,11 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
+from http import HTTPStatus
 from typing import Protocol
 
 from chicoryshunt.connection.relayed_exchange import RelayedExchange
-from chicoryshunt.events import log_event, log_problem
+from chicoryshunt.events import log_event, log_problem, log_routine
 from chicoryshunt.fleet.facts import Fact, TargetFact
 from chicoryshunt.relay.calls import CallRelay
 from chicoryshunt.relay.generations import GenerationRelay
@@ -22,6 +23,7 @@
 # A timeout is answered this much before it passes, so that the answer still
 # reaches the caller.
 _ANSWER_MARGIN_SECONDS = 0.01
+_STATUS_CLASS = 100
 _UNKNOWN = frozenset((Reason.unknown_path, Reason.unknown_team))
 
 
@@ -58,9 +60,10 @@
         """
         self._around = around
         self._port = port
+        self._metrics = around.metrics
         self._stale_seconds = stale_seconds
         self._calls = CallRelay(around)
-        self.generations = GenerationRelay(around)
+        self._generations = GenerationRelay(around)
         self._measure_age = measure_age
         self.active = 0
         self.is_leaving = False
@@ -163,7 +166,7 @@
         if route.work is Work.call:
             relaying = self._calls.relay(incoming, admitted, service, deadline)
         else:
-            relaying = self.generations.relay(
+            relaying = self._generations.relay(
                 incoming,
                 admitted,
                 service,
@@ -200,9 +203,16 @@
 
     def _log_end(self, incoming: Incoming, result: Result) -> None:
         seconds = self._around.clock.now() - incoming.received
+        self._metrics.observe(
+            'request_duration_seconds',
+            'Time from a request to the end of its answer',
+            seconds,
+            outcome=_name_outcome(result),
+        )
+        log = log_routine if is_well(result) else log_event
         match result:
             case Delivered(target, status):
-                log_event(
+                log(
                     'request_answered',
                     request=incoming.request,
                     target=target,
@@ -210,7 +220,7 @@
                     seconds=seconds,
                 )
             case Streamed():
-                log_event(
+                log(
                     'request_streamed',
                     request=incoming.request,
                     whole=result.is_whole,
@@ -221,7 +231,7 @@
                     seconds=seconds,
                 )
             case Verdict(run, reason, detail, retry_after):
-                log_event(
+                log(
                     'request_refused',
                     request=incoming.request,
                     run=run.value,
@@ -233,4 +243,25 @@
 
     def _follow(self, fact: Fact) -> None:
         if isinstance(fact, TargetFact):
-            self.generations.follow_target(fact)
+            self._generations.follow_target(fact)
+
+
+def is_well(result: Result) -> bool:
+    """Say whether the caller got a whole answer that is no failure."""
+    match result:
+        case Delivered(_, status):
+            return status < HTTPStatus.BAD_REQUEST
+        case Streamed(is_whole):
+            return is_whole
+        case Verdict():
+            return False
+
+
+def _name_outcome(result: Result) -> str:
+    match result:
+        case Delivered(_, status):
+            return f'answered_{status // _STATUS_CLASS}xx'
+        case Streamed(is_whole):
+            return 'streamed' if is_whole else 'cut'
+        case Verdict(run):
+            return f'refused_{run.value}'
--- a/chicoryshunt/relay/generations.py
+++ b/chicoryshunt/relay/generations.py
@@ -93,12 +93,6 @@
         with self._own(stream):
             return await self._run(stream)
 
-    def list_engines(self) -> Iterator[TargetId]:
-        """Return the engines that run this node's streams."""
-        for stream in self._streams.values():
-            if stream.course is not None:
-                yield stream.course.place.target
-
     def follow_target(self, fact: TargetFact) -> None:
         """Move runs off an engine that leaves."""
         if fact.phase is TargetPhase.ready:
--- a/chicoryshunt/relay/placing.py
+++ b/chicoryshunt/relay/placing.py
@@ -12,7 +12,7 @@
     choose_engine,
 )
 from chicoryshunt.dispatch.waiting import Ticket, WaitingRoom
-from chicoryshunt.events import log_event
+from chicoryshunt.events import log_routine
 from chicoryshunt.fleet.facts import TargetFact
 from chicoryshunt.fleet.workload import PlacedRun
 from chicoryshunt.relay.course_actions import (
@@ -169,7 +169,7 @@
         placed: Placed,
         waited: float,
     ) -> None:
-        log_event(
+        log_routine(
             'run_placed',
             request=stream.request,
             target=placed.target,
--- a/chicoryshunt/relay/reports.py
+++ b/chicoryshunt/relay/reports.py
@@ -5,20 +5,23 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import msgspec
 
 from chicoryshunt.connection.upstream import LostError, NotSentError
 from chicoryshunt.events import log_event
 from chicoryshunt.fleet.facts import Revision, TargetFact, TargetPhase
+from chicoryshunt.process.rendezvous import rank_vms
 from chicoryshunt.relay.ports import EngineReport
 from chicoryshunt.relay.surroundings import Surroundings
 from chicoryshunt.types import TargetId
 
 # Beliefs that are older than this are checked with the engines.
 _STALE_SECONDS = 0.8
-_INTERVAL_SECONDS = 0.3
+_INTERVAL_SECONDS = 0.15
+# Two nodes ask each engine, for one of them may be cut off from it.
+_ASKERS = 2
 _ANSWER_SECONDS = 0.5
 _IDLE_SECONDS = 2.0
 _MOST_BYTES = 1048576
@@ -26,17 +29,15 @@
 
 
 class ReportWatch:
-    """Reads the reports of the engines that run this node's streams."""
+    """Reads the reports of engines that have something to lose."""
 
     def __init__(
         self,
         around: Surroundings,
-        list_engines: Callable[[], Iterable[TargetId]],
         measure_age: Callable[[float], float],
     ) -> None:
-        """Ask the listed engines when beliefs are old."""
+        """Ask this node's part of the engines when beliefs are old."""
         self._around = around
-        self._list_engines = list_engines
         self._measure_age = measure_age
 
     async def run(self) -> None:
@@ -44,8 +45,18 @@
         while True:
             await asyncio.sleep(_INTERVAL_SECONDS)
             if self._measure_age(self._around.clock.now()) > _STALE_SECONDS:
-                engines = set(self._list_engines())
-                await asyncio.gather(*map(self._check, engines))
+                await asyncio.gather(*map(self._check, self._list_engines()))
+
+    def _list_engines(self) -> list[TargetId]:
+        """Return the engines with runs that this node is to ask."""
+        own = self._around.membership.own
+        serving = {own, *self._around.membership.roster.list_serving()}
+        engines = {one.run.target for one in self._around.workload.list_runs()}
+        return [
+            engine
+            for engine in engines
+            if own in rank_vms(f'report/{engine}', serving)[:_ASKERS]
+        ]
 
     async def _check(self, target: TargetId) -> None:
         known = self._around.catalog.find(target)
