--- a/tests/test_log_stream.py
+++ b/tests/test_log_stream.py
@@ -21,7 +21,7 @@
     reader, writer = os.pipe()
     os.set_blocking(reader, False)
     stream = LogStream(writer)
-    line = '{0}\n'.format('x' * 999)
+    line = ''.join(('x' * 999, '\n'))
     for _ in range(1000):
         stream.write(line)
     dropped = stream.dropped
