Begin a move when the earlier runs have left; tell an outage from a calm store

Cause of the first (trace): a run waited for the planned time though the engine was done with the runs before it. A watch now waits 0.5 s and an outage is a second without an answer.

--- a/chicoryshunt/dispatch/handover.py
+++ b/chicoryshunt/dispatch/handover.py
@@ -1,6 +1,6 @@
 """Plans how the runs of a leaving engine are moved, within its notice."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass
 
 from chicoryshunt.dispatch.engines import Engine
@@ -15,8 +15,9 @@
 # Time between an engine's notice and its end, where it is not told.
 DEFAULT_NOTICE_SECONDS = 1.5
 # Two calls, the last tokens and the new connection, beside the copying. A
-# copy that begins earlier delays the last tokens of the run before it.
-_STEP_SECONDS = 0.07
+# copy that begins earlier delays the last tokens of the run before it; where
+# that run is heard to have left, the next one does not wait so long.
+_STEP_SECONDS = 0.1
 # A copy to another data centre takes this many times as long.
 _REMOTE_FACTOR = 2.0
 # Part of a destination's memory that moved runs may fill.
@@ -50,12 +51,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Move:
-    """Begin to copy a run after some seconds; it takes ``seconds``."""
+    """Copy a run to an engine, which takes ``seconds``.
+
+    It begins when the ``earlier`` runs have left, or ``after`` some seconds
+    at the latest.
+    """
 
     request: RequestId
     destination: TargetId
     after: float
     seconds: float
+    earlier: frozenset[RequestId] = frozenset()
+
+    def may_begin(self, present: Collection[RequestId]) -> bool:
+        """Say whether all earlier runs have left the engine."""
+        return self.earlier.isdisjoint(present)
 
 
 @dataclass(slots=True)
@@ -84,7 +94,7 @@
     rooms = [_measure_room(engine, pace) for engine in others]
     ordered = sorted(leaving, key=lambda one: _rank(one, pace))
     is_hurried = _measure_far(ordered, link, pace) > DEFAULT_NOTICE_SECONDS
-    moves = []
+    moves: list[Move] = []
     after: float = 0
     for one in ordered:
         room = _find_room(rooms, one.run, source, pace, is_hurried=is_hurried)
@@ -93,7 +103,15 @@
         is_remote = room.engine.data_centre != source.data_centre
         held = one.run.count_held(pace)
         seconds = link.measure_copy(held, is_remote=is_remote) + _STEP_SECONDS
-        moves.append(Move(one.request, room.engine.target, after, seconds))
+        moves.append(
+            Move(
+                one.request,
+                room.engine.target,
+                after,
+                seconds,
+                frozenset(move.request for move in moves),
+            ),
+        )
         after += seconds
     return moves
 
@@ -103,10 +121,16 @@
 
     The others keep their turns, so it waits for all of them.
     """
-    after = sum(one.seconds for one in moves if one.request != request)
+    others = [one for one in moves if one.request != request]
     for move in moves:
         if move.request == request:
-            return Move(request, move.destination, after, move.seconds)
+            return Move(
+                request,
+                move.destination,
+                sum(one.seconds for one in others),
+                move.seconds,
+                frozenset(one.request for one in others),
+            )
     return None
 
 
--- a/chicoryshunt/fleet/feed.py
+++ b/chicoryshunt/fleet/feed.py
@@ -17,14 +17,17 @@
 # Two readers in different data centres: one may fail without a gap.
 _READERS = 2
 _BEACON_INTERVAL_SECONDS = 0.5
-# Two beacons may be lost before another node reads in a reader's place.
-_SILENCE_SECONDS = 1.3
+# A beacon may be lost before another node reads in a reader's place.
+_SILENCE_SECONDS = 1.6
 # The next in rank waits longer, so that not all begin to read at once.
 _RANK_DELAY_SECONDS = 0.3
 _MOST_RANK_DELAY_SECONDS = 2.0
 # Who took over reads on for a while, or readers would change all the time.
 _TAKEOVER_SECONDS = 6.0
 _REQUEST_INTERVAL_SECONDS = 0.6
+# A reader that was not answered for so long sees an outage; a watch waits for
+# half of it, whether or not there is a change.
+_OUTAGE_SECONDS = 1.0
 # A datagram of 1400 bytes holds this many facts.
 _FACTS_PER_MESSAGE = 7
 # Differences that requests could not settle are settled by reading.
@@ -84,6 +87,7 @@
         self._catalog = catalog
         self._membership = membership
         self._contact = float('-inf')
+        self._told_age: float = 0
         self._started = now
         self._next_beacon = now
         self._takeover_until = float('-inf')
@@ -104,6 +108,13 @@
         """Return for how many seconds nobody is known to have read."""
         return now - self._contact
 
+    def sees_outage(self, now: float) -> bool:
+        """Say whether the platform has stopped answering those who read it."""
+        age = self.measure_age(now)
+        if self._duty is Duty.none:
+            return age > _SILENCE_SECONDS or self._told_age > _OUTAGE_SECONDS
+        return age > _OUTAGE_SECONDS
+
     def decide_duty(self, now: float) -> Duty:
         """Say whether this node is to read the platform now."""
         duty = self._decide_duty(now)
@@ -191,6 +202,7 @@
         now: float,
     ) -> Iterator[Send]:
         self._contact = max(self._contact, now - beacon.age_seconds)
+        self._told_age = beacon.age_seconds
         if beacon.rules_version > self._catalog.rules_version:
             for notify in self._rules_behind:
                 notify(sender, beacon.rules_version)
--- a/chicoryshunt/fleet/workload.py
+++ b/chicoryshunt/fleet/workload.py
@@ -1,7 +1,7 @@
 """What every node has placed on engines, as each node believes it."""
 
 import itertools
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 import msgspec
@@ -64,8 +64,13 @@
         self._news: list[Send] = []
         self._round = 0
         self._next_repeat = now + _REPEAT_SECONDS
+        self._followers: list[Callable[[], None]] = []
         membership.subscribe(self._follow)
 
+    def follow(self, notify: Callable[[], None]) -> None:
+        """Call ``notify()`` after runs were placed, moved or ended."""
+        self._followers.append(notify)
+
     def list_runs(self) -> Iterator[KnownRun]:
         """Return the runs of all nodes."""
         return iter(self._runs.values())
@@ -74,12 +79,14 @@
         """Count a run of this node; return the messages to send."""
         own = self._membership.own
         self._runs[run.request] = KnownRun(run, own, now - run.age)
+        self._notify()
         return self._tell(RunNews(placed=(run,)))
 
     def end(self, request: RequestId) -> Iterator[Send]:
         """Drop a run of this node; return the messages to send."""
         if self._runs.pop(request, None) is None:
             return iter(())
+        self._notify()
         return self._tell(RunNews(ended=(request,)))
 
     def receive(
@@ -97,6 +104,7 @@
                     self._runs.pop(request, None)
             case RunList():
                 self._take_list(sender, message, now)
+        self._notify()
         return iter(())
 
     def tick(self, now: float) -> Iterator[Send]:
@@ -141,6 +149,10 @@
         ):
             self._take(sender, run, now)
 
+    def _notify(self) -> None:
+        for notify in self._followers:
+            notify()
+
     def _drop_runs(self, node: VmId) -> None:
         for request, known in tuple(self._runs.items()):
             if known.node == node:
--- a/chicoryshunt/platform/node.py
+++ b/chicoryshunt/platform/node.py
@@ -171,7 +171,7 @@
     def _build_reports(self) -> ReportWatch:
         return ReportWatch(
             self._around,
-            self._neighbours.feed.measure_age,
+            self._neighbours.feed.sees_outage,
         )
 
     def _build_reader(self) -> StoreReader:
--- a/chicoryshunt/platform/store.py
+++ b/chicoryshunt/platform/store.py
@@ -35,10 +35,10 @@
 # A watch returns with the first change, and targets write all the time: the
 # pause bounds the calls to some five a second for each reader.
 _PAUSE_SECONDS = 0.18
-# A watch for orders alone waits long, for there are few.
-_WAIT_MILLISECONDS = 1500
+# A short wait tells a calm store from one that is away.
+_WAIT_MILLISECONDS = 500
 _READ_SECONDS = 1.0
-_WATCH_SECONDS = 2.5
+_WATCH_SECONDS = 1.5
 _IDLE_POLL_SECONDS = 0.1
 _FIRST_RETRY_SECONDS = 0.15
 _MOST_RETRY_SECONDS = 1.2
--- a/chicoryshunt/relay/moving.py
+++ b/chicoryshunt/relay/moving.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Sequence
+from dataclasses import dataclass
 
 from chicoryshunt.connection.upstream import LostError, NotSentError, Sending
 from chicoryshunt.dispatch.handover import (
@@ -28,6 +29,16 @@
 _MOST_REPLANS = 6
 
 
+@dataclass(slots=True)
+class _WaitingMove:
+    """A move whose turn has not come."""
+
+    stream: Stream
+    move: Move
+    source: TargetId
+    timer: asyncio.TimerHandle | None = None
+
+
 class Mover:
     """Plans moves and orders the copies that they need."""
 
@@ -36,6 +47,8 @@
         self._around = around
         # Orders that outlive the stream they are for.
         self._releases: set[asyncio.Task[Copied | CopyFailed]] = set()
+        self._waiting: list[_WaitingMove] = []
+        around.workload.follow(self._begin_early)
 
     def is_leaving(self, target: TargetId) -> bool:
         """Say whether an engine has announced its end or is gone."""
@@ -128,12 +141,32 @@
             after_seconds=move and move.after,
             has_turn=has_turn,
         )
-        if move is not None:
-            asyncio.get_running_loop().call_later(
-                0 if has_turn else move.after,
-                stream.mail.put_nowait,
-                Noticed(move.destination),
-            )
+        if move is None or course is None:
+            return
+        waiting = _WaitingMove(stream, move, course.place.target)
+        waiting.timer = asyncio.get_running_loop().call_later(
+            0 if has_turn else move.after,
+            self._begin,
+            waiting,
+        )
+        self._waiting.append(waiting)
+
+    def _begin(self, waiting: '_WaitingMove') -> None:
+        self._waiting.remove(waiting)
+        if waiting.timer is not None:
+            waiting.timer.cancel()
+        waiting.stream.mail.put_nowait(Noticed(waiting.move.destination))
+
+    def _begin_early(self) -> None:
+        """Begin moves whose engine has finished with the earlier ones."""
+        for waiting in tuple(self._waiting):
+            present = {
+                one.run.request
+                for one in self._around.workload.list_runs()
+                if one.run.target == waiting.source
+            }
+            if waiting.move.may_begin(present):
+                self._begin(waiting)
 
     def _list_moves(
         self,
--- a/chicoryshunt/relay/reports.py
+++ b/chicoryshunt/relay/reports.py
@@ -17,9 +17,7 @@
 from chicoryshunt.relay.surroundings import Surroundings
 from chicoryshunt.types import TargetId
 
-# Beliefs that are older than this are checked with the engines.
-_STALE_SECONDS = 0.8
-_INTERVAL_SECONDS = 0.15
+_INTERVAL_SECONDS = 0.3
 # Two nodes ask each engine, for one of them may be cut off from it.
 _ASKERS = 2
 _ANSWER_SECONDS = 0.5
@@ -34,17 +32,17 @@
     def __init__(
         self,
         around: Surroundings,
-        measure_age: Callable[[float], float],
+        sees_outage: Callable[[float], bool],
     ) -> None:
-        """Ask this node's part of the engines when beliefs are old."""
+        """Ask this node's part of the engines while there is an outage."""
         self._around = around
-        self._measure_age = measure_age
+        self._sees_outage = sees_outage
 
     async def run(self) -> None:
         """Watch for as long as the process lives."""
         while True:
             await asyncio.sleep(_INTERVAL_SECONDS)
-            if self._measure_age(self._around.clock.now()) > _STALE_SECONDS:
+            if self._sees_outage(self._around.clock.now()):
                 await asyncio.gather(*map(self._check, self._list_engines()))
 
     def _list_engines(self) -> list[TargetId]:
--- a/tests/test_fleet_feed.py
+++ b/tests/test_fleet_feed.py
@@ -90,6 +90,22 @@
     assert Duty.takeover in duties.values()
 
 
+def test_an_outage_is_seen() -> None:
+    """Replays a calm store, and then one that answers nobody."""
+    trial = FleetTrial(COUNT)
+    trial.network.run(5)
+    _run_with_readers(trial, 4)
+    for _ in range(40):
+        _run_with_readers(trial, 0.1)
+        now = trial.clock.now()
+        assert not any(node.feed.sees_outage(now) for node in trial.nodes)
+
+    trial.network.run(1.8)
+
+    now = trial.clock.now()
+    assert all(node.feed.sees_outage(now) for node in trial.nodes)
+
+
 def _find_reader(trial: FleetTrial) -> FleetNode:
     now = trial.clock.now()
     return next(
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -124,6 +124,26 @@
     assert find_turn(moves, RequestId('unknown')) is None
 
 
+def test_a_move_begins_when_the_earlier_have_left() -> None:
+    """Replays moves that are done sooner than was planned."""
+    leaving = _build_leaving(3)
+    source = build_engine('gone', *_build_source(leaving))
+    first, second, third = plan_moves(
+        source,
+        leaving,
+        [build_engine('near')],
+        LINK,
+        PACE,
+    )
+    present = {one.request for one in leaving}
+
+    assert first.may_begin(present)
+    assert not second.may_begin(present)
+    present.remove(first.request)
+    assert second.may_begin(present)
+    assert not third.may_begin(present)
+
+
 def test_without_any_slot_nothing_is_planned() -> None:
     leaving = _build_leaving(2)
     source = build_engine('gone', *_build_source(leaving))
