--- a/chicoryshunt/burn.py
+++ b/chicoryshunt/burn.py
@@ -8,7 +8,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from chicoryshunt.process.service_levels import (
+from chicoryshunt.serving.service_levels import (
     HOURS,
     MINUTES,
     Field,
--- a/chicoryshunt/commands/patch.py
+++ b/chicoryshunt/commands/patch.py
@@ -6,10 +6,10 @@
 from absl import flags
 
 from chicoryshunt.commands.command import Command
+from chicoryshunt.configuration.config_api import CheckAnswer
 from chicoryshunt.exceptions import UsageError
 from chicoryshunt.operations import run_until_done
 from chicoryshunt.patches import PatchClient, PatchReport
-from chicoryshunt.process.config_api import CheckAnswer
 from chicoryshunt.settings import load_settings
 from chicoryshunt.types import VmId
 from chicoryshunt.version.fold import Accepted, Rejected
--- a/chicoryshunt/commands/report.py
+++ b/chicoryshunt/commands/report.py
@@ -10,8 +10,8 @@
 from chicoryshunt.commands.command import Command, define_nodes
 from chicoryshunt.exceptions import CallError
 from chicoryshunt.operations import NodeAnswer, Operator, run_until_done
-from chicoryshunt.process.service_levels import ServiceLevels
 from chicoryshunt.report import render_page, render_text
+from chicoryshunt.serving.service_levels import ServiceLevels
 
 _FLAGS = flags.FlagValues()
 define_nodes(_FLAGS)
--- a/chicoryshunt/process/config_api.py
+++ b/chicoryshunt/configuration/config_api.py
@@ -5,9 +5,9 @@
 
 import msgspec
 
+from chicoryshunt.configuration.configuration import Configuration
 from chicoryshunt.connection.exchange import Exchange
 from chicoryshunt.connection.platform_api import PublishedVms
-from chicoryshunt.process.configuration import Configuration
 from chicoryshunt.types import (
     ConfigVersion,
     Digest,
--- a/chicoryshunt/process/config_assembly.py
+++ b/chicoryshunt/configuration/config_assembly.py
@@ -5,17 +5,21 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from chicoryshunt.configuration.config_joining import Joining
+from chicoryshunt.configuration.config_messages import (
+    PULL,
+    PullAnswer,
+    PullRequest,
+)
+from chicoryshunt.configuration.config_readers import ReaderChoice
+from chicoryshunt.configuration.config_reading import ServiceReader, pull_offers
+from chicoryshunt.configuration.config_spread import ConfigSpread
+from chicoryshunt.configuration.configuration import Configuration
+from chicoryshunt.configuration.service_log import ServiceLog
 from chicoryshunt.connection.platform import ConfigService
-from chicoryshunt.process.config_joining import Joining
-from chicoryshunt.process.config_messages import PULL, PullAnswer, PullRequest
-from chicoryshunt.process.config_readers import ReaderChoice
-from chicoryshunt.process.config_reading import ServiceReader, pull_offers
-from chicoryshunt.process.config_spread import ConfigSpread
-from chicoryshunt.process.configuration import Configuration
-from chicoryshunt.process.members import Members
-from chicoryshunt.process.metrics import Metrics
-from chicoryshunt.process.peers import PeerClient, PeerServer
-from chicoryshunt.process.service_log import ServiceLog
+from chicoryshunt.membership.members import Members
+from chicoryshunt.metrics import Metrics
+from chicoryshunt.nodes.peers import PeerClient, PeerServer
 from chicoryshunt.types import DataCentreId, VmId
 
 
--- a/chicoryshunt/process/config_forks.py
+++ b/chicoryshunt/configuration/config_forks.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict
 
 from chicoryshunt.events import log_problem
-from chicoryshunt.process.metrics import Metrics
+from chicoryshunt.metrics import Metrics
 from chicoryshunt.version.chain import Head
 
 MAX_FORKS = 16
--- a/chicoryshunt/process/config_joining.py
+++ b/chicoryshunt/configuration/config_joining.py
@@ -2,8 +2,8 @@
 
 from math import inf
 
+from chicoryshunt.configuration.configuration import Configuration
 from chicoryshunt.events import log_event, log_problem
-from chicoryshunt.process.configuration import Configuration
 from chicoryshunt.version.replica import Replica
 
 JOIN_SECONDS = 3.0
--- a/chicoryshunt/process/config_messages.py
+++ b/chicoryshunt/configuration/config_messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from chicoryshunt.process.peers import Method
+from chicoryshunt.nodes.peers import Method
 from chicoryshunt.types import Digest, LogPosition
 from chicoryshunt.version.chain import Head
 
--- a/chicoryshunt/process/config_readers.py
+++ b/chicoryshunt/configuration/config_readers.py
@@ -3,8 +3,8 @@
 import random
 from math import inf
 
-from chicoryshunt.process.members import Members
-from chicoryshunt.process.rendezvous import rank_vms
+from chicoryshunt.membership.members import Members
+from chicoryshunt.membership.rendezvous import rank_vms
 from chicoryshunt.types import DataCentreId, VmId
 
 READERS_PER_DATA_CENTRE = 2
--- a/chicoryshunt/process/config_reading.py
+++ b/chicoryshunt/configuration/config_reading.py
@@ -4,6 +4,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from chicoryshunt.configuration.config_messages import PULL
+from chicoryshunt.configuration.config_spread import ConfigSpread
+from chicoryshunt.configuration.service_log import BaseNeeded, ServiceLog, Use
 from chicoryshunt.connection.platform import (
     Absence,
     ConfigService,
@@ -11,11 +14,8 @@
 )
 from chicoryshunt.events import log_problem
 from chicoryshunt.exceptions import PlatformError
-from chicoryshunt.process.config_messages import PULL
-from chicoryshunt.process.config_spread import ConfigSpread
-from chicoryshunt.process.metrics import Metrics
-from chicoryshunt.process.peers import PeerClient, PeerError
-from chicoryshunt.process.service_log import BaseNeeded, ServiceLog, Use
+from chicoryshunt.metrics import Metrics
+from chicoryshunt.nodes.peers import PeerClient, PeerError
 from chicoryshunt.version.published import LOG_KEY, LogHeader
 
 WATCH_SECONDS = 2.0
--- a/chicoryshunt/process/config_serving.py
+++ b/chicoryshunt/configuration/config_serving.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from chicoryshunt.process.config_messages import (
+from chicoryshunt.configuration.config_messages import (
     MAX_LINES_BYTES,
     ConfigLines,
     ConfigOffer,
--- a/chicoryshunt/process/config_spread.py
+++ b/chicoryshunt/configuration/config_spread.py
@@ -6,20 +6,20 @@
 
 import msgspec
 
-from chicoryshunt.events import log_problem
-from chicoryshunt.process.config_joining import Joining
-from chicoryshunt.process.config_messages import (
+from chicoryshunt.configuration.config_joining import Joining
+from chicoryshunt.configuration.config_messages import (
     ConfigHead,
     ConfigLines,
     ConfigOffer,
     PullAnswer,
     PullRequest,
 )
-from chicoryshunt.process.config_readers import ReaderChoice
-from chicoryshunt.process.config_serving import PullServer, build_push
-from chicoryshunt.process.configuration import Configuration
-from chicoryshunt.process.core import Message, Send
-from chicoryshunt.process.members import Members
+from chicoryshunt.configuration.config_readers import ReaderChoice
+from chicoryshunt.configuration.config_serving import PullServer, build_push
+from chicoryshunt.configuration.configuration import Configuration
+from chicoryshunt.events import log_problem
+from chicoryshunt.membership.members import Members
+from chicoryshunt.nodes.core import Message, Send
 from chicoryshunt.types import VmId
 from chicoryshunt.version.chain import Head, Relation
 from chicoryshunt.version.replica import Outcome, Segment, Snapshot
--- a/chicoryshunt/process/configuration.py
+++ b/chicoryshunt/configuration/configuration.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Callable
 
+from chicoryshunt.configuration.config_forks import Forks
 from chicoryshunt.events import log_event, log_problem
-from chicoryshunt.process.config_forks import Forks
-from chicoryshunt.process.invariants import Invariants, Promise
-from chicoryshunt.process.metrics import Metrics
+from chicoryshunt.invariants import Invariants, Promise
+from chicoryshunt.metrics import Metrics
 from chicoryshunt.types import ConfigVersion, Digest
 from chicoryshunt.version.chain import Head, Relation
 from chicoryshunt.version.config import Config
--- a/chicoryshunt/process/service_log.py
+++ b/chicoryshunt/configuration/service_log.py
@@ -4,11 +4,11 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from chicoryshunt.configuration.config_joining import Joining
+from chicoryshunt.configuration.config_readers import ReaderChoice
+from chicoryshunt.configuration.configuration import Configuration
 from chicoryshunt.events import log_problem
-from chicoryshunt.process.config_joining import Joining
-from chicoryshunt.process.config_readers import ReaderChoice
-from chicoryshunt.process.configuration import Configuration
-from chicoryshunt.process.metrics import Metrics
+from chicoryshunt.metrics import Metrics
 from chicoryshunt.version.chain import Relation
 from chicoryshunt.version.published import (
     LOG_KEY,
--- a/chicoryshunt/process/write_guard.py
+++ b/chicoryshunt/configuration/write_guard.py
@@ -1,8 +1,8 @@
 """Refuses, right before the write, work for what operators took out."""
 
-from chicoryshunt.process.invariants import Invariants, Promise
-from chicoryshunt.process.metrics import Metrics
-from chicoryshunt.process.pause import Pulse
+from chicoryshunt.invariants import Invariants, Promise
+from chicoryshunt.metrics import Metrics
+from chicoryshunt.nodes.pause import Pulse
 from chicoryshunt.types import DataCentreId, TargetId
 from chicoryshunt.version.config import Config, Presence
 
--- a/chicoryshunt/fleet/discovery.py
+++ b/chicoryshunt/fleet/discovery.py
@@ -7,9 +7,9 @@
 
 from chicoryshunt.connection.platform_api import PublishedVm
 from chicoryshunt.events import log_event
-from chicoryshunt.process.core import Message, Send
-from chicoryshunt.process.links import Links
-from chicoryshunt.process.membership import Membership
+from chicoryshunt.membership.membership import Membership
+from chicoryshunt.nodes.core import Message, Send
+from chicoryshunt.nodes.links import Links
 from chicoryshunt.types import VmId, VmState
 
 # A datagram of 1400 bytes holds this many introductions.
--- a/chicoryshunt/fleet/entrances.py
+++ b/chicoryshunt/fleet/entrances.py
@@ -2,8 +2,8 @@
 
 from random import Random
 
-from chicoryshunt.process.entries import order_entries
-from chicoryshunt.process.roster import Roster
+from chicoryshunt.membership.entries import order_entries
+from chicoryshunt.membership.roster import Roster
 from chicoryshunt.types import DataCentreId
 
 # Nodes of other data centres that are named beside the caller's own, for a
--- a/chicoryshunt/fleet/feed.py
+++ b/chicoryshunt/fleet/feed.py
@@ -9,9 +9,9 @@
 from chicoryshunt.events import log_event
 from chicoryshunt.fleet.catalog import Catalog
 from chicoryshunt.fleet.facts import Fact
-from chicoryshunt.process.core import Message, Send
-from chicoryshunt.process.membership import Membership
-from chicoryshunt.process.rendezvous import rank_vms
+from chicoryshunt.membership.membership import Membership
+from chicoryshunt.membership.rendezvous import rank_vms
+from chicoryshunt.nodes.core import Message, Send
 from chicoryshunt.types import ConfigVersion, VmId
 
 # Two readers in different data centres: one may fail without a gap.
--- a/chicoryshunt/fleet/neighbours.py
+++ b/chicoryshunt/fleet/neighbours.py
@@ -12,14 +12,14 @@
 from chicoryshunt.fleet.facts import Fact
 from chicoryshunt.fleet.feed import Feed
 from chicoryshunt.fleet.workload import Workload
-from chicoryshunt.process.core import Core, Send
-from chicoryshunt.process.driver import drive_cores
-from chicoryshunt.process.links import Links
-from chicoryshunt.process.membership import Membership
-from chicoryshunt.process.mesh import Mesh
-from chicoryshunt.process.metrics import Metrics
-from chicoryshunt.process.pause import Pulse
-from chicoryshunt.process.seal import Purpose, Seal
+from chicoryshunt.membership.membership import Membership
+from chicoryshunt.metrics import Metrics
+from chicoryshunt.nodes.core import Core, Send
+from chicoryshunt.nodes.driver import drive_cores
+from chicoryshunt.nodes.links import Links
+from chicoryshunt.nodes.mesh import Mesh
+from chicoryshunt.nodes.pause import Pulse
+from chicoryshunt.nodes.seal import Purpose, Seal
 from chicoryshunt.types import Incarnation
 
 
--- a/chicoryshunt/fleet/workload.py
+++ b/chicoryshunt/fleet/workload.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from chicoryshunt.process.core import Message, Send
-from chicoryshunt.process.membership import Membership
+from chicoryshunt.membership.membership import Membership
+from chicoryshunt.nodes.core import Message, Send
 from chicoryshunt.types import RequestId, TargetId, VmId, VmState
 
 # Every node repeats all that it has placed, for notes may be lost.
--- a/chicoryshunt/process/invariants.py
+++ b/chicoryshunt/invariants.py
@@ -3,7 +3,7 @@
 from enum import Enum
 
 from chicoryshunt.events import log_problem
-from chicoryshunt.process.metrics import Metrics
+from chicoryshunt.metrics import Metrics
 
 
 class Promise(Enum):
--- a/chicoryshunt/process/journal.py
+++ b/chicoryshunt/journal.py
@@ -6,7 +6,7 @@
 
 from chicoryshunt.clock import Clock
 from chicoryshunt.events import log_event
-from chicoryshunt.process.metrics import Metrics
+from chicoryshunt.metrics import Metrics
 
 _MAX_SUBJECTS = 20_000
 _MAX_DECISIONS = 64
--- /dev/null
+++ b/chicoryshunt/limits/__init__.py
@@ -0,0 +1,1 @@
+"""What each target bears, lent out by its keeper to the other nodes."""
--- a/chicoryshunt/process/accounts.py
+++ b/chicoryshunt/limits/accounts.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable, Mapping
 
-from chicoryshunt.process.claims import Excess
+from chicoryshunt.limits.claims import Excess
 from chicoryshunt.types import VmId
 
 _KEPT = 16
--- a/chicoryshunt/process/ballot.py
+++ b/chicoryshunt/limits/ballot.py
@@ -3,8 +3,8 @@
 from collections import deque
 from dataclasses import dataclass
 
-from chicoryshunt.process.claims import Excess, LeaseTimes
-from chicoryshunt.process.panel import Seat, find_seat
+from chicoryshunt.limits.claims import Excess, LeaseTimes
+from chicoryshunt.limits.panel import Seat, find_seat
 from chicoryshunt.types import VmId
 
 
--- a/chicoryshunt/process/bearings.py
+++ b/chicoryshunt/limits/bearings.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Callable
 
-from chicoryshunt.process.allowance import Slack
-from chicoryshunt.process.ledger import Bearing
-from chicoryshunt.process.router import is_serving
+from chicoryshunt.limits.ledger import Bearing
+from chicoryshunt.limits.router import is_serving
+from chicoryshunt.policy.allowance import Slack
 from chicoryshunt.types import TargetId
 from chicoryshunt.version.config import Config, Target
 
--- a/chicoryshunt/process/claims.py
+++ b/chicoryshunt/limits/claims.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from chicoryshunt.process.panel import Seat
+from chicoryshunt.limits.panel import Seat
+from chicoryshunt.policy.allowance import LoadSeen
 from chicoryshunt.types import TargetId, VmId
 
 _RENEWAL_TERMS = 0.45
@@ -55,18 +56,6 @@
     claims: tuple[Claim, ...]
 
 
-class LoadSeen(msgspec.Struct, frozen=True, array_like=True):
-    """What a target reported last, and how long ago the keeper read it."""
-
-    start: int
-    running: int
-    waiting: int
-    memory_used: int
-    step_us: int
-    preemptions: int
-    age_ms: int
-
-
 class Grant(msgspec.Struct, frozen=True, array_like=True):
     """A keeper's answer to one claim, or a change of it.
 
--- a/chicoryshunt/process/headroom.py
+++ b/chicoryshunt/limits/headroom.py
@@ -4,11 +4,11 @@
 from dataclasses import dataclass, replace
 
 from chicoryshunt.clock import Clock
-from chicoryshunt.process.allowance import Slack
-from chicoryshunt.process.holders import Holder
-from chicoryshunt.process.ledger import Ledger
-from chicoryshunt.process.policy.admission import Limit, compute_headroom
-from chicoryshunt.process.policy.occupancy import (
+from chicoryshunt.limits.holders import Holder
+from chicoryshunt.limits.ledger import Ledger
+from chicoryshunt.policy.admission import Limit, compute_headroom
+from chicoryshunt.policy.allowance import Slack
+from chicoryshunt.policy.occupancy import (
     HORIZONS,
     Curve,
     CurveReport,
--- a/chicoryshunt/process/holders.py
+++ b/chicoryshunt/limits/holders.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from enum import IntEnum
 
-from chicoryshunt.process.claims import Claim
+from chicoryshunt.limits.claims import Claim
 from chicoryshunt.types import VmId
 
 _KEPT_ANSWERS = 8
--- a/chicoryshunt/process/keeping.py
+++ b/chicoryshunt/limits/keeping.py
@@ -4,10 +4,10 @@
 
 from chicoryshunt.connection.target_api import LoadReport
 from chicoryshunt.events import log_event
-from chicoryshunt.process.claims import Claim, Grant, LeaseTimes, Release
-from chicoryshunt.process.invariants import Invariants
-from chicoryshunt.process.ledger import Ledger
-from chicoryshunt.process.tenures import FindBearing
+from chicoryshunt.invariants import Invariants
+from chicoryshunt.limits.claims import Claim, Grant, LeaseTimes, Release
+from chicoryshunt.limits.ledger import Ledger
+from chicoryshunt.limits.tenures import FindBearing
 from chicoryshunt.types import TargetId, VmId
 
 
--- a/chicoryshunt/process/leases.py
+++ b/chicoryshunt/limits/leases.py
@@ -4,7 +4,8 @@
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 
 from chicoryshunt.connection.platform_api import PublishedVm
-from chicoryshunt.process.claims import (
+from chicoryshunt.invariants import Invariants
+from chicoryshunt.limits.claims import (
     Claim,
     Claims,
     Grant,
@@ -12,13 +13,12 @@
     LeaseTimes,
     Release,
 )
-from chicoryshunt.process.core import Message, Send
-from chicoryshunt.process.invariants import Invariants
-from chicoryshunt.process.keeping import Keeping
-from chicoryshunt.process.membership import Membership
-from chicoryshunt.process.packing import pack
-from chicoryshunt.process.panels import Panel, Panels
-from chicoryshunt.process.tenures import FindBearing, Tenures
+from chicoryshunt.limits.keeping import Keeping
+from chicoryshunt.limits.panels import Panel, Panels
+from chicoryshunt.limits.tenures import FindBearing, Tenures
+from chicoryshunt.membership.membership import Membership
+from chicoryshunt.nodes.core import Message, Send
+from chicoryshunt.nodes.packing import pack
 from chicoryshunt.types import DataCentreId, TargetId, VmId, VmState
 
 _PANELS_PER_TICK = 25
--- a/chicoryshunt/process/ledger.py
+++ b/chicoryshunt/limits/ledger.py
@@ -6,21 +6,20 @@
 from random import Random
 
 from chicoryshunt.connection.target_api import LoadReport
-from chicoryshunt.process.accounts import Accounts
-from chicoryshunt.process.allowance import Slack
-from chicoryshunt.process.claims import (
+from chicoryshunt.invariants import Invariants, Promise
+from chicoryshunt.limits.accounts import Accounts
+from chicoryshunt.limits.claims import (
     Claim,
     Excess,
     Grant,
     LeaseTimes,
-    LoadSeen,
     Release,
 )
-from chicoryshunt.process.holders import Holder
-from chicoryshunt.process.invariants import Invariants, Promise
-from chicoryshunt.process.orphans import Orphan, Orphans
-from chicoryshunt.process.sharing import share_slots, spread_evenly
-from chicoryshunt.process.votes import Vote, Votes
+from chicoryshunt.limits.holders import Holder
+from chicoryshunt.limits.orphans import Orphan, Orphans
+from chicoryshunt.limits.sharing import share_slots, spread_evenly
+from chicoryshunt.limits.votes import Vote, Votes
+from chicoryshunt.policy.allowance import LoadSeen, Slack
 from chicoryshunt.types import TargetId, VmId
 
 _EARLIER = 0
--- a/chicoryshunt/process/loads.py
+++ b/chicoryshunt/limits/loads.py
@@ -9,8 +9,8 @@
 from chicoryshunt.connection.target_api import LoadReport
 from chicoryshunt.events import log_problem
 from chicoryshunt.exceptions import ChicoryshuntError
-from chicoryshunt.process.keeping import Keeping
-from chicoryshunt.process.pause import Pulse
+from chicoryshunt.limits.keeping import Keeping
+from chicoryshunt.nodes.pause import Pulse
 from chicoryshunt.types import TargetId
 from chicoryshunt.version.config import Config
 
--- a/chicoryshunt/process/panel.py
+++ b/chicoryshunt/limits/panel.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from chicoryshunt.connection.platform_api import PublishedVm
-from chicoryshunt.process.rendezvous import compute_weight
+from chicoryshunt.membership.rendezvous import compute_weight
 from chicoryshunt.types import DataCentreId, VmId
 
 PANEL_SEATS = 12
--- a/chicoryshunt/process/panels.py
+++ b/chicoryshunt/limits/panels.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Iterator, Mapping
 
 from chicoryshunt.connection.platform_api import PublishedVm
-from chicoryshunt.process.panel import build_panel
+from chicoryshunt.limits.panel import build_panel
 from chicoryshunt.types import DataCentreId, TargetId, VmId
 
 Panel = tuple[VmId, ...]
--- a/chicoryshunt/process/rooms.py
+++ b/chicoryshunt/limits/rooms.py
@@ -2,14 +2,13 @@
 
 from collections.abc import Iterable
 
-from chicoryshunt.process.allowance import Allowances
-from chicoryshunt.process.claims import LoadSeen
-from chicoryshunt.process.headroom import encode_curve
-from chicoryshunt.process.policy.admission import Limit
-from chicoryshunt.process.policy.book import Closed, Leased, Room
-from chicoryshunt.process.policy.dispatcher import Dispatcher
-from chicoryshunt.process.rendezvous import compute_weight
-from chicoryshunt.process.router import is_serving
+from chicoryshunt.limits.headroom import encode_curve
+from chicoryshunt.limits.router import is_serving
+from chicoryshunt.membership.rendezvous import compute_weight
+from chicoryshunt.policy.admission import Limit
+from chicoryshunt.policy.allowance import Allowances, LoadSeen
+from chicoryshunt.policy.book import Closed, Leased, Room
+from chicoryshunt.policy.dispatcher import Dispatcher
 from chicoryshunt.types import DataCentreId, ModelId, Seconds, TargetId, VmId
 from chicoryshunt.version.config import Config, Target
 
--- a/chicoryshunt/process/router.py
+++ b/chicoryshunt/limits/router.py
@@ -5,8 +5,8 @@
 from contextlib import contextmanager
 from dataclasses import dataclass
 
-from chicoryshunt.process.allowance import Allowances, Shortage, Slot
-from chicoryshunt.process.pause import Pulse
+from chicoryshunt.nodes.pause import Pulse
+from chicoryshunt.policy.allowance import Allowances, Shortage, Slot
 from chicoryshunt.types import (
     DataCentreId,
     ModelId,
--- a/chicoryshunt/process/tenure.py
+++ b/chicoryshunt/limits/tenure.py
@@ -3,15 +3,14 @@
 from dataclasses import dataclass, field
 from math import ceil
 
-from chicoryshunt.process.allowance import Shortage, Slack, Slot
-from chicoryshunt.process.ballot import Account, Ballot, Process
-from chicoryshunt.process.claims import (
+from chicoryshunt.limits.ballot import Account, Ballot, Process
+from chicoryshunt.limits.claims import (
     Claim,
     Grant,
     LeaseTimes,
-    LoadSeen,
     Release,
 )
+from chicoryshunt.policy.allowance import LoadSeen, Shortage, Slack, Slot
 from chicoryshunt.types import TargetId, VmId
 
 _WANT_SECONDS = 2.0
--- a/chicoryshunt/process/tenures.py
+++ b/chicoryshunt/limits/tenures.py
@@ -2,19 +2,18 @@
 
 from collections.abc import Callable, Iterator
 
-from chicoryshunt.process.allowance import Shortage, Slack, Slot
-from chicoryshunt.process.ballot import Ballot
-from chicoryshunt.process.claims import (
+from chicoryshunt.invariants import Invariants, Promise
+from chicoryshunt.limits.ballot import Ballot
+from chicoryshunt.limits.claims import (
     Claim,
     Grant,
     LeaseTimes,
-    LoadSeen,
     Release,
 )
-from chicoryshunt.process.invariants import Invariants, Promise
-from chicoryshunt.process.ledger import Bearing
-from chicoryshunt.process.panels import Panel, Panels
-from chicoryshunt.process.tenure import Tenure
+from chicoryshunt.limits.ledger import Bearing
+from chicoryshunt.limits.panels import Panel, Panels
+from chicoryshunt.limits.tenure import Tenure
+from chicoryshunt.policy.allowance import LoadSeen, Shortage, Slack, Slot
 from chicoryshunt.types import TargetId, VmId
 
 FindBearing = Callable[[TargetId], Bearing]
--- a/chicoryshunt/process/votes.py
+++ b/chicoryshunt/limits/votes.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from chicoryshunt.process.panel import Seat, compute_worth
+from chicoryshunt.limits.panel import Seat, compute_worth
 from chicoryshunt.types import VmId
 
 
--- a/chicoryshunt/process/warmths.py
+++ b/chicoryshunt/limits/warmths.py
@@ -3,11 +3,11 @@
 from dataclasses import dataclass
 
 from chicoryshunt.connection.target_api import LoadReport
-from chicoryshunt.process.allowance import Slack
-from chicoryshunt.process.journal import Journal
-from chicoryshunt.process.policy.admission import Limit
-from chicoryshunt.process.policy.warming import Change, Warmth
-from chicoryshunt.process.router import is_serving
+from chicoryshunt.journal import Journal
+from chicoryshunt.limits.router import is_serving
+from chicoryshunt.policy.admission import Limit
+from chicoryshunt.policy.allowance import Slack
+from chicoryshunt.policy.warming import Change, Warmth
 from chicoryshunt.types import Seconds, TargetId
 from chicoryshunt.version.config import Config, Model, Target
 
--- /dev/null
+++ b/chicoryshunt/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which VMs are in the fleet, live or leaving; nothing about targets."""
--- a/chicoryshunt/process/composer.py
+++ b/chicoryshunt/membership/composer.py
@@ -2,9 +2,9 @@
 
 from collections import deque
 
-from chicoryshunt.process.gossip import Gossip, LoadNote
-from chicoryshunt.process.roster import LIVE, Roster, Update
-from chicoryshunt.process.spread import Spread, fit_updates
+from chicoryshunt.membership.gossip import Gossip, LoadNote
+from chicoryshunt.membership.roster import LIVE, Roster, Update
+from chicoryshunt.membership.spread import Spread, fit_updates
 from chicoryshunt.types import VmId
 
 _UPDATE_BYTES = 240
--- a/chicoryshunt/process/entries.py
+++ b/chicoryshunt/membership/entries.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from random import Random
 
-from chicoryshunt.process.roster import Member, Roster
+from chicoryshunt.membership.roster import Member, Roster
 from chicoryshunt.types import DataCentreId, VmState
 
 KEEP_SECONDS = 3.0
--- a/chicoryshunt/process/gossip.py
+++ b/chicoryshunt/membership/gossip.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from chicoryshunt.process.roster import Update
+from chicoryshunt.membership.roster import Update
 from chicoryshunt.types import VmId
 
 
--- a/chicoryshunt/process/membership.py
+++ b/chicoryshunt/membership/membership.py
@@ -5,17 +5,17 @@
 
 from chicoryshunt.connection.platform_api import PublishedVm
 from chicoryshunt.events import log_event, log_problem
-from chicoryshunt.process.composer import Composer
-from chicoryshunt.process.core import Message, Send
-from chicoryshunt.process.gossip import (
+from chicoryshunt.membership.composer import Composer
+from chicoryshunt.membership.gossip import (
     Gossip,
     News,
     Probe,
     ProbeAnswer,
     ProbeRequest,
 )
-from chicoryshunt.process.prober import Origin, Pending, Prober
-from chicoryshunt.process.roster import Roster, Update
+from chicoryshunt.membership.prober import Origin, Pending, Prober
+from chicoryshunt.membership.roster import Roster, Update
+from chicoryshunt.nodes.core import Message, Send
 from chicoryshunt.types import Incarnation, VmId, VmState
 
 PROBE_INTERVAL_SECONDS = 1.0
--- a/chicoryshunt/process/prober.py
+++ b/chicoryshunt/membership/prober.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from chicoryshunt.process.roster import Roster
+from chicoryshunt.membership.roster import Roster
 from chicoryshunt.types import VmId, VmState
 
 DIRECT_SECONDS = 0.4
--- a/chicoryshunt/process/roster.py
+++ b/chicoryshunt/membership/roster.py
@@ -7,7 +7,7 @@
 import xxhash
 
 from chicoryshunt.connection.platform_api import PublishedVm
-from chicoryshunt.process.rendezvous import rank_vms
+from chicoryshunt.membership.rendezvous import rank_vms
 from chicoryshunt.types import DataCentreId, Incarnation, VmId, VmState
 
 PRESENT = frozenset((VmState.live, VmState.leaving, VmState.suspect))
--- a/chicoryshunt/process/spread.py
+++ b/chicoryshunt/membership/spread.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from math import ceil, log2
 
-from chicoryshunt.process.roster import Update
+from chicoryshunt.membership.roster import Update
 from chicoryshunt.types import VmId
 
 _UPDATE_OVERHEAD_BYTES = 20
--- a/chicoryshunt/process/watch.py
+++ b/chicoryshunt/membership/watch.py
@@ -10,9 +10,9 @@
 from chicoryshunt.connection.platform_api import PublishedVm, PublishedVms
 from chicoryshunt.events import log_problem
 from chicoryshunt.exceptions import ChicoryshuntError, PlatformError
-from chicoryshunt.process.links import Links
-from chicoryshunt.process.membership import Membership
-from chicoryshunt.process.pause import Pulse
+from chicoryshunt.membership.membership import Membership
+from chicoryshunt.nodes.links import Links
+from chicoryshunt.nodes.pause import Pulse
 
 _POLL_SECONDS = 5.0
 _RETRY_SECONDS = 0.5
--- a/chicoryshunt/process/driver.py
+++ b/chicoryshunt/nodes/driver.py
@@ -3,9 +3,9 @@
 import asyncio
 from collections.abc import Sequence
 
-from chicoryshunt.process.core import Core
-from chicoryshunt.process.mesh import Mesh
-from chicoryshunt.process.pause import Pulse
+from chicoryshunt.nodes.core import Core
+from chicoryshunt.nodes.mesh import Mesh
+from chicoryshunt.nodes.pause import Pulse
 
 TICK_SECONDS = 0.1
 
--- a/chicoryshunt/process/mesh.py
+++ b/chicoryshunt/nodes/mesh.py
@@ -9,11 +9,11 @@
 from twisted.internet.protocol import DatagramProtocol
 
 from chicoryshunt.events import log_problem
-from chicoryshunt.process.core import Core, Message, Send
-from chicoryshunt.process.links import Links
-from chicoryshunt.process.metrics import Metrics
-from chicoryshunt.process.pause import Pulse
-from chicoryshunt.process.seal import Damage, Seal
+from chicoryshunt.metrics import Metrics
+from chicoryshunt.nodes.core import Core, Message, Send
+from chicoryshunt.nodes.links import Links
+from chicoryshunt.nodes.pause import Pulse
+from chicoryshunt.nodes.seal import Damage, Seal
 from chicoryshunt.types import VmId
 
 MAX_DATAGRAM_BYTES = 1400
--- a/chicoryshunt/process/peers.py
+++ b/chicoryshunt/nodes/peers.py
@@ -15,10 +15,10 @@
 
 from chicoryshunt.events import log_problem
 from chicoryshunt.exceptions import ChicoryshuntError
-from chicoryshunt.process.links import Links
-from chicoryshunt.process.metrics import Metrics
-from chicoryshunt.process.pause import Pulse
-from chicoryshunt.process.seal import Damage, Envelope, Seal
+from chicoryshunt.metrics import Metrics
+from chicoryshunt.nodes.links import Links
+from chicoryshunt.nodes.pause import Pulse
+from chicoryshunt.nodes.seal import Damage, Envelope, Seal
 from chicoryshunt.types import VmId
 
 MAX_CHANNELS = 64
--- a/chicoryshunt/process/keepers.py
+++ b/chicoryshunt/orders/keepers.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Collection
 
-from chicoryshunt.process.members import Members
-from chicoryshunt.process.rendezvous import compute_weight
+from chicoryshunt.membership.members import Members
+from chicoryshunt.membership.rendezvous import compute_weight
 from chicoryshunt.types import DataCentreId, TargetId, VmId
 
 
--- a/chicoryshunt/process/order_runner.py
+++ b/chicoryshunt/orders/order_runner.py
@@ -9,8 +9,8 @@
     NotSent,
     SendResult,
 )
-from chicoryshunt.process.order_actions import ReadLoad, SendOrder
-from chicoryshunt.process.orders import ORDER_SECONDS, Orders
+from chicoryshunt.orders.order_actions import ReadLoad, SendOrder
+from chicoryshunt.orders.orders import ORDER_SECONDS, Orders
 
 _PLAN_SECONDS = 0.25
 
--- a/chicoryshunt/process/orders.py
+++ b/chicoryshunt/orders/orders.py
@@ -15,13 +15,13 @@
 )
 from chicoryshunt.connection.target_api import LoadReport, Order
 from chicoryshunt.events import log_event, log_problem
-from chicoryshunt.process.core import Message, Send
-from chicoryshunt.process.keepers import Keepers, sees_majority
-from chicoryshunt.process.load_schedule import schedule_loads
-from chicoryshunt.process.members import Members
-from chicoryshunt.process.metrics import Metrics
-from chicoryshunt.process.order_actions import Action, ReadLoad, SendOrder
-from chicoryshunt.process.order_course import (
+from chicoryshunt.membership.members import Members
+from chicoryshunt.metrics import Metrics
+from chicoryshunt.nodes.core import Message, Send
+from chicoryshunt.orders.keepers import Keepers, sees_majority
+from chicoryshunt.orders.load_schedule import schedule_loads
+from chicoryshunt.orders.order_actions import Action, ReadLoad, SendOrder
+from chicoryshunt.orders.order_course import (
     CHECK_SECONDS,
     RETRY_SECONDS,
     Course,
--- /dev/null
+++ b/chicoryshunt/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that run at most once, decided by one node each."""
--- a/chicoryshunt/process/answers.py
+++ b/chicoryshunt/ownership/answers.py
@@ -9,8 +9,8 @@
     GrantOffer,
 )
 from chicoryshunt.connection.exchange import Exchange
-from chicoryshunt.process.owned_calls import CallState
-from chicoryshunt.process.ownership import Owner
+from chicoryshunt.ownership.owned_calls import CallState
+from chicoryshunt.ownership.ownership import Owner
 from chicoryshunt.request.outcome import CallOutcome, NoAnswer, TargetAnswer
 from chicoryshunt.types import Reason, RunState
 
--- a/chicoryshunt/process/drain.py
+++ b/chicoryshunt/ownership/drain.py
@@ -7,14 +7,14 @@
 
 from chicoryshunt.clock import Clock
 from chicoryshunt.events import log_event, log_problem
-from chicoryshunt.process.handoff import Handoff, HandoffState, SealedRecords
-from chicoryshunt.process.holdings import PartAnswer, TablePart
-from chicoryshunt.process.invariants import Invariants, Promise
-from chicoryshunt.process.members import Members
-from chicoryshunt.process.metrics import Metrics
-from chicoryshunt.process.ownership import Owner
-from chicoryshunt.process.peers import Method, PeerCaller, PeerError
-from chicoryshunt.process.succession import rank_successors
+from chicoryshunt.invariants import Invariants, Promise
+from chicoryshunt.membership.members import Members
+from chicoryshunt.metrics import Metrics
+from chicoryshunt.nodes.peers import Method, PeerCaller, PeerError
+from chicoryshunt.ownership.handoff import Handoff, HandoffState, SealedRecords
+from chicoryshunt.ownership.holdings import PartAnswer, TablePart
+from chicoryshunt.ownership.ownership import Owner
+from chicoryshunt.ownership.succession import rank_successors
 
 TAKE_TABLE = Method('take_table', TablePart, PartAnswer)
 
--- a/chicoryshunt/process/forwarding.py
+++ b/chicoryshunt/ownership/forwarding.py
@@ -5,15 +5,15 @@
 import msgspec
 
 from chicoryshunt.events import log_problem
-from chicoryshunt.process.grants import Origin
-from chicoryshunt.process.members import Members
-from chicoryshunt.process.ownership import (
+from chicoryshunt.membership.members import Members
+from chicoryshunt.nodes.peers import Method, PeerCaller, PeerError
+from chicoryshunt.ownership.grants import Origin
+from chicoryshunt.ownership.ownership import (
     OwnedRequest,
     Owner,
     doubt_owner,
 )
-from chicoryshunt.process.peers import Method, PeerCaller, PeerError
-from chicoryshunt.process.succession import rank_successors
+from chicoryshunt.ownership.succession import rank_successors
 from chicoryshunt.request.call import PlainCall
 from chicoryshunt.request.outcome import CallOutcome
 from chicoryshunt.types import IdempotencyKey, VmId
--- a/chicoryshunt/process/handoff.py
+++ b/chicoryshunt/ownership/handoff.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from chicoryshunt.process.grants import Origin
-from chicoryshunt.process.holdings import PartAnswer, TableHead, TablePart
-from chicoryshunt.process.records import Record, measure
+from chicoryshunt.ownership.grants import Origin
+from chicoryshunt.ownership.holdings import PartAnswer, TableHead, TablePart
+from chicoryshunt.ownership.records import Record, measure
 from chicoryshunt.types import VmId
 
 PART_BYTES = 1_048_576
--- a/chicoryshunt/process/holdings.py
+++ b/chicoryshunt/ownership/holdings.py
@@ -2,12 +2,12 @@
 
 import msgspec
 
-from chicoryshunt.process.grants import (
+from chicoryshunt.ownership.grants import (
     GRANT_LIFE_SECONDS,
     Origin,
     RequestName,
 )
-from chicoryshunt.process.records import (
+from chicoryshunt.ownership.records import (
     MAX_TABLE_BYTES,
     RECORD_SECONDS,
     Ask,
--- a/chicoryshunt/process/owned_calls.py
+++ b/chicoryshunt/ownership/owned_calls.py
@@ -7,20 +7,20 @@
     KEY_HEADER,
     Entries,
 )
-from chicoryshunt.process.drain import Drain
-from chicoryshunt.process.forwarding import (
+from chicoryshunt.journal import Journal
+from chicoryshunt.metrics import Metrics
+from chicoryshunt.ownership.drain import Drain
+from chicoryshunt.ownership.forwarding import (
     Forwarder,
     OwnedCall,
     OwnerAnswer,
 )
-from chicoryshunt.process.grants import (
+from chicoryshunt.ownership.grants import (
     MAX_KEY_CHARACTERS,
     GrantDamage,
     parse_grant,
 )
-from chicoryshunt.process.journal import Journal
-from chicoryshunt.process.metrics import Metrics
-from chicoryshunt.process.ownership import (
+from chicoryshunt.ownership.ownership import (
     OwnedRequest,
     Owner,
     read_request,
--- a/chicoryshunt/process/owned_generations.py
+++ b/chicoryshunt/ownership/owned_generations.py
@@ -8,10 +8,10 @@
 
 from chicoryshunt.connection.caller_api import GRANT_HEADER, KEY_HEADER
 from chicoryshunt.connection.exchange import Exchange
-from chicoryshunt.process.answers import Answers
-from chicoryshunt.process.metrics import Metrics
-from chicoryshunt.process.owned_calls import check_key, refuse_missing_grant
-from chicoryshunt.process.ownership import Owner, read_request
+from chicoryshunt.metrics import Metrics
+from chicoryshunt.ownership.answers import Answers
+from chicoryshunt.ownership.owned_calls import check_key, refuse_missing_grant
+from chicoryshunt.ownership.ownership import Owner, read_request
 from chicoryshunt.request.generation import Outcome
 from chicoryshunt.request.order import GenerationRequest
 from chicoryshunt.request.outcome import CallOutcome, NoAnswer
--- a/chicoryshunt/process/ownership.py
+++ b/chicoryshunt/ownership/ownership.py
@@ -8,7 +8,10 @@
 
 from chicoryshunt.connection.caller_api import GrantOffer
 from chicoryshunt.events import log_problem
-from chicoryshunt.process.grants import (
+from chicoryshunt.invariants import Invariants, Promise
+from chicoryshunt.metrics import Metrics
+from chicoryshunt.nodes.pause import Pulse
+from chicoryshunt.ownership.grants import (
     GRANT_KEEP_SECONDS,
     GrantDamage,
     Mint,
@@ -17,12 +20,9 @@
     SignedGrant,
     parse_grant,
 )
-from chicoryshunt.process.handoff import SealedRecords
-from chicoryshunt.process.holdings import Holdings, PartAnswer, TablePart
-from chicoryshunt.process.invariants import Invariants, Promise
-from chicoryshunt.process.metrics import Metrics
-from chicoryshunt.process.pause import Pulse
-from chicoryshunt.process.records import Ask, Begin, Done, RecordTable, Wait
+from chicoryshunt.ownership.handoff import SealedRecords
+from chicoryshunt.ownership.holdings import Holdings, PartAnswer, TablePart
+from chicoryshunt.ownership.records import Ask, Begin, Done, RecordTable, Wait
 from chicoryshunt.request.outcome import CallOutcome, NoAnswer, TargetAnswer
 from chicoryshunt.types import IdempotencyKey, Reason, Seconds, VmId
 from chicoryshunt.verdict import doubt, refuse
--- a/chicoryshunt/process/records.py
+++ b/chicoryshunt/ownership/records.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from chicoryshunt.exceptions import ChicoryshuntError
-from chicoryshunt.process.grants import GRANT_LIFE_SECONDS, RequestName
+from chicoryshunt.ownership.grants import GRANT_LIFE_SECONDS, RequestName
 from chicoryshunt.request.outcome import (
     CallOutcome,
     NoAnswer,
--- a/chicoryshunt/process/succession.py
+++ b/chicoryshunt/ownership/succession.py
@@ -1,8 +1,8 @@
 """Which nodes take over the records of a node that leaves."""
 
-from chicoryshunt.process.grants import Origin
-from chicoryshunt.process.members import Members
-from chicoryshunt.process.rendezvous import rank_vms
+from chicoryshunt.membership.members import Members
+from chicoryshunt.membership.rendezvous import rank_vms
+from chicoryshunt.ownership.grants import Origin
 from chicoryshunt.types import VmId
 
 MAX_SUCCESSORS = 3
--- a/chicoryshunt/patches.py
+++ b/chicoryshunt/patches.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from chicoryshunt.configuration.config_api import CheckAnswer, PatchStatus
 from chicoryshunt.connection.client import (
     BrokenError,
     HttpClient,
@@ -16,7 +17,6 @@
 )
 from chicoryshunt.connection.platform_api import PublishedVm, PublishedVms
 from chicoryshunt.exceptions import CallError
-from chicoryshunt.process.config_api import CheckAnswer, PatchStatus
 from chicoryshunt.types import VmId
 from chicoryshunt.version.fold import Accepted, Ruling
 from chicoryshunt.version.published import LOG_KEY, LogHeader, format_log
--- a/chicoryshunt/platform/doors.py
+++ b/chicoryshunt/platform/doors.py
@@ -15,9 +15,9 @@
 from chicoryshunt.fleet.entrances import list_entrances
 from chicoryshunt.fleet.neighbours import Neighbours
 from chicoryshunt.fleet.rules_exchange import RulesExchange
+from chicoryshunt.metrics import Metrics
 from chicoryshunt.platform import wire
 from chicoryshunt.platform.settings import PlatformSettings
-from chicoryshunt.process.metrics import Metrics
 from chicoryshunt.relay.gateway import Gateway
 from chicoryshunt.types import DataCentreId
 
--- a/chicoryshunt/platform/node.py
+++ b/chicoryshunt/platform/node.py
@@ -19,6 +19,7 @@
 from chicoryshunt.exceptions import SettingsError
 from chicoryshunt.fleet.neighbours import Neighbours
 from chicoryshunt.fleet.rules_exchange import RulesExchange
+from chicoryshunt.metrics import Metrics
 from chicoryshunt.platform.callers import CallerWire
 from chicoryshunt.platform.doors import Doors
 from chicoryshunt.platform.settings import (
@@ -28,7 +29,6 @@
 )
 from chicoryshunt.platform.store import StoreClient, StoreReader
 from chicoryshunt.platform.targets import TargetWire
-from chicoryshunt.process.metrics import Metrics
 from chicoryshunt.relay.gateway import Gateway
 from chicoryshunt.relay.reports import ReportWatch
 from chicoryshunt.relay.surroundings import Surroundings
--- a/chicoryshunt/platform/store.py
+++ b/chicoryshunt/platform/store.py
@@ -28,8 +28,8 @@
 )
 from chicoryshunt.fleet.feed import Duty
 from chicoryshunt.fleet.neighbours import Neighbours
+from chicoryshunt.metrics import Metrics
 from chicoryshunt.platform import items, wire
-from chicoryshunt.process.metrics import Metrics
 
 _PREFIXES = ('op/', items.TARGET_PREFIX)
 # A watch returns with the first change, and targets write all the time: the
--- a/chicoryshunt/process/policy/admission.py
+++ b/chicoryshunt/policy/admission.py
@@ -10,10 +10,10 @@
 
 import numpy as np
 
-from chicoryshunt.process.allowance import Slack
-from chicoryshunt.process.policy.occupancy import HORIZONS, Curve
-from chicoryshunt.process.policy.profile import Parameters
-from chicoryshunt.process.policy.survival import Array
+from chicoryshunt.policy.allowance import Slack
+from chicoryshunt.policy.occupancy import HORIZONS, Curve
+from chicoryshunt.policy.profile import Parameters
+from chicoryshunt.policy.survival import Array
 
 _SHORT_SLOTS_PART = 0.04
 _SHORT_MARGIN_PART = 0.5
--- a/chicoryshunt/process/allowance.py
+++ b/chicoryshunt/policy/allowance.py
@@ -4,10 +4,23 @@
 from enum import Enum
 from typing import Protocol
 
-from chicoryshunt.process.claims import LoadSeen
+import msgspec
+
 from chicoryshunt.types import TargetId
 
 
+class LoadSeen(msgspec.Struct, frozen=True, array_like=True):
+    """What a target reported last, and how long ago the keeper read it."""
+
+    start: int
+    running: int
+    waiting: int
+    memory_used: int
+    step_us: int
+    preemptions: int
+    age_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class Slack:
     """Requests and memory tokens that could still be taken."""
--- a/chicoryshunt/process/policy/book.py
+++ b/chicoryshunt/policy/book.py
@@ -2,16 +2,16 @@
 
 from dataclasses import dataclass
 
-from chicoryshunt.process.allowance import Slack
-from chicoryshunt.process.policy.admission import Limit
-from chicoryshunt.process.policy.choice import PrefixHints
-from chicoryshunt.process.policy.occupancy import (
+from chicoryshunt.policy.admission import Limit
+from chicoryshunt.policy.allowance import Slack
+from chicoryshunt.policy.choice import PrefixHints
+from chicoryshunt.policy.occupancy import (
     Curve,
     Running,
     build_empty_curve,
     forecast,
 )
-from chicoryshunt.process.policy.survival import LengthEstimator
+from chicoryshunt.policy.survival import LengthEstimator
 from chicoryshunt.types import RequestId, Seconds, TargetId
 
 _CURVE_AGE_SECONDS = 0.4
--- a/chicoryshunt/process/policy/dispatcher.py
+++ b/chicoryshunt/policy/dispatcher.py
@@ -9,36 +9,36 @@
 from enum import Enum
 from itertools import islice
 
-from chicoryshunt.process.policy.admission import Fit, Margin
-from chicoryshunt.process.policy.book import Room, TargetBook, count_memory
-from chicoryshunt.process.policy.choice import Choice
-from chicoryshunt.process.policy.occupancy import (
+from chicoryshunt.policy.admission import Fit, Margin
+from chicoryshunt.policy.book import Room, TargetBook, count_memory
+from chicoryshunt.policy.choice import Choice
+from chicoryshunt.policy.occupancy import (
     Curve,
     Running,
     build_empty_curve,
     predict_occupancy,
 )
-from chicoryshunt.process.policy.overload import (
+from chicoryshunt.policy.overload import (
     DrainRate,
     TooLate,
     Useful,
     judge_wait,
 )
-from chicoryshunt.process.policy.placement import (
+from chicoryshunt.policy.placement import (
     Demand,
     NoPlace,
     Placement,
     find_place,
 )
-from chicoryshunt.process.policy.profile import Parameters
-from chicoryshunt.process.policy.queue import (
+from chicoryshunt.policy.profile import Parameters
+from chicoryshunt.policy.queue import (
     Ask,
     FairQueue,
     Waiting,
     rank_for_engine,
 )
-from chicoryshunt.process.policy.shares import TeamShares
-from chicoryshunt.process.policy.survival import LengthEstimator, Size
+from chicoryshunt.policy.shares import TeamShares
+from chicoryshunt.policy.survival import LengthEstimator, Size
 from chicoryshunt.types import RequestId, Seconds, TargetId, Tokens
 
 _BLOCKED_SECONDS = 0.1
--- a/chicoryshunt/process/policy/occupancy.py
+++ b/chicoryshunt/policy/occupancy.py
@@ -11,7 +11,7 @@
 import msgspec
 import numpy as np
 
-from chicoryshunt.process.policy.survival import (
+from chicoryshunt.policy.survival import (
     EDGES,
     Array,
     Kind,
--- a/chicoryshunt/process/policy/placement.py
+++ b/chicoryshunt/policy/placement.py
@@ -4,30 +4,30 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from chicoryshunt.process.allowance import Slack
-from chicoryshunt.process.policy.admission import (
+from chicoryshunt.policy.admission import (
     Fit,
     Limit,
     NoMemory,
     NoSlot,
     check_fit,
 )
-from chicoryshunt.process.policy.book import (
+from chicoryshunt.policy.allowance import Slack
+from chicoryshunt.policy.book import (
     Closed,
     Granted,
     Leased,
     Sole,
     TargetBook,
 )
-from chicoryshunt.process.policy.choice import (
+from chicoryshunt.policy.choice import (
     Candidate,
     Choice,
     choose_target,
     compute_overflow_chance,
 )
-from chicoryshunt.process.policy.occupancy import Curve
-from chicoryshunt.process.policy.queue import Ask
-from chicoryshunt.process.policy.survival import Size
+from chicoryshunt.policy.occupancy import Curve
+from chicoryshunt.policy.queue import Ask
+from chicoryshunt.policy.survival import Size
 
 Misfit = NoSlot | NoMemory | Closed
 
--- a/chicoryshunt/process/policy/queue.py
+++ b/chicoryshunt/policy/queue.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from chicoryshunt.process.policy.survival import Kind, Size
+from chicoryshunt.policy.survival import Kind, Size
 from chicoryshunt.types import RequestId, TeamId
 
 _SECONDS_PER_WORK = 0.002
--- a/chicoryshunt/process/policy/warming.py
+++ b/chicoryshunt/policy/warming.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from chicoryshunt.process.policy.admission import Limit
+from chicoryshunt.policy.admission import Limit
 from chicoryshunt.types import Seconds, TargetState
 
 _FIRST_PART = 0.06
--- a/chicoryshunt/process/node.py
+++ b/chicoryshunt/process/node.py
@@ -6,6 +6,12 @@
 from contextlib import asynccontextmanager
 from functools import partial
 
+from chicoryshunt.configuration.config_assembly import (
+    ConfigParts,
+    build_configuration,
+    keep_configuration,
+    register_pull,
+)
 from chicoryshunt.connection.bounds import ServerBounds
 from chicoryshunt.connection.client import HttpClient
 from chicoryshunt.connection.loop import get_reactor
@@ -13,19 +19,13 @@
 from chicoryshunt.connection.platform import HttpConfigService
 from chicoryshunt.connection.web import BoundedSite, close_connections
 from chicoryshunt.events import log_event, log_problem
-from chicoryshunt.process.assembly import OwnerParts, build_owner
-from chicoryshunt.process.callers import CallerApi
-from chicoryshunt.process.config_assembly import (
-    ConfigParts,
-    build_configuration,
-    keep_configuration,
-    register_pull,
-)
-from chicoryshunt.process.drain import Departure
-from chicoryshunt.process.mesh import Mesh
-from chicoryshunt.process.order_runner import OrderRunner, build_order_link
-from chicoryshunt.process.peers import PeerServer
-from chicoryshunt.process.state import NodeState
+from chicoryshunt.nodes.mesh import Mesh
+from chicoryshunt.nodes.peers import PeerServer
+from chicoryshunt.orders.order_runner import OrderRunner, build_order_link
+from chicoryshunt.ownership.drain import Departure
+from chicoryshunt.serving.assembly import OwnerParts, build_owner
+from chicoryshunt.serving.callers import CallerApi
+from chicoryshunt.serving.state import NodeState
 from chicoryshunt.settings import Settings
 from chicoryshunt.types import VmId, VmState
 
--- a/chicoryshunt/relay/reports.py
+++ b/chicoryshunt/relay/reports.py
@@ -12,7 +12,7 @@
 from chicoryshunt.connection.upstream import LostError, NotSentError
 from chicoryshunt.events import log_event
 from chicoryshunt.fleet.facts import Revision, TargetFact, TargetPhase
-from chicoryshunt.process.rendezvous import rank_vms
+from chicoryshunt.membership.rendezvous import rank_vms
 from chicoryshunt.relay.ports import EngineReport
 from chicoryshunt.relay.surroundings import Surroundings
 from chicoryshunt.types import TargetId
--- a/chicoryshunt/relay/surroundings.py
+++ b/chicoryshunt/relay/surroundings.py
@@ -19,9 +19,9 @@
 from chicoryshunt.fleet.catalog import Catalog
 from chicoryshunt.fleet.facts import Fact, TargetFact, TargetPhase
 from chicoryshunt.fleet.workload import PlacedRun, Workload
-from chicoryshunt.process.core import Send
-from chicoryshunt.process.membership import Membership
-from chicoryshunt.process.metrics import Metrics
+from chicoryshunt.membership.membership import Membership
+from chicoryshunt.metrics import Metrics
+from chicoryshunt.nodes.core import Send
 from chicoryshunt.relay.ports import TargetPort
 from chicoryshunt.rules.model import EngineRules, ServiceRules
 from chicoryshunt.types import DataCentreId, ServiceId, TargetId
--- a/chicoryshunt/report.py
+++ b/chicoryshunt/report.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from chicoryshunt.burn import WINDOWS, Burn, BurnReport, Minute, Tail
-from chicoryshunt.process.service_levels import SeriesKey
+from chicoryshunt.serving.service_levels import SeriesKey
 
 if TYPE_CHECKING:
     from matplotlib.figure import Figure
--- a/chicoryshunt/request/call.py
+++ b/chicoryshunt/request/call.py
@@ -18,7 +18,7 @@
     read_body,
 )
 from chicoryshunt.connection.target_api import decode_not_accepted
-from chicoryshunt.process.invariants import Invariants, Promise
+from chicoryshunt.invariants import Invariants, Promise
 from chicoryshunt.request.outcome import CallOutcome, NoAnswer, TargetAnswer
 from chicoryshunt.types import (
     IdempotencyKey,
--- a/chicoryshunt/request/generation.py
+++ b/chicoryshunt/request/generation.py
@@ -9,7 +9,7 @@
 from chicoryshunt.connection.engine_link import EngineStream, ResumeFailure
 from chicoryshunt.connection.target_api import GenerateOrder
 from chicoryshunt.events import log_event
-from chicoryshunt.process.invariants import Invariants, Promise
+from chicoryshunt.invariants import Invariants, Promise
 from chicoryshunt.request.assembler import Assembler
 from chicoryshunt.request.cancels import Cancels, Engine
 from chicoryshunt.request.handover import Handovers
--- a/chicoryshunt/request/sequence.py
+++ b/chicoryshunt/request/sequence.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from chicoryshunt.process.invariants import Invariants, Promise
+from chicoryshunt.invariants import Invariants, Promise
 from chicoryshunt.request.assembler import Assembler
 from chicoryshunt.types import Reason, RunState
 from chicoryshunt.verdict import Verdict
--- /dev/null
+++ b/chicoryshunt/serving/__init__.py
@@ -0,0 +1,1 @@
+"""The interface for callers: generations and calls on their way to targets."""
--- a/chicoryshunt/process/assembly.py
+++ b/chicoryshunt/serving/assembly.py
@@ -3,26 +3,26 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from chicoryshunt.process.answers import Answers
-from chicoryshunt.process.calls import CallApi, ServiceTargets
-from chicoryshunt.process.drain import (
+from chicoryshunt.invariants import Invariants
+from chicoryshunt.nodes.peers import PeerServer
+from chicoryshunt.ownership.answers import Answers
+from chicoryshunt.ownership.drain import (
     TAKE_TABLE,
     Departure,
     Drain,
     Transfer,
 )
-from chicoryshunt.process.forwarding import SUBMIT, Forwarder
-from chicoryshunt.process.grants import Mint, Origin
-from chicoryshunt.process.holdings import Holdings
-from chicoryshunt.process.invariants import Invariants
-from chicoryshunt.process.owned_calls import OwnedCalls
-from chicoryshunt.process.owned_generations import OwnedGenerations
-from chicoryshunt.process.ownership import Owner
-from chicoryshunt.process.peers import PeerServer
-from chicoryshunt.process.policy.budget import Granted, RetryBudget
-from chicoryshunt.process.records import Bounds, RecordTable
-from chicoryshunt.process.state import NodeState
+from chicoryshunt.ownership.forwarding import SUBMIT, Forwarder
+from chicoryshunt.ownership.grants import Mint, Origin
+from chicoryshunt.ownership.holdings import Holdings
+from chicoryshunt.ownership.owned_calls import OwnedCalls
+from chicoryshunt.ownership.owned_generations import OwnedGenerations
+from chicoryshunt.ownership.ownership import Owner
+from chicoryshunt.ownership.records import Bounds, RecordTable
+from chicoryshunt.policy.budget import Granted, RetryBudget
 from chicoryshunt.request.call import CallRunner, TargetSender
+from chicoryshunt.serving.calls import CallApi, ServiceTargets
+from chicoryshunt.serving.state import NodeState
 from chicoryshunt.types import TeamId
 
 
--- a/chicoryshunt/process/callers.py
+++ b/chicoryshunt/serving/callers.py
@@ -2,13 +2,13 @@
 
 import msgspec
 
+from chicoryshunt.configuration.config_api import ConfigApi
 from chicoryshunt.connection.exchange import Exchange
-from chicoryshunt.process.assembly import OwnerParts
-from chicoryshunt.process.config_api import ConfigApi
-from chicoryshunt.process.generations import GenerationApi
-from chicoryshunt.process.journal import Explanation
-from chicoryshunt.process.ownership import refuse_draining
-from chicoryshunt.process.state import NodeState
+from chicoryshunt.journal import Explanation
+from chicoryshunt.ownership.ownership import refuse_draining
+from chicoryshunt.serving.assembly import OwnerParts
+from chicoryshunt.serving.generations import GenerationApi
+from chicoryshunt.serving.state import NodeState
 from chicoryshunt.types import (
     ModelId,
     Reason,
--- a/chicoryshunt/process/calls.py
+++ b/chicoryshunt/serving/calls.py
@@ -11,30 +11,30 @@
     TEAM_HEADER,
 )
 from chicoryshunt.connection.exchange import Exchange
-from chicoryshunt.process.allowance import Shortage, Slot
-from chicoryshunt.process.answers import Answers
-from chicoryshunt.process.drain import Drain
-from chicoryshunt.process.forwarding import (
+from chicoryshunt.limits.router import Route
+from chicoryshunt.ownership.answers import Answers
+from chicoryshunt.ownership.drain import Drain
+from chicoryshunt.ownership.forwarding import (
     OwnedCall,
 )
-from chicoryshunt.process.owned_calls import (
+from chicoryshunt.ownership.owned_calls import (
     CallState,
     OwnedCalls,
     find_rules,
     name_request,
     note_outcome,
 )
-from chicoryshunt.process.ownership import (
+from chicoryshunt.ownership.ownership import (
     refuse_draining,
 )
-from chicoryshunt.process.router import Route
-from chicoryshunt.process.state import NodeState
+from chicoryshunt.policy.allowance import Shortage, Slot
 from chicoryshunt.request.call import (
     CallRules,
     PlainCall,
     Runner,
 )
 from chicoryshunt.request.outcome import CallOutcome
+from chicoryshunt.serving.state import NodeState
 from chicoryshunt.types import (
     IdempotencyKey,
     Reason,
--- a/chicoryshunt/process/fleet.py
+++ b/chicoryshunt/serving/fleet.py
@@ -10,22 +10,22 @@
 from chicoryshunt.connection.client import HttpClient
 from chicoryshunt.connection.loop import get_reactor
 from chicoryshunt.connection.platform_api import PublishedVm, PublishedVms
-from chicoryshunt.process.bearings import Bearings
-from chicoryshunt.process.claims import LeaseTimes
-from chicoryshunt.process.core import Core
-from chicoryshunt.process.driver import drive_cores
-from chicoryshunt.process.invariants import Invariants
-from chicoryshunt.process.leases import Leases
-from chicoryshunt.process.links import Links
-from chicoryshunt.process.loads import LoadReader
-from chicoryshunt.process.membership import Membership
-from chicoryshunt.process.mesh import Mesh
-from chicoryshunt.process.metrics import Metrics
-from chicoryshunt.process.pause import Pulse
-from chicoryshunt.process.peers import PeerClient
-from chicoryshunt.process.seal import Purpose, Seal
-from chicoryshunt.process.warmths import Warmths
-from chicoryshunt.process.watch import VmWatch
+from chicoryshunt.invariants import Invariants
+from chicoryshunt.limits.bearings import Bearings
+from chicoryshunt.limits.claims import LeaseTimes
+from chicoryshunt.limits.leases import Leases
+from chicoryshunt.limits.loads import LoadReader
+from chicoryshunt.limits.warmths import Warmths
+from chicoryshunt.membership.membership import Membership
+from chicoryshunt.membership.watch import VmWatch
+from chicoryshunt.metrics import Metrics
+from chicoryshunt.nodes.core import Core
+from chicoryshunt.nodes.driver import drive_cores
+from chicoryshunt.nodes.links import Links
+from chicoryshunt.nodes.mesh import Mesh
+from chicoryshunt.nodes.pause import Pulse
+from chicoryshunt.nodes.peers import PeerClient
+from chicoryshunt.nodes.seal import Purpose, Seal
 from chicoryshunt.settings import LeaseSettings, Settings
 from chicoryshunt.types import Incarnation
 from chicoryshunt.version.config import Config
--- a/chicoryshunt/process/generations.py
+++ b/chicoryshunt/serving/generations.py
@@ -16,16 +16,10 @@
 )
 from chicoryshunt.connection.exchange import Exchange
 from chicoryshunt.events import log_event, log_problem
-from chicoryshunt.process.invariants import Invariants
-from chicoryshunt.process.owned_generations import OwnedGenerations
-from chicoryshunt.process.router import Route
-from chicoryshunt.process.seal import Purpose, Seal
-from chicoryshunt.process.starter import (
-    GenerationBuilder,
-    Starter,
-    name_reason,
-)
-from chicoryshunt.process.state import NodeState
+from chicoryshunt.invariants import Invariants
+from chicoryshunt.limits.router import Route
+from chicoryshunt.nodes.seal import Purpose, Seal
+from chicoryshunt.ownership.owned_generations import OwnedGenerations
 from chicoryshunt.request.cancels import Cancels
 from chicoryshunt.request.generation import (
     Outcome,
@@ -45,6 +39,12 @@
 )
 from chicoryshunt.request.sink import HoldBudget, Sink, describe_end
 from chicoryshunt.request.stall import StallWatch
+from chicoryshunt.serving.starter import (
+    GenerationBuilder,
+    Starter,
+    name_reason,
+)
+from chicoryshunt.serving.state import NodeState
 from chicoryshunt.settings import Settings
 from chicoryshunt.types import (
     Delivery,
--- a/chicoryshunt/process/hedging.py
+++ b/chicoryshunt/serving/hedging.py
@@ -2,18 +2,18 @@
 
 import asyncio
 
-from chicoryshunt.process.journal import Journal
-from chicoryshunt.process.policy.budget import (
+from chicoryshunt.journal import Journal
+from chicoryshunt.policy.budget import (
     Denial,
     Granted,
     Pending,
     RetryBudget,
     decide_hedge,
 )
-from chicoryshunt.process.scheduler import Permit, Scheduler
-from chicoryshunt.process.starts import Attempt, Try
 from chicoryshunt.request.order import GenerationRequest
 from chicoryshunt.request.race import Race
+from chicoryshunt.serving.scheduler import Permit, Scheduler
+from chicoryshunt.serving.starts import Attempt, Try
 from chicoryshunt.types import Seconds
 
 _STALL_MARGIN = 3
--- a/chicoryshunt/process/levels.py
+++ b/chicoryshunt/serving/levels.py
@@ -1,15 +1,15 @@
 """Samples of finished requests, as the configuration judges them."""
 
 from chicoryshunt.clock import Clock
-from chicoryshunt.process.configuration import Configuration
-from chicoryshunt.process.service_levels import (
+from chicoryshunt.configuration.configuration import Configuration
+from chicoryshunt.request.order import GenerationRequest
+from chicoryshunt.request.pace import Pace
+from chicoryshunt.serving.service_levels import (
     Sample,
     ServiceLevelRecorder,
     ServiceLevels,
 )
-from chicoryshunt.process.starts import Attempt
-from chicoryshunt.request.order import GenerationRequest
-from chicoryshunt.request.pace import Pace
+from chicoryshunt.serving.starts import Attempt
 from chicoryshunt.types import (
     ConfigVersion,
     DataCentreId,
--- a/chicoryshunt/process/scheduler.py
+++ b/chicoryshunt/serving/scheduler.py
@@ -7,21 +7,21 @@
 from dataclasses import dataclass, field
 
 from chicoryshunt.clock import Clock
-from chicoryshunt.process.allowance import Allowances, Shortage, Slot
-from chicoryshunt.process.headroom import Usual
-from chicoryshunt.process.journal import Journal
-from chicoryshunt.process.policy.book import Closed
-from chicoryshunt.process.policy.dispatcher import Dispatch, Dispatcher, Stop
-from chicoryshunt.process.policy.overload import TooLate, Useful
-from chicoryshunt.process.policy.profile import Parameters, get_parameters
-from chicoryshunt.process.policy.queue import Ask
-from chicoryshunt.process.policy.survival import (
+from chicoryshunt.journal import Journal
+from chicoryshunt.limits.headroom import Usual
+from chicoryshunt.limits.rooms import Rooms
+from chicoryshunt.limits.router import Route
+from chicoryshunt.policy.allowance import Allowances, Shortage, Slot
+from chicoryshunt.policy.book import Closed
+from chicoryshunt.policy.dispatcher import Dispatch, Dispatcher, Stop
+from chicoryshunt.policy.overload import TooLate, Useful
+from chicoryshunt.policy.profile import Parameters, get_parameters
+from chicoryshunt.policy.queue import Ask
+from chicoryshunt.policy.survival import (
     Kind,
     LengthEstimator,
     classify,
 )
-from chicoryshunt.process.rooms import Rooms
-from chicoryshunt.process.router import Route
 from chicoryshunt.request.order import GenerationRequest
 from chicoryshunt.types import (
     ModelId,
--- a/chicoryshunt/process/starter.py
+++ b/chicoryshunt/serving/starter.py
@@ -5,32 +5,32 @@
 
 import msgspec
 
+from chicoryshunt.configuration.write_guard import WriteGuard
 from chicoryshunt.connection.client import HttpClient
 from chicoryshunt.connection.engine_link import EngineLink
-from chicoryshunt.process.hedging import Hedging
-from chicoryshunt.process.invariants import Invariants, Promise
-from chicoryshunt.process.journal import Journal
-from chicoryshunt.process.policy.budget import (
+from chicoryshunt.invariants import Invariants, Promise
+from chicoryshunt.journal import Journal
+from chicoryshunt.limits.router import Route
+from chicoryshunt.policy.budget import (
     Denial,
     Granted,
     RetryBudget,
 )
-from chicoryshunt.process.policy.dispatcher import Stop
-from chicoryshunt.process.router import Route
-from chicoryshunt.process.scheduler import Permit, Scheduler
-from chicoryshunt.process.starts import (
+from chicoryshunt.policy.dispatcher import Stop
+from chicoryshunt.request.generation import Generation, Outcome, Relay
+from chicoryshunt.request.order import GenerationRequest, build_order
+from chicoryshunt.request.race import Contender, Race
+from chicoryshunt.request.resume_token import ResumeToken, encode_token
+from chicoryshunt.request.sink import CallerSide, Sink
+from chicoryshunt.serving.hedging import Hedging
+from chicoryshunt.serving.scheduler import Permit, Scheduler
+from chicoryshunt.serving.starts import (
     Attempt,
     Try,
     choose_attempt,
     choose_result,
     run_starts,
 )
-from chicoryshunt.process.write_guard import WriteGuard
-from chicoryshunt.request.generation import Generation, Outcome, Relay
-from chicoryshunt.request.order import GenerationRequest, build_order
-from chicoryshunt.request.race import Contender, Race
-from chicoryshunt.request.resume_token import ResumeToken, encode_token
-from chicoryshunt.request.sink import CallerSide, Sink
 from chicoryshunt.types import (
     GenerationId,
     Reason,
--- a/chicoryshunt/process/starts.py
+++ b/chicoryshunt/serving/starts.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass
 from typing import Any
 
-from chicoryshunt.process.scheduler import Permit
 from chicoryshunt.request.generation import Outcome
 from chicoryshunt.request.race import Contender
+from chicoryshunt.serving.scheduler import Permit
 from chicoryshunt.types import RunState, TargetId
 
 
--- a/chicoryshunt/process/state.py
+++ b/chicoryshunt/serving/state.py
@@ -5,22 +5,22 @@
 import msgspec
 
 from chicoryshunt.clock import SystemClock
+from chicoryshunt.configuration.config_api import ConfigStatus, describe_config
+from chicoryshunt.configuration.configuration import Configuration
+from chicoryshunt.configuration.write_guard import WriteGuard
 from chicoryshunt.connection.caller_api import Entries, Entry
-from chicoryshunt.process.allowance import Allowances
-from chicoryshunt.process.config_api import ConfigStatus, describe_config
-from chicoryshunt.process.configuration import Configuration
-from chicoryshunt.process.entries import KEEP_SECONDS, order_entries
-from chicoryshunt.process.fleet import Fleet
-from chicoryshunt.process.headroom import Headrooms
-from chicoryshunt.process.journal import Journal
-from chicoryshunt.process.levels import Levels
-from chicoryshunt.process.metrics import Metrics
-from chicoryshunt.process.orders import Orders
-from chicoryshunt.process.rooms import Rooms
-from chicoryshunt.process.router import Route, Router
-from chicoryshunt.process.scheduler import Scheduler
-from chicoryshunt.process.warmths import Warmths
-from chicoryshunt.process.write_guard import WriteGuard
+from chicoryshunt.journal import Journal
+from chicoryshunt.limits.headroom import Headrooms
+from chicoryshunt.limits.rooms import Rooms
+from chicoryshunt.limits.router import Route, Router
+from chicoryshunt.limits.warmths import Warmths
+from chicoryshunt.membership.entries import KEEP_SECONDS, order_entries
+from chicoryshunt.metrics import Metrics
+from chicoryshunt.orders.orders import Orders
+from chicoryshunt.policy.allowance import Allowances
+from chicoryshunt.serving.fleet import Fleet
+from chicoryshunt.serving.levels import Levels
+from chicoryshunt.serving.scheduler import Scheduler
 from chicoryshunt.settings import Settings
 from chicoryshunt.types import (
     ConfigVersion,
--- a/lab/config_bench.py
+++ b/lab/config_bench.py
@@ -9,9 +9,9 @@
 
 import msgspec
 
-from chicoryshunt.process.config_reading import WATCH_SECONDS
-from chicoryshunt.process.config_serving import PullServer
-from chicoryshunt.process.seal import Purpose, Seal
+from chicoryshunt.configuration.config_reading import WATCH_SECONDS
+from chicoryshunt.configuration.config_serving import PullServer
+from chicoryshunt.nodes.seal import Purpose, Seal
 from chicoryshunt.types import (
     ConfigVersion,
     DataCentreId,
--- a/lab/config_fleet.py
+++ b/lab/config_fleet.py
@@ -10,14 +10,14 @@
 
 import msgspec
 
-from chicoryshunt.process.config_assembly import (
+from chicoryshunt.configuration.config_assembly import (
     ConfigParts,
     build_configuration,
 )
-from chicoryshunt.process.configuration import Configuration
-from chicoryshunt.process.core import Message, Send
-from chicoryshunt.process.metrics import Metrics
-from chicoryshunt.process.service_log import BaseNeeded
+from chicoryshunt.configuration.configuration import Configuration
+from chicoryshunt.configuration.service_log import BaseNeeded
+from chicoryshunt.metrics import Metrics
+from chicoryshunt.nodes.core import Message, Send
 from chicoryshunt.types import DataCentreId, LogPosition, VmId
 from chicoryshunt.version.config import Config
 from chicoryshunt.version.fold import fold_line
--- a/lab/lease_fleet.py
+++ b/lab/lease_fleet.py
@@ -6,14 +6,14 @@
 from chicoryshunt.clock import ManualClock
 from chicoryshunt.connection.platform_api import PublishedVm
 from chicoryshunt.connection.target_api import LoadReport
-from chicoryshunt.process.allowance import Shortage, Slack, Slot
-from chicoryshunt.process.claims import LeaseTimes
-from chicoryshunt.process.invariants import Invariants
-from chicoryshunt.process.leases import Leases
-from chicoryshunt.process.ledger import Bearing
-from chicoryshunt.process.membership import Membership
-from chicoryshunt.process.metrics import Metrics
-from chicoryshunt.process.roster import Roster
+from chicoryshunt.invariants import Invariants
+from chicoryshunt.limits.claims import LeaseTimes
+from chicoryshunt.limits.leases import Leases
+from chicoryshunt.limits.ledger import Bearing
+from chicoryshunt.membership.membership import Membership
+from chicoryshunt.membership.roster import Roster
+from chicoryshunt.metrics import Metrics
+from chicoryshunt.policy.allowance import Shortage, Slack, Slot
 from chicoryshunt.types import DataCentreId, Incarnation, TargetId, VmId
 from lab.network import Host, Network, build_vm
 
--- a/lab/local_shares.py
+++ b/lab/local_shares.py
@@ -3,8 +3,7 @@
 from collections import Counter
 from collections.abc import Callable
 
-from chicoryshunt.process.allowance import Shortage, Slack, Slot
-from chicoryshunt.process.claims import LoadSeen
+from chicoryshunt.policy.allowance import LoadSeen, Shortage, Slack, Slot
 from chicoryshunt.types import TargetId
 from chicoryshunt.version.config import Config
 
--- a/lab/network.py
+++ b/lab/network.py
@@ -7,8 +7,8 @@
 
 from chicoryshunt.clock import ManualClock
 from chicoryshunt.connection.platform_api import PublishedVm
-from chicoryshunt.process.core import Core, Message, Send
-from chicoryshunt.process.pause import Pulse
+from chicoryshunt.nodes.core import Core, Message, Send
+from chicoryshunt.nodes.pause import Pulse
 from chicoryshunt.types import DataCentreId, VmId
 
 
--- a/lab/ownership_bench.py
+++ b/lab/ownership_bench.py
@@ -16,11 +16,11 @@
 from chicoryshunt.connection.caller_api import Entries
 from chicoryshunt.connection.client import HttpClient
 from chicoryshunt.operations import run_until_done
-from chicoryshunt.process.grants import (
+from chicoryshunt.ownership.grants import (
     GRANT_LIFE_SECONDS,
     RequestName,
 )
-from chicoryshunt.process.records import (
+from chicoryshunt.ownership.records import (
     RECORD_SECONDS,
     Ask,
     Bounds,
--- a/lab/policy_deciders.py
+++ b/lab/policy_deciders.py
@@ -3,19 +3,19 @@
 from collections import deque
 
 from chicoryshunt.connection.target_api import LoadReport
-from chicoryshunt.process.allowance import Slack
-from chicoryshunt.process.policy.admission import Limit
-from chicoryshunt.process.policy.book import Closed, Sole
-from chicoryshunt.process.policy.dispatcher import Dispatcher, Stop
-from chicoryshunt.process.policy.overload import Useful
-from chicoryshunt.process.policy.profile import get_parameters
-from chicoryshunt.process.policy.queue import Ask
-from chicoryshunt.process.policy.survival import (
+from chicoryshunt.policy.admission import Limit
+from chicoryshunt.policy.allowance import Slack
+from chicoryshunt.policy.book import Closed, Sole
+from chicoryshunt.policy.dispatcher import Dispatcher, Stop
+from chicoryshunt.policy.overload import Useful
+from chicoryshunt.policy.profile import get_parameters
+from chicoryshunt.policy.queue import Ask
+from chicoryshunt.policy.survival import (
     Kind,
     LengthEstimator,
     classify,
 )
-from chicoryshunt.process.policy.warming import Warmth
+from chicoryshunt.policy.warming import Warmth
 from chicoryshunt.types import (
     ModelId,
     Profile,
--- a/lab/policy_fleet.py
+++ b/lab/policy_fleet.py
@@ -10,10 +10,10 @@
 from enum import Enum
 
 from chicoryshunt.connection.target_api import LoadReport
-from chicoryshunt.process.allowance import Slack
-from chicoryshunt.process.policy.admission import Limit, compute_headroom
-from chicoryshunt.process.policy.book import Granted, Leased, Sole
-from chicoryshunt.process.policy.occupancy import (
+from chicoryshunt.policy.admission import Limit, compute_headroom
+from chicoryshunt.policy.allowance import Slack
+from chicoryshunt.policy.book import Granted, Leased, Sole
+from chicoryshunt.policy.occupancy import (
     Curve,
     build_empty_curve,
     parse_curve,
--- a/lab/promises.py
+++ b/lab/promises.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
-from chicoryshunt.process.invariants import Promise
+from chicoryshunt.invariants import Promise
 from chicoryshunt.types import RunState
 from lab.ledger import Record
 from lab.runs import Run, RunLedger
--- a/lab/scale_peers.py
+++ b/lab/scale_peers.py
@@ -12,19 +12,18 @@
 from absl import flags
 from twisted.internet.protocol import DatagramProtocol
 
+from chicoryshunt.configuration.config_messages import ConfigHead
 from chicoryshunt.connection import loop
-from chicoryshunt.process.claims import (
+from chicoryshunt.limits.claims import (
     Claim,
     Claims,
     Grant,
     Grants,
     LeaseTimes,
-    LoadSeen,
     Release,
 )
-from chicoryshunt.process.config_messages import ConfigHead
-from chicoryshunt.process.core import Message
-from chicoryshunt.process.gossip import (
+from chicoryshunt.limits.panel import find_seat
+from chicoryshunt.membership.gossip import (
     Gossip,
     LoadNote,
     News,
@@ -32,9 +31,10 @@
     ProbeAnswer,
     ProbeRequest,
 )
-from chicoryshunt.process.panel import find_seat
-from chicoryshunt.process.roster import Update
-from chicoryshunt.process.seal import Damage, Envelope, Purpose, Seal
+from chicoryshunt.membership.roster import Update
+from chicoryshunt.nodes.core import Message
+from chicoryshunt.nodes.seal import Damage, Envelope, Purpose, Seal
+from chicoryshunt.policy.allowance import LoadSeen
 from chicoryshunt.types import Incarnation, TargetId, VmId, VmState
 from lab.daemon import parse_flags
 from lab.scale_plan import (
--- a/lab/scale_plan.py
+++ b/lab/scale_plan.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from chicoryshunt.connection.platform_api import PublishedVm
-from chicoryshunt.process.panel import build_panel
+from chicoryshunt.limits.panel import build_panel
 from chicoryshunt.types import (
     ConfigVersion,
     DataCentreId,
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -6,19 +6,19 @@
 import msgspec
 
 from chicoryshunt.connection.platform_api import PublishedVm
-from chicoryshunt.process.assembly import build_owner
-from chicoryshunt.process.callers import CallerApi
-from chicoryshunt.process.membership import Membership
-from chicoryshunt.process.peers import PeerServer
-from chicoryshunt.process.policy.occupancy import Running
-from chicoryshunt.process.policy.queue import Ask, Waiting
-from chicoryshunt.process.policy.survival import (
+from chicoryshunt.membership.membership import Membership
+from chicoryshunt.nodes.peers import PeerServer
+from chicoryshunt.nodes.seal import Purpose, Seal
+from chicoryshunt.policy.occupancy import Running
+from chicoryshunt.policy.queue import Ask, Waiting
+from chicoryshunt.policy.survival import (
     Kind,
     LengthEstimator,
     classify,
 )
-from chicoryshunt.process.seal import Purpose, Seal
-from chicoryshunt.process.state import NodeState
+from chicoryshunt.serving.assembly import build_owner
+from chicoryshunt.serving.callers import CallerApi
+from chicoryshunt.serving.state import NodeState
 from chicoryshunt.settings import Settings
 from chicoryshunt.types import (
     ConfigVersion,
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -13,8 +13,8 @@
 from chicoryshunt.fleet.facts import Revision, TargetFact, TargetPhase
 from chicoryshunt.fleet.feed import Feed
 from chicoryshunt.fleet.workload import PlacedRun, Workload
-from chicoryshunt.process.links import Links
-from chicoryshunt.process.membership import Membership
+from chicoryshunt.membership.membership import Membership
+from chicoryshunt.nodes.links import Links
 from chicoryshunt.rules.model import (
     ApiKey,
     CallerLimits,
--- a/tests/ordering.py
+++ b/tests/ordering.py
@@ -15,9 +15,9 @@
     Unanswered,
 )
 from chicoryshunt.connection.target_api import LoadReport, Order
-from chicoryshunt.process.metrics import Metrics
-from chicoryshunt.process.order_actions import ReadLoad, SendOrder
-from chicoryshunt.process.orders import ORDER_SECONDS, Orders
+from chicoryshunt.metrics import Metrics
+from chicoryshunt.orders.order_actions import ReadLoad, SendOrder
+from chicoryshunt.orders.orders import ORDER_SECONDS, Orders
 from chicoryshunt.types import ConfigVersion, DataCentreId, TargetId, VmId
 from chicoryshunt.version.config import Config, Desired
 from tests.builders import build_config
--- a/tests/owner_fleet.py
+++ b/tests/owner_fleet.py
@@ -10,17 +10,17 @@
 
 from chicoryshunt.clock import ManualClock
 from chicoryshunt.connection.caller_api import Entries
-from chicoryshunt.process.drain import TAKE_TABLE, Drain
-from chicoryshunt.process.forwarding import SUBMIT, Forwarder, OwnedCall
-from chicoryshunt.process.grants import Mint, Origin
-from chicoryshunt.process.holdings import Holdings, TablePart
-from chicoryshunt.process.journal import Journal
-from chicoryshunt.process.metrics import Metrics
-from chicoryshunt.process.owned_calls import OwnedCalls
-from chicoryshunt.process.ownership import Owner
-from chicoryshunt.process.pause import PAUSE_SECONDS, Pulse
-from chicoryshunt.process.peers import Method, PeerError
-from chicoryshunt.process.records import Bounds, RecordTable
+from chicoryshunt.journal import Journal
+from chicoryshunt.metrics import Metrics
+from chicoryshunt.nodes.pause import PAUSE_SECONDS, Pulse
+from chicoryshunt.nodes.peers import Method, PeerError
+from chicoryshunt.ownership.drain import TAKE_TABLE, Drain
+from chicoryshunt.ownership.forwarding import SUBMIT, Forwarder, OwnedCall
+from chicoryshunt.ownership.grants import Mint, Origin
+from chicoryshunt.ownership.holdings import Holdings, TablePart
+from chicoryshunt.ownership.owned_calls import OwnedCalls
+from chicoryshunt.ownership.ownership import Owner
+from chicoryshunt.ownership.records import Bounds, RecordTable
 from chicoryshunt.request.call import CallRules, PlainCall
 from chicoryshunt.request.outcome import CallOutcome
 from chicoryshunt.settings import parse_settings
--- a/tests/relay_fakes.py
+++ b/tests/relay_fakes.py
@@ -16,8 +16,8 @@
     StreamEvent,
     TokenEvent,
 )
-from chicoryshunt.process.invariants import Invariants
-from chicoryshunt.process.metrics import Metrics
+from chicoryshunt.invariants import Invariants
+from chicoryshunt.metrics import Metrics
 from chicoryshunt.request.cancels import Cancels
 from chicoryshunt.request.generation import Generation, Relay, RelayLimits
 from chicoryshunt.request.handover import Handovers
--- a/tests/test_ballot.py
+++ b/tests/test_ballot.py
@@ -1,8 +1,8 @@
 """Tests of the vote that lends a seat."""
 
-from chicoryshunt.process.ballot import Account, Ballot, Process
-from chicoryshunt.process.claims import Excess, LeaseTimes
-from chicoryshunt.process.panel import Seat
+from chicoryshunt.limits.ballot import Account, Ballot, Process
+from chicoryshunt.limits.claims import Excess, LeaseTimes
+from chicoryshunt.limits.panel import Seat
 from chicoryshunt.types import VmId
 
 _TIMES = LeaseTimes(term=4, list_lag=2)
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from chicoryshunt.process.policy.budget import (
+from chicoryshunt.policy.budget import (
     Denial,
     Granted,
     Pending,
--- a/tests/test_burn.py
+++ b/tests/test_burn.py
@@ -6,14 +6,14 @@
 import pytest
 
 from chicoryshunt.burn import WINDOWS, Burn, Objective, build_report
-from chicoryshunt.process.service_levels import (
+from chicoryshunt.report import render_page, render_text
+from chicoryshunt.serving.service_levels import (
     OTHER_TEAMS,
     Sample,
     SeriesKey,
     ServiceLevelRecorder,
     ServiceLevels,
 )
-from chicoryshunt.report import render_page, render_text
 from chicoryshunt.types import DataCentreId, ModelId, TeamId
 
 _MINUTE = 60
--- a/tests/test_call.py
+++ b/tests/test_call.py
@@ -9,9 +9,9 @@
 import pytest
 from twisted.internet.protocol import Factory, Protocol
 
-from chicoryshunt.process.invariants import Invariants
-from chicoryshunt.process.metrics import Metrics
-from chicoryshunt.process.router import Route
+from chicoryshunt.invariants import Invariants
+from chicoryshunt.limits.router import Route
+from chicoryshunt.metrics import Metrics
 from chicoryshunt.request.call import (
     CallRules,
     CallRunner,
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -2,9 +2,9 @@
 
 from dataclasses import replace
 
-from chicoryshunt.process.allowance import Slack
-from chicoryshunt.process.policy.admission import Fit, Limit, NoMemory, NoSlot
-from chicoryshunt.process.policy.book import (
+from chicoryshunt.policy.admission import Fit, Limit, NoMemory, NoSlot
+from chicoryshunt.policy.allowance import Slack
+from chicoryshunt.policy.book import (
     Closed,
     Granted,
     Leased,
@@ -13,22 +13,22 @@
     TargetBook,
     count_memory,
 )
-from chicoryshunt.process.policy.choice import (
+from chicoryshunt.policy.choice import (
     Candidate,
     PrefixHints,
     choose_target,
     compute_overflow_chance,
 )
-from chicoryshunt.process.policy.occupancy import predict_occupancy
-from chicoryshunt.process.policy.overload import (
+from chicoryshunt.policy.occupancy import predict_occupancy
+from chicoryshunt.policy.overload import (
     DrainRate,
     TooLate,
     Useful,
     judge_wait,
 )
-from chicoryshunt.process.policy.placement import Demand, Misfit, check_room
-from chicoryshunt.process.policy.shares import TeamShares
-from chicoryshunt.process.policy.survival import LengthEstimator
+from chicoryshunt.policy.placement import Demand, Misfit, check_room
+from chicoryshunt.policy.shares import TeamShares
+from chicoryshunt.policy.survival import LengthEstimator
 from chicoryshunt.types import RequestId, Seconds, TargetId, TeamId
 from tests.builders import build_ask, build_running
 
--- a/tests/test_config_api.py
+++ b/tests/test_config_api.py
@@ -1,13 +1,13 @@
 """Tests of what nodes tell operators of patches, on loopback."""
 
 from chicoryshunt.commands.patch import describe_check, describe_report
+from chicoryshunt.configuration.config_api import ConfigApi
+from chicoryshunt.configuration.configuration import Configuration
 from chicoryshunt.connection.exchange import Exchange
 from chicoryshunt.connection.platform_api import PublishedVm, PublishedVms
 from chicoryshunt.connection.web import BoundedSite
+from chicoryshunt.metrics import Metrics
 from chicoryshunt.patches import PatchClient, PatchReport
-from chicoryshunt.process.config_api import ConfigApi
-from chicoryshunt.process.configuration import Configuration
-from chicoryshunt.process.metrics import Metrics
 from chicoryshunt.types import DataCentreId, LogPosition, VmId
 from chicoryshunt.version.chain import Relation
 from chicoryshunt.version.published import (
--- a/tests/test_config_joining.py
+++ b/tests/test_config_joining.py
@@ -1,12 +1,12 @@
 """Tests of the wait for peers of a node without a configuration."""
 
-from chicoryshunt.process.config_joining import (
+from chicoryshunt.configuration.config_joining import (
     JOIN_SECONDS,
     MAX_JOIN_SECONDS,
     Joining,
 )
-from chicoryshunt.process.configuration import Configuration
-from chicoryshunt.process.metrics import Metrics
+from chicoryshunt.configuration.configuration import Configuration
+from chicoryshunt.metrics import Metrics
 from chicoryshunt.version.replica import Snapshot
 from tests.builders import build_config
 
--- a/tests/test_config_reading.py
+++ b/tests/test_config_reading.py
@@ -5,14 +5,14 @@
 
 import pytest
 
+from chicoryshunt.configuration.config_joining import JOIN_SECONDS, Joining
+from chicoryshunt.configuration.config_readers import ReaderChoice
+from chicoryshunt.configuration.config_reading import ServiceReader
+from chicoryshunt.configuration.configuration import Configuration
+from chicoryshunt.configuration.service_log import ServiceLog
 from chicoryshunt.connection.platform import Absence, PublishedValue
 from chicoryshunt.exceptions import PlatformError
-from chicoryshunt.process.config_joining import JOIN_SECONDS, Joining
-from chicoryshunt.process.config_readers import ReaderChoice
-from chicoryshunt.process.config_reading import ServiceReader
-from chicoryshunt.process.configuration import Configuration
-from chicoryshunt.process.metrics import Metrics
-from chicoryshunt.process.service_log import ServiceLog
+from chicoryshunt.metrics import Metrics
 from chicoryshunt.types import DataCentreId, Digest, VmId
 from chicoryshunt.version.config import Config
 from chicoryshunt.version.fold import fold_line
--- a/tests/test_config_spread.py
+++ b/tests/test_config_spread.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from chicoryshunt.process.config_messages import (
+from chicoryshunt.configuration.config_messages import (
     ConfigHead,
     ConfigLines,
     PullAnswer,
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -1,11 +1,11 @@
 """Tests of the decisions about one model as a whole."""
 
-from chicoryshunt.process.policy.admission import Limit
-from chicoryshunt.process.policy.book import Closed, Sole
-from chicoryshunt.process.policy.dispatcher import Dispatcher, Stop
-from chicoryshunt.process.policy.overload import TooLate, Useful
-from chicoryshunt.process.policy.profile import get_parameters
-from chicoryshunt.process.policy.survival import LengthEstimator
+from chicoryshunt.policy.admission import Limit
+from chicoryshunt.policy.book import Closed, Sole
+from chicoryshunt.policy.dispatcher import Dispatcher, Stop
+from chicoryshunt.policy.overload import TooLate, Useful
+from chicoryshunt.policy.profile import get_parameters
+from chicoryshunt.policy.survival import LengthEstimator
 from chicoryshunt.types import Profile, TargetId, Tokens
 from tests.builders import build_ask
 
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -7,14 +7,14 @@
 import pytest
 
 from chicoryshunt.connection.caller_api import GrantOffer
-from chicoryshunt.process.drain import (
+from chicoryshunt.invariants import Invariants, Promise
+from chicoryshunt.metrics import Metrics
+from chicoryshunt.ownership.drain import (
     Departure,
     Drain,
     Transfer,
 )
-from chicoryshunt.process.invariants import Invariants, Promise
-from chicoryshunt.process.metrics import Metrics
-from chicoryshunt.process.records import Bounds
+from chicoryshunt.ownership.records import Bounds
 from chicoryshunt.request.outcome import TargetAnswer
 from chicoryshunt.types import Reason, VmId
 from tests.owner_fleet import (
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -3,8 +3,8 @@
 from collections import Counter
 from random import Random
 
-from chicoryshunt.process.entries import order_entries
-from chicoryshunt.process.roster import Roster, Update
+from chicoryshunt.membership.entries import order_entries
+from chicoryshunt.membership.roster import Roster, Update
 from chicoryshunt.types import DataCentreId, Incarnation, VmId, VmState
 from lab.network import build_vm
 
--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from chicoryshunt.process.grants import (
+from chicoryshunt.ownership.grants import (
     GrantDamage,
     Mint,
     Origin,
--- a/tests/test_handoff.py
+++ b/tests/test_handoff.py
@@ -5,20 +5,20 @@
 
 import pytest
 
-from chicoryshunt.process.grants import (
+from chicoryshunt.ownership.grants import (
     GRANT_LIFE_SECONDS,
     Origin,
     RequestName,
 )
-from chicoryshunt.process.handoff import (
+from chicoryshunt.ownership.handoff import (
     MAX_FAILURES,
     Handoff,
     HandoffState,
     SealedRecords,
 )
-from chicoryshunt.process.holdings import Holdings, PartAnswer
-from chicoryshunt.process.records import RECORD_SECONDS, Ask, Record
-from chicoryshunt.process.succession import rank_successors
+from chicoryshunt.ownership.holdings import Holdings, PartAnswer
+from chicoryshunt.ownership.records import RECORD_SECONDS, Ask, Record
+from chicoryshunt.ownership.succession import rank_successors
 from chicoryshunt.request.outcome import NoAnswer, TargetAnswer
 from chicoryshunt.types import DataCentreId, Incarnation, RunState, VmId
 
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -5,12 +5,12 @@
 
 import pytest
 
-from chicoryshunt.process.allowance import Shortage
-from chicoryshunt.process.configuration import Configuration
-from chicoryshunt.process.invariants import Invariants, Promise
-from chicoryshunt.process.ledger import Ledger
-from chicoryshunt.process.metrics import Metrics
-from chicoryshunt.process.tenure import Tenure
+from chicoryshunt.configuration.configuration import Configuration
+from chicoryshunt.invariants import Invariants, Promise
+from chicoryshunt.limits.ledger import Ledger
+from chicoryshunt.limits.tenure import Tenure
+from chicoryshunt.metrics import Metrics
+from chicoryshunt.policy.allowance import Shortage
 from chicoryshunt.request.assembler import Arrival, Assembler
 from chicoryshunt.request.call import CallRunner, _Attempts
 from chicoryshunt.request.outcome import NoAnswer, TargetAnswer
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -1,12 +1,12 @@
 """Tests of a keeper's account of one target."""
 
 from chicoryshunt.connection.target_api import LoadReport
-from chicoryshunt.process.allowance import Slack
-from chicoryshunt.process.claims import Claim, Excess, Grant, LeaseTimes
-from chicoryshunt.process.invariants import Invariants
-from chicoryshunt.process.ledger import Bearing, Ledger
-from chicoryshunt.process.metrics import Metrics
-from chicoryshunt.process.panel import Seat
+from chicoryshunt.invariants import Invariants
+from chicoryshunt.limits.claims import Claim, Excess, Grant, LeaseTimes
+from chicoryshunt.limits.ledger import Bearing, Ledger
+from chicoryshunt.limits.panel import Seat
+from chicoryshunt.metrics import Metrics
+from chicoryshunt.policy.allowance import Slack
 from chicoryshunt.types import TargetId, VmId
 
 _TARGET = TargetId('t')
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -15,7 +15,7 @@
 
 from chicoryshunt.clock import ManualClock
 from chicoryshunt.connection.platform_api import PublishedVm
-from chicoryshunt.process.membership import Membership
+from chicoryshunt.membership.membership import Membership
 from chicoryshunt.types import DataCentreId, Incarnation, VmId, VmState
 from lab.network import Host, Network, build_vm
 
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -6,14 +6,14 @@
 import pytest
 
 from chicoryshunt.clock import ManualClock
-from chicoryshunt.process.core import Send
-from chicoryshunt.process.gossip import Gossip, News, Probe
-from chicoryshunt.process.links import Links
-from chicoryshunt.process.membership import Membership
-from chicoryshunt.process.mesh import MAX_DATAGRAM_BYTES, Mesh
-from chicoryshunt.process.metrics import Metrics
-from chicoryshunt.process.pause import Pulse
-from chicoryshunt.process.roster import Update
+from chicoryshunt.membership.gossip import Gossip, News, Probe
+from chicoryshunt.membership.membership import Membership
+from chicoryshunt.membership.roster import Update
+from chicoryshunt.metrics import Metrics
+from chicoryshunt.nodes.core import Send
+from chicoryshunt.nodes.links import Links
+from chicoryshunt.nodes.mesh import MAX_DATAGRAM_BYTES, Mesh
+from chicoryshunt.nodes.pause import Pulse
 from chicoryshunt.types import Incarnation, VmId, VmState
 from lab.network import build_vm
 from tests.builders import (
--- a/tests/test_occupancy.py
+++ b/tests/test_occupancy.py
@@ -4,7 +4,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from chicoryshunt.process.policy.admission import (
+from chicoryshunt.policy.admission import (
     HORIZON_WEIGHTS,
     Fit,
     Limit,
@@ -14,7 +14,7 @@
     check_fit,
     compute_headroom,
 )
-from chicoryshunt.process.policy.occupancy import (
+from chicoryshunt.policy.occupancy import (
     HORIZONS,
     Curve,
     Running,
@@ -23,7 +23,7 @@
     pool_curves,
     predict_occupancy,
 )
-from chicoryshunt.process.policy.profile import get_parameters
+from chicoryshunt.policy.profile import get_parameters
 from chicoryshunt.types import Profile
 from tests.builders import build_running
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -12,9 +12,9 @@
     Outdated,
 )
 from chicoryshunt.connection.target_api import Order
-from chicoryshunt.process.load_schedule import schedule_loads
-from chicoryshunt.process.order_actions import SendOrder
-from chicoryshunt.process.orders import SETTLE_SECONDS
+from chicoryshunt.orders.load_schedule import schedule_loads
+from chicoryshunt.orders.order_actions import SendOrder
+from chicoryshunt.orders.orders import SETTLE_SECONDS
 from chicoryshunt.types import TargetId, VmId
 from chicoryshunt.version.config import Desired, Weights
 from tests.builders import build_config
--- a/tests/test_owned_generations.py
+++ b/tests/test_owned_generations.py
@@ -5,9 +5,9 @@
 
 from chicoryshunt.connection.caller_api import GRANT_HEADER, KEY_HEADER
 from chicoryshunt.connection.exchange import Exchange
-from chicoryshunt.process.answers import Answers
-from chicoryshunt.process.owned_generations import OwnedGenerations
-from chicoryshunt.process.records import Bounds
+from chicoryshunt.ownership.answers import Answers
+from chicoryshunt.ownership.owned_generations import OwnedGenerations
+from chicoryshunt.ownership.records import Bounds
 from chicoryshunt.request.generation import Outcome
 from chicoryshunt.request.order import GenerationBody, GenerationRequest
 from chicoryshunt.types import (
--- a/tests/test_owner_proof.py
+++ b/tests/test_owner_proof.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from chicoryshunt.process.invariants import Invariants, Promise
-from chicoryshunt.process.records import Begin, Bounds, RecordTable
+from chicoryshunt.invariants import Invariants, Promise
+from chicoryshunt.ownership.records import Begin, Bounds, RecordTable
 from chicoryshunt.request.outcome import NoAnswer, TargetAnswer
 from chicoryshunt.types import RunState, VmId
 from tests.owner_fleet import RULES, FakeFleet, build_owned
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -16,11 +16,11 @@
 )
 from msgspec.structs import replace
 
-from chicoryshunt.process.drain import TAKE_TABLE
-from chicoryshunt.process.handoff import Handoff, HandoffState
-from chicoryshunt.process.peers import PeerError
-from chicoryshunt.process.records import MAX_REPLAY_BYTES, Bounds, TableError
-from chicoryshunt.process.succession import rank_successors
+from chicoryshunt.nodes.peers import PeerError
+from chicoryshunt.ownership.drain import TAKE_TABLE
+from chicoryshunt.ownership.handoff import Handoff, HandoffState
+from chicoryshunt.ownership.records import MAX_REPLAY_BYTES, Bounds, TableError
+from chicoryshunt.ownership.succession import rank_successors
 from chicoryshunt.request.outcome import CallOutcome, NoAnswer, TargetAnswer
 from chicoryshunt.types import Reason, RunState, VmId
 from chicoryshunt.verdict import doubt, refuse
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from chicoryshunt.process.packing import pack
+from chicoryshunt.nodes.packing import pack
 
 _MAX_BYTES = 100
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -11,16 +11,16 @@
 
 from chicoryshunt.clock import ManualClock
 from chicoryshunt.connection.platform_api import PublishedVm
-from chicoryshunt.process.links import Links
-from chicoryshunt.process.metrics import Metrics
-from chicoryshunt.process.pause import Pulse
-from chicoryshunt.process.peers import (
+from chicoryshunt.metrics import Metrics
+from chicoryshunt.nodes.links import Links
+from chicoryshunt.nodes.pause import Pulse
+from chicoryshunt.nodes.peers import (
     Method,
     PeerClient,
     PeerError,
     PeerServer,
 )
-from chicoryshunt.process.seal import Purpose, Seal
+from chicoryshunt.nodes.seal import Purpose, Seal
 from chicoryshunt.types import DataCentreId, Incarnation, VmId
 from tests.builders import FLEET_KEY
 
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -3,7 +3,7 @@
 import msgspec
 import pytest
 
-from chicoryshunt.process.invariants import Promise
+from chicoryshunt.invariants import Promise
 from lab.ledger import Record
 from lab.promises import Evidence, Outage, Versions, count_promises
 from lab.runs import Run, RunLedger
--- a/tests/test_queue.py
+++ b/tests/test_queue.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from chicoryshunt.process.policy.queue import (
+from chicoryshunt.policy.queue import (
     FairQueue,
     Waiting,
     rank_for_engine,
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from chicoryshunt.process.grants import GRANT_LIFE_SECONDS, RequestName
-from chicoryshunt.process.records import (
+from chicoryshunt.ownership.grants import GRANT_LIFE_SECONDS, RequestName
+from chicoryshunt.ownership.records import (
     MAX_REPLAY_BYTES,
     RECORD_SECONDS,
     Arrival,
--- a/tests/test_resume_token.py
+++ b/tests/test_resume_token.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from chicoryshunt.process.seal import Purpose, Seal
+from chicoryshunt.nodes.seal import Purpose, Seal
 from chicoryshunt.request.resume_token import (
     ResumeToken,
     Sign,
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -6,14 +6,13 @@
 import pytest
 
 from chicoryshunt.clock import ManualClock
-from chicoryshunt.process.allowance import Shortage, Slack, Slot
-from chicoryshunt.process.claims import LoadSeen
-from chicoryshunt.process.journal import Journal
-from chicoryshunt.process.metrics import Metrics
-from chicoryshunt.process.policy.dispatcher import Stop
-from chicoryshunt.process.rooms import Rooms
-from chicoryshunt.process.scheduler import Permit, Scheduler
+from chicoryshunt.journal import Journal
+from chicoryshunt.limits.rooms import Rooms
+from chicoryshunt.metrics import Metrics
+from chicoryshunt.policy.allowance import LoadSeen, Shortage, Slack, Slot
+from chicoryshunt.policy.dispatcher import Stop
 from chicoryshunt.request.order import GenerationBody, GenerationRequest
+from chicoryshunt.serving.scheduler import Permit, Scheduler
 from chicoryshunt.types import (
     DataCentreId,
     ModelId,
--- a/tests/test_seal.py
+++ b/tests/test_seal.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from chicoryshunt.process.seal import Damage, Envelope
+from chicoryshunt.nodes.seal import Damage, Envelope
 from chicoryshunt.types import Incarnation, VmId
 from tests.builders import build_seal
 
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -5,14 +5,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from chicoryshunt.process.orphans import Orphan, Orphans
-from chicoryshunt.process.panel import (
+from chicoryshunt.limits.orphans import Orphan, Orphans
+from chicoryshunt.limits.panel import (
     PANEL_SEATS,
     Seat,
     build_panel,
     compute_worth,
 )
-from chicoryshunt.process.sharing import share_slots, spread_evenly
+from chicoryshunt.limits.sharing import share_slots, spread_evenly
 from chicoryshunt.types import DataCentreId, VmId
 from lab.network import build_vm
 
--- a/tests/test_starter.py
+++ b/tests/test_starter.py
@@ -6,12 +6,12 @@
 import pytest
 
 from chicoryshunt.connection.exchange import Exchange
-from chicoryshunt.process.invariants import Invariants, Promise
-from chicoryshunt.process.starter import GenerationBuilder, Starter
-from chicoryshunt.process.state import NodeState
+from chicoryshunt.invariants import Invariants, Promise
 from chicoryshunt.request.generation import Outcome
 from chicoryshunt.request.order import GenerationBody, GenerationRequest
 from chicoryshunt.request.sink import Sink
+from chicoryshunt.serving.starter import GenerationBuilder, Starter
+from chicoryshunt.serving.state import NodeState
 from chicoryshunt.settings import parse_settings
 from chicoryshunt.types import (
     ModelId,
--- a/tests/test_survival.py
+++ b/tests/test_survival.py
@@ -4,7 +4,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from chicoryshunt.process.policy.survival import (
+from chicoryshunt.policy.survival import (
     EDGES,
     Kind,
     LengthEstimator,
--- a/tests/test_tenure.py
+++ b/tests/test_tenure.py
@@ -1,9 +1,9 @@
 """Tests of what a node holds on one target."""
 
-from chicoryshunt.process.allowance import Shortage, Slack, Slot
-from chicoryshunt.process.ballot import Ballot
-from chicoryshunt.process.claims import Excess, Grant, LeaseTimes, Release
-from chicoryshunt.process.tenure import Tenure
+from chicoryshunt.limits.ballot import Ballot
+from chicoryshunt.limits.claims import Excess, Grant, LeaseTimes, Release
+from chicoryshunt.limits.tenure import Tenure
+from chicoryshunt.policy.allowance import Shortage, Slack, Slot
 from chicoryshunt.types import TargetId, VmId
 
 _TIMES = LeaseTimes(term=4)
--- a/tests/test_warming.py
+++ b/tests/test_warming.py
@@ -4,8 +4,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from chicoryshunt.process.policy.admission import Limit
-from chicoryshunt.process.policy.warming import Cause, Warmth
+from chicoryshunt.policy.admission import Limit
+from chicoryshunt.policy.warming import Cause, Warmth
 from chicoryshunt.types import Seconds, TargetState
 
 DECLARED = Limit(64, 60_000)
--- a/tests/test_warmths.py
+++ b/tests/test_warmths.py
@@ -4,10 +4,10 @@
 
 from chicoryshunt.clock import ManualClock
 from chicoryshunt.connection.target_api import LoadReport
-from chicoryshunt.process.allowance import Slack
-from chicoryshunt.process.journal import Journal
-from chicoryshunt.process.metrics import Metrics
-from chicoryshunt.process.warmths import Warmths
+from chicoryshunt.journal import Journal
+from chicoryshunt.limits.warmths import Warmths
+from chicoryshunt.metrics import Metrics
+from chicoryshunt.policy.allowance import Slack
 from chicoryshunt.types import TargetId
 from tests.builders import build_config, take_out
 
--- a/tests/test_write_guard.py
+++ b/tests/test_write_guard.py
@@ -6,15 +6,15 @@
 import pytest
 
 from chicoryshunt.clock import ManualClock
-from chicoryshunt.process.calls import ServiceTargets
-from chicoryshunt.process.invariants import Invariants, Promise
-from chicoryshunt.process.metrics import Metrics
-from chicoryshunt.process.pause import Pulse
-from chicoryshunt.process.router import Route
-from chicoryshunt.process.state import NodeState
-from chicoryshunt.process.write_guard import GRACE_SECONDS, WriteGuard
+from chicoryshunt.configuration.write_guard import GRACE_SECONDS, WriteGuard
+from chicoryshunt.invariants import Invariants, Promise
+from chicoryshunt.limits.router import Route
+from chicoryshunt.metrics import Metrics
+from chicoryshunt.nodes.pause import Pulse
 from chicoryshunt.request.call import CallRunner
 from chicoryshunt.request.outcome import NoAnswer
+from chicoryshunt.serving.calls import ServiceTargets
+from chicoryshunt.serving.state import NodeState
 from chicoryshunt.settings import parse_settings
 from chicoryshunt.types import (
     IdempotencyKey,
