--- a/Makefile
+++ b/Makefile
@@ -35,34 +35,34 @@
 test: lint types unit  ## everything CI asks for
 
 bench-leases: venv  ## leases against local shares and a central count
-	$(BIN)/python -m lab.lease_bench
+	$(BIN)/python -m lab.benchmarks.lease_bench
 
 bench-ownership: venv  ## processor time and memory of owned calls, appended to benchmarks/
-	$(BIN)/python -m lab.ownership_bench
+	$(BIN)/python -m lab.benchmarks.ownership_bench
 
 drain-trial: venv  ## a node stopped in the middle of its streams and calls
-	$(BIN)/python -m lab.drain_trial
+	$(BIN)/python -m lab.trials.drain_trial
 
 bench-scale: venv  ## cost of control as the fleet grows, appended to benchmarks/
-	$(BIN)/python -m lab.scale_bench
+	$(BIN)/python -m lab.benchmarks.scale_bench
 
 bench-relay: venv  ## processor time of a relayed token, appended to benchmarks/
-	$(BIN)/python -m lab.relay_bench
+	$(BIN)/python -m lab.benchmarks.relay_bench
 
 faults: venv  ## streams through real processes while engines misbehave
-	$(BIN)/python -m lab.stream_faults
+	$(BIN)/python -m lab.trials.stream_faults
 
 bench-config: venv  ## costs of the configuration, appended to benchmarks/
-	$(BIN)/python -m lab.config_bench
+	$(BIN)/python -m lab.benchmarks.config_bench
 
 trial-config: venv  ## patches on nine nodes while the platform and nodes fail
-	$(BIN)/python -m lab.config_trial
+	$(BIN)/python -m lab.trials.config_trial
 
 demo: venv  ## a small fleet on loopback, one stream, one filing
-	$(BIN)/python -m lab.demo
+	$(BIN)/python -m lab.trials.demo
 
 trials: venv  ## nine nodes under failures, promises counted
-	$(BIN)/python -m lab.trials
+	$(BIN)/python -m lab.trials.trials
 
 bench-policy: venv  ## decisions under load; QUICK=1 for a few short runs
-	$(BIN)/python -m lab.policy_bench $(if $(QUICK),--quick)
+	$(BIN)/python -m lab.benchmarks.policy_bench $(if $(QUICK),--quick)
--- /dev/null
+++ b/lab/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, appended to results or written as a page."""
--- a/lab/config_bench.py
+++ b/lab/benchmarks/config_bench.py
@@ -32,8 +32,8 @@
 from chicoryshunt.version.fold import fold_line
 from chicoryshunt.version.published import parse_base, split_base
 from chicoryshunt.version.replica import NO_HEAD, Replica, Snapshot
-from lab.config_fleet import TICK_SECONDS, build_fleet
-from lab.results import append_result
+from lab.benchmarks.results import append_result
+from lab.models.config_fleet import TICK_SECONDS, build_fleet
 
 _TEAMS = 19_000
 _TARGETS = 600
--- a/lab/lease_bench.py
+++ b/lab/benchmarks/lease_bench.py
@@ -11,9 +11,9 @@
 from absl import flags
 
 from chicoryshunt.types import TargetId
-from lab.daemon import parse_flags
-from lab.lease_fleet import STEP_SECONDS, LeaseFleet
-from lab.results import append_result
+from lab.benchmarks.results import append_result
+from lab.models.lease_fleet import STEP_SECONDS, LeaseFleet
+from lab.standins.daemon import parse_flags
 
 _FLAGS = flags.FlagValues()
 flags.DEFINE_integer('nodes', 9, 'nodes', flag_values=_FLAGS)
--- a/lab/ownership_bench.py
+++ b/lab/benchmarks/ownership_bench.py
@@ -27,10 +27,10 @@
     RecordTable,
 )
 from chicoryshunt.request.outcome import TargetAnswer
-from lab.daemon import parse_flags
-from lab.fleet import run_fleet
-from lab.results import append_result
-from lab.topology import SMALL, Placed, UserFleet
+from lab.benchmarks.results import append_result
+from lab.standins.daemon import parse_flags
+from lab.trials.fleet import run_fleet
+from lab.trials.topology import SMALL, Placed, UserFleet
 
 _FLAGS = flags.FlagValues()
 flags.DEFINE_integer('rounds', 5, 'rounds of each kind', flag_values=_FLAGS)
--- a/lab/policy_bench.py
+++ b/lab/benchmarks/policy_bench.py
@@ -12,18 +12,18 @@
 
 from absl import flags
 
-from lab.daemon import parse_flags
-from lab.policy_cases import Case, Policy, Result, Scenario, run_case
-from lab.policy_page import draw_judgement, write_page
-from lab.policy_targets import judge
-from lab.policy_workload import Lengths
-from lab.results import append_result
+from lab.benchmarks.policy_cases import Case, Policy, Result, Scenario, run_case
+from lab.benchmarks.policy_page import draw_judgement, write_page
+from lab.benchmarks.results import append_result
+from lab.models.policy_targets import judge
+from lab.models.policy_workload import Lengths
+from lab.standins.daemon import parse_flags
 
 _FLAGS = flags.FlagValues()
 flags.DEFINE_boolean('quick', False, 'a few short runs', flag_values=_FLAGS)
 flags.DEFINE_integer('jobs', 3, 'processes at once', flag_values=_FLAGS)
 
-_PAGE = Path(__file__).resolve().parent.parent / 'docs' / 'measurements.md'
+_PAGE = Path(__file__).resolve().parents[2] / 'docs' / 'measurements.md'
 _COMMAND = 'make bench-policy'
 _ALONE = (
     Policy.round_robin,
--- a/lab/policy_cases.py
+++ b/lab/benchmarks/policy_cases.py
@@ -5,12 +5,19 @@
 from types import MappingProxyType
 
 from chicoryshunt.types import Profile
-from lab.batching import EngineSpec
-from lab.policy_deciders import LeastOutstanding, OneNode, RoundRobin
-from lab.policy_figures import Figures, Spread, measure, spread
-from lab.policy_fleet import Fleet, Sharing
-from lab.policy_model import Decider, Fault, FaultKind, Ledger, Model, Outcome
-from lab.policy_workload import Burst, Lengths, Workload, draw_arrivals
+from lab.benchmarks.policy_figures import Figures, Spread, measure, spread
+from lab.models.policy_deciders import LeastOutstanding, OneNode, RoundRobin
+from lab.models.policy_fleet import Fleet, Sharing
+from lab.models.policy_model import (
+    Decider,
+    Fault,
+    FaultKind,
+    Ledger,
+    Model,
+    Outcome,
+)
+from lab.models.policy_workload import Burst, Lengths, Workload, draw_arrivals
+from lab.standins.batching import EngineSpec
 
 ENGINES = 6
 ROUND_ROBIN_LIMIT = 32
--- a/lab/policy_figures.py
+++ b/lab/benchmarks/policy_figures.py
@@ -6,7 +6,7 @@
 
 import numpy as np
 
-from lab.policy_model import Answer, Ledger, Outcome
+from lab.models.policy_model import Answer, Ledger, Outcome
 
 _GAP_UNITS_PER_MS = 10
 _PER_THOUSAND = 1000
--- a/lab/policy_page.py
+++ b/lab/benchmarks/policy_page.py
@@ -4,9 +4,9 @@
 from dataclasses import fields
 from statistics import fmean
 
-from lab.policy_cases import Result, Scenario
-from lab.policy_figures import Figures, Spread
-from lab.policy_targets import Judgement
+from lab.benchmarks.policy_cases import Result, Scenario
+from lab.benchmarks.policy_figures import Figures, Spread
+from lab.models.policy_targets import Judgement
 
 _INTRODUCTION = """# Measurements
 
@@ -14,9 +14,9 @@
 same digits.
 
 A model of targets, not of a cluster: six engines of 64 slots and 60,000 memory
-tokens step by `lab/batching.py` on a virtual clock, and a decider says where
-each request goes. Ten teams, the largest with 30% of the requests; a fifth of
-the requests are short calls bounded to 64 tokens. Load 1 is the rate at which
+tokens step by `lab/standins/batching.py` on a virtual clock, and a decider
+says where each request goes. Ten teams, the largest with 30% of the requests;
+a fifth of the requests are short calls bounded to 64 tokens. Load 1 is the rate at which
 the memory held over time equals the memory there is. The estimate of lengths
 starts with its prior and learns during the run.
 
--- a/lab/relay_bench.py
+++ b/lab/benchmarks/relay_bench.py
@@ -13,12 +13,12 @@
 from absl import flags
 
 from chicoryshunt.version.config import Config
-from lab.daemon import parse_flags
-from lab.fleet import Fleet, Started, run_fleet, wait_ready, wait_version
-from lab.publish import Publisher
-from lab.relay_load import LoadReading
-from lab.results import append_result
-from lab.topology import build_settings, publish_vms, start_platform
+from lab.benchmarks.results import append_result
+from lab.loads.relay_load import LoadReading
+from lab.standins.daemon import parse_flags
+from lab.standins.publish import Publisher
+from lab.trials.fleet import Fleet, Started, run_fleet, wait_ready, wait_version
+from lab.trials.topology import build_settings, publish_vms, start_platform
 
 _FLAGS = flags.FlagValues()
 flags.DEFINE_integer('rounds', 5, 'rounds of both relays', flag_values=_FLAGS)
@@ -48,7 +48,7 @@
     command = [
         sys.executable,
         '-m',
-        'lab.relay_load',
+        'lab.loads.relay_load',
         f'--port={relay.port}',
         f'--streams={_FLAGS.streams}',
         f'--seconds={_FLAGS.seconds}',
--- a/lab/results.py
+++ b/lab/benchmarks/results.py
@@ -5,7 +5,7 @@
 from datetime import UTC, datetime
 from pathlib import Path
 
-_ROOT = Path(__file__).resolve().parent.parent
+_ROOT = Path(__file__).resolve().parents[2]
 _RESULTS = _ROOT / 'benchmarks' / 'results.jsonl'
 
 
--- a/lab/scale_bench.py
+++ b/lab/benchmarks/scale_bench.py
@@ -15,18 +15,8 @@
 
 from chicoryshunt.connection.platform_api import PublishedVms
 from chicoryshunt.types import VmId
-from lab.daemon import parse_flags
-from lab.fleet import (
-    Fleet,
-    Started,
-    run_fleet,
-    send,
-    wait_ready,
-    wait_version,
-)
-from lab.publish import Publisher
-from lab.results import append_result
-from lab.scale_plan import (
+from lab.benchmarks.results import append_result
+from lab.benchmarks.scale_plan import (
     FLEET_KEY,
     Ports,
     Size,
@@ -35,7 +25,17 @@
     find_centre,
     list_vms,
 )
-from lab.topology import Platform, start_platform
+from lab.standins.daemon import parse_flags
+from lab.standins.publish import Publisher
+from lab.trials.fleet import (
+    Fleet,
+    Started,
+    run_fleet,
+    send,
+    wait_ready,
+    wait_version,
+)
+from lab.trials.topology import Platform, start_platform
 
 _FLAGS = flags.FlagValues()
 flags.DEFINE_float('seconds', 20, 'seconds of counting', flag_values=_FLAGS)
@@ -141,7 +141,7 @@
     platform: Platform,
 ) -> Started:
     fleet.launch_module(
-        'scale_peers',
+        'benchmarks.scale_peers',
         ports.peers,
         f'--gossip={ports.gossip}',
         f'--node={name}',
--- a/lab/scale_peers.py
+++ b/lab/benchmarks/scale_peers.py
@@ -36,8 +36,7 @@
 from chicoryshunt.nodes.seal import Damage, Envelope, Purpose, Seal
 from chicoryshunt.policy.allowance import LoadSeen
 from chicoryshunt.types import Incarnation, TargetId, VmId, VmState
-from lab.daemon import parse_flags
-from lab.scale_plan import (
+from lab.benchmarks.scale_plan import (
     CONCURRENT,
     FLEET_KEY,
     MEMORY_TOKENS,
@@ -47,6 +46,7 @@
     build_panels,
     list_vms,
 )
+from lab.standins.daemon import parse_flags
 
 _FLAGS = flags.FlagValues()
 flags.DEFINE_integer('port', 0, 'port of all peers', flag_values=_FLAGS)
--- /dev/null
+++ b/lab/loads/__init__.py
@@ -0,0 +1,1 @@
+"""Callers that send load, and ledgers of what they received."""
--- a/lab/load.py
+++ b/lab/loads/load.py
@@ -16,8 +16,8 @@
 from chicoryshunt.exceptions import CallError
 from chicoryshunt.operations import run_until_done
 from chicoryshunt.types import RunState
-from lab.daemon import parse_flags
-from lab.ledger import Record, check_tokens, find_worst_gap, write_records
+from lab.loads.ledger import Record, check_tokens, find_worst_gap, write_records
+from lab.standins.daemon import parse_flags
 
 _FLAGS = flags.FlagValues()
 flags.DEFINE_list('nodes', [], 'addresses of nodes', flag_values=_FLAGS)
--- a/lab/relay_load.py
+++ b/lab/loads/relay_load.py
@@ -11,7 +11,7 @@
 from absl import flags
 from hdrh.histogram import HdrHistogram
 
-from lab.daemon import parse_flags
+from lab.standins.daemon import parse_flags
 
 _FLAGS = flags.FlagValues()
 flags.DEFINE_string('host', '127.0.0.1', 'host', flag_values=_FLAGS)
--- /dev/null
+++ b/lab/models/__init__.py
@@ -0,0 +1,1 @@
+"""Nodes and targets on virtual clocks and fake networks."""
--- a/lab/lease_fleet.py
+++ b/lab/models/lease_fleet.py
@@ -15,7 +15,7 @@
 from chicoryshunt.metrics import Metrics
 from chicoryshunt.policy.allowance import Shortage, Slack, Slot
 from chicoryshunt.types import DataCentreId, Incarnation, TargetId, VmId
-from lab.network import Host, Network, build_vm
+from lab.models.network import Host, Network, build_vm
 
 CENTRES = ('luzon-a', 'luzon-b', 'luzon-c')
 TARGET = TargetId('engine-1')
--- a/lab/policy_deciders.py
+++ b/lab/models/policy_deciders.py
@@ -24,9 +24,9 @@
     TargetId,
     Tokens,
 )
-from lab.batching import EngineSpec
-from lab.policy_model import REPORT_SECONDS, Sent
-from lab.policy_workload import Arrival
+from lab.models.policy_model import REPORT_SECONDS, Sent
+from lab.models.policy_workload import Arrival
+from lab.standins.batching import EngineSpec
 
 _MODEL = ModelId('kibitzer-llm')
 _UNLIMITED = 1_000_000
--- a/lab/policy_fleet.py
+++ b/lab/models/policy_fleet.py
@@ -20,10 +20,10 @@
     pool_curves,
 )
 from chicoryshunt.types import Profile
-from lab.batching import EngineSpec
-from lab.policy_deciders import OneNode, name_target
-from lab.policy_model import Sent
-from lab.policy_workload import Arrival
+from lab.models.policy_deciders import OneNode, name_target
+from lab.models.policy_model import Sent
+from lab.models.policy_workload import Arrival
+from lab.standins.batching import EngineSpec
 
 ROUND_SECONDS = 0.5
 _NOTHING = Slack(0, 0)
--- a/lab/policy_model.py
+++ b/lab/models/policy_model.py
@@ -1,7 +1,8 @@
 """Targets on a virtual clock, driven by one decider.
 
-A model of targets, not of a cluster: engines step by ``lab.batching``, a
-decider is asked where each request goes, and a ledger keeps what happened.
+A model of targets, not of a cluster: engines step by
+``lab.standins.batching``, a decider is asked where each request goes, and a
+ledger keeps what happened.
 """
 
 import random
@@ -13,8 +14,8 @@
 from typing import Protocol
 
 from chicoryshunt.connection.target_api import LoadReport
-from lab.batching import Batch, EngineSpec, Job, Step
-from lab.policy_workload import Arrival
+from lab.models.policy_workload import Arrival
+from lab.standins.batching import Batch, EngineSpec, Job, Step
 
 POLL_SECONDS = 0.02
 SYNC_SECONDS = 0.4
--- a/lab/policy_targets.py
+++ b/lab/models/policy_targets.py
@@ -3,7 +3,13 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
-from lab.policy_cases import BURST_TEAM, Case, Policy, Result, Scenario
+from lab.benchmarks.policy_cases import (
+    BURST_TEAM,
+    Case,
+    Policy,
+    Result,
+    Scenario,
+)
 
 _PREEMPTS_FROM = 10
 _PREEMPTION_PART = 0.02
--- a/lab/policy_workload.py
+++ b/lab/models/policy_workload.py
@@ -7,7 +7,7 @@
 from numpy.typing import NDArray
 
 from chicoryshunt.types import TeamId
-from lab.batching import EngineSpec
+from lab.standins.batching import EngineSpec
 
 MOST_TOKENS = 30_000
 SHORT_MOST_TOKENS = 64
--- /dev/null
+++ b/lab/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the platform and its targets, mostly one process each."""
--- a/lab/bare_relay.py
+++ b/lab/standins/bare_relay.py
@@ -12,7 +12,7 @@
     LoopClientEndpoint,
     open_server,
 )
-from lab.daemon import parse_flags
+from lab.standins.daemon import parse_flags
 
 _FLAGS = flags.FlagValues()
 flags.DEFINE_integer('port', 0, 'port on loopback', flag_values=_FLAGS)
--- a/lab/config_service.py
+++ b/lab/standins/config_service.py
@@ -9,8 +9,8 @@
 from chicoryshunt.connection.exchange import Exchange
 from chicoryshunt.connection.platform import PublishedValue
 from chicoryshunt.version.published import MAX_VALUE_BYTES
-from lab.daemon import parse_flags, serve_stand_in
-from lab.faults import FaultKind, Faults
+from lab.standins.daemon import parse_flags, serve_stand_in
+from lab.standins.faults import FaultKind, Faults
 
 _FLAGS = flags.FlagValues()
 flags.DEFINE_integer('port', 0, 'port on loopback', flag_values=_FLAGS)
--- a/lab/daemon.py
+++ b/lab/standins/daemon.py
@@ -10,7 +10,7 @@
 from chicoryshunt.connection.bounds import ServerBounds
 from chicoryshunt.connection.relayed_exchange import RelayedExchange
 from chicoryshunt.connection.web import BoundedSite, Handler
-from lab.faults import Fault, FaultKind, Faults
+from lab.standins.faults import Fault, FaultKind, Faults
 
 _BOUNDS = ServerBounds(
     connections=4096,
--- a/lab/engine.py
+++ b/lab/standins/engine.py
@@ -18,12 +18,12 @@
     LoadReport,
     NotAccepted,
 )
-from lab.batching import Batch, Ending, EngineSpec, Job, Step
-from lab.daemon import parse_flags, serve_stand_in
-from lab.engine_orders import OrderBook
-from lab.engine_stream import Generation, TokenStream
-from lab.faults import FaultKind, Faults
-from lab.runs import RunLedger
+from lab.standins.batching import Batch, Ending, EngineSpec, Job, Step
+from lab.standins.daemon import parse_flags, serve_stand_in
+from lab.standins.engine_orders import OrderBook
+from lab.standins.engine_stream import Generation, TokenStream
+from lab.standins.faults import FaultKind, Faults
+from lab.standins.runs import RunLedger
 
 _FLAGS = flags.FlagValues()
 flags.DEFINE_integer('port', 0, 'port on loopback', flag_values=_FLAGS)
--- a/lab/engine_stream.py
+++ b/lab/standins/engine_stream.py
@@ -8,8 +8,8 @@
 from chicoryshunt.connection.caller_api import GENERATION_HEADER
 from chicoryshunt.connection.exchange import Exchange
 from chicoryshunt.connection.target_api import EndEvent, TokenEvent
-from lab.batching import Ending, Job
-from lab.faults import FaultKind, Faults
+from lab.standins.batching import Ending, Job
+from lab.standins.faults import FaultKind, Faults
 
 _FAULT_PAUSE_SECONDS = 0.002
 _MAX_BATCH_TOKENS = 256
--- a/lab/metronome.py
+++ b/lab/standins/metronome.py
@@ -9,8 +9,8 @@
 from chicoryshunt.connection.caller_api import GENERATION_HEADER
 from chicoryshunt.connection.exchange import Exchange
 from chicoryshunt.connection.target_api import LoadReport
-from lab.daemon import parse_flags, serve_stand_in
-from lab.faults import Faults
+from lab.standins.daemon import parse_flags, serve_stand_in
+from lab.standins.faults import Faults
 
 _FLAGS = flags.FlagValues()
 flags.DEFINE_integer('port', 0, 'port on loopback', flag_values=_FLAGS)
--- a/lab/platform_targets.py
+++ b/lab/standins/platform_targets.py
@@ -7,7 +7,7 @@
 
 from chicoryshunt.connection.relayed_exchange import RelayedExchange
 from chicoryshunt.connection.web import BoundedSite
-from lab.platform_store import BOUNDS
+from lab.standins.platform_store import BOUNDS
 
 _ID = 'x-chicoryshunt-request-id'
 _SEAL = 'X-Chicoryshunt-Response-Seal'
--- a/lab/service.py
+++ b/lab/standins/service.py
@@ -8,9 +8,9 @@
 
 from chicoryshunt.connection.exchange import Exchange
 from chicoryshunt.connection.target_api import NotAccepted
-from lab.daemon import parse_flags, serve_stand_in
-from lab.faults import FaultKind, Faults
-from lab.runs import RunLedger
+from lab.standins.daemon import parse_flags, serve_stand_in
+from lab.standins.faults import FaultKind, Faults
+from lab.standins.runs import RunLedger
 
 _FLAGS = flags.FlagValues()
 flags.DEFINE_integer('port', 0, 'port on loopback', flag_values=_FLAGS)
--- a/lab/weights.py
+++ b/lab/standins/weights.py
@@ -7,7 +7,7 @@
 from absl import flags
 
 from chicoryshunt.connection.exchange import Exchange
-from lab.daemon import parse_flags, serve_stand_in
+from lab.standins.daemon import parse_flags, serve_stand_in
 
 _FLAGS = flags.FlagValues()
 flags.DEFINE_integer('port', 0, 'port on loopback', flag_values=_FLAGS)
--- /dev/null
+++ b/lab/trials/__init__.py
@@ -0,0 +1,1 @@
+"""Real processes under failures, with promises counted."""
--- a/lab/config_trial.py
+++ b/lab/trials/config_trial.py
@@ -8,10 +8,10 @@
 from contextlib import contextmanager
 from pathlib import Path
 
-from lab.failures import order_fault, set_weight
-from lab.fleet import run_fleet, send
-from lab.results import append_result
-from lab.topology import TABLERO, Placed, UserFleet
+from lab.benchmarks.results import append_result
+from lab.trials.failures import order_fault, set_weight
+from lab.trials.fleet import run_fleet, send
+from lab.trials.topology import TABLERO, Placed, UserFleet
 
 _BOUND_SECONDS = 3
 _LIMIT_SECONDS = 30
--- a/lab/demo.py
+++ b/lab/trials/demo.py
@@ -5,8 +5,8 @@
 import tempfile
 from pathlib import Path
 
-from lab.fleet import run_fleet
-from lab.topology import SMALL, UserFleet
+from lab.trials.fleet import run_fleet
+from lab.trials.topology import SMALL, UserFleet
 
 
 def main() -> None:
--- a/lab/drain_trial.py
+++ b/lab/trials/drain_trial.py
@@ -22,9 +22,9 @@
 )
 from chicoryshunt.connection.target_api import StreamEvent
 from chicoryshunt.operations import run_until_done
-from lab.failures import order_fault
-from lab.fleet import run_fleet, send
-from lab.topology import SMALL, Placed, UserFleet
+from lab.trials.failures import order_fault
+from lab.trials.fleet import run_fleet, send
+from lab.trials.topology import SMALL, Placed, UserFleet
 
 _STREAMS = 8
 _TOKENS = 400
--- a/lab/failures.py
+++ b/lab/trials/failures.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
-from lab.fleet import send
-from lab.topology import Placed, UserFleet
+from lab.trials.fleet import send
+from lab.trials.topology import Placed, UserFleet
 
 ONE_HOUR = 3600
 
--- a/lab/fleet.py
+++ b/lab/trials/fleet.py
@@ -18,7 +18,7 @@
 _PORTS_PER_FLEET = 64
 _PORT_SPAN = 20_000
 _POLL_SECONDS = 0.1
-_ROOT = Path(__file__).resolve().parent.parent
+_ROOT = Path(__file__).resolve().parents[2]
 
 
 @dataclass(slots=True)
@@ -76,7 +76,7 @@
     def launch_stand_in(self, kind: str, name: str, *options: str) -> Started:
         """Start a stand-in without waiting for it."""
         port = self.reserve_ports(1)
-        module = f'lab.{kind}'
+        module = f'lab.standins.{kind}'
         return self._start(name, port, '-m', module, f'--port={port}', *options)
 
     def launch_module(self, module: str, port: int, *options: str) -> Started:
--- a/lab/promises.py
+++ b/lab/trials/promises.py
@@ -6,8 +6,8 @@
 
 from chicoryshunt.invariants import Promise
 from chicoryshunt.types import RunState
-from lab.ledger import Record
-from lab.runs import Run, RunLedger
+from lab.loads.ledger import Record
+from lab.standins.runs import Run, RunLedger
 
 OUT_SECONDS = 5.0
 
--- a/lab/scenarios.py
+++ b/lab/trials/scenarios.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from types import MappingProxyType
 
-from lab.failures import (
+from lab.trials.failures import (
     ONE_HOUR,
     build_weight_patch,
     cut,
@@ -13,9 +13,9 @@
     set_presence,
     set_weight,
 )
-from lab.fleet import send
-from lab.promises import Outage
-from lab.trial import Scenario, Trial, read_ledger
+from lab.trials.fleet import send
+from lab.trials.promises import Outage
+from lab.trials.trial import Scenario, Trial, read_ledger
 
 PAUSE_SECONDS = 8.0
 
--- a/lab/stream_faults.py
+++ b/lab/trials/stream_faults.py
@@ -12,10 +12,10 @@
 from chicoryshunt.caller.caller import Caller
 from chicoryshunt.operations import run_until_done
 from chicoryshunt.types import RunState
-from lab.daemon import parse_flags
-from lab.faults import FaultKind
-from lab.fleet import run_fleet, send
-from lab.topology import SMALL, UserFleet
+from lab.standins.daemon import parse_flags
+from lab.standins.faults import FaultKind
+from lab.trials.fleet import run_fleet, send
+from lab.trials.topology import SMALL, UserFleet
 
 _FLAGS = flags.FlagValues()
 flags.DEFINE_integer('length', 100, 'tokens an answer', flag_values=_FLAGS)
--- a/lab/topology.py
+++ b/lab/trials/topology.py
@@ -9,7 +9,8 @@
 
 from chicoryshunt.types import ConfigVersion, Profile
 from chicoryshunt.version.config import Config
-from lab.fleet import (
+from lab.standins.publish import Publisher
+from lab.trials.fleet import (
     READY_SECONDS,
     Fleet,
     Started,
@@ -18,7 +19,6 @@
     wait_ready,
     wait_version,
 )
-from lab.publish import Publisher
 
 _PORTS_PER_NODE = 3
 _FLEET_KEY = 'c5' * 32
--- a/lab/trial.py
+++ b/lab/trials/trial.py
@@ -12,11 +12,11 @@
 
 import msgspec
 
-from lab.fleet import Fleet, send
-from lab.ledger import Record, read_records
-from lab.promises import Evidence, Outage, Versions
-from lab.runs import RunLedger
-from lab.topology import Placed, UserFleet, read_status
+from lab.loads.ledger import Record, read_records
+from lab.standins.runs import RunLedger
+from lab.trials.fleet import Fleet, send
+from lab.trials.promises import Evidence, Outage, Versions
+from lab.trials.topology import Placed, UserFleet, read_status
 
 _POLL_SECONDS = 0.25
 _BROKEN_METRIC = 'chicoryshunt_invariant_broken_total{promise="'
@@ -106,7 +106,7 @@
         [
             sys.executable,
             '-m',
-            'lab.load',
+            'lab.loads.load',
             f'--nodes={",".join(user.addresses)}',
             f'--teams={",".join(user.plan.teams)}',
             f'--model={user.plan.model}',
--- a/lab/trials.py
+++ b/lab/trials/trials.py
@@ -7,12 +7,12 @@
 
 from absl import flags
 
-from lab.daemon import parse_flags
-from lab.fleet import run_fleet
-from lab.promises import count_promises, format_counts
-from lab.scenarios import TRIALS
-from lab.topology import AGENCY, TABLERO, Plan, UserFleet
-from lab.trial import Mix, run_trial
+from lab.standins.daemon import parse_flags
+from lab.trials.fleet import run_fleet
+from lab.trials.promises import count_promises, format_counts
+from lab.trials.scenarios import TRIALS
+from lab.trials.topology import AGENCY, TABLERO, Plan, UserFleet
+from lab.trials.trial import Mix, run_trial
 
 _FLAGS = flags.FlagValues()
 flags.DEFINE_list('only', [], 'trials to run, all if none', flag_values=_FLAGS)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -42,7 +42,7 @@
 )
 from chicoryshunt.version.published import split_base
 from chicoryshunt.version.replica import Replica, Snapshot
-from lab.local_shares import LocalShares
+from lab.models.local_shares import LocalShares
 
 FLEET_KEY = '5a' * 32
 
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -35,7 +35,7 @@
     TeamId,
     VmId,
 )
-from lab.network import Host, Network
+from lab.models.network import Host, Network
 
 HOME = DataCentreId('home')
 AWAY = DataCentreId('away')
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -11,8 +11,8 @@
 from chicoryshunt.connection.upstream import Answer, Sending, UpstreamPool
 from chicoryshunt.platform.node import Node
 from chicoryshunt.platform.settings import parse_settings
-from lab.platform_store import StandInStore
-from lab.platform_targets import StandInEngine, StandInService
+from lab.standins.platform_store import StandInStore
+from lab.standins.platform_targets import StandInEngine, StandInService
 from tests.reactor import listen
 
 _NUMBERS = itertools.count(1)
--- a/tests/test_batching.py
+++ b/tests/test_batching.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lab.batching import Batch, EngineSpec, Job
+from lab.standins.batching import Batch, EngineSpec, Job
 
 SPEC = EngineSpec(slots=8, memory_tokens=3000)
 JOBS = st.lists(
--- a/tests/test_config_spread.py
+++ b/tests/test_config_spread.py
@@ -13,7 +13,7 @@
 from chicoryshunt.types import DataCentreId, Digest, LogPosition, VmId
 from chicoryshunt.version.chain import Head
 from chicoryshunt.version.replica import NO_HEAD
-from lab.config_fleet import FakeFleet, build_fleet
+from lab.models.config_fleet import FakeFleet, build_fleet
 from tests.builders import build_config, build_patch, build_set_team
 
 _NODES = 5
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -6,7 +6,7 @@
 from chicoryshunt.membership.entries import order_entries
 from chicoryshunt.membership.roster import Roster, Update
 from chicoryshunt.types import DataCentreId, Incarnation, VmId, VmState
-from lab.network import build_vm
+from lab.models.network import build_vm
 
 _CENTRE = DataCentreId('luzon-a')
 
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -30,7 +30,7 @@
     Segment,
     Snapshot,
 )
-from lab.lease_fleet import TARGET, LeaseFleet
+from lab.models.lease_fleet import TARGET, LeaseFleet
 from tests.builders import build_config, build_patch
 from tests.owner_fleet import RULES, build_call
 from tests.relay_fakes import (
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -7,7 +7,7 @@
 
 from chicoryshunt.connection.platform_api import PublishedVm
 from chicoryshunt.types import VmId
-from lab.lease_fleet import TARGET, LeaseFleet
+from lab.models.lease_fleet import TARGET, LeaseFleet
 
 _FIRST = VmId('vm-0')
 _COUNT = 5
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -17,7 +17,7 @@
 from chicoryshunt.connection.platform_api import PublishedVm
 from chicoryshunt.membership.membership import Membership
 from chicoryshunt.types import DataCentreId, Incarnation, VmId, VmState
-from lab.network import Host, Network, build_vm
+from lab.models.network import Host, Network, build_vm
 
 _COUNT = 5
 _SETTLE_SECONDS = 20
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -15,7 +15,7 @@
 from chicoryshunt.nodes.mesh import MAX_DATAGRAM_BYTES, Mesh
 from chicoryshunt.nodes.pause import Pulse
 from chicoryshunt.types import Incarnation, VmId, VmState
-from lab.network import build_vm
+from lab.models.network import build_vm
 from tests.builders import (
     FLEET_KEY,
     build_membership,
--- a/tests/test_order_link.py
+++ b/tests/test_order_link.py
@@ -17,8 +17,8 @@
 )
 from chicoryshunt.connection.target_api import LoadReport, Order
 from chicoryshunt.connection.web import BoundedSite
-from lab.engine_orders import OrderBook
-from lab.weights import WeightStore
+from lab.standins.engine_orders import OrderBook
+from lab.standins.weights import WeightStore
 from tests.ordering import Engine
 from tests.reactor import listen, run_on_reactor
 from tests.test_caller import SERVER_BOUNDS
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -14,8 +14,8 @@
 from chicoryshunt.connection.web import BoundedSite
 from chicoryshunt.exceptions import PlatformError
 from chicoryshunt.version.published import MAX_VALUE_BYTES
-from lab.config_service import ConfigService
-from lab.faults import Fault, FaultKind, Faults
+from lab.standins.config_service import ConfigService
+from lab.standins.faults import Fault, FaultKind, Faults
 from tests.reactor import listen, run_on_reactor
 from tests.test_caller import SERVER_BOUNDS
 from tests.test_client import Scripted
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -4,9 +4,9 @@
 import pytest
 
 from chicoryshunt.invariants import Promise
-from lab.ledger import Record
-from lab.promises import Evidence, Outage, Versions, count_promises
-from lab.runs import Run, RunLedger
+from lab.loads.ledger import Record
+from lab.standins.runs import Run, RunLedger
+from lab.trials.promises import Evidence, Outage, Versions, count_promises
 
 _RECORD = Record(
     'g-1',
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -14,7 +14,7 @@
 )
 from chicoryshunt.limits.sharing import share_slots, spread_evenly
 from chicoryshunt.types import DataCentreId, VmId
-from lab.network import build_vm
+from lab.models.network import build_vm
 
 _CENTRE = DataCentreId('luzon-a')
 
