--- a/lab/benchmarks/policy_page.py
+++ b/lab/benchmarks/policy_page.py
@@ -13,12 +13,12 @@
 Written by `{command}` (seeds {seeds}); do not edit. Each run of it gives the
 same digits.
 
-A model of targets, not of a cluster: six engines of 64 slots and 60,000 memory
-tokens step by `lab/standins/batching.py` on a virtual clock, and a decider
-says where each request goes. Ten teams, the largest with 30% of the requests;
-a fifth of the requests are short calls bounded to 64 tokens. Load 1 is the
-rate at which the memory held over time equals the memory there is. The estimate of lengths
-starts with its prior and learns during the run.
+A model of targets, not of a cluster: six engines of 64 slots and 60,000
+memory tokens step by `lab/standins/batching.py` on a virtual clock, and a
+decider says where each request goes. Ten teams, the largest with 30% of the
+requests; a fifth of the requests are short calls bounded to 64 tokens. Load 1
+is the rate at which the memory held over time equals the memory there is. The
+estimate of lengths starts with its prior and learns during the run.
 
 `before` is the wait for the first token, `during` the time that an answer
 spends in gaps of more than 0.1 s, both in seconds; `gap` is the time between
