Forget connections and targets that ended; check the readiness path

Found by reading the change: idle connections to addresses that are gone, and failure rates of targets that left, were kept for as long as the process.

--- a/chicoryshunt/connection/upstream.py
+++ b/chicoryshunt/connection/upstream.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import socket
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from enum import Enum
 from http import HTTPStatus
@@ -169,9 +169,14 @@
 class Upstream(HTTP11ClientProtocol):
     """One connection to a target."""
 
-    def __init__(self, on_idle: Callable[['Upstream'], None]) -> None:
-        """Call ``on_idle`` whenever the next exchange may begin."""
+    def __init__(
+        self,
+        on_idle: Callable[['Upstream'], None],
+        on_lost: Callable[['Upstream'], None],
+    ) -> None:
+        """Tell when the next exchange may begin, and of the end."""
         super().__init__(lambda _: on_idle(self))
+        self._on_lost = on_lost
         self.address = ''
         self.idle_seconds = _IDLE_SECONDS
         self.idle_since: float = 0
@@ -223,6 +228,7 @@
     def connectionLost(self, reason: Any = None) -> None:
         """Note whether the other side closed the connection in order."""
         self.is_closed = bool(reason.check(ConnectionDone))
+        self._on_lost(self)
         super().connectionLost(reason)
 
     def _finishResponse(self, rest: bytes) -> None:
@@ -272,7 +278,7 @@
 
     async def open(self, address: str) -> Upstream:
         """Return a new connection; raise ``NotSentError``."""
-        upstream = Upstream(self._keep)
+        upstream = Upstream(self._keep, self._forget)
         upstream.address = address
         host, _, port = address.rpartition(':')
         connecting = asyncio.get_running_loop().create_connection(
@@ -293,18 +299,9 @@
 
     def close_idle(self) -> None:
         """Close the connections that no exchange uses."""
-        for kept in self._idle.values():
-            for upstream in kept:
+        for kept in tuple(self._idle.values()):
+            for upstream in tuple(kept):
                 upstream.abort()
-        self._idle.clear()
-
-    def retain(self, addresses: Iterable[str]) -> None:
-        """Close the idle connections to all other addresses."""
-        kept = set(addresses)
-        for address in tuple(self._idle):
-            if address not in kept:
-                for upstream in self._idle.pop(address):
-                    upstream.abort()
 
     def _keep(self, upstream: Upstream) -> None:
         upstream.idle_since = asyncio.get_running_loop().time()
@@ -313,6 +310,14 @@
         if len(kept) > _MOST_IDLE:
             kept.pop(0).abort()
 
+    def _forget(self, upstream: Upstream) -> None:
+        """Drop a connection that ended, so that none piles up."""
+        kept = self._idle.get(upstream.address, [])
+        if upstream in kept:
+            kept.remove(upstream)
+        if not kept:
+            self._idle.pop(upstream.address, None)
+
     def _take_kept(self, address: str, most_idle: float) -> Upstream | None:
         kept = self._idle.get(address, [])
         now = asyncio.get_running_loop().time()
--- a/chicoryshunt/dispatch/outliers.py
+++ b/chicoryshunt/dispatch/outliers.py
@@ -1,7 +1,6 @@
 """Which targets fail more than their peers, from what this node saw."""
 
 import statistics
-from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -82,12 +81,9 @@
         record = self._records.get(target)
         return 0 if record is None else record.rate
 
-    def retain(self, targets: Iterable[TargetId]) -> None:
-        """Forget all other targets."""
-        kept = set(targets)
-        for target in tuple(self._records):
-            if target not in kept:
-                self._records.pop(target)
+    def forget(self, target: TargetId) -> None:
+        """Drop what was seen of a target that is gone."""
+        self._records.pop(target, None)
 
     def _is_outlier(self, target: TargetId, record: _Record) -> bool:
         if record.hard_failures >= _MOST_SILENT:
--- a/chicoryshunt/fleet/catalog.py
+++ b/chicoryshunt/fleet/catalog.py
@@ -111,10 +111,6 @@
                 if isinstance(known.fact, TargetFact):
                     yield known.fact
 
-    def is_evacuated(self, data_centre: DataCentreId) -> bool:
-        """Say whether nothing may be sent to a data centre."""
-        return data_centre in self._evacuated
-
     def list_facts(self) -> list[Fact]:
         """Return every fact that others need, those of the gone included."""
         return [known.fact for known in self._facts.values()]
--- a/chicoryshunt/platform/doors.py
+++ b/chicoryshunt/platform/doors.py
@@ -79,6 +79,9 @@
 
     async def _answer_readiness(self, exchange: Exchange) -> None:
         knows_rules = self._neighbours.catalog.rules is not None
+        if exchange.path != wire.READY_PATH:
+            exchange.respond(b'', _JSON, HTTPStatus.NOT_FOUND)
+            return
         status = HTTPStatus.SERVICE_UNAVAILABLE
         if knows_rules and not self._gateway.is_leaving:
             status = HTTPStatus.OK
--- a/chicoryshunt/platform/node.py
+++ b/chicoryshunt/platform/node.py
@@ -136,6 +136,7 @@
             await asyncio.wait_for(close_connections(callers), remaining)
         except TimeoutError:
             log_event('connections_left', count=callers.usage.connections)
+        self._pool.close_idle()
         log_event('node_stopped', active=self._gateway.active)
 
     def _reload(self) -> None:
--- a/chicoryshunt/platform/store.py
+++ b/chicoryshunt/platform/store.py
@@ -255,11 +255,12 @@
             if f'{items.TARGET_PREFIX}{fact.target}' not in keys
         ]
         for fact in self._catalog.list_facts():
-            is_ordered = isinstance(fact, EvacuationFact) and fact.is_ordered
-            if is_ordered and _get_evacuation_key(fact) not in keys:
-                absent.append(
-                    EvacuationFact(fact.data_centre, revision, False),
-                )
+            if isinstance(fact, EvacuationFact) and fact.is_ordered:
+                key = f'{items.EVACUATION_PREFIX}{fact.data_centre}'
+                if key not in keys:
+                    absent.append(
+                        EvacuationFact(fact.data_centre, revision, False),
+                    )
         self._believe(absent)
 
     def _take(self, changed: Iterable[items.Item]) -> None:
@@ -340,8 +341,3 @@
         else:
             log_problem('item_unreadable', reason=item.reason)
     return decoded
-
-
-def _get_evacuation_key(fact: Fact) -> str:
-    data_centre = getattr(fact, 'data_centre', '')
-    return f'{items.EVACUATION_PREFIX}{data_centre}'
--- a/chicoryshunt/relay/gateway.py
+++ b/chicoryshunt/relay/gateway.py
@@ -8,7 +8,7 @@
 
 from chicoryshunt.connection.relayed_exchange import RelayedExchange
 from chicoryshunt.events import log_event, log_problem, log_routine
-from chicoryshunt.fleet.facts import Fact, TargetFact
+from chicoryshunt.fleet.facts import Fact, TargetFact, TargetPhase
 from chicoryshunt.relay.calls import CallRelay
 from chicoryshunt.relay.generations import GenerationRelay
 from chicoryshunt.relay.incoming import Incoming
@@ -242,8 +242,11 @@
                 )
 
     def _follow(self, fact: Fact) -> None:
-        if isinstance(fact, TargetFact):
-            self._generations.follow_target(fact)
+        if not isinstance(fact, TargetFact):
+            return
+        self._generations.follow_target(fact)
+        if fact.phase is TargetPhase.gone:
+            self._around.outliers.forget(fact.target)
 
 
 def is_well(result: Result) -> bool:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -157,6 +157,19 @@
     run_on_reactor(trial())
 
 
+def test_a_closed_connection_is_forgotten() -> None:
+    target = RawTarget(WHOLE)
+
+    async def trial(pool: UpstreamPool, address: str) -> None:
+        await _ask(pool, address)
+        upstream = await pool.acquire(address, 10)
+        while upstream.is_usable:
+            await asyncio.sleep(0)
+        assert await pool.acquire(address, 10) is not upstream
+
+    _play(target, trial)
+
+
 def test_an_old_connection_is_not_used() -> None:
     target = RawTarget(WHOLE, WHOLE, WHOLE)
 
