Answer a stream that ends before its first event; keep doubt after a refusal

Found by reading: a generation that may have run once could be refused as not run when no second engine had room, and a stream without an event was cut instead of being answered.

--- a/chicoryshunt/relay/generations.py
+++ b/chicoryshunt/relay/generations.py
@@ -129,11 +129,12 @@
         tried: list[TargetId] = []
         doubts = 0
         while True:
-            target = await self._placer.find_room(stream, tried)
+            target = await self._find_next(stream, tried)
             if isinstance(target, Verdict):
+                if doubts:
+                    # An earlier try may have run, whatever stops this one.
+                    return doubt(Reason.target_unreachable, target.detail)
                 return target
-            if tried and not self._placer.may_try_again(stream):
-                return self._placer.refuse_full(stream, 'no retries are left')
             tried.append(target.target)
             opened = await self._open_first(stream, target)
             if isinstance(opened, Leg):
@@ -143,6 +144,18 @@
             if ended is not None:
                 return ended
 
+    async def _find_next(
+        self,
+        stream: Stream,
+        tried: list[TargetId],
+    ) -> TargetFact | Verdict:
+        target = await self._placer.find_room(stream, tried)
+        if isinstance(target, Verdict) or not tried:
+            return target
+        if self._placer.may_try_again(stream):
+            return target
+        return self._placer.refuse_full(stream, 'no retries are left')
+
     def _judge_failure(
         self,
         stream: Stream,
@@ -290,6 +303,8 @@
             target=course and course.place.target,
             phase=course and course.phase.value,
         )
+        if not stream.exchange.is_started:
+            return doubt(Reason.engine_lost, reason)
         stream.exchange.abort()
         return _describe_end(stream, is_whole=False)
 
--- a/lab/standins/platform_targets.py
+++ b/lab/standins/platform_targets.py
@@ -78,6 +78,7 @@
         self.site = BoundedSite(self._handle, BOUNDS)
         self.length = 40
         self.has_room = True
+        self.breaks_off = False
         self.started: list[str] = []
         self.copies: list[tuple[str, bool]] = []
         self._made: dict[str, int] = {}
@@ -123,6 +124,19 @@
         exchange.set_header(_ID, request)
         exchange.set_header(_SEAL, f'seal-{self.name}')
         exchange.set_header('content-type', 'text/event-stream')
+        if self.breaks_off:
+            exchange.write(b'id: 1\nda')
+            await asyncio.sleep(_EVENT_SECONDS)
+            exchange.abort()
+        else:
+            await self._stream(exchange, request, last)
+
+    async def _stream(
+        self,
+        exchange: RelayedExchange,
+        request: str,
+        last: int,
+    ) -> None:
         self._stopped.discard(request)
         for number in range(last + 1, self.length + 1):
             if request in self._stopped or not exchange.is_open:
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -175,6 +175,24 @@
     _play(trial)
 
 
+def test_half_an_event_is_not_passed_on() -> None:
+    async def trial(platform: SmallPlatform) -> None:
+        for engine in platform.engines:
+            engine.breaks_off = True
+        answer, body = await platform.ask(
+            '/drafts/1',
+            method='POST',
+            **GENERATION,
+        )
+
+        assert answer.status == 502
+        assert b'id:' not in body
+        started = [len(engine.started) for engine in platform.engines]
+        assert sum(started) == 1
+
+    _play(trial)
+
+
 def test_engines_stop_when_callers_leave() -> None:
     async def trial(platform: SmallPlatform) -> None:
         for engine in platform.engines:
