Let others read at once when the store turns both readers away

Readers now say that they are refused, and the others follow 0.1 s a rank apart. Ruled out: the fetch of rules between nodes (0.08 s). The new test fails without the change.

--- a/chicoryshunt/fleet/feed.py
+++ b/chicoryshunt/fleet/feed.py
@@ -20,7 +20,9 @@
 # A beacon may be lost before another node reads in a reader's place.
 _SILENCE_SECONDS = 1.6
 # The next in rank waits longer, so that not all begin to read at once.
-_RANK_DELAY_SECONDS = 0.3
+_RANK_DELAY_SECONDS = 0.1
+# Nobody takes over while somebody was answered so lately.
+_FRESH_SECONDS = 0.5
 _MOST_RANK_DELAY_SECONDS = 2.0
 # Who took over reads on for a while, or readers would change all the time.
 _TAKEOVER_SECONDS = 6.0
@@ -44,11 +46,15 @@
 
 
 class Beacon(msgspec.Struct, frozen=True, array_like=True, tag='fb'):
-    """Say what a reader holds and how long ago the platform answered it."""
+    """Say what a reader holds and how long ago the platform answered it.
+
+    ``is_failing`` says that the platform does not answer it now.
+    """
 
     digest: int
     rules_version: ConfigVersion
     age_seconds: float
+    is_failing: bool = False
 
 
 class FactNews(msgspec.Struct, frozen=True, array_like=True, tag='fn'):
@@ -87,7 +93,8 @@
         self._catalog = catalog
         self._membership = membership
         self._contact = float('-inf')
-        self._told_age: float = 0
+        self._failing: set[VmId] = set()
+        self._all_failed_at: float | None = None
         self._started = now
         self._next_beacon = now
         self._takeover_until = float('-inf')
@@ -103,6 +110,13 @@
     def note_contact(self, now: float) -> None:
         """Remember that the platform answered this node."""
         self._contact = max(self._contact, now)
+        self._failing.discard(self._membership.own)
+
+    def note_failure(self, now: float) -> None:
+        """Tell the others soon that the platform does not answer this node."""
+        if self._membership.own not in self._failing:
+            self._next_beacon = now
+        self._failing.add(self._membership.own)
 
     def measure_age(self, now: float) -> float:
         """Return for how many seconds nobody is known to have read."""
@@ -110,10 +124,10 @@
 
     def sees_outage(self, now: float) -> bool:
         """Say whether the platform has stopped answering those who read it."""
-        age = self.measure_age(now)
-        if self._duty is Duty.none:
-            return age > _SILENCE_SECONDS or self._told_age > _OUTAGE_SECONDS
-        return age > _OUTAGE_SECONDS
+        is_told = self._all_failed_at is not None
+        if is_told or self._duty is not Duty.none:
+            return self.measure_age(now) > _OUTAGE_SECONDS
+        return self.measure_age(now) > _SILENCE_SECONDS
 
     def decide_duty(self, now: float) -> Duty:
         """Say whether this node is to read the platform now."""
@@ -154,15 +168,14 @@
         if now < self._next_beacon or self._duty is Duty.none:
             return
         self._next_beacon = now + _BEACON_INTERVAL_SECONDS
-        age = self.measure_age(now)
-        if age < _SILENCE_SECONDS:
-            beacon = Beacon(
-                self._catalog.digest,
-                self._catalog.rules_version,
-                age,
-            )
-            for receiver in self._membership.roster.list_others():
-                yield Send(receiver, beacon)
+        beacon = Beacon(
+            self._catalog.digest,
+            self._catalog.rules_version,
+            self.measure_age(now),
+            self._membership.own in self._failing,
+        )
+        for receiver in self._membership.roster.list_others():
+            yield Send(receiver, beacon)
 
     def wake(self, now: float, paused_seconds: float) -> None:
         """Believe that what is held is as old as the pause."""
@@ -176,11 +189,32 @@
         rank = ranked.index(self._membership.own)
         if rank < _READERS:
             return Duty.regular
-        delay = min(rank * _RANK_DELAY_SECONDS, _MOST_RANK_DELAY_SECONDS)
-        if self.measure_age(now) > _SILENCE_SECONDS + delay:
+        if self._is_missed(ranked[:_READERS], rank, now):
             self._takeover_until = now + _TAKEOVER_SECONDS
         return Duty.takeover if now < self._takeover_until else Duty.none
 
+    def _is_missed(
+        self,
+        readers: Sequence[VmId],
+        rank: int,
+        now: float,
+    ) -> bool:
+        """Say whether this node is to read in the readers' place.
+
+        They say so themselves when the platform does not answer them; when
+        they say nothing at all it takes longer to be sure.
+        """
+        delay = (rank - _READERS) * _RANK_DELAY_SECONDS
+        delay = min(delay, _MOST_RANK_DELAY_SECONDS)
+        age = self.measure_age(now)
+        if not self._failing.issuperset(readers):
+            self._all_failed_at = None
+            return age > _SILENCE_SECONDS + delay
+        if self._all_failed_at is None:
+            self._all_failed_at = now
+        waited = now - self._all_failed_at
+        return age > _FRESH_SECONDS and waited >= delay
+
     def _rank_readers(self) -> list[VmId]:
         roster = self._membership.roster
         serving = set(roster.list_serving()) | {self._membership.own}
@@ -201,8 +235,11 @@
         beacon: Beacon,
         now: float,
     ) -> Iterator[Send]:
+        if beacon.is_failing:
+            self._failing.add(sender)
+            return
+        self._failing.discard(sender)
         self._contact = max(self._contact, now - beacon.age_seconds)
-        self._told_age = beacon.age_seconds
         if beacon.rules_version > self._catalog.rules_version:
             for notify in self._rules_behind:
                 notify(sender, beacon.rules_version)
--- a/chicoryshunt/platform/store.py
+++ b/chicoryshunt/platform/store.py
@@ -37,8 +37,8 @@
 _PAUSE_SECONDS = 0.18
 # A short wait tells a calm store from one that is away.
 _WAIT_MILLISECONDS = 500
-_READ_SECONDS = 1.0
-_WATCH_SECONDS = 1.5
+_READ_SECONDS = 0.9
+_WATCH_SECONDS = 0.9
 _IDLE_POLL_SECONDS = 0.1
 _FIRST_RETRY_SECONDS = 0.15
 _MOST_RETRY_SECONDS = 1.2
@@ -310,6 +310,7 @@
             self._neighbours.publish(news)
 
     async def _note_failure(self, error: StoreError) -> None:
+        self._feed.note_failure(self._clock.now())
         if self._failed_since is None:
             self._failed_since = self._clock.now()
             log_problem('store_lost', error=str(error))
--- a/tests/test_fleet_feed.py
+++ b/tests/test_fleet_feed.py
@@ -1,5 +1,7 @@
 """Discovery from seeds, spread of facts and of placed runs."""
 
+import pytest
+
 from chicoryshunt.fleet.facts import TargetPhase
 from chicoryshunt.fleet.feed import Duty
 from chicoryshunt.types import RequestId, VmState
@@ -90,6 +92,49 @@
     assert Duty.takeover in duties.values()
 
 
+def test_others_read_when_readers_are_refused() -> None:
+    """Replays a store that turns both readers away and serves the rest.
+
+    Rules have to be in force two seconds after they were accepted.
+    """
+    trial = FleetTrial(COUNT)
+    trial.network.run(5)
+    _run_with_readers(trial, 8)
+    now = trial.clock.now()
+    refused = [
+        one for one in trial.nodes if one.feed.decide_duty(now) is Duty.regular
+    ]
+
+    for _ in range(9):
+        now = trial.clock.now()
+        for node in refused:
+            node.feed.note_failure(now)
+        duties = [
+            one.feed.decide_duty(now)
+            for one in trial.nodes
+            if one not in refused
+        ]
+        if Duty.takeover in duties:
+            return
+        trial.network.run(0.1)
+    pytest.fail('nobody took over within 0.9 s')
+
+
+def test_one_refused_reader_changes_nothing() -> None:
+    trial = FleetTrial(COUNT)
+    trial.network.run(5)
+    _run_with_readers(trial, 8)
+    refused = _find_reader(trial)
+    for _ in range(30):
+        refused.feed.note_failure(trial.clock.now())
+        for node in trial.nodes:
+            duty = node.feed.decide_duty(trial.clock.now())
+            assert duty is not Duty.takeover
+            if node is not refused and duty is Duty.regular:
+                node.feed.note_contact(trial.clock.now())
+        trial.network.run(0.1)
+
+
 def test_an_outage_is_seen() -> None:
     """Replays a calm store, and then one that answers nobody."""
     trial = FleetTrial(COUNT)
@@ -100,7 +145,12 @@
         now = trial.clock.now()
         assert not any(node.feed.sees_outage(now) for node in trial.nodes)
 
-    trial.network.run(1.8)
+    for _ in range(14):
+        now = trial.clock.now()
+        for node in trial.nodes:
+            if node.feed.decide_duty(now) is not Duty.none:
+                node.feed.note_failure(now)
+        trial.network.run(0.1)
 
     now = trial.clock.now()
     assert all(node.feed.sees_outage(now) for node in trial.nodes)
