--- a/chicoryshunt/fleet/feed.py
+++ b/chicoryshunt/fleet/feed.py
@@ -21,8 +21,9 @@
 _SILENCE_SECONDS = 1.6
 # The next in rank waits longer, so that not all begin to read at once.
 _RANK_DELAY_SECONDS = 0.1
-# Nobody takes over while somebody was answered so lately.
-_FRESH_SECONDS = 0.5
+# Nobody takes over from failing readers while another was answered so lately:
+# its beacons tell of answers that are up to a second old.
+_FRESH_SECONDS = 1.1
 _MOST_RANK_DELAY_SECONDS = 2.0
 # Who took over reads on for a while, or readers would change all the time.
 _TAKEOVER_SECONDS = 6.0
@@ -94,7 +95,7 @@
         self._membership = membership
         self._contact = float('-inf')
         self._failing: set[VmId] = set()
-        self._all_failed_at: float | None = None
+        self._have_readers_failed = False
         self._started = now
         self._next_beacon = now
         self._takeover_until = float('-inf')
@@ -124,8 +125,7 @@
 
     def sees_outage(self, now: float) -> bool:
         """Say whether the platform has stopped answering those who read it."""
-        is_told = self._all_failed_at is not None
-        if is_told or self._duty is not Duty.none:
+        if self._have_readers_failed or self._duty is not Duty.none:
             return self.measure_age(now) > _OUTAGE_SECONDS
         return self.measure_age(now) > _SILENCE_SECONDS
 
@@ -207,13 +207,10 @@
         delay = (rank - _READERS) * _RANK_DELAY_SECONDS
         delay = min(delay, _MOST_RANK_DELAY_SECONDS)
         age = self.measure_age(now)
-        if not self._failing.issuperset(readers):
-            self._all_failed_at = None
-            return age > _SILENCE_SECONDS + delay
-        if self._all_failed_at is None:
-            self._all_failed_at = now
-        waited = now - self._all_failed_at
-        return age > _FRESH_SECONDS and waited >= delay
+        self._have_readers_failed = self._failing.issuperset(readers)
+        if self._have_readers_failed:
+            return age > _FRESH_SECONDS + delay
+        return age > _SILENCE_SECONDS + delay
 
     def _rank_readers(self) -> list[VmId]:
         roster = self._membership.roster
