--- a/chicoryshunt/platform/items.py
+++ b/chicoryshunt/platform/items.py
@@ -123,9 +123,7 @@
     kv_token_bytes: int = 0
     link_mbps: float = 1
     moves: bool = False
-    backups: bool = False
     stride: int = 1
-    handle_s: float = 1
 
 
 class _Service(msgspec.Struct):
@@ -286,9 +284,7 @@
         bytes_per_token=engine.kv_token_bytes,
         link_bytes_per_second=bits_per_second / _BITS_PER_BYTE,
         can_move=engine.moves,
-        can_back_up=engine.backups,
         tokens_per_event=engine.stride,
-        handle_seconds=engine.handle_s,
     )
 
 
--- a/chicoryshunt/relay/moving.py
+++ b/chicoryshunt/relay/moving.py
@@ -57,7 +57,7 @@
 
     def plan(self, source: TargetId, streams: Sequence[Stream]) -> None:
         """Start to move this node's runs off an engine, in their turn."""
-        if not streams:
+        if not streams or not streams[0].engine.can_move:
             return
         moves = {
             move.request: move
@@ -73,7 +73,9 @@
         Without a turn on the link it waits until the other runs have moved.
         """
         course = stream.course
-        if course is None or not self.is_leaving(course.place.target):
+        if course is None or not stream.engine.can_move:
+            return
+        if not self.is_leaving(course.place.target):
             return
         stream.replans += 1
         if stream.replans > _MOST_REPLANS:
--- a/chicoryshunt/rules/model.py
+++ b/chicoryshunt/rules/model.py
@@ -44,19 +44,14 @@
 
 
 class EngineRules(msgspec.Struct, frozen=True, array_like=True):
-    """What engines of a service can hold and move.
-
-    ``handle_seconds`` is how long an unused copy of a run is kept.
-    """
+    """What engines of a service can hold, and whether they move runs."""
 
     slots: int
     memory_tokens: int
     bytes_per_token: int
     link_bytes_per_second: float
     can_move: bool
-    can_back_up: bool
     tokens_per_event: int
-    handle_seconds: float
 
 
 class ServiceRules(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -177,6 +177,26 @@
     _play(trial)
 
 
+def test_engines_that_cannot_move_are_not_asked() -> None:
+    async def trial(platform: SmallPlatform) -> None:
+        for engine in platform.engines:
+            engine.length = 60
+        services = build_config()['services']
+        services[1]['engine']['moves'] = False
+        platform.store.put('op/config', build_config(2, services=services))
+        await asyncio.sleep(1)
+        answer = await platform.open('/drafts/1', method='POST', **GENERATION)
+        first = await answer.body.read()
+        source = next(one for one in platform.engines if one.started)
+        platform.leave(source.name)
+        rest = await answer.body.read_all(1 << 20)
+
+        assert _list_numbers(first, rest) == list(range(1, 61))
+        assert not source.copies
+
+    _play(trial)
+
+
 def test_half_an_event_is_not_passed_on() -> None:
     async def trial(platform: SmallPlatform) -> None:
         for engine in platform.engines:
