Bound the wait for the body of a call's answer

Found by reading: only the wait for the headers was bounded, so a target that stalled inside its answer held a caller past the route's timeout. The new test hangs without the change.

--- a/chicoryshunt/relay/calls.py
+++ b/chicoryshunt/relay/calls.py
@@ -208,6 +208,7 @@
         dispatch: Dispatch,
         patience: float,
     ) -> Attempt:
+        until = self._around.clock.now() + patience
         try:
             answer = await upstream.send(sending, patience)
         except NotSentError as error:
@@ -216,16 +217,23 @@
             self._around.record(dispatch.target, Outcome.silent)
             is_timeout = isinstance(error.__cause__, TimeoutError)
             return Doubtful(dispatch.target, str(error), is_timeout)
-        return await self._read(incoming, dispatch.target, answer)
+        remaining = max(until - self._around.clock.now(), 0)
+        return await self._read(
+            incoming,
+            dispatch.target,
+            answer,
+            remaining,
+        )
 
     async def _read(
         self,
         incoming: Incoming,
         target: TargetId,
         answer: Answer,
+        seconds: float,
     ) -> Attempt:
         receipt = self._around.port.judge(incoming, answer)
-        body = await answer.body.read_all(_MOST_ANSWER_BYTES)
+        body = await answer.body.read_all(_MOST_ANSWER_BYTES, seconds)
         match receipt:
             case Receipt.not_run | Receipt.other_target:
                 self._around.record(target, Outcome.failed)
--- a/lab/standins/platform_targets.py
+++ b/lab/standins/platform_targets.py
@@ -53,6 +53,12 @@
             case 'cut':
                 exchange.abort()
                 return
+            case 'stall':
+                exchange.set_header(_ID, request)
+                exchange.set_header(_SEAL, f'seal-{self.name}')
+                exchange.set_header('content-length', '9')
+                exchange.write(b'half')
+                return
             case 'hang':
                 await self.is_released.wait()
             case 'foreign':
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -236,6 +236,22 @@
     _play(trial)
 
 
+def test_a_stalled_answer_is_not_waited_for() -> None:
+    async def trial(platform: SmallPlatform) -> None:
+        for service in platform.services:
+            service.mode = 'stall'
+        answer, _ = await platform.ask(
+            '/filings/1',
+            method='POST',
+            X_Chicoryshunt_Deadline_Ms='300',
+        )
+
+        assert answer.status == 502
+        assert sum(one.runs.total() for one in platform.services) == 1
+
+    _play(trial)
+
+
 def test_a_planned_stop_cuts_no_stream() -> None:
     async def trial(platform: SmallPlatform) -> None:
         for engine in platform.engines:
