Offer new rules from node to node; cross data centres once a message

A version of 1,808 routes is some 150 KB; two readers with links of 10 Mbit/s had to serve it to 77 nodes that all asked at the next beacon and gave up after a second.

Ruled out: processor time (encoding and decoding take some 10 ms), the store's answers (readers had the version within its bound).

Change: who puts rules in force offers them to four nodes of its data centre, and who read them to two of each other one; they are compressed and passed on as received. A beacon makes nodes ask a reader only when nobody offered. Messages for all go to one node of each other data centre, chosen anew each time, which passes them on. Nodes without runs do not repeat that they have none. A directory answer of a large data centre keeps room for two nodes of other ones; before it named its own alone.

--- a/chicoryshunt/fleet/catalog.py
+++ b/chicoryshunt/fleet/catalog.py
@@ -21,6 +21,9 @@
 # arrives late does not bring the target back.
 _MOST_GONE = 4096
 
+# Source of what this node read itself; what others told has their name.
+PLATFORM_SOURCE = 'store'
+
 FactKey = tuple[str, str]
 Follower = Callable[[Fact], None]
 
@@ -39,6 +42,7 @@
     def __init__(self) -> None:
         """Start without any knowledge."""
         self.rules: RuleIndex | None = None
+        self.rules_source = ''
         self._facts: dict[FactKey, Believed] = {}
         self._targets: dict[ServiceId, dict[TargetId, Believed]] = {}
         self._evacuated: frozenset[DataCentreId] = frozenset()
@@ -75,6 +79,7 @@
             routes=len(rules.routes),
         )
         self.rules = RuleIndex(rules)
+        self.rules_source = source
         return True
 
     def take(self, fact: Fact, now: float, source: str) -> bool:
--- a/chicoryshunt/fleet/feed.py
+++ b/chicoryshunt/fleet/feed.py
@@ -1,14 +1,14 @@
 """Spreads what a few nodes read from the platform to all others."""
 
-from collections.abc import Callable, Iterable, Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
 from enum import Enum
 
-import msgspec
-
 from chicoryshunt.events import log_event
+from chicoryshunt.fleet.broadcast import Broadcast
 from chicoryshunt.fleet.catalog import Catalog
 from chicoryshunt.fleet.facts import Fact
+from chicoryshunt.fleet.messages import Beacon, FactNews, FactRequest
 from chicoryshunt.membership.membership import Membership
 from chicoryshunt.membership.rendezvous import rank_vms
 from chicoryshunt.nodes.core import Message, Send
@@ -31,8 +31,10 @@
 # A reader that was not answered for so long sees an outage; a watch waits for
 # half of it, whether or not there is a change.
 _OUTAGE_SECONDS = 1.0
-# A datagram of 1400 bytes holds this many facts.
-_FACTS_PER_MESSAGE = 7
+# A datagram of 1400 bytes holds this many facts, also when it is passed on.
+_FACTS_PER_MESSAGE = 6
+# Nodes offer new rules to each other; a reader is asked after this time.
+_OFFER_SECONDS = 0.4
 # Differences that requests could not settle are settled by reading.
 _REQUESTS_BEFORE_READ = 3
 
@@ -46,28 +48,6 @@
     uncertain = 'uncertain'
 
 
-class Beacon(msgspec.Struct, frozen=True, array_like=True, tag='fb'):
-    """Say what a reader holds and how long ago the platform answered it.
-
-    ``is_failing`` says that the platform does not answer it now.
-    """
-
-    digest: int
-    rules_version: ConfigVersion
-    age_seconds: float
-    is_failing: bool = False
-
-
-class FactNews(msgspec.Struct, frozen=True, array_like=True, tag='fn'):
-    """Pass facts on."""
-
-    facts: tuple[Fact, ...]
-
-
-class FactRequest(msgspec.Struct, frozen=True, array_like=True, tag='fr'):
-    """Ask a node for every fact that it holds."""
-
-
 RulesBehind = Callable[[VmId, ConfigVersion], None]
 
 
@@ -88,11 +68,13 @@
         self,
         catalog: Catalog,
         membership: Membership,
+        broadcast: Broadcast,
         now: float,
     ) -> None:
         """Start without any contact with the platform."""
         self._catalog = catalog
         self._membership = membership
+        self._broadcast = broadcast
         self._contact = float('-inf')
         self._failing: set[VmId] = set()
         self._have_readers_failed = False
@@ -100,6 +82,7 @@
         self._next_beacon = now
         self._takeover_until = float('-inf')
         self._mismatch = _Mismatch()
+        self._behind_since: float | None = None
         self._duty = Duty.none
         self._rules_behind: list[RulesBehind] = []
         self.reads_anew = True
@@ -144,8 +127,8 @@
 
     def publish(self, facts: Sequence[Fact]) -> Iterator[Send]:
         """Return the messages that tell all others some news."""
-        for receiver in self._membership.roster.list_others():
-            yield from _tell(receiver, facts)
+        for news in _split(facts):
+            yield from self._broadcast.tell(news)
 
     def receive(
         self,
@@ -161,7 +144,8 @@
                 for fact in facts:
                     self._catalog.take(fact, now, sender)
             case FactRequest():
-                yield from _tell(sender, self._catalog.list_facts())
+                for news in _split(self._catalog.list_facts()):
+                    yield Send(sender, news)
 
     def tick(self, now: float) -> Iterator[Send]:
         """Tell the others what this node holds while it reads."""
@@ -174,8 +158,7 @@
             self.measure_age(now),
             self._membership.own in self._failing,
         )
-        for receiver in self._membership.roster.list_others():
-            yield Send(receiver, beacon)
+        yield from self._broadcast.tell(beacon)
 
     def wake(self, now: float, paused_seconds: float) -> None:
         """Believe that what is held is as old as the pause."""
@@ -237,9 +220,7 @@
             return
         self._failing.discard(sender)
         self._contact = max(self._contact, now - beacon.age_seconds)
-        if beacon.rules_version > self._catalog.rules_version:
-            for notify in self._rules_behind:
-                notify(sender, beacon.rules_version)
+        self._compare_rules(sender, beacon.rules_version, now)
         if beacon.digest == self._catalog.digest:
             self._mismatch = _Mismatch()
         elif now >= self._mismatch.next_request:
@@ -247,6 +228,21 @@
             self._mismatch.requests += 1
             yield from self._settle(sender)
 
+    def _compare_rules(
+        self,
+        sender: VmId,
+        version: ConfigVersion,
+        now: float,
+    ) -> None:
+        """Have newer rules fetched from a reader if nobody else offers them."""
+        if version <= self._catalog.rules_version:
+            self._behind_since = None
+        elif self._behind_since is None:
+            self._behind_since = now
+        elif now - self._behind_since >= _OFFER_SECONDS:
+            for notify in self._rules_behind:
+                notify(sender, version)
+
     def _settle(self, sender: VmId) -> Iterator[Send]:
         if self._mismatch.requests > _REQUESTS_BEFORE_READ:
             log_event('facts_differ', reader=sender)
@@ -256,8 +252,6 @@
             yield Send(sender, FactRequest())
 
 
-def _tell(receiver: VmId, facts: Iterable[Fact]) -> Iterator[Send]:
-    waiting = list(facts)
-    for start in range(0, len(waiting), _FACTS_PER_MESSAGE):
-        part = waiting[start : start + _FACTS_PER_MESSAGE]
-        yield Send(receiver, FactNews(tuple(part)))
+def _split(facts: Sequence[Fact]) -> Iterator[FactNews]:
+    for start in range(0, len(facts), _FACTS_PER_MESSAGE):
+        yield FactNews(tuple(facts[start : start + _FACTS_PER_MESSAGE]))
--- a/chicoryshunt/fleet/neighbours.py
+++ b/chicoryshunt/fleet/neighbours.py
@@ -7,10 +7,12 @@
 from chicoryshunt.address import Address
 from chicoryshunt.clock import Clock
 from chicoryshunt.connection.platform_api import PublishedVm
+from chicoryshunt.fleet.broadcast import Broadcast
 from chicoryshunt.fleet.catalog import Catalog
 from chicoryshunt.fleet.discovery import Discovery
 from chicoryshunt.fleet.facts import Fact
 from chicoryshunt.fleet.feed import Feed
+from chicoryshunt.fleet.rules_offers import RulesOffers
 from chicoryshunt.fleet.workload import Workload
 from chicoryshunt.membership.membership import Membership
 from chicoryshunt.metrics import Metrics
@@ -39,8 +41,11 @@
         now = clock.now()
         self.membership = Membership(own, incarnation, rng, now)
         self.catalog = Catalog()
-        self.feed = Feed(self.catalog, self.membership, now)
-        self.workload = Workload(self.membership, now)
+        broadcast = Broadcast(self.membership, rng)
+        self.feed = Feed(self.catalog, self.membership, broadcast, now)
+        self.workload = Workload(self.membership, broadcast, now)
+        broadcast.deliver_to((self.feed, self.workload))
+        self.rules_offers = RulesOffers(self.catalog, self.membership, rng)
         links = Links()
         # The deployment hands out no key, so envelopes only show damage.
         seal = Seal(b'', own.vm, incarnation, Purpose.datagram)
@@ -52,6 +57,8 @@
             self.discovery,
             self.feed,
             self.workload,
+            broadcast,
+            self.rules_offers,
         )
         self._mesh = Mesh(seal, links, self._pulse, metrics, self._cores)
 
--- a/chicoryshunt/fleet/rules_exchange.py
+++ b/chicoryshunt/fleet/rules_exchange.py
@@ -1,6 +1,9 @@
 """Passes rules from node to node, where they are too large for datagrams."""
 
 import asyncio
+import zlib
+from collections import deque
+from dataclasses import dataclass
 from http import HTTPStatus
 
 import msgspec
@@ -13,15 +16,34 @@
     UpstreamPool,
 )
 from chicoryshunt.events import log_problem
+from chicoryshunt.exceptions import ChicoryshuntError
 from chicoryshunt.fleet.catalog import Catalog
 from chicoryshunt.rules.model import Rules
 from chicoryshunt.types import ConfigVersion, VmId
 
 RULES_PATH = '/rules'
 _CONTENT_TYPE = 'application/msgpack'
+# Rules of some thousand routes take half of this on a link of 5 Mbit/s.
 _FETCH_SECONDS = 1.0
 _IDLE_SECONDS = 1.0
 _MOST_RULES_BYTES = 8388608
+# Routes resemble each other, so the fastest level halves them.
+_COMPRESSION_LEVEL = 1
+# Offers beyond this many say nothing new.
+_MOST_OFFERS = 8
+
+
+class RulesError(ChicoryshuntError):
+    """What another node sent are no rules."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Offer:
+    """A node that has newer rules than this one."""
+
+    vm: VmId
+    address: str
+    version: ConfigVersion
 
 
 class RulesExchange:
@@ -32,7 +54,8 @@
         self._catalog = catalog
         self._pool = pool
         self._encoded: tuple[ConfigVersion, bytes] = (ConfigVersion(0), b'')
-        self._fetching: set[asyncio.Task[None]] = set()
+        self._offers: deque[_Offer] = deque(maxlen=_MOST_OFFERS)
+        self._fetching: asyncio.Task[None] | None = None
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer a node that asks for the rules."""
@@ -42,45 +65,71 @@
         exchange.respond(self._encode(), _CONTENT_TYPE)
 
     def fetch(self, vm: VmId, address: str, version: ConfigVersion) -> None:
-        """Start to fetch rules unless that is under way."""
-        if self._fetching:
-            return
-        task = asyncio.ensure_future(self._fetch(vm, address, version))
-        self._fetching.add(task)
-        task.add_done_callback(self._fetching.discard)
-
-    async def _fetch(
-        self,
-        vm: VmId,
-        address: str,
-        version: ConfigVersion,
-    ) -> None:
+        """Start to fetch rules, or do so when the present attempt fails."""
+        self._offers.append(_Offer(vm, address, version))
+        if self._fetching is None:
+            self._fetching = asyncio.ensure_future(self._take_offers())
+
+    async def _take_offers(self) -> None:
+        try:
+            while self._offers:
+                offer = self._offers.popleft()
+                if offer.version > self._catalog.rules_version:
+                    await self._fetch(offer)
+        finally:
+            self._fetching = None
+
+    async def _fetch(self, offer: _Offer) -> None:
         try:
-            rules = await self._read(address)
-        except (NotSentError, LostError, msgspec.DecodeError) as error:
+            encoded, rules = await self._read(offer.address)
+        except (NotSentError, LostError, RulesError) as error:
             log_problem(
                 'rules_not_fetched',
-                vm=vm,
-                version=version,
+                vm=offer.vm,
+                version=offer.version,
                 error=repr(error),
             )
-        else:
-            self._catalog.take_rules(rules, vm)
+            return
+        if self._catalog.take_rules(rules, offer.vm):
+            self._encoded = (rules.version, encoded)
 
-    async def _read(self, address: str) -> Rules:
+    async def _read(self, address: str) -> tuple[bytes, Rules]:
         headers = [(b'Host', address.encode())]
         sending = Sending(b'GET', RULES_PATH.encode(), headers)
         upstream = await self._pool.acquire(address, _IDLE_SECONDS)
-        answer = await upstream.send(sending, _FETCH_SECONDS)
+        try:
+            answer = await upstream.send(sending, _FETCH_SECONDS)
+        except LostError:
+            upstream.abort()
+            raise
         body = await answer.body.read_all(_MOST_RULES_BYTES, _FETCH_SECONDS)
         if not isinstance(body, bytes):
             upstream.abort()
             raise LostError(f'{address}: the rules are cut')
-        return msgspec.msgpack.decode(body, type=Rules)
+        return body, decode_rules(body)
 
     def _encode(self) -> bytes:
         index = self._catalog.rules
         if index is not None and self._encoded[0] != index.rules.version:
-            encoded = msgspec.msgpack.encode(index.rules)
-            self._encoded = (index.rules.version, encoded)
+            self._encoded = (index.rules.version, encode_rules(index.rules))
         return self._encoded[1]
+
+
+def encode_rules(rules: Rules) -> bytes:
+    """Return rules as nodes send them to each other."""
+    return zlib.compress(msgspec.msgpack.encode(rules), _COMPRESSION_LEVEL)
+
+
+def decode_rules(encoded: bytes) -> Rules:
+    """Return the rules that another node sent; raise ``RulesError``."""
+    unpacker = zlib.decompressobj()
+    try:
+        packed = unpacker.decompress(encoded, _MOST_RULES_BYTES)
+    except zlib.error as error:
+        raise RulesError(str(error)) from error
+    if not unpacker.eof:
+        raise RulesError('the rules are cut or too large')
+    try:
+        return msgspec.msgpack.decode(packed, type=Rules)
+    except msgspec.DecodeError as error:
+        raise RulesError(str(error)) from error
--- a/chicoryshunt/fleet/workload.py
+++ b/chicoryshunt/fleet/workload.py
@@ -6,40 +6,17 @@
 
 import msgspec
 
+from chicoryshunt.fleet.broadcast import Broadcast
+from chicoryshunt.fleet.messages import PlacedRun, RunList, RunNews
 from chicoryshunt.membership.membership import Membership
 from chicoryshunt.nodes.core import Message, Send
-from chicoryshunt.types import RequestId, TargetId, VmId, VmState
+from chicoryshunt.types import RequestId, VmId, VmState
 
 # Every node repeats all that it has placed, for notes may be lost.
 _REPEAT_SECONDS = 2.0
 _RUNS_PER_MESSAGE = 14
-
-
-class PlacedRun(msgspec.Struct, frozen=True, array_like=True):
-    """One run on an engine; ``age`` is seconds since it was placed."""
-
-    request: RequestId
-    target: TargetId
-    prompt_tokens: int
-    expected_tokens: int
-    most_tokens: int
-    age: float
-
-
-class RunNews(msgspec.Struct, frozen=True, array_like=True, tag='wn'):
-    """Tell of runs that were placed or moved, and of ended ones."""
-
-    placed: tuple[PlacedRun, ...] = ()
-    ended: tuple[RequestId, ...] = ()
-
-
-class RunList(msgspec.Struct, frozen=True, array_like=True, tag='wl'):
-    """Part of all runs of a node; ``round`` numbers the repeats."""
-
-    round: int
-    part: int
-    parts: int
-    runs: tuple[PlacedRun, ...]
+# A node without runs says so some times, for that may be lost as well.
+_MOST_EMPTY_ROUNDS = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,13 +33,19 @@
 
     kinds = (RunNews, RunList)
 
-    def __init__(self, membership: Membership, now: float) -> None:
+    def __init__(
+        self,
+        membership: Membership,
+        broadcast: Broadcast,
+        now: float,
+    ) -> None:
         """Start without runs; those of nodes that are gone are dropped."""
         self._membership = membership
+        self._broadcast = broadcast
         self._runs: dict[RequestId, KnownRun] = {}
         self._listed: dict[VmId, dict[int, RunList]] = {}
-        self._news: list[Send] = []
         self._round = 0
+        self._empty_rounds = 0
         self._next_repeat = now + _REPEAT_SECONDS
         self._followers: list[Callable[[], None]] = []
         membership.subscribe(self._follow)
@@ -80,14 +63,14 @@
         own = self._membership.own
         self._runs[run.request] = KnownRun(run, own, now - run.age)
         self._notify()
-        return self._tell(RunNews(placed=(run,)))
+        return self._broadcast.tell(RunNews(placed=(run,)))
 
     def end(self, request: RequestId) -> Iterator[Send]:
         """Drop a run of this node; return the messages to send."""
         if self._runs.pop(request, None) is None:
             return iter(())
         self._notify()
-        return self._tell(RunNews(ended=(request,)))
+        return self._broadcast.tell(RunNews(ended=(request,)))
 
     def receive(
         self,
@@ -112,15 +95,18 @@
         if now < self._next_repeat:
             return
         self._next_repeat = now + _REPEAT_SECONDS
-        self._round += 1
         own = self._membership.own
         runs = [
             msgspec.structs.replace(known.run, age=now - known.placed)
             for known in self._runs.values()
             if known.node == own
         ]
+        self._empty_rounds = 0 if runs else self._empty_rounds + 1
+        if self._empty_rounds > _MOST_EMPTY_ROUNDS:
+            return
+        self._round += 1
         for message in _split(self._round, runs):
-            yield from self._tell(message)
+            yield from self._broadcast.tell(message)
 
     def wake(self, now: float, paused_seconds: float) -> None:
         """Forget the runs of other nodes, which went on without this one."""
@@ -163,10 +149,6 @@
             self._drop_runs(vm)
             self._listed.pop(vm, None)
 
-    def _tell(self, message: Message) -> Iterator[Send]:
-        for receiver in self._membership.roster.list_others():
-            yield Send(receiver, message)
-
 
 def _split(number: int, runs: list[PlacedRun]) -> Iterator[RunList]:
     starts = range(0, max(len(runs), 1), _RUNS_PER_MESSAGE)
--- a/chicoryshunt/membership/entries.py
+++ b/chicoryshunt/membership/entries.py
@@ -15,12 +15,17 @@
     roster: Roster,
     data_centre: DataCentreId,
     rng: Random,
+    most_near: int = _MAX_ENTRIES,
 ) -> list[Member]:
-    """Return live VMs, those of the data centre first, spread by load."""
+    """Return live VMs, those of the data centre first, spread by load.
+
+    ``most_near`` leaves places for VMs of other data centres.
+    """
     usable = _list_usable(roster)
     near = [one for one in usable if one.published.data_centre == data_centre]
     far = [one for one in usable if one.published.data_centre != data_centre]
-    ordered = [*_order_by_load(near, rng), *_order_by_load(far, rng)]
+    nearest = list(_order_by_load(near, rng))[:most_near]
+    ordered = [*nearest, *_order_by_load(far, rng)]
     return ordered[:_MAX_ENTRIES]
 
 
--- a/chicoryshunt/platform/node.py
+++ b/chicoryshunt/platform/node.py
@@ -64,6 +64,7 @@
             self._pool,
         )
         self._neighbours.feed.on_rules_behind(self._fetch_rules)
+        self._neighbours.rules_offers.on_offer(self._fetch_rules)
         self._around = self._build_surroundings()
         self._gateway = Gateway(
             self._around,
--- a/chicoryshunt/platform/store.py
+++ b/chicoryshunt/platform/store.py
@@ -19,7 +19,7 @@
 )
 from chicoryshunt.events import log_event, log_problem
 from chicoryshunt.exceptions import ChicoryshuntError
-from chicoryshunt.fleet.catalog import withdraw
+from chicoryshunt.fleet.catalog import PLATFORM_SOURCE, withdraw
 from chicoryshunt.fleet.facts import (
     EvacuationFact,
     Fact,
@@ -46,7 +46,6 @@
 _RETURN_SECONDS = 2.5
 _MOST_BYTES = 8388608
 _IDLE_SECONDS = 5.0
-_SOURCE = 'store'
 
 _Read = TypeVar('_Read')
 
@@ -299,12 +298,14 @@
         if isinstance(rules, items.Unreadable):
             log_problem('rules_unreadable', reason=rules.reason)
         else:
-            self._catalog.take_rules(rules, _SOURCE)
+            self._catalog.take_rules(rules, PLATFORM_SOURCE)
 
     def _believe(self, facts: Iterable[Fact]) -> None:
         now = self._clock.now()
         news = [
-            fact for fact in facts if self._catalog.take(fact, now, _SOURCE)
+            fact
+            for fact in facts
+            if self._catalog.take(fact, now, PLATFORM_SOURCE)
         ]
         if news:
             self._neighbours.publish(news)
--- a/chicoryshunt/relay/placing.py
+++ b/chicoryshunt/relay/placing.py
@@ -14,7 +14,7 @@
 from chicoryshunt.dispatch.waiting import Ticket, WaitingRoom
 from chicoryshunt.events import log_routine
 from chicoryshunt.fleet.facts import TargetFact
-from chicoryshunt.fleet.workload import PlacedRun
+from chicoryshunt.fleet.messages import PlacedRun
 from chicoryshunt.relay.course_actions import (
     Open,
 )
--- a/chicoryshunt/relay/surroundings.py
+++ b/chicoryshunt/relay/surroundings.py
@@ -18,7 +18,8 @@
 from chicoryshunt.events import log_event
 from chicoryshunt.fleet.catalog import Catalog
 from chicoryshunt.fleet.facts import Fact, TargetFact, TargetPhase
-from chicoryshunt.fleet.workload import PlacedRun, Workload
+from chicoryshunt.fleet.messages import PlacedRun
+from chicoryshunt.fleet.workload import Workload
 from chicoryshunt.membership.membership import Membership
 from chicoryshunt.metrics import Metrics
 from chicoryshunt.nodes.core import Send
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -8,11 +8,14 @@
 from chicoryshunt.connection.platform_api import PublishedVm
 from chicoryshunt.dispatch.engines import Engine
 from chicoryshunt.dispatch.forecast import RunView
+from chicoryshunt.fleet.broadcast import Broadcast
 from chicoryshunt.fleet.catalog import Catalog
 from chicoryshunt.fleet.discovery import Discovery
 from chicoryshunt.fleet.facts import Revision, TargetFact, TargetPhase
 from chicoryshunt.fleet.feed import Feed
-from chicoryshunt.fleet.workload import PlacedRun, Workload
+from chicoryshunt.fleet.messages import PlacedRun
+from chicoryshunt.fleet.rules_offers import RulesOffers
+from chicoryshunt.fleet.workload import Workload
 from chicoryshunt.membership.membership import Membership
 from chicoryshunt.nodes.links import Links
 from chicoryshunt.rules.model import (
@@ -150,12 +153,22 @@
         self.vm = vm.vm
         self.membership = Membership(vm, Incarnation(incarnation), rng, now)
         self.catalog = Catalog()
-        self.feed = Feed(self.catalog, self.membership, now)
+        broadcast = Broadcast(self.membership, rng)
+        self.feed = Feed(self.catalog, self.membership, broadcast, now)
         self.feed.reads_anew = False
-        self.workload = Workload(self.membership, now)
+        self.workload = Workload(self.membership, broadcast, now)
+        broadcast.deliver_to((self.feed, self.workload))
+        self.rules_offers = RulesOffers(self.catalog, self.membership, rng)
         self.discovery = Discovery(vm, seeds, self.membership, Links(), rng)
         self.host = Host(
-            (self.membership, self.discovery, self.feed, self.workload),
+            (
+                self.membership,
+                self.discovery,
+                self.feed,
+                self.workload,
+                broadcast,
+                self.rules_offers,
+            ),
             clock,
         )
 
--- /dev/null
+++ b/tests/test_broadcast.py
@@ -0,0 +1,172 @@
+"""What nodes tell all others, over few links between data centres."""
+
+import zlib
+from collections import Counter
+from functools import partial
+from random import Random
+
+import pytest
+
+from chicoryshunt.fleet.catalog import PLATFORM_SOURCE
+from chicoryshunt.fleet.entrances import list_entrances
+from chicoryshunt.fleet.rules_exchange import (
+    RulesError,
+    decode_rules,
+    encode_rules,
+)
+from chicoryshunt.types import ConfigVersion, DataCentreId, VmId
+from tests.fleet_builders import (
+    FleetNode,
+    FleetTrial,
+    build_placed,
+    build_route,
+    build_rules,
+)
+
+COUNT = 30
+DATA_CENTRES = 3
+
+
+@pytest.fixture(scope='module')
+def fleet() -> FleetTrial:
+    """Return thirty nodes in three data centres that know each other."""
+    trial = FleetTrial(COUNT)
+    trial.network.run(8)
+    return trial
+
+
+def _find_place(trial: FleetTrial, vm: VmId) -> str:
+    return next(one.data_centre for one in trial.vms if one.vm == vm)
+
+
+def _count_knowing(trial: FleetTrial, request: str) -> int:
+    return sum(
+        any(known.run.request == request for known in one.workload.list_runs())
+        for one in trial.nodes
+    )
+
+
+def test_a_placement_crosses_once(
+    fleet: FleetTrial,
+) -> None:
+    node = fleet.nodes[4]
+    own = _find_place(fleet, node.vm)
+
+    sends = list(
+        node.workload.place(build_placed('r-once'), fleet.clock.now()),
+    )
+
+    places = Counter(_find_place(fleet, one.receiver) for one in sends)
+    assert places.pop(own) == COUNT // DATA_CENTRES - 1
+    assert set(places.values()) == {1}
+    assert len(places) == DATA_CENTRES - 1
+
+
+def test_all_hear_of_a_placement(fleet: FleetTrial) -> None:
+    node = fleet.nodes[7]
+    now = fleet.clock.now()
+    fleet.network.send(
+        node.vm,
+        node.workload.place(build_placed('r-all'), now),
+    )
+    fleet.network.run(0.3)
+
+    assert _count_knowing(fleet, 'r-all') == COUNT
+
+
+def test_a_dead_relay_loses_nothing_for_long() -> None:
+    trial = FleetTrial(COUNT)
+    trial.network.run(8)
+    for node in trial.nodes[1::6]:
+        trial.stop(node)
+    node = trial.nodes[0]
+    now = trial.clock.now()
+    trial.network.send(node.vm, node.workload.place(build_placed('r'), now))
+    trial.network.run(5)
+
+    alive = len(trial.network.hosts)
+    stopped = sum(
+        any(known.run.request == 'r' for known in one.workload.list_runs())
+        for one in trial.nodes[1::6]
+    )
+    assert _count_knowing(trial, 'r') - stopped == alive
+
+
+def _let_offers_be_fetched(
+    trial: FleetTrial,
+    fetches: Counter[VmId],
+) -> None:
+    by_vm = {node.vm: node for node in trial.nodes}
+
+    def fetch(node: FleetNode, vm: VmId, version: ConfigVersion) -> None:
+        known = by_vm[vm].catalog.rules
+        if known is not None and version > node.catalog.rules_version:
+            fetches[vm] += 1
+            node.catalog.take_rules(known.rules, vm)
+
+    for one in trial.nodes:
+        one.rules_offers.on_offer(partial(fetch, one))
+
+
+def test_new_rules_reach_all_over_thin_links() -> None:
+    """Replays a version of 1,800 routes for dozens of nodes on thin links.
+
+    One link of 10 Mbit/s carries the rules some ten times in the two seconds
+    until they have to be in force.
+    """
+    trial = FleetTrial(COUNT)
+    trial.network.run(8)
+    fetches: Counter[VmId] = Counter()
+    _let_offers_be_fetched(trial, fetches)
+    reader = trial.nodes[5]
+
+    reader.catalog.take_rules(build_rules(version=7), PLATFORM_SOURCE)
+    trial.network.run(1.5)
+
+    behind = [one for one in trial.nodes if one.catalog.rules_version != 7]
+    assert len(behind) <= 1
+    assert max(fetches.values()) <= 10
+
+
+def test_rules_survive_the_way_to_another_node() -> None:
+    rules = build_rules(*(build_route(f'/{part}/') for part in range(300)))
+
+    encoded = encode_rules(rules)
+
+    assert decode_rules(encoded) == rules
+
+
+@pytest.mark.parametrize(
+    'encoded',
+    [
+        b'',
+        b'no rules',
+        encode_rules(build_rules(build_route()))[:-3],
+        zlib.compress(b'no rules'),
+        zlib.compress(bytes(9_000_000)),
+    ],
+    ids=('empty', 'foreign', 'cut', 'unreadable', 'too large'),
+)
+def test_what_are_no_rules_is_refused(encoded: bytes) -> None:
+    with pytest.raises(RulesError):
+        decode_rules(encoded)
+
+
+def test_large_data_centres_leave_room() -> None:
+    """Replays a data centre of twenty nodes that loses its power.
+
+    Callers hold a list of its nodes only, and ask the nearest nodes again.
+    """
+    trial = FleetTrial(60)
+    trial.network.run(10)
+    home = DataCentreId('dc-1')
+
+    named = list_entrances(
+        trial.nodes[1].membership.roster,
+        home,
+        Random(1),
+    )
+
+    near = {one.caller for one in trial.vms if one.data_centre == home}
+    assert len(near.intersection(named)) == 10
+    assert len(set(named) - near) == 2
