--- a/chicoryshunt/dispatch/handover.py
+++ b/chicoryshunt/dispatch/handover.py
@@ -101,7 +101,8 @@
         if room is None:
             continue
         is_remote = room.engine.data_centre != source.data_centre
-        seconds = measure_step(one.run, link, pace, is_remote=is_remote)
+        held = one.run.count_held(pace)
+        seconds = link.measure_copy(held, is_remote=is_remote) + _STEP_SECONDS
         moves.append(
             Move(
                 one.request,
@@ -133,22 +134,12 @@
     return None
 
 
-def measure_step(
-    run: RunView,
-    link: Link,
-    pace: float,
-    *,
-    is_remote: bool,
-) -> float:
-    """Return the seconds until a run goes on elsewhere."""
-    copying = link.measure_copy(run.count_held(pace), is_remote=is_remote)
-    return copying + _STEP_SECONDS
-
-
 def _measure_far(leaving: Iterable[Leaving], link: Link, pace: float) -> float:
     """Return how long all moves to other data centres would take."""
     return sum(
-        measure_step(one.run, link, pace, is_remote=True) for one in leaving
+        link.measure_copy(one.run.count_held(pace), is_remote=True)
+        + _STEP_SECONDS
+        for one in leaving
     )
 
 
--- a/chicoryshunt/platform/node.py
+++ b/chicoryshunt/platform/node.py
@@ -104,7 +104,6 @@
                     asyncio.ensure_future(self._neighbours.run()),
                     asyncio.ensure_future(self._build_reader().run()),
                     asyncio.ensure_future(self._build_reports().run()),
-                    asyncio.ensure_future(self._gateway.relieve_engines()),
                 ],
             )
             await self._leave(callers)
--- a/chicoryshunt/relay/gateway.py
+++ b/chicoryshunt/relay/gateway.py
@@ -78,10 +78,6 @@
         with self._count():
             await self._serve(incoming, exchange)
 
-    async def relieve_engines(self) -> None:
-        """Spread runs over the engines for as long as the process lives."""
-        await self._generations.relieve_engines()
-
     @contextmanager
     def _count(self) -> Iterator[None]:
         self.active += 1
--- a/chicoryshunt/relay/generations.py
+++ b/chicoryshunt/relay/generations.py
@@ -1,7 +1,7 @@
 """Relays generations: placed on an engine, streamed, and kept going."""
 
 import asyncio
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 from contextlib import contextmanager
 
 from chicoryshunt.connection.relayed_exchange import RelayedExchange
@@ -55,10 +55,6 @@
 # Last events of a stopped engine are on their way for no longer than this.
 _SETTLE_SECONDS = 0.03
 _MOST_REFUSALS = 4
-# How often engines are compared; a move takes some 0.3 s.
-_RELIEF_SECONDS = 0.25
-# A run that began or went on elsewhere so lately stays where it is.
-_SETTLED_SECONDS = 2.0
 # Shorter answers say little of how fast engines generate.
 _LEAST_PACED_EVENTS = 20
 
@@ -110,14 +106,6 @@
             ],
         )
 
-    async def relieve_engines(self) -> None:
-        """Spread runs over the engines for as long as the process lives."""
-        while True:
-            await asyncio.sleep(_RELIEF_SECONDS)
-            now = self._around.clock.now()
-            for movable in _group_movable(self._streams.values(), now):
-                self._mover.relieve(movable)
-
     @contextmanager
     def _own(self, stream: Stream) -> Iterator[None]:
         """Close everything of a stream when it ends, however it ends."""
@@ -354,7 +342,6 @@
         self._placer.note_run(stream, target.target)
         stream.legs[opening.leg] = opened
         stream.replans = 0
-        stream.settled = self._around.clock.now()
         place = build_place(target)
         stream.mail.put_nowait(Opened(opening.leg, place))
         opened.start(stream.mail)
@@ -391,17 +378,3 @@
     if course is None or not stream.first_event:
         return False
     return course.place.target == target
-
-
-def _group_movable(
-    streams: Iterable[Stream],
-    now: float,
-) -> Iterable[list[Stream]]:
-    """Return the streams that may be moved at will, by service."""
-    groups: dict[ServiceId, list[Stream]] = {}
-    for stream in streams:
-        since = max(stream.first_event, stream.settled)
-        is_settled = stream.first_event and now - since > _SETTLED_SECONDS
-        if is_settled and stream.engine.can_move:
-            groups.setdefault(stream.service, []).append(stream)
-    return groups.values()
--- a/chicoryshunt/relay/moving.py
+++ b/chicoryshunt/relay/moving.py
@@ -1,7 +1,7 @@
 """Moves runs off engines that leave."""
 
 import asyncio
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from chicoryshunt.connection.upstream import LostError, NotSentError, Sending
@@ -12,7 +12,6 @@
     find_turn,
     plan_moves,
 )
-from chicoryshunt.dispatch.relief import Crowd, Relief, plan_relief
 from chicoryshunt.events import log_event
 from chicoryshunt.fleet.facts import TargetFact, TargetPhase
 from chicoryshunt.relay.course_inputs import (
@@ -22,7 +21,6 @@
 from chicoryshunt.relay.ports import Copied, CopyFailed, CopyFailure
 from chicoryshunt.relay.stream import Stream
 from chicoryshunt.relay.surroundings import Surroundings, view_run
-from chicoryshunt.rules.model import EngineRules
 from chicoryshunt.types import TargetId
 
 _COPY_SECONDS = 2.5
@@ -90,23 +88,6 @@
         move = find_turn(moves, stream.request)
         self._announce(stream, move, has_turn=has_turn)
 
-    def relieve(self, streams: Iterable[Stream]) -> None:
-        """Move runs of this node off engines that hold too much."""
-        own = {stream.request: stream for stream in streams}
-        if not own:
-            return
-        for relief in self._list_reliefs(next(iter(own.values()))):
-            stream = own.get(relief.request)
-            if stream is None or relief.destination in stream.avoided:
-                continue
-            log_event(
-                'run_relieved',
-                request=stream.request,
-                source=relief.source,
-                destination=relief.destination,
-            )
-            stream.mail.put_nowait(Noticed(relief.destination))
-
     async def copy(
         self,
         stream: Stream,
@@ -211,28 +192,13 @@
             engines[0],
             leaving,
             engines[1:],
-            build_link(example.engine),
+            Link(
+                example.engine.bytes_per_token,
+                example.engine.link_bytes_per_second,
+            ),
             around.pace,
         )
 
-    def _list_reliefs(self, example: Stream) -> list[Relief]:
-        around = self._around
-        runs: dict[TargetId, list[Leaving]] = {}
-        now = around.clock.now()
-        for one in around.workload.list_runs():
-            view = view_run(one.run, now - one.placed)
-            leaving = Leaving(one.run.request, view)
-            runs.setdefault(one.run.target, []).append(leaving)
-        if any(self.is_leaving(target) for target in runs):
-            # Those moves need all links.
-            return []
-        facts = around.list_candidates(example.service, ())
-        crowds = [
-            Crowd(engine, tuple(runs.get(engine.target, ())))
-            for engine in around.view_engines(facts, example.engine)
-        ]
-        return plan_relief(crowds, build_link(example.engine), around.pace)
-
     async def _order(
         self,
         address: str,
@@ -261,8 +227,3 @@
         if known is None or not isinstance(known.fact, TargetFact):
             return None
         return known.fact
-
-
-def build_link(rules: EngineRules) -> Link:
-    """Return how fast the engines of a service copy memory."""
-    return Link(rules.bytes_per_token, rules.link_bytes_per_second)
--- a/chicoryshunt/relay/stream.py
+++ b/chicoryshunt/relay/stream.py
@@ -43,7 +43,6 @@
     course: Course | None = None
     placed: float = 0
     first_event: float = 0
-    settled: float = 0
     last_forward: float = 0
     longest_gap: float = 0
     events: int = 0
