Let few nodes read in the readers' place while the store is away

The store turned everybody away for eight seconds; within three all 79 nodes read in the readers' place, and each kept the duty for six seconds when the store was back.

Ruled out: starts (165, three or four calls each); the two regular readers (some ten calls a second).

Change: eight nodes follow the readers quickly, as before, the others a second apart. Nodes that hear no readers at all are not held back.

--- a/chicoryshunt/fleet/feed.py
+++ b/chicoryshunt/fleet/feed.py
@@ -25,6 +25,10 @@
 # its beacons tell of answers that are up to a second old.
 _FRESH_SECONDS = 1.1
 _MOST_RANK_DELAY_SECONDS = 2.0
+# When the platform turns readers away, so many others try in quick turn: that
+# all of them are turned away as well is unlikely unless it is down.
+_QUICK_RANKS = 8
+_LATE_RANK_DELAY_SECONDS = 1.0
 # Who took over reads on for a while, or readers would change all the time.
 _TAKEOVER_SECONDS = 6.0
 _REQUEST_INTERVAL_SECONDS = 0.6
@@ -187,12 +191,12 @@
         They say so themselves when the platform does not answer them; when
         they say nothing at all it takes longer to be sure.
         """
-        delay = (rank - _READERS) * _RANK_DELAY_SECONDS
-        delay = min(delay, _MOST_RANK_DELAY_SECONDS)
+        turn = rank - _READERS
         age = self.measure_age(now)
         self._have_readers_failed = self._failing.issuperset(readers)
         if self._have_readers_failed:
-            return age > _FRESH_SECONDS + delay
+            return age > _FRESH_SECONDS + _measure_refused_delay(turn)
+        delay = min(turn * _RANK_DELAY_SECONDS, _MOST_RANK_DELAY_SECONDS)
         return age > _SILENCE_SECONDS + delay
 
     def _rank_readers(self) -> list[VmId]:
@@ -252,6 +256,17 @@
             yield Send(sender, FactRequest())
 
 
+def _measure_refused_delay(turn: int) -> float:
+    """Return how long a node leaves it to others when readers are refused.
+
+    Load pattern: the platform is away for everyone, and comes back to dozens
+    of nodes that all began to read in each other's place.
+    """
+    late = max(turn - _QUICK_RANKS, 0)
+    quick = min(turn, _QUICK_RANKS)
+    return quick * _RANK_DELAY_SECONDS + late * _LATE_RANK_DELAY_SECONDS
+
+
 def _split(facts: Sequence[Fact]) -> Iterator[FactNews]:
     for start in range(0, len(facts), _FACTS_PER_MESSAGE):
         yield FactNews(tuple(facts[start : start + _FACTS_PER_MESSAGE]))
--- a/tests/test_fleet_feed.py
+++ b/tests/test_fleet_feed.py
@@ -120,6 +120,27 @@
     pytest.fail('nobody took over within 1.3 s')
 
 
+def test_few_read_while_the_store_is_away() -> None:
+    """Replays a store that answers none of sixty nodes for eight seconds.
+
+    Whoever began to read keeps the duty for a while when it is back.
+    """
+    trial = FleetTrial(60)
+    trial.network.run(10)
+    _run_with_readers(trial, 4)
+
+    for _ in range(80):
+        now = trial.clock.now()
+        for node in trial.nodes:
+            if node.feed.decide_duty(now) is not Duty.none:
+                node.feed.note_failure(now)
+        trial.network.run(0.1)
+
+    duties = _list_duties(trial).values()
+    readers = [one for one in duties if one is not Duty.none]
+    assert 3 <= len(readers) <= 20
+
+
 def test_one_refused_reader_changes_nothing() -> None:
     trial = FleetTrial(COUNT)
     trial.network.run(5)
