Leave connections that are not connected yet out of a stop's first pass

The loop makes a connection's protocol in one turn and connects it in a later one; closing it in between raised AttributeError in the library, which ended the process and every request on it.

Ruled out: connections that were refused or lost; both have a transport.

Change: a connection without a transport is passed over, its turn comes at the next look. The test fails without the change.

--- a/chicoryshunt/connection/web.py
+++ b/chicoryshunt/connection/web.py
@@ -48,11 +48,12 @@
 async def close_connections(site: BoundedSite) -> None:
     """Close each connection once it is idle and its answers are sent.
 
-    There is no time limit: a request that is under way is not cut.
+    There is no time limit: a request that is under way is not cut. One that
+    has just been accepted has no transport yet; its turn comes.
     """
     while site.usage.connections:
         for channel in tuple(site.channels):
-            if not channel.requests:
+            if channel.transport is not None and not channel.requests:
                 channel.loseConnection()
         await asyncio.sleep(_CLOSE_POLL_SECONDS)
 
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -10,7 +10,7 @@
 from chicoryshunt.connection.bounds import ServerBounds
 from chicoryshunt.connection.caller_api import VerdictBody
 from chicoryshunt.connection.exchange import Exchange
-from chicoryshunt.connection.web import BoundedSite
+from chicoryshunt.connection.web import BoundedSite, close_connections
 from tests.reactor import listen, run_on_reactor
 
 _BOUNDS = ServerBounds(
@@ -124,3 +124,24 @@
             assert (await send(address, call)).endswith(b'900')
 
     run_on_reactor(check())
+
+
+def test_a_fresh_connection_is_closed_later() -> None:
+    """Replays a stop that meets a connection without a transport.
+
+    The loop makes the protocol first and connects it in a later turn.
+    """
+
+    async def run() -> None:
+        async with open_echo() as (echo, address):
+            host, _, port = address.rpartition(':')
+            _, writer = await asyncio.open_connection(host, int(port))
+            while not echo.site.usage.connections:
+                await asyncio.sleep(0)
+            accepted = echo.site.buildProtocol(None)
+            closing = asyncio.ensure_future(close_connections(echo.site))
+            await asyncio.wait_for(closing, 5)
+            assert accepted.transport is None
+            writer.close()
+
+    run_on_reactor(run())
