Add a fault soak of real node processes

Nodes run as processes with the lab's store, services and engines around them; loopback proxies delay, reset, silence and cut connections one way; signals pause, kill and stop nodes in overlapping series; the store goes away and forgets, targets fail, leave and come back, versions change. Callers keep connections until a node is gone. What callers and targets saw is checked: at most one run of a filing, refusals that are true, whole answers to the right request, each event once, service after the last fault, orderly stops.

Datagrams between nodes, clocks and node files are not disturbed: nodes keep nothing on disk and use the time of day for their incarnation only.

--- /dev/null
+++ b/lab/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized faults on real node processes, with promises checked."""
--- /dev/null
+++ b/lab/soak/faults.py
@@ -0,0 +1,196 @@
+"""The faults of a soak, drawn from a seed."""
+
+import asyncio
+import signal
+from collections.abc import Iterator
+from dataclasses import dataclass
+from random import Random
+
+from lab.soak.proxy import Proxy, Trouble
+from lab.soak.world import Node, Target, World
+from lab.standins.platform_targets import StandInEngine, StandInService
+
+_MODES = ('fail', 'cut', 'foreign', 'full', 'stall')
+_LEAST_SECONDS = 0.3
+_MOST_SECONDS = 2.5
+# Nodes and targets that a fault may hit at the same time.
+_MOST_HIT = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Signal:
+    """Stop, kill or pause nodes, and let them go on later."""
+
+    nodes: tuple[int, ...]
+    number: signal.Signals
+
+
+@dataclass(frozen=True, slots=True)
+class Disturb:
+    """Disturb the connections to nodes, to targets or to the store."""
+
+    place: str
+    indices: tuple[int, ...]
+    trouble: Trouble
+
+
+@dataclass(frozen=True, slots=True)
+class Misbehave:
+    """Let a target fail."""
+
+    target: int
+    mode: str
+
+
+@dataclass(frozen=True, slots=True)
+class Leave:
+    """Let a target announce its end, go, and come back."""
+
+    target: int
+
+
+@dataclass(frozen=True, slots=True)
+class LoseStore:
+    """Let the store turn everyone away, and forget its history."""
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeRules:
+    """Publish another version."""
+
+
+Fault = Signal | Disturb | Misbehave | Leave | LoseStore | ChangeRules
+
+
+@dataclass(frozen=True, slots=True)
+class Planned:
+    """A fault with its time and length, in seconds."""
+
+    at: float
+    seconds: float
+    fault: Fault
+
+
+def draw_plan(
+    rng: Random,
+    seconds: float,
+    rate: float,
+    nodes: int,
+    targets: int,
+) -> list[Planned]:
+    """Return ``rate`` faults a second, overlapping and in series."""
+    plan = []
+    for _ in range(round(seconds * rate)):
+        length = rng.uniform(_LEAST_SECONDS, _MOST_SECONDS)
+        at = rng.uniform(0, max(seconds - length, 0))
+        plan.append(Planned(at, length, _draw(rng, nodes, targets)))
+    return sorted(plan, key=lambda one: one.at)
+
+
+def _draw(rng: Random, nodes: int, targets: int) -> Fault:
+    hit = tuple(rng.sample(range(nodes), rng.randint(1, _MOST_HIT)))
+    troubles = [one for one in Trouble if one is not Trouble.none]
+    place = rng.choice(('callers', 'store', 'target'))
+    choices: tuple[Fault, ...] = (
+        Signal(hit, signal.SIGKILL),
+        Signal(hit, signal.SIGTERM),
+        Signal(hit, signal.SIGSTOP),
+        Disturb(place, hit, rng.choice(troubles)),
+        Disturb(place, hit, rng.choice(troubles)),
+        Misbehave(rng.randrange(targets), rng.choice(_MODES)),
+        Leave(rng.randrange(targets)),
+        LoseStore(),
+        ChangeRules(),
+    )
+    return rng.choice(choices)
+
+
+async def play(world: World, planned: Planned) -> list[str]:
+    """Cause a fault and undo it; return what was broken by itself."""
+    await asyncio.sleep(planned.at)
+    match planned.fault:
+        case Signal(indices, number):
+            hit = [world.nodes[index] for index in indices]
+            return await _play_signal(hit, number, planned.seconds)
+        case Disturb():
+            await _play_disturbance(world, planned.fault, planned.seconds)
+        case Misbehave(index, mode):
+            target = world.list_targets()[index]
+            _misbehave(target, mode)
+            await asyncio.sleep(planned.seconds)
+            _misbehave(target, 'well')
+        case Leave(index):
+            await _play_leaving(world, index, planned.seconds)
+        case LoseStore():
+            world.store.is_down = True
+            await asyncio.sleep(planned.seconds)
+            world.store.compact()
+            world.store.is_down = False
+        case ChangeRules():
+            world.publish_rules()
+    return []
+
+
+async def _play_signal(
+    nodes: list[Node],
+    number: signal.Signals,
+    seconds: float,
+) -> list[str]:
+    for node in nodes:
+        node.signal(number)
+    await asyncio.sleep(seconds)
+    if number is signal.SIGSTOP:
+        for node in nodes:
+            node.signal(signal.SIGCONT)
+        return []
+    broken = []
+    for node in nodes:
+        status = await node.wait_end()
+        if number is signal.SIGTERM and status not in {0, -signal.SIGKILL}:
+            broken.append(f'{node.name}: ended with {status} after SIGTERM')
+        node.start()
+    return broken
+
+
+async def _play_disturbance(
+    world: World,
+    fault: Disturb,
+    seconds: float,
+) -> None:
+    proxies = list(_list_proxies(world, fault))
+    for proxy in proxies:
+        proxy.disturb(fault.trouble)
+    await asyncio.sleep(seconds)
+    for proxy in proxies:
+        proxy.disturb(Trouble.none)
+
+
+def _list_proxies(world: World, fault: Disturb) -> Iterator[Proxy]:
+    targets = world.list_targets()
+    for index in fault.indices:
+        match fault.place:
+            case 'callers':
+                yield world.nodes[index].callers
+            case 'store':
+                yield world.nodes[index].store
+            case _:
+                target = targets[index % len(targets)]
+                yield world.proxies[target.name]
+
+
+def _misbehave(target: Target, mode: str) -> None:
+    match target:
+        case StandInService():
+            target.mode = mode
+        case StandInEngine():
+            target.breaks_off = mode in {'cut', 'fail'}
+            target.has_room = mode != 'full'
+
+
+async def _play_leaving(world: World, index: int, seconds: float) -> None:
+    target = world.list_targets()[index]
+    world.publish(target, 'draining')
+    await asyncio.sleep(seconds)
+    world.store.delete(f'servers/{target.name}')
+    await asyncio.sleep(_LEAST_SECONDS)
+    world.publish(target)
--- /dev/null
+++ b/lab/soak/regressions.py
@@ -0,0 +1,29 @@
+"""Seeds that once broke a promise, each with its cause."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Regression:
+    """A seed that is played again with the size that it failed with."""
+
+    seed: int
+    cause: str
+
+
+_JUST_ACCEPTED = (
+    'SIGTERM met a connection that was accepted but not connected yet: the '
+    'node ended with 1 instead of serving on'
+)
+_RELEASE_AS_RUN = (
+    'the stand-in of engines took the release of a copy for a run; no fault '
+    'of the nodes'
+)
+
+REGRESSIONS = (
+    Regression(3, _RELEASE_AS_RUN),
+    Regression(8, _JUST_ACCEPTED),
+    Regression(27, _JUST_ACCEPTED),
+    Regression(33, _JUST_ACCEPTED),
+    Regression(35, _RELEASE_AS_RUN),
+)
--- /dev/null
+++ b/lab/soak/world.py
@@ -0,0 +1,207 @@
+"""Node processes with stand-ins of the platform around them, on loopback."""
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from chicoryshunt.connection.loop_transport import open_server
+from chicoryshunt.platform.settings import SETTINGS_VARIABLE
+from lab.soak.proxy import Proxy
+from lab.standins.platform_files import (
+    CALLERS,
+    DIRECTORY,
+    PEERS,
+    READINESS,
+    build_config,
+    build_entry,
+    build_lines,
+)
+from lab.standins.platform_store import StandInStore
+from lab.standins.platform_targets import StandInEngine, StandInService
+
+_ROOT = Path(__file__).resolve().parents[2]
+_STOP_SECONDS = 12
+_PLACES = ('luzon-a', 'luzon-b', 'luzon-c')
+_POLL_SECONDS = 0.1
+
+Target = StandInService | StandInEngine
+
+
+@dataclass(slots=True)
+class Node:
+    """One node process, with the proxies before it and before the store."""
+
+    name: str
+    host: str
+    settings: Path
+    log: Path
+    callers: Proxy
+    store: Proxy
+    process: 'subprocess.Popen[bytes] | None' = None
+    exits: list[int] = field(default_factory=list)
+    is_wanted: bool = False
+
+    @property
+    def readiness(self) -> str:
+        """Return where it answers whether it is ready."""
+        return f'{self.host}:{READINESS}'
+
+    @property
+    def directory(self) -> str:
+        """Return where it names nodes."""
+        return f'{self.host}:{DIRECTORY}'
+
+    def start(self) -> None:
+        """Start the process unless it runs."""
+        if self.process is not None and self.process.poll() is None:
+            return
+        self.is_wanted = True
+        with self.log.open('ab') as log:
+            self.process = subprocess.Popen(
+                (sys.executable, '-m', 'chicoryshunt.platform'),
+                cwd=_ROOT,
+                env={**os.environ, SETTINGS_VARIABLE: str(self.settings)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process if it still runs."""
+        if self.process is not None and self.process.poll() is None:
+            if number in {signal.SIGTERM, signal.SIGKILL}:
+                self.is_wanted = False
+            self.process.send_signal(number)
+
+    async def wait_end(self) -> int:
+        """Return the exit status; kill a process that does not end."""
+        process = self.process
+        if process is None:
+            return 0
+        for _ in range(round(_STOP_SECONDS / _POLL_SECONDS)):
+            if process.poll() is not None:
+                break
+            await asyncio.sleep(_POLL_SECONDS)
+        else:
+            process.kill()
+        return process.wait()
+
+
+@dataclass(slots=True)
+class World:
+    """Everything that a soak runs and disturbs."""
+
+    rng: Random
+    folder: Path
+    store: StandInStore = field(default_factory=StandInStore)
+    nodes: list[Node] = field(default_factory=list)
+    services: list[StandInService] = field(default_factory=list)
+    engines: list[StandInEngine] = field(default_factory=list)
+    proxies: dict[str, Proxy] = field(default_factory=dict)
+    version: int = 1
+
+    def list_targets(self) -> list[Target]:
+        """Return services and engines."""
+        return [*self.services, *self.engines]
+
+    def publish(self, target: Target, state: str = 'ready') -> None:
+        """Write what a target says of itself."""
+        kind = 'engines' if target in self.engines else 'plain'
+        entry = build_entry(kind, self.proxies[target.name].address, state)
+        self.store.put(f'servers/{target.name}', entry)
+
+    def publish_rules(self, **changes: Any) -> None:
+        """Write the next version of the configuration."""
+        self.version += 1
+        self.store.put('op/config', build_config(self.version, **changes))
+
+    def find_early_ends(self) -> list[str]:
+        """Return the nodes that ended though nobody stopped them."""
+        return [
+            node.name
+            for node in self.nodes
+            if node.is_wanted
+            and node.process is not None
+            and node.process.poll() is not None
+        ]
+
+
+@asynccontextmanager
+async def run_world(
+    rng: Random,
+    folder: Path,
+    node_count: int,
+) -> AsyncIterator[World]:
+    """Start everything and stop it by its ids, however the block ends."""
+    world = World(rng, folder)
+    copies: dict[str, int] = {}
+    world.services += [StandInService(f'p{one}') for one in range(3)]
+    world.engines += [StandInEngine(f'e{one}', copies) for one in range(3)]
+    async with AsyncExitStack() as stack:
+        for target in world.list_targets():
+            address = await _serve(stack, target.site)
+            proxy = Proxy(address)
+            await stack.enter_async_context(proxy.listen())
+            world.proxies[target.name] = proxy
+            world.publish(target)
+        world.store.put('op/config', build_config())
+        store = await _serve(stack, world.store.site)
+        for number in range(node_count):
+            node = await _build_node(stack, world, store, number)
+            world.nodes.append(node)
+        stack.push_async_callback(_stop, world)
+        for node in world.nodes:
+            node.start()
+        yield world
+
+
+async def _serve(stack: AsyncExitStack, site: Any) -> str:
+    server = await open_server(site, '127.0.0.1', 0)
+    stack.callback(server.close)
+    host, port = server.sockets[0].getsockname()
+    return f'{host}:{port}'
+
+
+async def _build_node(
+    stack: AsyncExitStack,
+    world: World,
+    store: str,
+    number: int,
+) -> Node:
+    host = _build_host(number)
+    callers = Proxy(f'{host}:{CALLERS}')
+    await stack.enter_async_context(callers.listen())
+    to_store = Proxy(store)
+    await stack.enter_async_context(to_store.listen())
+    seeds = [f'{_build_host(one)}:{PEERS}' for one in range(3)]
+    lines = build_lines(
+        to_store.address,
+        host,
+        node_name=f'node-{number}',
+        zone=_PLACES[number % len(_PLACES)],
+        seeds=','.join(seeds),
+    )
+    settings = world.folder / f'node-{number}.conf'
+    settings.write_text(lines, encoding='utf-8')
+    log = world.folder / f'node-{number}.log'
+    return Node(f'node-{number}', host, settings, log, callers, to_store)
+
+
+def _build_host(number: int) -> str:
+    """Return a loopback address that no other run uses."""
+    process = os.getpid()
+    return f'127.{process >> 8 & 127 | 128}.{process & 255}.{number + 1}'
+
+
+async def _stop(world: World) -> None:
+    for node in world.nodes:
+        node.signal(signal.SIGCONT)
+        node.signal(signal.SIGKILL)
+        await node.wait_end()
--- a/lab/standins/platform_targets.py
+++ b/lab/standins/platform_targets.py
@@ -94,6 +94,9 @@
     async def _handle(self, exchange: RelayedExchange) -> None:
         if exchange.path == '/chicoryshunt/kv-move':
             self._move(exchange)
+        elif exchange.path.startswith('/chicoryshunt/kv-handle/'):
+            self._fleet.pop(exchange.path.rpartition('/')[2], None)
+            exchange.respond(b'')
         elif exchange.path == '/chicoryshunt/report':
             exchange.respond_json({'state': 'ready', 'running': 1})
         else:
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -11,12 +11,14 @@
 import pytest
 
 from chicoryshunt.connection.upstream import BodyEnd, Sending
-from tests.platform_builders import (
+from lab.standins.platform_files import (
     CALLERS,
     DIRECTORY,
-    SmallPlatform,
     build_config,
     build_entry,
+)
+from tests.platform_builders import (
+    SmallPlatform,
     run_platform,
 )
 from tests.reactor import run_on_reactor
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -13,7 +13,7 @@
 from chicoryshunt.platform import items
 from chicoryshunt.platform.settings import parse_settings
 from chicoryshunt.rules.model import Rules, Work
-from tests.platform_builders import build_config, build_entry, build_lines
+from lab.standins.platform_files import build_config, build_entry, build_lines
 
 
 def test_a_file_is_decoded() -> None:
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,104 @@
+"""The soak: a short run of real processes, and checks that can fail."""
+
+import subprocess
+import sys
+from pathlib import Path
+from random import Random
+
+import pytest
+
+from lab.soak.callers import Ask, Outcome
+from lab.soak.faults import draw_plan
+from lab.soak.promises import find_broken
+from lab.soak.world import World
+from lab.standins.platform_targets import StandInEngine, StandInService
+
+_ROOT = Path(__file__).resolve().parents[1]
+# A run takes half a minute; one that hangs is ended long after that.
+_MOST_SECONDS = 240
+
+
+def test_a_short_soak_breaks_no_promise() -> None:
+    finished = subprocess.run(
+        (
+            sys.executable,
+            '-m',
+            'lab.soak.soak',
+            '--seed=7',
+            '--seconds=6',
+            '--nodes=4',
+        ),
+        cwd=_ROOT,
+        capture_output=True,
+        text=True,
+        timeout=_MOST_SECONDS,
+        check=False,
+    )
+
+    assert finished.returncode == 0, finished.stdout + finished.stderr
+
+
+def test_a_seed_draws_the_same_faults() -> None:
+    one, other = (draw_plan(Random(5), 12, 1.5, 5, 6) for _ in range(2))
+
+    assert one == other
+    assert len(one) == 18
+
+
+def _build_world() -> World:
+    world = World(Random(1), _ROOT)
+    world.services.append(StandInService('p0'))
+    world.engines.append(StandInEngine('e0', {}))
+    return world
+
+
+def _build_stream(count: int, first: int = 1) -> bytes:
+    return b''.join(
+        b'id: %d\ndata: token %d\n\n' % (one, one)
+        for one in range(first, first + count)
+    )
+
+
+@pytest.mark.parametrize(
+    ('ask', 'status', 'body', 'runs', 'broken'),
+    [
+        (Ask.filing, 502, b'', 2, 'ran 2 times'),
+        (Ask.filing, 503, b'', 1, 'but it has run'),
+        (Ask.read, 200, b'GET /another', 1, 'got'),
+        (Ask.read, 404, b'', 0, 'denied'),
+        (Ask.stream, 200, _build_stream(39), 1, 'whole after 39'),
+        (Ask.stream, 200, _build_stream(40, first=2), 1, 'event 1'),
+        (Ask.stream, 200, b'%bid: 4' % _build_stream(40), 1, 'whole after'),
+    ],
+)
+def test_the_soak_sees_a_broken_promise(
+    ask: Ask,
+    status: int,
+    body: bytes,
+    runs: int,
+    broken: str,
+) -> None:
+    world = _build_world()
+    outcome = Outcome('q1', ask, 'node-0', '/reads/1', status, 'q1', body)
+    outcome.is_whole = True
+    world.services[0].runs['q1'] = runs
+
+    found = find_broken(world, [outcome])
+
+    assert any(broken in one for one in found)
+
+
+def test_what_went_well_breaks_nothing() -> None:
+    world = _build_world()
+    streamed = Outcome('q1', Ask.stream, 'node-0', '/drafts/1', 200, 'q1')
+    streamed.body = _build_stream(40)
+    streamed.is_whole = True
+
+    assert not find_broken(world, [streamed])
+
+
+def test_a_request_that_nobody_sent_is_seen() -> None:
+    world = _build_world()
+    world.services[0].runs['forged'] = 1
+
+    assert find_broken(world, []) == ['forged: nobody sent it']
