Take a stop while a node still loads as orderly in the soak

The check now allows that status only where the process has not logged its start, and no longer accepts a node that had to be killed because it did not end.

--- a/lab/soak/faults.py
+++ b/lab/soak/faults.py
@@ -146,12 +146,22 @@
     broken = []
     for node in nodes:
         status = await node.wait_end()
-        if number is signal.SIGTERM and status not in {0, -signal.SIGKILL}:
+        if number is signal.SIGTERM and not _is_orderly(node, status):
             broken.append(f'{node.name}: ended with {status} after SIGTERM')
         node.start()
     return broken
 
 
+def _is_orderly(node: Node, status: int | None) -> bool:
+    """Say whether a node ended as it should after SIGTERM.
+
+    One that is still loading has no handler yet and serves nobody.
+    """
+    if status == -signal.SIGTERM:
+        return not node.has_started()
+    return status in {0, -signal.SIGKILL}
+
+
 async def _play_disturbance(
     world: World,
     fault: Disturb,
--- a/lab/soak/world.py
+++ b/lab/soak/world.py
@@ -17,9 +17,7 @@
 from lab.soak.proxy import Proxy
 from lab.standins.platform_files import (
     CALLERS,
-    DIRECTORY,
     PEERS,
-    READINESS,
     build_config,
     build_entry,
     build_lines,
@@ -46,24 +44,16 @@
     callers: Proxy
     store: Proxy
     process: 'subprocess.Popen[bytes] | None' = None
-    exits: list[int] = field(default_factory=list)
     is_wanted: bool = False
-
-    @property
-    def readiness(self) -> str:
-        """Return where it answers whether it is ready."""
-        return f'{self.host}:{READINESS}'
-
-    @property
-    def directory(self) -> str:
-        """Return where it names nodes."""
-        return f'{self.host}:{DIRECTORY}'
+    log_start: int = 0
 
     def start(self) -> None:
         """Start the process unless it runs."""
         if self.process is not None and self.process.poll() is None:
             return
         self.is_wanted = True
+        if self.log.exists():
+            self.log_start = self.log.stat().st_size
         with self.log.open('ab') as log:
             self.process = subprocess.Popen(
                 (sys.executable, '-m', 'chicoryshunt.platform'),
@@ -73,6 +63,12 @@
                 stderr=log,
             )
 
+    def has_started(self) -> bool:
+        """Say whether the last process got as far as serving."""
+        with self.log.open('rb') as log:
+            log.seek(self.log_start)
+            return b'event=node_started' in log.read()
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process if it still runs."""
         if self.process is not None and self.process.poll() is None:
@@ -80,8 +76,8 @@
                 self.is_wanted = False
             self.process.send_signal(number)
 
-    async def wait_end(self) -> int:
-        """Return the exit status; kill a process that does not end."""
+    async def wait_end(self) -> int | None:
+        """Return the exit status; ``None`` if it had to be killed here."""
         process = self.process
         if process is None:
             return 0
@@ -91,7 +87,9 @@
             await asyncio.sleep(_POLL_SECONDS)
         else:
             process.kill()
-        return process.wait()
+            process.wait()
+            return None
+        return process.returncode
 
 
 @dataclass(slots=True)
