Remember where an engine was whose entry is removed

The fact that they left named no data centre, so every destination counted as far: near engines were not preferred, and turns were planned twice as long as needed.

Ruled out: the notice itself, which came within 0.02 s of the removal.

Change: the catalog keeps the place of a target in the fact that it left.

--- a/chicoryshunt/fleet/catalog.py
+++ b/chicoryshunt/fleet/catalog.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 
+import msgspec
 import xxhash
 
 from chicoryshunt.events import log_event
@@ -88,6 +89,8 @@
         known = self._facts.get(key)
         if known is not None and known.fact.revision >= fact.revision:
             return False
+        if known is not None:
+            fact = _keep_place(fact, known.fact)
         is_news = known is None or known.fact.content != fact.content
         self._store(key, Believed(fact, now))
         if is_news:
@@ -178,6 +181,23 @@
     return TargetFact(target, revision, TargetPhase.gone)
 
 
+def _keep_place(fact: Fact, known: Fact) -> Fact:
+    """Return a fact that says where a target was that has left.
+
+    Its runs go on for a while, and moving them depends on its data centre.
+    """
+    if not isinstance(fact, TargetFact) or not isinstance(known, TargetFact):
+        return fact
+    if fact.data_centre:
+        return fact
+    return msgspec.structs.replace(
+        fact,
+        service=known.service,
+        address=known.address,
+        data_centre=known.data_centre,
+    )
+
+
 def _is_gone(fact: Fact) -> bool:
     match fact:
         case TargetFact():
--- a/tests/test_fleet_feed.py
+++ b/tests/test_fleet_feed.py
@@ -2,10 +2,12 @@
 
 import pytest
 
-from chicoryshunt.fleet.facts import TargetPhase
+from chicoryshunt.fleet.catalog import withdraw
+from chicoryshunt.fleet.facts import Revision, TargetFact, TargetPhase
 from chicoryshunt.fleet.feed import Duty
-from chicoryshunt.types import RequestId, VmState
+from chicoryshunt.types import RequestId, TargetId, VmState
 from tests.fleet_builders import (
+    HOME,
     FleetNode,
     FleetTrial,
     build_fact,
@@ -263,3 +265,23 @@
     trial.network.run(3)
 
     assert len(list(trial.nodes[0].workload.list_runs())) == 30
+
+
+def test_a_vanished_target_keeps_its_data_centre() -> None:
+    """Replays an engine whose entry is removed without a notice.
+
+    Its runs are moved to engines of its own data centre first, for copies to
+    other ones take twice as long.
+    """
+    catalog = FleetTrial(1).nodes[0].catalog
+    catalog.take(build_fact('e1', 3), 0, 'store')
+
+    is_news = catalog.take(withdraw(TargetId('e1'), Revision(4)), 1, 'store')
+    again = catalog.take(withdraw(TargetId('e1'), Revision(5)), 2, 'store')
+
+    left = catalog.find(TargetId('e1'))
+    assert (is_news, again) == (True, False)
+    assert left is not None
+    assert isinstance(left.fact, TargetFact)
+    assert (left.fact.phase, left.fact.data_centre) == (TargetPhase.gone, HOME)
+    assert not list(catalog.list_present())
