--- a/Makefile
+++ b/Makefile
@@ -67,7 +67,7 @@
 bench-policy: venv  ## decisions under load; QUICK=1 for a few short runs
 	$(BIN)/python -m lab.benchmarks.policy_bench $(if $(QUICK),--quick)
 
-soak: venv  ## real nodes under random faults; SEED, SEEDS, SECONDS
+soak: venv  ## real nodes under random faults; SEED, SEEDS, SECONDS, KEEP
 	$(BIN)/python -m lab.soak.soak --seed=$(or $(SEED),1) \
 		--seeds=$(or $(SEEDS),1) --seconds=$(or $(SECONDS),8) \
 		--keep=$(or $(KEEP),/tmp/chicoryshunt-soak)
--- a/lab/soak/faults.py
+++ b/lab/soak/faults.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from lab.soak.proxy import Proxy, Trouble
-from lab.soak.world import Node, Target, World
+from lab.soak.world import Node, Running, Target, World
 from lab.standins.platform_targets import StandInEngine, StandInService
 
 _MODES = ('fail', 'cut', 'foreign', 'full', 'stall')
@@ -136,29 +136,33 @@
     number: signal.Signals,
     seconds: float,
 ) -> list[str]:
-    for node in nodes:
-        node.signal(number)
+    signalled = [(node, node.signal(number)) for node in nodes]
     await asyncio.sleep(seconds)
     if number is signal.SIGSTOP:
         for node in nodes:
             node.signal(signal.SIGCONT)
         return []
     broken = []
-    for node in nodes:
-        status = await node.wait_end()
-        if number is signal.SIGTERM and not _is_orderly(node, status):
-            broken.append(f'{node.name}: ended with {status} after SIGTERM')
+    for node, running in signalled:
+        status = None if running is None else await running.wait_end()
+        if running is not None and not _is_orderly(running, number, status):
+            broken.append(f'{node.name}: ended with {status} after {number}')
         node.start()
     return broken
 
 
-def _is_orderly(node: Node, status: int | None) -> bool:
-    """Say whether a node ended as it should after SIGTERM.
+def _is_orderly(
+    running: Running,
+    number: signal.Signals,
+    status: int | None,
+) -> bool:
+    """Say whether a process ended as it should after a signal.
 
-    One that is still loading has no handler yet and serves nobody.
+    One that is still loading has no handler for SIGTERM yet and serves
+    nobody; one that another fault killed meanwhile could not help it.
     """
     if status == -signal.SIGTERM:
-        return not node.has_started()
+        return number is signal.SIGTERM and not running.has_served()
     return status in {0, -signal.SIGKILL}
 
 
--- a/lab/soak/regressions.py
+++ b/lab/soak/regressions.py
@@ -20,9 +20,18 @@
     'of the nodes'
 )
 
+_WRONG_PROCESS = (
+    'the soak judged a process by the log or the end of the one that another '
+    'fault had started after it; no fault of the nodes'
+)
+
 REGRESSIONS = (
+    Regression(2, _WRONG_PROCESS),
     Regression(3, _RELEASE_AS_RUN),
     Regression(8, _JUST_ACCEPTED),
+    Regression(18, _WRONG_PROCESS),
+    Regression(20, _WRONG_PROCESS),
+    Regression(25, _WRONG_PROCESS),
     Regression(27, _JUST_ACCEPTED),
     Regression(33, _JUST_ACCEPTED),
     Regression(35, _RELEASE_AS_RUN),
--- a/lab/soak/world.py
+++ b/lab/soak/world.py
@@ -33,63 +33,72 @@
 Target = StandInService | StandInEngine
 
 
+@dataclass(frozen=True, slots=True)
+class Running:
+    """One process of a node, with a log of its own."""
+
+    process: 'subprocess.Popen[bytes]'
+    log: Path
+
+    @property
+    def is_alive(self) -> bool:
+        """Say whether the process has not ended."""
+        return self.process.poll() is None
+
+    def has_served(self) -> bool:
+        """Say whether the process got as far as serving."""
+        return b'event=node_started' in self.log.read_bytes()
+
+    async def wait_end(self) -> int | None:
+        """Return the exit status; ``None`` if it had to be killed here."""
+        for _ in range(round(_STOP_SECONDS / _POLL_SECONDS)):
+            if not self.is_alive:
+                return self.process.returncode
+            await asyncio.sleep(_POLL_SECONDS)
+        self.process.kill()
+        self.process.wait()
+        return None
+
+
 @dataclass(slots=True)
 class Node:
-    """One node process, with the proxies before it and before the store."""
+    """One node, with the proxies before it and before the store."""
 
     name: str
     host: str
     settings: Path
-    log: Path
     callers: Proxy
     store: Proxy
-    process: 'subprocess.Popen[bytes] | None' = None
+    running: Running | None = None
+    starts: int = 0
     is_wanted: bool = False
-    log_start: int = 0
 
     def start(self) -> None:
         """Start the process unless it runs."""
-        if self.process is not None and self.process.poll() is None:
+        if self.running is not None and self.running.is_alive:
             return
         self.is_wanted = True
-        if self.log.exists():
-            self.log_start = self.log.stat().st_size
-        with self.log.open('ab') as log:
-            self.process = subprocess.Popen(
+        self.starts += 1
+        path = self.settings.with_suffix(f'.{self.starts}.log')
+        with path.open('wb') as log:
+            process = subprocess.Popen(
                 (sys.executable, '-m', 'chicoryshunt.platform'),
                 cwd=_ROOT,
                 env={**os.environ, SETTINGS_VARIABLE: str(self.settings)},
                 stdout=log,
                 stderr=log,
             )
+        self.running = Running(process, path)
 
-    def has_started(self) -> bool:
-        """Say whether the last process got as far as serving."""
-        with self.log.open('rb') as log:
-            log.seek(self.log_start)
-            return b'event=node_started' in log.read()
-
-    def signal(self, number: signal.Signals) -> None:
-        """Send a signal to the process if it still runs."""
-        if self.process is not None and self.process.poll() is None:
-            if number in {signal.SIGTERM, signal.SIGKILL}:
-                self.is_wanted = False
-            self.process.send_signal(number)
-
-    async def wait_end(self) -> int | None:
-        """Return the exit status; ``None`` if it had to be killed here."""
-        process = self.process
-        if process is None:
-            return 0
-        for _ in range(round(_STOP_SECONDS / _POLL_SECONDS)):
-            if process.poll() is not None:
-                break
-            await asyncio.sleep(_POLL_SECONDS)
-        else:
-            process.kill()
-            process.wait()
+    def signal(self, number: signal.Signals) -> Running | None:
+        """Send a signal to the process; return it if it still ran."""
+        running = self.running
+        if running is None or not running.is_alive:
             return None
-        return process.returncode
+        if number in {signal.SIGTERM, signal.SIGKILL}:
+            self.is_wanted = False
+        running.process.send_signal(number)
+        return running
 
 
 @dataclass(slots=True)
@@ -126,8 +135,8 @@
             node.name
             for node in self.nodes
             if node.is_wanted
-            and node.process is not None
-            and node.process.poll() is not None
+            and node.running is not None
+            and not node.running.is_alive
         ]
 
 
@@ -188,8 +197,7 @@
     )
     settings = world.folder / f'node-{number}.conf'
     settings.write_text(lines, encoding='utf-8')
-    log = world.folder / f'node-{number}.log'
-    return Node(f'node-{number}', host, settings, log, callers, to_store)
+    return Node(f'node-{number}', host, settings, callers, to_store)
 
 
 def _build_host(number: int) -> str:
@@ -201,5 +209,6 @@
 async def _stop(world: World) -> None:
     for node in world.nodes:
         node.signal(signal.SIGCONT)
-        node.signal(signal.SIGKILL)
-        await node.wait_end()
+        running = node.signal(signal.SIGKILL)
+        if running is not None:
+            await running.wait_end()
