Ask, find a target and make a collector in one place each

Store, reports and rules acquired a connection, sent, read the body and gave the connection up on failure by copies of the same lines; the pool does so now. A report that is cut is logged like one that is not answered; before it was dropped silently. Three callers unpacked what the catalog believes of a target, and three getters made collectors. Bounds and order are as before.

--- a/chicoryshunt/connection/upstream.py
+++ b/chicoryshunt/connection/upstream.py
@@ -259,6 +259,20 @@
                 self.idle_seconds = int(digits) * _IDLE_PART
 
 
+@dataclass(frozen=True, slots=True)
+class AskBounds:
+    """What a short call may cost.
+
+    A kept connection is used if it was idle for no longer than
+    ``idle_seconds``; ``answer_seconds`` bound the wait for the headers, and
+    once more for the body.
+    """
+
+    idle_seconds: float
+    answer_seconds: float
+    most_bytes: int
+
+
 class UpstreamPool:
     """Kept connections by address; none is used by two exchanges at once."""
 
@@ -276,6 +290,31 @@
         kept = self._take_kept(address, most_idle_seconds)
         return kept or await self.open(address)
 
+    async def ask(
+        self,
+        address: str,
+        sending: Sending,
+        bounds: AskBounds,
+    ) -> tuple[Answer, bytes]:
+        """Return an answer with its whole body; keep the connection.
+
+        Raises ``NotSentError`` or ``LostError``.
+        """
+        upstream = await self.acquire(address, bounds.idle_seconds)
+        try:
+            answer = await upstream.send(sending, bounds.answer_seconds)
+        except (NotSentError, LostError):
+            upstream.abort()
+            raise
+        body = await answer.body.read_all(
+            bounds.most_bytes,
+            bounds.answer_seconds,
+        )
+        if not isinstance(body, bytes):
+            upstream.abort()
+            raise LostError(f'{address}: the answer is cut')
+        return answer, body
+
     async def open(self, address: str) -> Upstream:
         """Return a new connection; raise ``NotSentError``."""
         upstream = Upstream(self._keep, self._forget)
--- a/chicoryshunt/fleet/catalog.py
+++ b/chicoryshunt/fleet/catalog.py
@@ -100,9 +100,12 @@
                 notify(fact)
         return is_news
 
-    def find(self, target: TargetId) -> Believed | None:
+    def find(self, target: TargetId) -> TargetFact | None:
         """Return what is believed of a target, also of one that left."""
-        return self._facts.get(('target', target))
+        known = self._facts.get(('target', target))
+        if known is None or not isinstance(known.fact, TargetFact):
+            return None
+        return known.fact
 
     def list_usable(self, service: ServiceId) -> list[Believed]:
         """Return the targets of a service that may get new work."""
--- a/chicoryshunt/fleet/rules_exchange.py
+++ b/chicoryshunt/fleet/rules_exchange.py
@@ -10,6 +10,7 @@
 
 from chicoryshunt.connection.exchange import Exchange
 from chicoryshunt.connection.upstream import (
+    AskBounds,
     LostError,
     NotSentError,
     Sending,
@@ -23,10 +24,13 @@
 
 RULES_PATH = '/rules'
 _CONTENT_TYPE = 'application/msgpack'
-# Rules of some thousand routes take half of this on a link of 5 Mbit/s.
-_FETCH_SECONDS = 1.0
-_IDLE_SECONDS = 1.0
 _MOST_RULES_BYTES = 8388608
+# Rules of some thousand routes take half a second on a link of 5 Mbit/s.
+_BOUNDS = AskBounds(
+    idle_seconds=1,
+    answer_seconds=1,
+    most_bytes=_MOST_RULES_BYTES,
+)
 # Routes resemble each other, so the fastest level halves them.
 _COMPRESSION_LEVEL = 1
 # Offers beyond this many say nothing new.
@@ -96,16 +100,7 @@
     async def _read(self, address: str) -> tuple[bytes, Rules]:
         headers = [(b'Host', address.encode())]
         sending = Sending(b'GET', RULES_PATH.encode(), headers)
-        upstream = await self._pool.acquire(address, _IDLE_SECONDS)
-        try:
-            answer = await upstream.send(sending, _FETCH_SECONDS)
-        except LostError:
-            upstream.abort()
-            raise
-        body = await answer.body.read_all(_MOST_RULES_BYTES, _FETCH_SECONDS)
-        if not isinstance(body, bytes):
-            upstream.abort()
-            raise LostError(f'{address}: the rules are cut')
+        _, body = await self._pool.ask(address, sending, _BOUNDS)
         return body, decode_rules(body)
 
     def _encode(self) -> bytes:
--- a/chicoryshunt/metrics.py
+++ b/chicoryshunt/metrics.py
@@ -1,6 +1,6 @@
 """Metrics of the process, in the Prometheus format."""
 
-from typing import cast
+from typing import Any, TypeVar, cast
 
 from aioprometheus.collectors import (
     Collector,
@@ -13,6 +13,7 @@
 
 # Bounds of latency buckets in seconds, from a quick call to a long stream.
 _BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 25, 60)
+_Collector = TypeVar('_Collector', bound=Collector)
 
 
 class Metrics:
@@ -29,7 +30,7 @@
 
     def add(self, name: str, doc: str, amount: float, **labels: str) -> None:
         """Add an amount to a counter."""
-        self._get_counter(name, doc).add(labels, amount)
+        self._get(Counter, name, doc, '_total').add(labels, amount)
 
     def set_gauge(
         self,
@@ -39,7 +40,7 @@
         **labels: str,
     ) -> None:
         """Set a gauge."""
-        self._get_gauge(name, doc).set(labels, reading)
+        self._get(Gauge, name, doc).set(labels, reading)
 
     def observe(
         self,
@@ -49,7 +50,8 @@
         **labels: str,
     ) -> None:
         """Count a reading in a histogram; seconds, in the usual buckets."""
-        self._get_histogram(name, doc).observe(labels, reading)
+        collector = self._get(Histogram, name, doc, buckets=_BUCKETS)
+        collector.observe(labels, reading)
 
     def get(self, name: str, **labels: str) -> float:
         """Return the reading of a counter or gauge, 0 when never set."""
@@ -66,36 +68,22 @@
         body, _ = render(self._registry, ['text/plain'])
         return bytes(body)
 
-    def _get_counter(self, name: str, doc: str) -> Counter:
-        collector = self._collectors.get(name)
-        if not isinstance(collector, Counter):
-            collector = Counter(
-                f'chicoryshunt_{name}_total',
-                doc,
-                registry=self._registry,
-            )
-            self._collectors[name] = collector
-        return collector
-
-    def _get_histogram(self, name: str, doc: str) -> Histogram:
-        collector = self._collectors.get(name)
-        if not isinstance(collector, Histogram):
-            collector = Histogram(
-                f'chicoryshunt_{name}',
-                doc,
-                registry=self._registry,
-                buckets=_BUCKETS,
-            )
-            self._collectors[name] = collector
-        return collector
-
-    def _get_gauge(self, name: str, doc: str) -> Gauge:
+    def _get(
+        self,
+        kind: type[_Collector],
+        name: str,
+        doc: str,
+        suffix: str = '',
+        **options: Any,
+    ) -> _Collector:
+        """Return the collector of a name, made when it is first used."""
         collector = self._collectors.get(name)
-        if not isinstance(collector, Gauge):
-            collector = Gauge(
-                f'chicoryshunt_{name}',
+        if not isinstance(collector, kind):
+            collector = kind(
+                f'chicoryshunt_{name}{suffix}',
                 doc,
                 registry=self._registry,
+                **options,
             )
             self._collectors[name] = collector
         return collector
--- a/chicoryshunt/platform/store.py
+++ b/chicoryshunt/platform/store.py
@@ -11,10 +11,10 @@
 from chicoryshunt.address import Address
 from chicoryshunt.clock import Clock
 from chicoryshunt.connection.upstream import (
+    AskBounds,
     LostError,
     NotSentError,
     Sending,
-    Upstream,
     UpstreamPool,
 )
 from chicoryshunt.events import log_event, log_problem
@@ -116,33 +116,15 @@
             'Calls of the platform store',
             path=path,
         )
+        bounds = AskBounds(_IDLE_SECONDS, seconds, _MOST_BYTES)
         try:
-            upstream = await self._pool.acquire(self._address, _IDLE_SECONDS)
-        except NotSentError as error:
+            answer, body = await self._pool.ask(
+                self._address,
+                Sending(b'GET', uri, headers),
+                bounds,
+            )
+        except (NotSentError, LostError) as error:
             raise StoreError(str(error)) from error
-        return await self._exchange(
-            upstream,
-            Sending(b'GET', uri, headers),
-            kind,
-            seconds,
-        )
-
-    async def _exchange(
-        self,
-        upstream: Upstream,
-        sending: Sending,
-        kind: type[_Read],
-        seconds: float,
-    ) -> _Read:
-        try:
-            answer = await upstream.send(sending, seconds)
-        except (LostError, NotSentError) as error:
-            upstream.abort()
-            raise StoreError(str(error)) from error
-        body = await answer.body.read_all(_MOST_BYTES, seconds)
-        if not isinstance(body, bytes):
-            upstream.abort()
-            raise StoreError('the answer is cut')
         return _decode(answer.status, body, kind)
 
 
--- a/chicoryshunt/relay/generations.py
+++ b/chicoryshunt/relay/generations.py
@@ -355,11 +355,9 @@
             if self._placer.may_try_again(stream):
                 return self._placer.find_other(stream)
             return None
-        known = self._around.catalog.find(opening.target)
-        if known is None or not isinstance(known.fact, TargetFact):
-            return None
-        is_gone = known.fact.phase is TargetPhase.gone
-        return None if is_gone else known.fact
+        fact = self._around.catalog.find(opening.target)
+        is_gone = fact is None or fact.phase is TargetPhase.gone
+        return None if is_gone else fact
 
 
 def _describe_end(stream: Stream, *, is_whole: bool) -> Streamed:
--- a/chicoryshunt/relay/moving.py
+++ b/chicoryshunt/relay/moving.py
@@ -13,7 +13,7 @@
     plan_moves,
 )
 from chicoryshunt.events import log_event
-from chicoryshunt.fleet.facts import TargetFact, TargetPhase
+from chicoryshunt.fleet.facts import TargetPhase
 from chicoryshunt.relay.course_inputs import (
     CopyEnded,
     Noticed,
@@ -52,7 +52,7 @@
 
     def is_leaving(self, target: TargetId) -> bool:
         """Say whether an engine has announced its end or is gone."""
-        fact = self._find(target)
+        fact = self._around.catalog.find(target)
         return fact is None or fact.phase is not TargetPhase.ready
 
     def plan(self, source: TargetId, streams: Sequence[Stream]) -> None:
@@ -97,7 +97,7 @@
     ) -> None:
         """Order a copy and put its outcome into the stream's mailbox."""
         course = stream.course
-        fact = self._find(destination)
+        fact = self._around.catalog.find(destination)
         outcome: Copied | CopyFailed = CopyFailed(CopyFailure.unreachable)
         if course is not None and fact is not None:
             outcome = await self._order(
@@ -178,7 +178,7 @@
     ) -> list[Move]:
         around = self._around
         now = around.clock.now()
-        fact = self._find(source)
+        fact = self._around.catalog.find(source)
         if fact is None:
             return []
         others = around.list_candidates(example.service, avoided | {source})
@@ -221,9 +221,3 @@
             upstream.abort()
         received = body if isinstance(body, bytes) else b''
         return self._around.port.decode_copy(answer, received)
-
-    def _find(self, target: TargetId) -> TargetFact | None:
-        known = self._around.catalog.find(target)
-        if known is None or not isinstance(known.fact, TargetFact):
-            return None
-        return known.fact
--- a/chicoryshunt/relay/reports.py
+++ b/chicoryshunt/relay/reports.py
@@ -9,7 +9,11 @@
 
 import msgspec
 
-from chicoryshunt.connection.upstream import LostError, NotSentError
+from chicoryshunt.connection.upstream import (
+    AskBounds,
+    LostError,
+    NotSentError,
+)
 from chicoryshunt.events import log_event
 from chicoryshunt.fleet.facts import Revision, TargetFact, TargetPhase
 from chicoryshunt.membership.rendezvous import rank_vms
@@ -20,9 +24,12 @@
 _INTERVAL_SECONDS = 0.3
 # Two nodes ask each engine, for one of them may be cut off from it.
 _ASKERS = 2
-_ANSWER_SECONDS = 0.5
-_IDLE_SECONDS = 2.0
 _MOST_BYTES = 1048576
+_BOUNDS = AskBounds(
+    idle_seconds=2,
+    answer_seconds=0.5,
+    most_bytes=_MOST_BYTES,
+)
 _SOURCE = 'report'
 
 
@@ -57,11 +64,8 @@
         ]
 
     async def _check(self, target: TargetId) -> None:
-        known = self._around.catalog.find(target)
-        if known is None or not isinstance(known.fact, TargetFact):
-            return
-        fact = known.fact
-        if fact.phase is not TargetPhase.ready:
+        fact = self._around.catalog.find(target)
+        if fact is None or fact.phase is not TargetPhase.ready:
             return
         report = await self._read(fact)
         if report is not None and report.is_leaving:
@@ -70,23 +74,14 @@
     async def _read(self, fact: TargetFact) -> EngineReport | None:
         port = self._around.port
         try:
-            upstream = await self._around.pool.acquire(
+            answer, body = await self._around.pool.ask(
                 fact.address,
-                _IDLE_SECONDS,
+                port.encode_report(),
+                _BOUNDS,
             )
-        except NotSentError as error:
-            log_event('report_not_read', target=fact.target, error=str(error))
-            return None
-        try:
-            answer = await upstream.send(port.encode_report(), _ANSWER_SECONDS)
         except (NotSentError, LostError) as error:
-            upstream.abort()
             log_event('report_not_read', target=fact.target, error=str(error))
             return None
-        body = await answer.body.read_all(_MOST_BYTES, _ANSWER_SECONDS)
-        if not isinstance(body, bytes):
-            upstream.abort()
-            return None
         return port.decode_report(answer, body)
 
     def _note_leaving(self, fact: TargetFact) -> None:
--- a/tests/test_fleet_feed.py
+++ b/tests/test_fleet_feed.py
@@ -281,7 +281,6 @@
 
     left = catalog.find(TargetId('e1'))
     assert (is_news, again) == (True, False)
-    assert left is not None
-    assert isinstance(left.fact, TargetFact)
-    assert (left.fact.phase, left.fact.data_centre) == (TargetPhase.gone, HOME)
+    assert isinstance(left, TargetFact)
+    assert (left.phase, left.data_centre) == (TargetPhase.gone, HOME)
     assert not list(catalog.list_present())
