--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,7 +10,8 @@
 from lab.soak.callers import Ask, Outcome
 from lab.soak.faults import draw_plan
 from lab.soak.promises import find_broken
-from lab.soak.world import World
+from lab.soak.proxy import Proxy
+from lab.soak.world import Node, World
 from lab.standins.platform_targets import StandInEngine, StandInService
 
 _ROOT = Path(__file__).resolve().parents[1]
@@ -102,3 +103,19 @@
     world.services[0].runs['forged'] = 1
 
     assert find_broken(world, []) == ['forged: nobody sent it']
+
+
+def test_a_crash_before_another_start_is_seen(tmp_path: Path) -> None:
+    """Replays a node that crashed and was started anew by a signal fault."""
+    settings = tmp_path / 'node.conf'
+    node = Node('n', '127.0.0.1', settings, Proxy('a:1'), Proxy('a:1'))
+    # Without a settings file the process ends by itself.
+    node.start()
+    assert node.running is not None
+    node.running.process.wait(_MOST_SECONDS)
+
+    node.start()
+
+    assert node.running is not None
+    node.running.process.wait(_MOST_SECONDS)
+    assert node.early_ends == 1
