--- /dev/null
+++ b/tests/test_reactor.py
@@ -0,0 +1,24 @@
+"""Tests may run in any order on one reactor."""
+
+import subprocess
+import sys
+from pathlib import Path
+
+_ROOT = Path(__file__).resolve().parents[1]
+# The first makes Twisted choose a reactor unless one is installed by then.
+_ORDER = (
+    'tests/test_soak.py::test_what_went_well_breaks_nothing',
+    'tests/test_web.py::test_connection_above_the_limit_is_refused',
+)
+
+
+def test_a_stand_in_may_come_first() -> None:
+    finished = subprocess.run(
+        (sys.executable, '-m', 'pytest', '-p', 'no:xdist', *_ORDER),
+        cwd=_ROOT,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+
+    assert finished.returncode == 0, finished.stdout + finished.stderr
