Plan the moves of engines that leave together, as one

Cause: three or four engines get their notice at the same moment, and the moves of each were planned alone. A plan could also name an engine as destination whose notice was read in the same moment. Ruled out: the notice is seen late (10 to 30 ms on all nodes, by the log). Change: engines that leave are planned together, a run of each in turn; a destination's link and room are shared. A run has one planned move at most.

--- a/chicoryshunt/dispatch/handover.py
+++ b/chicoryshunt/dispatch/handover.py
@@ -1,7 +1,8 @@
-"""Plans how the runs of a leaving engine are moved, within its notice."""
+"""Plans how the runs of leaving engines are moved, within their notice."""
 
-from collections.abc import Collection, Iterable, Sequence
-from dataclasses import dataclass
+import itertools
+from collections.abc import Collection, Iterable, Iterator, Sequence
+from dataclasses import dataclass, field
 
 from chicoryshunt.dispatch.engines import Engine
 from chicoryshunt.dispatch.forecast import (
@@ -49,89 +50,195 @@
     run: RunView
 
 
+@dataclass(frozen=True, slots=True)
+class Departure:
+    """A leaving engine and the runs that are still on it."""
+
+    engine: Engine
+    runs: tuple[Leaving, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Move:
     """Copy a run to an engine, which takes ``seconds``.
 
-    It begins when the ``earlier`` runs have left, or ``after`` some seconds
-    at the latest.
+    It begins when the ``earlier`` runs have left their engines, or ``after``
+    some seconds at the latest.
     """
 
     request: RequestId
+    source: TargetId
     destination: TargetId
     after: float
     seconds: float
     earlier: frozenset[RequestId] = frozenset()
 
     def may_begin(self, present: Collection[RequestId]) -> bool:
-        """Say whether all earlier runs have left the engine."""
+        """Say whether no earlier run is present on a leaving engine."""
         return self.earlier.isdisjoint(present)
 
 
 @dataclass(slots=True)
 class _Room:
-    """What a destination can still take, in tokens and slots."""
+    """What a destination can still take: tokens, slots, and from when.
+
+    ``queue`` holds the runs that are copied to it, ``free_at`` the seconds
+    until the last of them has arrived.
+    """
 
     engine: Engine
     tokens: float
     tokens_now: float
     slots: int
+    free_at: float = 0
+    queue: list[RequestId] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class _Source:
+    """A leaving engine while its moves are planned."""
+
+    engine: Engine
+    waiting: list[Leaving]
+    is_hurried: bool
+    free_at: float = 0
+    queue: list[RequestId] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class _Planner:
+    """Finds a destination and a turn for one run after the other."""
+
+    rooms: tuple[_Room, ...]
+    link: Link
+    pace: float
+
+    def plan(self, source: _Source, one: Leaving) -> Move | None:
+        """Return the move of a run, and count what it takes."""
+        room = self._find_room(source, one.run)
+        if room is None:
+            return None
+        starts = max(source.free_at, room.free_at)
+        copying = self._measure_copy(source, room, one.run)
+        move = Move(
+            one.request,
+            source.engine.target,
+            room.engine.target,
+            starts,
+            copying + _STEP_SECONDS,
+            frozenset((*source.queue, *room.queue)),
+        )
+        source.free_at = starts + move.seconds
+        source.queue.append(one.request)
+        room.free_at = starts + copying
+        room.queue.append(one.request)
+        room.tokens -= max(forecast_run(one.run, self.pace))
+        room.tokens_now -= one.run.count_held(self.pace)
+        room.slots -= 1
+        return move
+
+    def _find_room(self, source: _Source, run: RunView) -> _Room | None:
+        """Return the room of a run: one that lasts, or one for the present.
+
+        A lost answer is worse than a preemption that may come later. Where
+        the notice is too short for copies to other data centres, the copy
+        that is done first is taken, whether or not its room lasts.
+        """
+        need = max(forecast_run(run, self.pace))
+        held = run.count_held(self.pace)
+        free = [room for room in self.rooms if room.slots]
+        # An engine refuses at once what it has no room for.
+        now = [room for room in free if room.tokens_now >= held] or free
+        lasting = [room for room in now if room.tokens >= need]
+        fitting = now if source.is_hurried else lasting or now
+        return min(
+            fitting,
+            key=lambda room: self._rate(source, room, run),
+            default=None,
+        )
+
+    def _rate(
+        self,
+        source: _Source,
+        room: _Room,
+        run: RunView,
+    ) -> tuple[float, float, TargetId]:
+        """Order rooms: the copy that is done first, then the emptiest."""
+        starts = max(source.free_at, room.free_at)
+        done = starts + self._measure_copy(source, room, run)
+        return done, -room.tokens, room.engine.target
+
+    def _measure_copy(
+        self,
+        source: _Source,
+        room: _Room,
+        run: RunView,
+    ) -> float:
+        is_remote = room.engine.data_centre != source.engine.data_centre
+        held = run.count_held(self.pace)
+        return self.link.measure_copy(held, is_remote=is_remote)
 
 
 def plan_moves(
-    source: Engine,
-    leaving: Iterable[Leaving],
+    departures: Iterable[Departure],
     others: Sequence[Engine],
     link: Link,
     pace: float,
 ) -> list[Move]:
     """Return the moves in their order; every node plans the same ones.
 
-    Load pattern: an engine is reclaimed a second or two after its notice,
-    and its runs share one link. One run is finished before the next begins,
-    so that those which were moved are safe whenever the engine ends.
+    Load pattern: several engines are reclaimed a second or two after their
+    notice. The runs of each share its link, so one is finished before the
+    next begins, and those which were moved are safe whenever the engine ends.
+    Copies from two engines to the same one share that one's link and memory,
+    so the engines are planned together, a run of each in turn.
     """
-    rooms = [_measure_room(engine, pace) for engine in others]
-    ordered = sorted(leaving, key=lambda one: _rank(one, pace))
+    rooms = tuple(_measure_room(engine, pace) for engine in others)
+    planner = _Planner(rooms, link, pace)
+    sources = [_order_runs(one, link, pace) for one in departures]
+    sources.sort(key=lambda source: source.engine.target)
+    planned = (planner.plan(*turn) for turn in _take_turns(sources))
+    return [move for move in planned if move is not None]
+
+
+def _take_turns(
+    sources: Sequence[_Source],
+) -> Iterator[tuple[_Source, Leaving]]:
+    """Yield the first run of each engine, then the second of each."""
+    rounds = itertools.zip_longest(*(source.waiting for source in sources))
+    for runs in rounds:
+        for source, one in zip(sources, runs, strict=True):
+            if one is not None:
+                yield source, one
+
+
+def _order_runs(departure: Departure, link: Link, pace: float) -> _Source:
+    ordered = sorted(departure.runs, key=lambda one: _rank(one, pace))
     is_hurried = _measure_far(ordered, link, pace) > DEFAULT_NOTICE_SECONDS
-    moves: list[Move] = []
-    after: float = 0
-    for one in ordered:
-        room = _find_room(rooms, one.run, source, pace, is_hurried=is_hurried)
-        if room is None:
-            continue
-        is_remote = room.engine.data_centre != source.data_centre
-        held = one.run.count_held(pace)
-        seconds = link.measure_copy(held, is_remote=is_remote) + _STEP_SECONDS
-        moves.append(
-            Move(
-                one.request,
-                room.engine.target,
-                after,
-                seconds,
-                frozenset(move.request for move in moves),
-            ),
-        )
-        after += seconds
-    return moves
+    return _Source(departure.engine, ordered, is_hurried)
 
 
 def find_turn(moves: Sequence[Move], request: RequestId) -> Move | None:
     """Return the move of a run that is planned later than the others.
 
-    The others keep their turns, so it waits for all of them.
+    The others of its engine keep their turns, so it waits for all of them.
     """
-    others = [one for one in moves if one.request != request]
-    for move in moves:
-        if move.request == request:
-            return Move(
-                request,
-                move.destination,
-                sum(one.seconds for one in others),
-                move.seconds,
-                frozenset(one.request for one in others),
-            )
-    return None
+    own = next((one for one in moves if one.request == request), None)
+    if own is None:
+        return None
+    others = [
+        one
+        for one in moves
+        if one.source == own.source and one.request != request
+    ]
+    return Move(
+        request,
+        own.source,
+        own.destination,
+        sum(one.seconds for one in others),
+        own.seconds,
+        frozenset(one.request for one in others),
+    )
 
 
 def _measure_far(leaving: Iterable[Leaving], link: Link, pace: float) -> float:
@@ -161,40 +268,3 @@
         most - held[0],
         engine.slots - len(engine.runs),
     )
-
-
-def _find_room(
-    rooms: Sequence[_Room],
-    run: RunView,
-    source: Engine,
-    pace: float,
-    *,
-    is_hurried: bool,
-) -> _Room | None:
-    """Return the room of a run: one that lasts, or one for the present.
-
-    A lost answer is worse than a preemption that may come later. Where the
-    notice is too short for copies to other data centres, a near engine with
-    room for the present goes before a far one with room that lasts.
-    """
-    need = max(forecast_run(run, pace))
-    held = run.count_held(pace)
-    now = [room for room in rooms if room.slots and room.tokens_now >= held]
-    # An engine refuses at once what it has no room for.
-    now = now or [room for room in rooms if room.slots]
-    lasting = [room for room in now if room.tokens >= need]
-    home = source.data_centre
-    near = [room for room in now if room.engine.data_centre == home]
-    fitting = (is_hurried and near) or lasting or now
-    if not fitting:
-        return None
-    chosen = max(fitting, key=lambda room: _prefer(room, source))
-    chosen.tokens -= need
-    chosen.tokens_now -= held
-    chosen.slots -= 1
-    return chosen
-
-
-def _prefer(room: _Room, source: Engine) -> tuple[bool, float, TargetId]:
-    is_near = room.engine.data_centre == source.data_centre
-    return is_near, room.tokens, room.engine.target
--- a/chicoryshunt/relay/generations.py
+++ b/chicoryshunt/relay/generations.py
@@ -55,6 +55,9 @@
 # Last events of a stopped engine are on their way for no longer than this.
 _SETTLE_SECONDS = 0.03
 _MOST_REFUSALS = 4
+# Notices that were read together reach a node within this time of each other;
+# the engines that leave are planned together.
+_GATHER_SECONDS = 0.02
 # Shorter answers say little of how fast engines generate.
 _LEAST_PACED_EVENTS = 20
 
@@ -97,12 +100,19 @@
         """Move runs off an engine that leaves."""
         if fact.phase is TargetPhase.ready:
             return
-        self._mover.plan(
+        asyncio.get_running_loop().call_later(
+            _GATHER_SECONDS,
+            self._plan_moves,
             fact.target,
+        )
+
+    def _plan_moves(self, target: TargetId) -> None:
+        self._mover.plan(
+            target,
             [
                 stream
                 for stream in self._streams.values()
-                if _runs_at(stream, fact.target)
+                if _runs_at(stream, target)
             ],
         )
 
@@ -117,6 +127,7 @@
 
     def _drop(self, stream: Stream) -> None:
         self._streams.pop(stream.request, None)
+        self._mover.forget(stream)
         stream.close()
         self._around.send(self._around.workload.end(stream.request))
 
--- a/chicoryshunt/relay/moving.py
+++ b/chicoryshunt/relay/moving.py
@@ -6,6 +6,7 @@
 
 from chicoryshunt.connection.upstream import LostError, NotSentError, Sending
 from chicoryshunt.dispatch.handover import (
+    Departure,
     Leaving,
     Link,
     Move,
@@ -13,7 +14,7 @@
     plan_moves,
 )
 from chicoryshunt.events import log_event
-from chicoryshunt.fleet.facts import TargetPhase
+from chicoryshunt.fleet.facts import TargetFact, TargetPhase
 from chicoryshunt.relay.course_inputs import (
     CopyEnded,
     Noticed,
@@ -21,7 +22,7 @@
 from chicoryshunt.relay.ports import Copied, CopyFailed, CopyFailure
 from chicoryshunt.relay.stream import Stream
 from chicoryshunt.relay.surroundings import Surroundings, view_run
-from chicoryshunt.types import TargetId
+from chicoryshunt.types import RequestId, TargetId
 
 _COPY_SECONDS = 2.5
 _MOST_ANSWER_BYTES = 65536
@@ -35,7 +36,6 @@
 
     stream: Stream
     move: Move
-    source: TargetId
     timer: asyncio.TimerHandle | None = None
 
 
@@ -47,7 +47,7 @@
         self._around = around
         # Orders that outlive the stream they are for.
         self._releases: set[asyncio.Task[Copied | CopyFailed]] = set()
-        self._waiting: list[_WaitingMove] = []
+        self._waiting: dict[RequestId, _WaitingMove] = {}
         around.workload.follow(self._begin_early)
 
     def is_leaving(self, target: TargetId) -> bool:
@@ -79,6 +79,7 @@
             return
         stream.replans += 1
         if stream.replans > _MOST_REPLANS:
+            self.forget(stream)
             return
         moves = self._list_moves(
             course.place.target,
@@ -145,28 +146,43 @@
         )
         if move is None or course is None:
             return
-        waiting = _WaitingMove(stream, move, course.place.target)
+        waiting = _WaitingMove(stream, move)
         waiting.timer = asyncio.get_running_loop().call_later(
             0 if has_turn else move.after,
             self._begin,
             waiting,
         )
-        self._waiting.append(waiting)
+        self.forget(stream)
+        self._waiting[stream.request] = waiting
 
-    def _begin(self, waiting: '_WaitingMove') -> None:
-        self._waiting.remove(waiting)
-        if waiting.timer is not None:
+    def forget(self, stream: Stream) -> None:
+        """Drop the planned move of a run."""
+        waiting = self._waiting.pop(stream.request, None)
+        if waiting is not None and waiting.timer is not None:
             waiting.timer.cancel()
-        waiting.stream.mail.put_nowait(Noticed(waiting.move.destination))
+
+    def _begin(self, waiting: '_WaitingMove') -> None:
+        stream = waiting.stream
+        self.forget(stream)
+        course = stream.course
+        if course is None or course.place.target != waiting.move.source:
+            return
+        if self.is_leaving(waiting.move.destination):
+            # Its notice came after the move was planned.
+            self.replan(stream, has_turn=True)
+        else:
+            stream.mail.put_nowait(Noticed(waiting.move.destination))
 
     def _begin_early(self) -> None:
         """Begin moves whose engine has finished with the earlier ones."""
-        for waiting in tuple(self._waiting):
-            present = {
-                one.run.request
-                for one in self._around.workload.list_runs()
-                if one.run.target == waiting.source
-            }
+        if not self._waiting:
+            return
+        present = {
+            one.run.request
+            for one in self._around.workload.list_runs()
+            if self.is_leaving(one.run.target)
+        }
+        for waiting in tuple(self._waiting.values()):
             if waiting.move.may_begin(present):
                 self._begin(waiting)
 
@@ -176,22 +192,21 @@
         example: Stream,
         avoided: frozenset[TargetId],
     ) -> list[Move]:
+        """Plan the moves off an engine, and off all others that leave."""
         around = self._around
-        now = around.clock.now()
-        fact = self._around.catalog.find(source)
+        fact = around.catalog.find(source)
         if fact is None:
             return []
-        others = around.list_candidates(example.service, avoided | {source})
-        engines = around.view_engines([fact, *others], example.engine)
-        leaving = [
-            Leaving(one.run.request, view_run(one.run, now - one.placed))
-            for one in around.workload.list_runs()
-            if one.run.target == source
-        ]
+        leaving = self._list_leaving(example, fact)
+        others = around.list_candidates(
+            example.service,
+            avoided.union(one.target for one in leaving),
+        )
+        engines = around.view_engines([*leaving, *others], example.engine)
+        departing = engines[: len(leaving)]
         return plan_moves(
-            engines[0],
-            leaving,
-            engines[1:],
+            [Departure(one, self._list_runs(one.target)) for one in departing],
+            engines[len(leaving) :],
             Link(
                 example.engine.bytes_per_token,
                 example.engine.link_bytes_per_second,
@@ -199,6 +214,33 @@
             around.pace,
         )
 
+    def _list_leaving(
+        self,
+        example: Stream,
+        source: TargetFact,
+    ) -> list[TargetFact]:
+        """Return an engine and all others of the service that leave."""
+        busy = {one.run.target for one in self._around.workload.list_runs()}
+        facts = map(self._around.catalog.find, busy - {source.target})
+        return [
+            source,
+            *(
+                fact
+                for fact in facts
+                if fact is not None
+                and fact.phase is not TargetPhase.ready
+                and fact.service == example.service
+            ),
+        ]
+
+    def _list_runs(self, target: TargetId) -> tuple[Leaving, ...]:
+        now = self._around.clock.now()
+        return tuple(
+            Leaving(one.run.request, view_run(one.run, now - one.placed))
+            for one in self._around.workload.list_runs()
+            if one.run.target == target
+        )
+
     async def _order(
         self,
         address: str,
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -1,14 +1,18 @@
 """Plans that move runs off an engine within its notice."""
 
 import itertools
+from collections.abc import Iterable, Sequence
 
 import pytest
 
+from chicoryshunt.dispatch.engines import Engine
 from chicoryshunt.dispatch.forecast import RunView
 from chicoryshunt.dispatch.handover import (
     DEFAULT_NOTICE_SECONDS,
+    Departure,
     Leaving,
     Link,
+    Move,
     find_turn,
     plan_moves,
 )
@@ -26,16 +30,21 @@
     ]
 
 
-def _build_source(leaving: list[Leaving]) -> list[RunView]:
-    return [one.run for one in leaving]
+def _build_departure(name: str, leaving: Iterable[Leaving]) -> Departure:
+    runs = tuple(leaving)
+    return Departure(build_engine(name, *(one.run for one in runs)), runs)
+
+
+def _plan(leaving: Iterable[Leaving], others: Sequence[Engine]) -> list[Move]:
+    departure = _build_departure('gone', leaving)
+    return plan_moves([departure], others, LINK, PACE)
 
 
 def test_runs_move_one_after_the_other() -> None:
     """Replays a reclaimed engine: copies share its one link."""
     leaving = _build_leaving(4)
-    source = build_engine('gone', *_build_source(leaving))
 
-    moves = plan_moves(source, leaving, [build_engine('near')], LINK, PACE)
+    moves = _plan(leaving, [build_engine('near')])
 
     assert len(moves) == 4
     for move, following in itertools.pairwise(moves):
@@ -46,31 +55,23 @@
 
 def test_every_node_plans_the_same() -> None:
     leaving = _build_leaving(5)
-    source = build_engine('gone', *_build_source(leaving))
     others = [build_engine(f'e{one}', data_centre=AWAY) for one in range(3)]
 
-    forwards = plan_moves(source, leaving, others, LINK, PACE)
-    backwards = plan_moves(
-        source,
-        list(reversed(leaving)),
-        list(reversed(others)),
-        LINK,
-        PACE,
-    )
+    forwards = _plan(leaving, others)
+    backwards = _plan(list(reversed(leaving)), list(reversed(others)))
 
     assert forwards == backwards
 
 
 def test_a_short_notice_prefers_near_engines() -> None:
     leaving = _build_leaving(7)
-    source = build_engine('gone', *_build_source(leaving))
     crowded = build_engine(
         'near',
         *(build_run(prompt=5200, expected=2200, most=2200) for _ in range(4)),
     )
     empty = build_engine('far', data_centre=AWAY)
 
-    moves = plan_moves(source, leaving, [crowded, empty], LINK, PACE)
+    moves = _plan(leaving, [crowded, empty])
 
     near = [move for move in moves if move.destination == 'near']
     assert near
@@ -79,14 +80,13 @@
 
 def test_a_long_notice_prefers_room_that_lasts() -> None:
     leaving = _build_leaving(1)
-    source = build_engine('gone', *_build_source(leaving))
     crowded = build_engine(
         'near',
         *(build_run(prompt=5600, expected=2200, most=2200) for _ in range(5)),
     )
     empty = build_engine('far', data_centre=AWAY)
 
-    moves = plan_moves(source, leaving, [crowded, empty], LINK, PACE)
+    moves = _plan(leaving, [crowded, empty])
 
     assert [move.destination for move in moves] == ['far']
 
@@ -94,15 +94,8 @@
 def test_what_ends_in_time_is_moved_last() -> None:
     nearly = Leaving(RequestId('a'), RunView(3000, 10, 215, age=2))
     long = Leaving(RequestId('b'), build_run(expected=2000, age=2))
-    source = build_engine('gone', nearly.run, long.run)
-
-    moves = plan_moves(
-        source,
-        [nearly, long],
-        [build_engine('near')],
-        LINK,
-        PACE,
-    )
+
+    moves = _plan([nearly, long], [build_engine('near')])
 
     assert [move.request for move in moves] == ['b', 'a']
 
@@ -113,8 +106,7 @@
     A copy that begins at once would delay the last tokens of a stopped run.
     """
     leaving = _build_leaving(3)
-    source = build_engine('gone', *_build_source(leaving))
-    moves = plan_moves(source, leaving, [build_engine('near')], LINK, PACE)
+    moves = _plan(leaving, [build_engine('near')])
 
     turn = find_turn(moves, RequestId('r0'))
 
@@ -127,14 +119,7 @@
 def test_a_move_begins_when_the_earlier_have_left() -> None:
     """Replays moves that are done sooner than was planned."""
     leaving = _build_leaving(3)
-    source = build_engine('gone', *_build_source(leaving))
-    first, second, third = plan_moves(
-        source,
-        leaving,
-        [build_engine('near')],
-        LINK,
-        PACE,
-    )
+    first, second, third = _plan(leaving, [build_engine('near')])
     present = {one.request for one in leaving}
 
     assert first.may_begin(present)
@@ -146,16 +131,79 @@
 
 def test_without_any_slot_nothing_is_planned() -> None:
     leaving = _build_leaving(2)
-    source = build_engine('gone', *_build_source(leaving))
     full = build_engine('full', *(build_run(prompt=1) for _ in range(24)))
 
-    assert not plan_moves(source, leaving, [full], LINK, PACE)
+    assert not _plan(leaving, [full])
 
 
 def test_four_near_moves_fit_into_a_notice() -> None:
     leaving = _build_leaving(4)
-    source = build_engine('gone', *_build_source(leaving))
 
-    moves = plan_moves(source, leaving, [build_engine('near')], LINK, PACE)
+    moves = _plan(leaving, [build_engine('near')])
 
     assert moves[-1].after + moves[-1].seconds < DEFAULT_NOTICE_SECONDS
+
+
+def _build_departures() -> list[Departure]:
+    return [
+        _build_departure(
+            f'gone{source}',
+            (
+                Leaving(RequestId(f'{source}-{one}'), build_run(age=2))
+                for one in range(3)
+            ),
+        )
+        for source in range(3)
+    ]
+
+
+def test_engines_that_leave_together_part() -> None:
+    """Replays three engines of one data centre, reclaimed together.
+
+    Planned one by one all of them chose the emptiest engine: its link carried
+    one copy at a time, and theirs stood idle until they ended.
+    """
+    departures = _build_departures()
+    others = [
+        build_engine('emptiest'),
+        *(build_engine(f'e{one}', build_run()) for one in range(4)),
+    ]
+
+    moves = plan_moves(departures, others, LINK, PACE)
+
+    assert len(moves) == 9
+    firsts = moves[:3]
+    assert len({move.destination for move in firsts}) == 3
+    assert {move.after for move in firsts} == {0}
+    ends = {
+        one.engine.target: max(
+            move.after + move.seconds
+            for move in moves
+            if move.source == one.engine.target
+        )
+        for one in departures
+    }
+    assert max(ends.values()) < DEFAULT_NOTICE_SECONDS
+
+
+def test_a_copy_waits_for_the_link_of_its_destination() -> None:
+    departures = _build_departures()[:2]
+
+    moves = plan_moves(departures, [build_engine('only')], LINK, PACE)
+
+    copying = LINK.measure_copy(3200, is_remote=False)
+    for move, following in itertools.pairwise(moves):
+        assert following.after >= move.after + copying * 0.99
+        assert not following.may_begin([move.request])
+
+
+def test_room_is_not_given_away_twice() -> None:
+    """Replays copies that an engine refused, for others had filled it."""
+    departures = _build_departures()
+    crowded = build_engine('near', *(build_run() for _ in range(7)))
+    empty = build_engine('far', data_centre=AWAY)
+
+    moves = plan_moves(departures, [crowded, empty], LINK, PACE)
+
+    near = [move for move in moves if move.destination == 'near']
+    assert len(near) < len(moves)
