Keep room for the runs of leaving engines

Cause: while runs wait for their turn on the link, new requests are placed into the room that their copies were planned into. Change: every node counts those runs at their destinations when it places.

--- a/chicoryshunt/relay/generations.py
+++ b/chicoryshunt/relay/generations.py
@@ -43,7 +43,6 @@
 )
 from chicoryshunt.relay.stream import Stream, build_place, view_ask
 from chicoryshunt.relay.surroundings import Surroundings
-from chicoryshunt.rules.model import EngineRules
 from chicoryshunt.rules.routing import Admitted
 from chicoryshunt.types import Reason, RequestId, ServiceId, TargetId
 from chicoryshunt.verdict import Verdict, doubt, refuse
@@ -81,7 +80,7 @@
         exchange: RelayedExchange,
     ) -> Result:
         """Stream the answer of a generation to the caller."""
-        engine = self._find_engine_rules(service)
+        engine = self._around.find_engine_rules(service)
         if engine is None or incoming.ask is None:
             return refuse(Reason.unknown_service, f'{service} has no engines')
         stream = Stream(
@@ -103,16 +102,16 @@
         asyncio.get_running_loop().call_later(
             _GATHER_SECONDS,
             self._plan_moves,
-            fact.target,
+            fact,
         )
 
-    def _plan_moves(self, target: TargetId) -> None:
+    def _plan_moves(self, source: TargetFact) -> None:
         self._mover.plan(
-            target,
+            source,
             [
                 stream
                 for stream in self._streams.values()
-                if _runs_at(stream, target)
+                if _runs_at(stream, source.target)
             ],
         )
 
@@ -131,11 +130,6 @@
         stream.close()
         self._around.send(self._around.workload.end(stream.request))
 
-    def _find_engine_rules(self, service: ServiceId) -> EngineRules | None:
-        index = self._around.catalog.rules
-        rules = None if index is None else index.find_service(service)
-        return None if rules is None else rules.engine
-
     async def _run(self, stream: Stream) -> Result:
         tried: list[TargetId] = []
         doubts = 0
--- a/chicoryshunt/relay/moving.py
+++ b/chicoryshunt/relay/moving.py
@@ -22,6 +22,7 @@
 from chicoryshunt.relay.ports import Copied, CopyFailed, CopyFailure
 from chicoryshunt.relay.stream import Stream
 from chicoryshunt.relay.surroundings import Surroundings, view_run
+from chicoryshunt.rules.model import EngineRules
 from chicoryshunt.types import RequestId, TargetId
 
 _COPY_SECONDS = 2.5
@@ -50,21 +51,21 @@
         self._waiting: dict[RequestId, _WaitingMove] = {}
         around.workload.follow(self._begin_early)
 
-    def is_leaving(self, target: TargetId) -> bool:
-        """Say whether an engine has announced its end or is gone."""
-        fact = self._around.catalog.find(target)
-        return fact is None or fact.phase is not TargetPhase.ready
+    def plan(self, source: TargetFact, streams: Sequence[Stream]) -> None:
+        """Start to move this node's runs off an engine, in their turn.
 
-    def plan(self, source: TargetId, streams: Sequence[Stream]) -> None:
-        """Start to move this node's runs off an engine, in their turn."""
-        if not streams or not streams[0].engine.can_move:
+        Room is kept on this node for the runs of all nodes.
+        """
+        engine = self._around.find_engine_rules(source.service)
+        if engine is None or not engine.can_move:
             return
-        moves = {
-            move.request: move
-            for move in self._list_moves(source, streams[0], frozenset())
+        moves = self._list_moves(source, engine, frozenset())
+        self._around.destinations = {
+            move.request: move.destination for move in moves
         }
+        planned = {move.request: move for move in moves}
         for stream in streams:
-            move = moves.get(stream.request)
+            move = planned.get(stream.request)
             self._announce(stream, move, has_turn=False)
 
     def replan(self, stream: Stream, *, has_turn: bool) -> None:
@@ -75,18 +76,21 @@
         course = stream.course
         if course is None or not stream.engine.can_move:
             return
-        if not self.is_leaving(course.place.target):
+        source = self._around.catalog.find(course.place.target)
+        if source is None or source.phase is TargetPhase.ready:
             return
         stream.replans += 1
         if stream.replans > _MOST_REPLANS:
             self.forget(stream)
             return
         moves = self._list_moves(
-            course.place.target,
-            stream,
+            source,
+            stream.engine,
             frozenset(stream.avoided),
         )
         move = find_turn(moves, stream.request)
+        if move is not None:
+            self._around.destinations[stream.request] = move.destination
         self._announce(stream, move, has_turn=has_turn)
 
     async def copy(
@@ -128,6 +132,12 @@
         self._releases.add(task)
         task.add_done_callback(self._releases.discard)
 
+    def forget(self, stream: Stream) -> None:
+        """Drop the planned move of a run."""
+        waiting = self._waiting.pop(stream.request, None)
+        if waiting is not None and waiting.timer is not None:
+            waiting.timer.cancel()
+
     def _announce(
         self,
         stream: Stream,
@@ -155,19 +165,13 @@
         self.forget(stream)
         self._waiting[stream.request] = waiting
 
-    def forget(self, stream: Stream) -> None:
-        """Drop the planned move of a run."""
-        waiting = self._waiting.pop(stream.request, None)
-        if waiting is not None and waiting.timer is not None:
-            waiting.timer.cancel()
-
     def _begin(self, waiting: '_WaitingMove') -> None:
         stream = waiting.stream
         self.forget(stream)
         course = stream.course
         if course is None or course.place.target != waiting.move.source:
             return
-        if self.is_leaving(waiting.move.destination):
+        if self._around.is_leaving(waiting.move.destination):
             # Its notice came after the move was planned.
             self.replan(stream, has_turn=True)
         else:
@@ -180,7 +184,7 @@
         present = {
             one.run.request
             for one in self._around.workload.list_runs()
-            if self.is_leaving(one.run.target)
+            if self._around.is_leaving(one.run.target)
         }
         for waiting in tuple(self._waiting.values()):
             if waiting.move.may_begin(present):
@@ -188,38 +192,28 @@
 
     def _list_moves(
         self,
-        source: TargetId,
-        example: Stream,
+        source: TargetFact,
+        engine: EngineRules,
         avoided: frozenset[TargetId],
     ) -> list[Move]:
         """Plan the moves off an engine, and off all others that leave."""
         around = self._around
-        fact = around.catalog.find(source)
-        if fact is None:
-            return []
-        leaving = self._list_leaving(example, fact)
+        leaving = self._list_leaving(source)
         others = around.list_candidates(
-            example.service,
+            source.service,
             avoided.union(one.target for one in leaving),
         )
-        engines = around.view_engines([*leaving, *others], example.engine)
+        engines = around.view_engines([*leaving, *others], engine)
         departing = engines[: len(leaving)]
         return plan_moves(
             [Departure(one, self._list_runs(one.target)) for one in departing],
             engines[len(leaving) :],
-            Link(
-                example.engine.bytes_per_token,
-                example.engine.link_bytes_per_second,
-            ),
+            Link(engine.bytes_per_token, engine.link_bytes_per_second),
             around.pace,
         )
 
-    def _list_leaving(
-        self,
-        example: Stream,
-        source: TargetFact,
-    ) -> list[TargetFact]:
-        """Return an engine and all others of the service that leave."""
+    def _list_leaving(self, source: TargetFact) -> list[TargetFact]:
+        """Return an engine and all others of its service that leave."""
         busy = {one.run.target for one in self._around.workload.list_runs()}
         facts = map(self._around.catalog.find, busy - {source.target})
         return [
@@ -229,7 +223,7 @@
                 for fact in facts
                 if fact is not None
                 and fact.phase is not TargetPhase.ready
-                and fact.service == example.service
+                and fact.service == source.service
             ),
         ]
 
--- a/chicoryshunt/relay/placing.py
+++ b/chicoryshunt/relay/placing.py
@@ -157,7 +157,7 @@
 
     def _choose(self, stream: Stream, facts: Iterable[TargetFact]) -> Choice:
         return choose_engine(
-            self._around.view_engines(facts, stream.engine),
+            self._around.view_claimed_engines(facts, stream.engine),
             stream.view,
             self._around.data_centre,
             self._around.pace,
--- a/chicoryshunt/relay/surroundings.py
+++ b/chicoryshunt/relay/surroundings.py
@@ -1,7 +1,13 @@
 """What every request on this node shares."""
 
 from collections import Counter
-from collections.abc import Callable, Iterable, Iterator, Sequence
+from collections.abc import (
+    Callable,
+    Iterable,
+    Iterator,
+    Mapping,
+    Sequence,
+)
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
@@ -25,7 +31,7 @@
 from chicoryshunt.nodes.core import Send
 from chicoryshunt.relay.ports import TargetPort
 from chicoryshunt.rules.model import EngineRules, ServiceRules
-from chicoryshunt.types import DataCentreId, ServiceId, TargetId
+from chicoryshunt.types import DataCentreId, RequestId, ServiceId, TargetId
 
 # Weight of the newest stream in the pace that forecasts use.
 _NEWEST_PACE_WEIGHT = 0.05
@@ -53,6 +59,8 @@
     open_calls: Counter[TargetId] = field(default_factory=Counter)
     pace: float = DEFAULT_TOKENS_PER_SECOND
     most_nodes: int = 1
+    # Where the runs of leaving engines are to go on.
+    destinations: dict[RequestId, TargetId] = field(default_factory=dict)
 
     def count_nodes(self) -> int:
         """Return how many nodes may share a bound: the most ever known."""
@@ -100,6 +108,16 @@
                 failure_rate=self.outliers.get_rate(target),
             )
 
+    def is_leaving(self, target: TargetId) -> bool:
+        """Say whether a target has announced its end or is gone."""
+        fact = self.catalog.find(target)
+        return fact is None or fact.phase is not TargetPhase.ready
+
+    def find_engine_rules(self, service: ServiceId) -> EngineRules | None:
+        """Return what engines of a service hold; a plain one has none."""
+        rules = self._find_rules(service)
+        return None if rules is None else rules.engine
+
     @contextmanager
     def count_call(self, target: TargetId) -> Iterator[None]:
         """Count a call as open on a target."""
@@ -125,11 +143,34 @@
         rules: EngineRules,
     ) -> list[Engine]:
         """Return engines with all that the fleet has placed on them."""
+        return self._view(facts, rules, {})
+
+    def view_claimed_engines(
+        self,
+        facts: Iterable[TargetFact],
+        rules: EngineRules,
+    ) -> list[Engine]:
+        """Return engines with the runs on them and those that are to come.
+
+        Load pattern: several engines leave at once, and new requests take the
+        room that the copies of their runs were planned into.
+        """
+        return self._view(facts, rules, self.destinations)
+
+    def _view(
+        self,
+        facts: Iterable[TargetFact],
+        rules: EngineRules,
+        destinations: Mapping[RequestId, TargetId],
+    ) -> list[Engine]:
         now = self.clock.now()
         runs: dict[TargetId, list[RunView]] = {}
         for known in self.workload.list_runs():
             view = view_run(known.run, now - known.placed)
             runs.setdefault(known.run.target, []).append(view)
+            claimed = destinations.get(known.run.request)
+            if claimed is not None and self.is_leaving(known.run.target):
+                runs.setdefault(claimed, []).append(view)
         return [
             Engine(
                 fact.target,
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -186,7 +186,7 @@
     assert max(ends.values()) < DEFAULT_NOTICE_SECONDS
 
 
-def test_a_copy_waits_for_the_link_of_its_destination() -> None:
+def test_a_copy_waits_for_both_its_links() -> None:
     departures = _build_departures()[:2]
 
     moves = plan_moves(departures, [build_engine('only')], LINK, PACE)
