Ask engines' health while the store is away

Change: the health check, which fails at once, is asked instead; as it may be wrong in both directions, the report still decides in the end. The watch over engines in an outage had no test; it has three now.

--- a/chicoryshunt/platform/items.py
+++ b/chicoryshunt/platform/items.py
@@ -132,6 +132,7 @@
     cold_start_s: float = 0
     cold_per_s: float = 0
     engine: _Engine | None = None
+    health_path: str = ''
 
 
 class _Limits(msgspec.Struct):
@@ -273,6 +274,7 @@
         service.cold_start_s,
         service.cold_per_s,
         None if engine is None else _build_engine(engine),
+        service.health_path,
     )
 
 
--- a/chicoryshunt/platform/targets.py
+++ b/chicoryshunt/platform/targets.py
@@ -15,9 +15,10 @@
     CopyFailure,
     Dispatch,
     EngineReport,
+    Health,
     Receipt,
 )
-from chicoryshunt.types import RequestId
+from chicoryshunt.types import RequestId, TargetId
 
 _MILLISECONDS = 1000
 _LAST_PRIORITY = 9
@@ -144,6 +145,24 @@
             memory_used=decoded.kv_used,
         )
 
+    def encode_health(self, path: str) -> Sending:
+        """Return the question for a target's health."""
+        return Sending(b'GET', path.encode(), [(wire.HOST, b'engine')])
+
+    def decode_health(self, target: TargetId, answer: Answer) -> Health:
+        """Return what a target says of itself, if it was that one.
+
+        A full target turns the check away like any request.
+        """
+        name = answer.get(wire.ANSWERING_TARGET).decode('latin-1')
+        if name != target or answer.get(wire.NOT_RUN):
+            return Health.unknown
+        if answer.is_success:
+            return Health.sound
+        if answer.status == HTTPStatus.SERVICE_UNAVAILABLE:
+            return Health.failing
+        return Health.unknown
+
     def encode_release(self, handle: str) -> Sending:
         """Return the order to drop a copy that is not needed."""
         return Sending(
--- a/chicoryshunt/platform/wire.py
+++ b/chicoryshunt/platform/wire.py
@@ -18,6 +18,8 @@
 NOT_RUN: Final = b'X-Chicoryshunt-Not-Executed'
 TEAM: Final = b'X-Chicoryshunt-Tenant'
 EXPECTED_TARGET: Final = b'X-Chicoryshunt-Expect-Instance'
+# The target that answers a health check.
+ANSWERING_TARGET: Final = b'X-Chicoryshunt-Instance-Id'
 EXPECTED_WEIGHTS: Final = b'X-Chicoryshunt-Expect-Version'
 PRIORITY: Final = b'X-Chicoryshunt-Request-Priority'
 HOLDER: Final = b'X-Chicoryshunt-Kv-Backup'
--- a/chicoryshunt/relay/ports.py
+++ b/chicoryshunt/relay/ports.py
@@ -69,6 +69,14 @@
     handle: str = ''
 
 
+class Health(Enum):
+    """What a target says of its health; it is ``failing`` once it leaves."""
+
+    sound = 'sound'
+    failing = 'failing'
+    unknown = 'unknown'
+
+
 @dataclass(frozen=True, slots=True)
 class EngineReport:
     """What an engine says of itself, some tenths of a second late.
@@ -110,5 +118,11 @@
     def decode_report(self, answer: Answer, body: bytes) -> EngineReport | None:
         """Return an engine's report, if that is what the answer holds."""
 
+    def encode_health(self, path: str) -> Sending:
+        """Return the question for a target's health."""
+
+    def decode_health(self, target: TargetId, answer: Answer) -> Health:
+        """Return what a target says of itself, if it was that one."""
+
     def encode_release(self, handle: str) -> Sending:
         """Return the order to drop a copy that is not needed."""
--- a/chicoryshunt/relay/reports.py
+++ b/chicoryshunt/relay/reports.py
@@ -10,14 +10,16 @@
 import msgspec
 
 from chicoryshunt.connection.upstream import (
+    Answer,
     AskBounds,
     LostError,
     NotSentError,
+    Sending,
 )
 from chicoryshunt.events import log_event
 from chicoryshunt.fleet.facts import Revision, TargetFact, TargetPhase
 from chicoryshunt.membership.rendezvous import rank_vms
-from chicoryshunt.relay.ports import EngineReport
+from chicoryshunt.relay.ports import EngineReport, Health
 from chicoryshunt.relay.surroundings import Surroundings
 from chicoryshunt.types import TargetId
 
@@ -25,16 +27,28 @@
 # Two nodes ask each engine, for one of them may be cut off from it.
 _ASKERS = 2
 _MOST_BYTES = 1048576
+# An answer that takes longer than a round is no use: there is a next one.
 _BOUNDS = AskBounds(
     idle_seconds=2,
-    answer_seconds=0.5,
+    answer_seconds=_INTERVAL_SECONDS,
     most_bytes=_MOST_BYTES,
 )
-_SOURCE = 'report'
+# A health check may also be wrong in the other direction, so one check in so
+# many asks for the report as well.
+_ROUNDS_PER_REPORT = 3
+# Reports are up to some tenths of a second old; after this time one tells
+# whether an engine leaves whose health check failed.
+_REPORT_AGE_SECONDS = 1.0
+_SOURCE = 'engine'
 
 
 class ReportWatch:
-    """Reads the reports of engines that have something to lose."""
+    """Asks engines that have something to lose how they are.
+
+    A health check fails as soon as an engine leaves; its report says so half
+    a second later, which is a third of the notice. Health checks may be
+    wrong, so the report decides in the end.
+    """
 
     def __init__(
         self,
@@ -44,13 +58,22 @@
         """Ask this node's part of the engines while there is an outage."""
         self._around = around
         self._sees_outage = sees_outage
+        self._suspected: dict[TargetId, float] = {}
+        # Engines whose health checks failed though they stayed.
+        self._mistaken: set[TargetId] = set()
+        self._round = 0
 
     async def run(self) -> None:
         """Watch for as long as the process lives."""
         while True:
             await asyncio.sleep(_INTERVAL_SECONDS)
+            self._round += 1
+            checks = [self._confirm(target) for target in self._list_due()]
             if self._sees_outage(self._around.clock.now()):
-                await asyncio.gather(*map(self._check, self._list_engines()))
+                checks.extend(map(self._check, self._list_engines()))
+            else:
+                self._mistaken.clear()
+            await asyncio.gather(*checks)
 
     def _list_engines(self) -> list[TargetId]:
         """Return the engines with runs that this node is to ask."""
@@ -63,34 +86,84 @@
             if own in rank_vms(f'report/{engine}', serving)[:_ASKERS]
         ]
 
+    def _list_due(self) -> list[TargetId]:
+        """Return the suspected engines whose reports are fresh enough."""
+        before = self._around.clock.now() - _REPORT_AGE_SECONDS
+        return [
+            target
+            for target, since in self._suspected.items()
+            if since <= before
+        ]
+
     async def _check(self, target: TargetId) -> None:
         fact = self._around.catalog.find(target)
         if fact is None or fact.phase is not TargetPhase.ready:
             return
-        report = await self._read(fact)
+        health = await self._read_health(fact)
+        if health is Health.failing:
+            self._suspected[target] = self._around.clock.now()
+            self._note(fact, TargetPhase.leaving)
+        elif health is Health.unknown or self._is_report_due():
+            await self._check_report(fact)
+
+    async def _check_report(self, fact: TargetFact) -> None:
+        report = await self._read_report(fact)
         if report is not None and report.is_leaving:
-            self._note_leaving(fact)
+            self._note(fact, TargetPhase.leaving)
+
+    def _is_report_due(self) -> bool:
+        return self._round % _ROUNDS_PER_REPORT == 0
 
-    async def _read(self, fact: TargetFact) -> EngineReport | None:
+    async def _confirm(self, target: TargetId) -> None:
+        """Take an engine back whose report does not say that it leaves."""
+        self._suspected.pop(target)
+        fact = self._around.catalog.find(target)
+        if fact is None or fact.phase is not TargetPhase.leaving:
+            return
+        report = await self._read_report(fact)
+        if report is not None and not report.is_leaving:
+            self._mistaken.add(target)
+            self._note(fact, TargetPhase.ready)
+
+    async def _read_health(self, fact: TargetFact) -> Health:
+        path = self._around.find_health_path(fact.service)
+        if not path or fact.target in self._mistaken:
+            return Health.unknown
+        port = self._around.port
+        asked = await self._ask(fact, port.encode_health(path))
+        if asked is None:
+            return Health.unknown
+        answer, _ = asked
+        return port.decode_health(fact.target, answer)
+
+    async def _read_report(self, fact: TargetFact) -> EngineReport | None:
         port = self._around.port
+        asked = await self._ask(fact, port.encode_report())
+        return None if asked is None else port.decode_report(*asked)
+
+    async def _ask(
+        self,
+        fact: TargetFact,
+        sending: Sending,
+    ) -> tuple[Answer, bytes] | None:
         try:
-            answer, body = await self._around.pool.ask(
-                fact.address,
-                port.encode_report(),
-                _BOUNDS,
-            )
+            return await self._around.pool.ask(fact.address, sending, _BOUNDS)
         except (NotSentError, LostError) as error:
-            log_event('report_not_read', target=fact.target, error=str(error))
+            log_event(
+                'engine_not_asked',
+                target=fact.target,
+                path=sending.uri.decode(),
+                error=str(error),
+            )
             return None
-        return port.decode_report(answer, body)
 
-    def _note_leaving(self, fact: TargetFact) -> None:
-        # The entry that says so is written later than the one believed in.
-        leaving = msgspec.structs.replace(
+    def _note(self, fact: TargetFact, phase: TargetPhase) -> None:
+        """Believe an engine, until its entry is written again."""
+        changed = msgspec.structs.replace(
             fact,
-            phase=TargetPhase.leaving,
+            phase=phase,
             revision=Revision(fact.revision + 1),
         )
         now = self._around.clock.now()
-        if self._around.catalog.take(leaving, now, _SOURCE):
-            self._around.publish([leaving])
+        if self._around.catalog.take(changed, now, _SOURCE):
+            self._around.publish([changed])
--- a/chicoryshunt/relay/surroundings.py
+++ b/chicoryshunt/relay/surroundings.py
@@ -118,6 +118,11 @@
         rules = self._find_rules(service)
         return None if rules is None else rules.engine
 
+    def find_health_path(self, service: ServiceId) -> str:
+        """Return where targets of a service answer health checks, or ''."""
+        rules = self._find_rules(service)
+        return '' if rules is None else rules.health_path
+
     @contextmanager
     def count_call(self, target: TargetId) -> Iterator[None]:
         """Count a call as open on a target."""
--- a/chicoryshunt/rules/model.py
+++ b/chicoryshunt/rules/model.py
@@ -62,6 +62,7 @@
     cold_seconds: float
     cold_per_second: float
     engine: EngineRules | None = None
+    health_path: str = ''
 
 
 class CallerLimits(msgspec.Struct, frozen=True, array_like=True):
--- a/lab/standins/platform_files.py
+++ b/lab/standins/platform_files.py
@@ -45,6 +45,7 @@
             {'name': 'plain', 'max_connections': 50},
             {
                 'name': 'engines',
+                'health_path': '/health',
                 'max_connections': 50,
                 'engine': {
                     'slots': 24,
--- a/lab/standins/platform_targets.py
+++ b/lab/standins/platform_targets.py
@@ -85,6 +85,8 @@
         self.length = 40
         self.has_room = True
         self.breaks_off = False
+        self.is_healthy = True
+        self.reported_state = 'ready'
         self.started: list[str] = []
         self.copies: list[tuple[str, bool]] = []
         self._made: dict[str, int] = {}
@@ -98,10 +100,19 @@
             self._fleet.pop(exchange.path.rpartition('/')[2], None)
             exchange.respond(b'')
         elif exchange.path == '/chicoryshunt/report':
-            exchange.respond_json({'state': 'ready', 'running': 1})
+            exchange.respond_json({'state': self.reported_state, 'running': 1})
+        elif exchange.path == '/health':
+            self._tell_health(exchange)
         else:
             await self._run(exchange)
 
+    def _tell_health(self, exchange: RelayedExchange) -> None:
+        exchange.set_header('X-Chicoryshunt-Instance-Id', self.name)
+        status = HTTPStatus.OK
+        if not self.is_healthy:
+            status = HTTPStatus.SERVICE_UNAVAILABLE
+        exchange.respond(b'', status=status)
+
     def _move(self, exchange: RelayedExchange) -> None:
         order = json.loads(exchange.body)
         request = order['id']
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -163,6 +163,51 @@
     _play(trial)
 
 
+@pytest.mark.parametrize('by_health', [True, False])
+def test_a_notice_is_seen_without_the_store(by_health: bool) -> None:
+    async def trial(platform: SmallPlatform) -> None:
+        for engine in platform.engines:
+            engine.length = 400
+        answer = await platform.open('/drafts/1', method='POST', **GENERATION)
+        first = await answer.body.read()
+        source = next(one for one in platform.engines if one.started)
+        platform.store.is_down = True
+        source.is_healthy = not by_health
+        source.reported_state = 'ready' if by_health else 'draining'
+
+        rest = await answer.body.read_all(1 << 20)
+
+        assert _list_numbers(first, rest) == list(range(1, 401))
+        assert source.copies[:2] == [('r1', False), ('r1', True)]
+
+    _play(trial)
+
+
+def test_a_false_health_check_costs_no_engine() -> None:
+    """Replays an engine that calls itself unfit while the store is away."""
+
+    async def trial(platform: SmallPlatform) -> None:
+        only, other = platform.engines
+        platform.leave(other.name)
+        only.length = 400
+        running = await platform.open('/drafts/1', method='POST', **GENERATION)
+        assert only.started
+        platform.store.is_down = True
+        only.is_healthy = False
+        await running.body.read_all(1 << 20)
+
+        answer, _ = await platform.ask(
+            '/drafts/1',
+            'later',
+            'POST',
+            **GENERATION,
+        )
+
+        assert answer.status == 200
+
+    _play(trial)
+
+
 def test_a_stream_stays_where_no_engine_has_room() -> None:
     async def trial(platform: SmallPlatform) -> None:
         for engine in platform.engines:
