Pass the turn of a run on that finds no room, and try again

Cause: a run that every engine refused kept its turn on the link, and was left to its luck after six tries within 30 ms, though room may come up later. Change: it says so, the next run begins, and it tries again each 0.2 s.

--- a/chicoryshunt/fleet/messages.py
+++ b/chicoryshunt/fleet/messages.py
@@ -18,10 +18,14 @@
 
 
 class RunNews(msgspec.Struct, frozen=True, array_like=True, tag='wn'):
-    """Tell of runs that were placed or moved, and of ended ones."""
+    """Tell of runs that were placed or moved, and of ended ones.
+
+    ``stranded`` ones are on a leaving engine and found no other with room.
+    """
 
     placed: tuple[PlacedRun, ...] = ()
     ended: tuple[RequestId, ...] = ()
+    stranded: tuple[RequestId, ...] = ()
 
 
 class RunList(msgspec.Struct, frozen=True, array_like=True, tag='wl'):
--- a/chicoryshunt/fleet/workload.py
+++ b/chicoryshunt/fleet/workload.py
@@ -43,6 +43,7 @@
         self._membership = membership
         self._broadcast = broadcast
         self._runs: dict[RequestId, KnownRun] = {}
+        self._stranded: set[RequestId] = set()
         self._listed: dict[VmId, dict[int, RunList]] = {}
         self._round = 0
         self._empty_rounds = 0
@@ -58,10 +59,15 @@
         """Return the runs of all nodes."""
         return iter(self._runs.values())
 
+    def is_stranded(self, request: RequestId) -> bool:
+        """Say whether a run found no way off its leaving engine."""
+        return request in self._stranded
+
     def place(self, run: PlacedRun, now: float) -> Iterator[Send]:
         """Count a run of this node; return the messages to send."""
         own = self._membership.own
         self._runs[run.request] = KnownRun(run, own, now - run.age)
+        self._stranded.discard(run.request)
         self._notify()
         return self._broadcast.tell(RunNews(placed=(run,)))
 
@@ -72,6 +78,12 @@
         self._notify()
         return self._broadcast.tell(RunNews(ended=(request,)))
 
+    def strand(self, request: RequestId) -> Iterator[Send]:
+        """Say that a run does not use its turn to be moved."""
+        self._stranded.add(request)
+        self._notify()
+        return self._broadcast.tell(RunNews(stranded=(request,)))
+
     def receive(
         self,
         sender: VmId,
@@ -80,11 +92,13 @@
     ) -> Iterator[Send]:
         """Take what another node placed; nothing is answered."""
         match message:
-            case RunNews(placed, ended):
+            case RunNews(placed, ended, stranded):
                 for run in placed:
                     self._take(sender, run, now)
+                    self._stranded.discard(run.request)
                 for request in ended:
                     self._runs.pop(request, None)
+                self._stranded.update(stranded)
             case RunList():
                 self._take_list(sender, message, now)
         self._notify()
@@ -95,6 +109,7 @@
         if now < self._next_repeat:
             return
         self._next_repeat = now + _REPEAT_SECONDS
+        self._stranded.intersection_update(self._runs)
         own = self._membership.own
         runs = [
             msgspec.structs.replace(known.run, age=now - known.placed)
--- a/chicoryshunt/relay/moving.py
+++ b/chicoryshunt/relay/moving.py
@@ -15,6 +15,7 @@
 )
 from chicoryshunt.events import log_event
 from chicoryshunt.fleet.facts import TargetFact, TargetPhase
+from chicoryshunt.relay.course import Phase
 from chicoryshunt.relay.course_inputs import (
     CopyEnded,
     Noticed,
@@ -27,8 +28,11 @@
 
 _COPY_SECONDS = 2.5
 _MOST_ANSWER_BYTES = 65536
-# Ways that are tried off one engine before its run is left to its luck.
+# Ways that are tried off one engine, one right after the other.
 _MOST_REPLANS = 6
+# After this time some other run may have ended and made room.
+_RETRY_SECONDS = 0.2
+_TRIES_PER_RETRY = 2
 
 
 @dataclass(slots=True)
@@ -49,6 +53,7 @@
         # Orders that outlive the stream they are for.
         self._releases: set[asyncio.Task[Copied | CopyFailed]] = set()
         self._waiting: dict[RequestId, _WaitingMove] = {}
+        self._retries: dict[RequestId, asyncio.TimerHandle] = {}
         around.workload.follow(self._begin_early)
 
     def plan(self, source: TargetFact, streams: Sequence[Stream]) -> None:
@@ -67,6 +72,7 @@
         for stream in streams:
             move = planned.get(stream.request)
             self._announce(stream, move, has_turn=False)
+        self._begin_early()
 
     def replan(self, stream: Stream, *, has_turn: bool) -> None:
         """Look for another way for one run.
@@ -80,18 +86,16 @@
         if source is None or source.phase is TargetPhase.ready:
             return
         stream.replans += 1
-        if stream.replans > _MOST_REPLANS:
-            self.forget(stream)
-            return
-        moves = self._list_moves(
-            source,
-            stream.engine,
-            frozenset(stream.avoided),
-        )
-        move = find_turn(moves, stream.request)
-        if move is not None:
-            self._around.destinations[stream.request] = move.destination
+        move = None
+        if stream.replans <= _MOST_REPLANS:
+            moves = self._list_moves(
+                source,
+                stream.engine,
+                frozenset(stream.avoided),
+            )
+            move = find_turn(moves, stream.request)
         self._announce(stream, move, has_turn=has_turn)
+        self._begin_early()
 
     async def copy(
         self,
@@ -137,6 +141,9 @@
         waiting = self._waiting.pop(stream.request, None)
         if waiting is not None and waiting.timer is not None:
             waiting.timer.cancel()
+        retry = self._retries.pop(stream.request, None)
+        if retry is not None:
+            retry.cancel()
 
     def _announce(
         self,
@@ -146,25 +153,47 @@
         has_turn: bool,
     ) -> None:
         course = stream.course
+        if course is None or course.phase is not Phase.flowing:
+            return
         log_event(
             'move_planned',
             request=stream.request,
-            source=course and course.place.target,
+            source=course.place.target,
             destination=move and move.destination,
             after_seconds=move and move.after,
             has_turn=has_turn,
         )
-        if move is None or course is None:
+        self.forget(stream)
+        if move is None:
+            self._strand(stream)
             return
+        self._around.destinations[stream.request] = move.destination
         waiting = _WaitingMove(stream, move)
         waiting.timer = asyncio.get_running_loop().call_later(
             0 if has_turn else move.after,
             self._begin,
             waiting,
         )
-        self.forget(stream)
         self._waiting[stream.request] = waiting
 
+    def _strand(self, stream: Stream) -> None:
+        """Pass the run's turn on, and try again a little later.
+
+        Load pattern: full engines refuse a copy, and the runs whose turn is
+        next would wait for one that never leaves.
+        """
+        self._around.send(self._around.workload.strand(stream.request))
+        self._retries[stream.request] = asyncio.get_running_loop().call_later(
+            _RETRY_SECONDS,
+            self._retry,
+            stream,
+        )
+
+    def _retry(self, stream: Stream) -> None:
+        stream.replans = _MOST_REPLANS - _TRIES_PER_RETRY
+        stream.avoided.clear()
+        self.replan(stream, has_turn=False)
+
     def _begin(self, waiting: '_WaitingMove') -> None:
         stream = waiting.stream
         self.forget(stream)
@@ -185,9 +214,16 @@
             one.run.request
             for one in self._around.workload.list_runs()
             if self._around.is_leaving(one.run.target)
+            and not self._around.workload.is_stranded(one.run.request)
         }
-        for waiting in tuple(self._waiting.values()):
-            if waiting.move.may_begin(present):
+        ready = [
+            waiting
+            for waiting in self._waiting.values()
+            if waiting.move.may_begin(present)
+        ]
+        for waiting in ready:
+            # One that begins may plan anew, which begins others.
+            if self._waiting.get(waiting.move.request) is waiting:
                 self._begin(waiting)
 
     def _list_moves(
--- a/tests/test_broadcast.py
+++ b/tests/test_broadcast.py
@@ -74,6 +74,27 @@
     assert _count_knowing(fleet, 'r-all') == COUNT
 
 
+def test_all_hear_of_a_stranded_run() -> None:
+    """Replays full engines: the next run does not wait for a stranded one."""
+    trial = FleetTrial(COUNT)
+    trial.network.run(8)
+    node = trial.nodes[0]
+    request = RequestId('r')
+    now = trial.clock.now()
+    trial.network.send(node.vm, node.workload.place(build_placed('r'), now))
+    trial.network.run(0.3)
+    trial.network.send(node.vm, node.workload.strand(request))
+    trial.network.run(0.3)
+
+    assert all(one.workload.is_stranded(request) for one in trial.nodes)
+
+    moved = node.workload.place(build_placed('r', 'e2'), trial.clock.now())
+    trial.network.send(node.vm, moved)
+    trial.network.run(0.3)
+
+    assert not any(one.workload.is_stranded(request) for one in trial.nodes)
+
+
 def test_a_dead_relay_loses_nothing_for_long() -> None:
     trial = FleetTrial(COUNT)
     trial.network.run(8)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -224,6 +224,29 @@
     _play(trial)
 
 
+def test_a_stream_moves_once_there_is_room() -> None:
+    """Replays full engines, where runs end while an engine leaves."""
+
+    async def trial(platform: SmallPlatform) -> None:
+        for engine in platform.engines:
+            engine.length = 200
+            engine.has_room = False
+        answer = await platform.open('/drafts/1', method='POST', **GENERATION)
+        first = await answer.body.read()
+        source = next(one for one in platform.engines if one.started)
+        platform.leave(source.name)
+        while not source.copies:
+            await asyncio.sleep(0.02)
+        source.has_room = True
+
+        rest = await answer.body.read_all(1 << 20)
+
+        assert _list_numbers(first, rest) == list(range(1, 201))
+        assert source.copies[-1] == ('r1', True)
+
+    _play(trial)
+
+
 def test_engines_that_cannot_move_are_not_asked() -> None:
     async def trial(platform: SmallPlatform) -> None:
         for engine in platform.engines:
