--- a/tests/test_broadcast.py
+++ b/tests/test_broadcast.py
@@ -14,7 +14,7 @@
     decode_rules,
     encode_rules,
 )
-from chicoryshunt.types import ConfigVersion, DataCentreId, VmId
+from chicoryshunt.types import ConfigVersion, DataCentreId, RequestId, VmId
 from tests.fleet_builders import (
     FleetNode,
     FleetTrial,
