--- a/chicoryshunt/dispatch/handover.py
+++ b/chicoryshunt/dispatch/handover.py
@@ -163,10 +163,14 @@
         room: _Room,
         run: RunView,
     ) -> tuple[float, float, TargetId]:
-        """Order rooms: the copy that is done first, then the emptiest."""
-        starts = max(source.free_at, room.free_at)
-        done = starts + self._measure_copy(source, room, run)
-        return done, -room.tokens, room.engine.target
+        """Order rooms: the copy that is done first, then the emptiest.
+
+        Time in which the link of the leaving engine stands idle counts twice,
+        for the runs behind this one lose it as well.
+        """
+        idle = max(room.free_at - source.free_at, 0)
+        seconds = self._measure_copy(source, room, run)
+        return seconds + 2 * idle, -room.tokens, room.engine.target
 
     def _measure_copy(
         self,
