Count runs that queue as holding memory

Cause: the forecast took a run for ended once its age exceeded its longest answer. Ruled out: waiting at our nodes (0.3 s at most there), lost notes of runs. Change: a run that has not ended holds its memory now.

--- a/chicoryshunt/dispatch/forecast.py
+++ b/chicoryshunt/dispatch/forecast.py
@@ -46,13 +46,18 @@
 
 
 def forecast_run(run: RunView, pace: float) -> Curve:
-    """Return the expected memory tokens of a run at each horizon."""
+    """Return the expected memory tokens of a run at each horizon.
+
+    A run that has not ended holds its memory now, however unlikely that is by
+    its age: it may have waited for its engine.
+    """
     produced = run.count_produced(pace)
     alive = max(_survive(run, produced), _LEAST_CHANCE)
-    return tuple(
+    later = (
         _expect_memory(run, produced + ahead * pace, alive)
-        for ahead in HORIZONS
+        for ahead in HORIZONS[1:]
     )
+    return (run.count_held(pace), *later)
 
 
 def forecast_engine(runs: Iterable[RunView], pace: float) -> Curve:
--- a/tests/test_engine_choice.py
+++ b/tests/test_engine_choice.py
@@ -57,6 +57,21 @@
     assert short[2] == 0
 
 
+def test_a_run_that_queues_still_holds_memory() -> None:
+    """Replays short answers that queue in a full engine.
+
+    By their age they had ended, and the engine got more and more of them.
+    """
+    queued = [build_run(2200, 20, 32, age=3) for _ in range(14)]
+    full = build_engine('full', *queued)
+    other = build_engine('other', *(build_run() for _ in range(6)))
+
+    chosen = choose_engine([full, other], build_run(), HOME, PACE)
+
+    assert isinstance(chosen, Placed)
+    assert chosen.target == 'other'
+
+
 def test_an_empty_engine_holds_nothing() -> None:
     assert forecast_engine((), PACE) == (0,) * len(HORIZONS)
 
