Refuse a stream before its caller leaves

Cause: callers give a stream up after some seconds without its first event, 7.3 s for the long ones, while it could wait here until its deadline of 39 s. A request that was given up is lost; one that is refused may come back. Change: the adapter decodes how long callers wait; a request that cannot begin by then is refused, with a time to return. The new test fails without the change.

--- a/chicoryshunt/dispatch/engines.py
+++ b/chicoryshunt/dispatch/engines.py
@@ -25,7 +25,8 @@
 _REMOTE_PART = 0.1
 # Seconds of waiting prompts that weigh like a full memory.
 _BACKLOG_SECONDS = 1.5
-_PREFILL_TOKENS_PER_SECOND = 7000.0
+# How fast a busy engine reads a prompt.
+PREFILL_TOKENS_PER_SECOND = 7000.0
 # Prompts are taken to be read after this many seconds at the latest.
 _PREFILL_SECONDS = 1.0
 
@@ -130,6 +131,6 @@
     backlog = sum(
         run.prompt_tokens for run in engine.runs if run.age < _PREFILL_SECONDS
     )
-    waits = backlog / _PREFILL_TOKENS_PER_SECOND / _BACKLOG_SECONDS
+    waits = backlog / PREFILL_TOKENS_PER_SECOND / _BACKLOG_SECONDS
     is_remote = engine.data_centre != home
     return part + waits + engine.penalty + is_remote * _REMOTE_PART
--- a/chicoryshunt/platform/items.py
+++ b/chicoryshunt/platform/items.py
@@ -40,6 +40,11 @@
 _MILLISECONDS = 1000
 _BITS_PER_MBIT = 1000000
 _BITS_PER_BYTE = 8
+# Callers give a stream up after the longest of these times without an event:
+# two seconds, or so many target latencies, or so many longest pauses.
+_LEAST_SILENCE_SECONDS = 2.0
+_SILENCE_LATENCIES = 4
+_SILENCE_PAUSES = 8
 
 
 class Item(msgspec.Struct):
@@ -263,6 +268,20 @@
         is_repeatable=route.kind is Kind.safe,
         is_resumable=route.stream_resume,
         is_public=route.public,
+        most_silence=_find_most_silence(route),
+    )
+
+
+def _find_most_silence(route: _Route) -> float | None:
+    """Return for how many seconds callers wait for an event of a stream."""
+    if route.kind is not Kind.streaming:
+        return None
+    latency = route.target_latency_ms / _MILLISECONDS
+    pause = (route.target_gap_ms or 0) / _MILLISECONDS
+    return max(
+        _LEAST_SILENCE_SECONDS,
+        latency * _SILENCE_LATENCIES,
+        pause * _SILENCE_PAUSES,
     )
 
 
--- a/chicoryshunt/relay/placing.py
+++ b/chicoryshunt/relay/placing.py
@@ -140,7 +140,7 @@
         facts = self._around.list_candidates(stream.service, tried)
         choice = self._choose(stream, facts)
         now = self._around.clock.now()
-        remaining = stream.deadline - now
+        remaining = stream.find_latest_start() - now
         ticket.is_blocked = not isinstance(choice, Placed)
         match choice:
             case Placed(target) if self._room.may_go(ticket, now):
@@ -152,7 +152,7 @@
             case Full(seconds) if seconds >= remaining:
                 return self.refuse_full(stream, 'no room in time', seconds)
         if remaining < _LEAST_SECONDS:
-            return refuse(Reason.queue_timeout, 'no room in time')
+            return self.refuse_full(stream, 'no room in time')
         return None
 
     def _choose(self, stream: Stream, facts: Iterable[TargetFact]) -> Choice:
--- a/chicoryshunt/relay/stream.py
+++ b/chicoryshunt/relay/stream.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from chicoryshunt.connection.relayed_exchange import RelayedExchange
+from chicoryshunt.dispatch.engines import PREFILL_TOKENS_PER_SECOND
 from chicoryshunt.dispatch.forecast import RunView
 from chicoryshunt.fleet.facts import TargetFact
 from chicoryshunt.relay.course import (
@@ -58,6 +59,18 @@
         """Return the route of the request."""
         return self.admitted.route
 
+    def find_latest_start(self) -> float:
+        """Return until when the run may begin for its caller to wait for it.
+
+        The caller leaves at the deadline, and before that if it has not had
+        an event for some seconds; the prompt is read before the first one.
+        """
+        reading = self.view.prompt_tokens / PREFILL_TOKENS_PER_SECOND
+        silence = self.route.most_silence
+        if silence is None:
+            return self.deadline
+        return min(self.deadline, self.incoming.received + silence - reading)
+
     def count_events(self, count: int, now: float) -> None:
         """Count events that were forwarded, and the pause before them."""
         if self.last_forward:
--- a/chicoryshunt/rules/model.py
+++ b/chicoryshunt/rules/model.py
@@ -26,7 +26,10 @@
 
 
 class Route(msgspec.Struct, frozen=True, array_like=True):
-    """One route; times are in seconds, priority 0 is the most urgent."""
+    """One route; times are in seconds, priority 0 is the most urgent.
+
+    ``most_silence`` is how long callers wait for the first event of a stream.
+    """
 
     name: RouteId
     host: str
@@ -41,6 +44,7 @@
     is_repeatable: bool
     is_resumable: bool
     is_public: bool
+    most_silence: float | None = None
 
 
 class EngineRules(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -247,6 +247,42 @@
     _play(trial)
 
 
+def test_a_caller_is_refused_before_it_leaves() -> None:
+    """Replays full engines: callers leave after some seconds of silence.
+
+    One that is told when to come back may still be served then.
+    """
+
+    async def trial(platform: SmallPlatform) -> None:
+        config = build_config(2)
+        config['services'][1]['engine']['kv_capacity'] = 1400
+        config['routes'][2]['timeout_ms'] = 60000
+        platform.store.put('op/config', config)
+        await asyncio.sleep(0.5)
+        for engine in platform.engines:
+            engine.length = 10000
+            await platform.open(
+                '/drafts/1',
+                engine.name,
+                'POST',
+                **GENERATION,
+            )
+
+        answer, _ = await platform.ask(
+            '/drafts/1',
+            'later',
+            'POST',
+            X_Chicoryshunt_Deadline_Ms='60000',
+            **GENERATION,
+        )
+
+        assert answer.status == 503
+        assert float(answer.get(b'Retry-After')) > 0
+        assert not any('later' in one.started for one in platform.engines)
+
+    _play(trial)
+
+
 def test_engines_that_cannot_move_are_not_asked() -> None:
     async def trial(platform: SmallPlatform) -> None:
         for engine in platform.engines:
