Withdraw claims that crossed another on their way

Change: a node announces a run, waits 15 ms, and withdraws it if the engine is full with the claims that go before. Of crossed claims that with the lowest id stays, on every node.

--- a/chicoryshunt/dispatch/engines.py
+++ b/chicoryshunt/dispatch/engines.py
@@ -12,7 +12,7 @@
     forecast_engine,
     forecast_run,
 )
-from chicoryshunt.types import DataCentreId, TargetId
+from chicoryshunt.types import DataCentreId, RequestId, TargetId
 
 # Part of an engine's memory that predicted runs may fill. What is left
 # absorbs answers that outlast their estimate.
@@ -65,6 +65,9 @@
     need_tokens: int
 
 
+# Claims of all nodes arrive within this time.
+CLAIM_SECONDS = 0.015
+
 Choice = Placed | Full | Hopeless
 
 
@@ -99,6 +102,26 @@
     return Full(min(waits, default=HORIZONS[-1]))
 
 
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """A run that was placed on an engine just now; ``placed`` in seconds."""
+
+    request: RequestId
+    placed: float
+
+
+def goes_before(other: Claim, own: Claim) -> bool:
+    """Say whether another claim keeps its room whatever becomes of one's own.
+
+    Load pattern: requests wait on many nodes for a full engine, and all take
+    the room that comes up before they hear of each other. Of claims that
+    crossed on their way, the one with the lower id stays on every node.
+    """
+    if other.placed < own.placed - CLAIM_SECONDS:
+        return True
+    return other.request < own.request
+
+
 def _fits(
     engine: Engine,
     held: Curve,
--- a/chicoryshunt/relay/generations.py
+++ b/chicoryshunt/relay/generations.py
@@ -197,7 +197,6 @@
         stream: Stream,
         target: TargetFact,
     ) -> Leg | Delivered | NotRun | Doubtful:
-        self._placer.note_run(stream, target.target)
         dispatch = self._placer.build_dispatch(stream, target)
         opened = await open_leg(
             self._around,
--- a/chicoryshunt/relay/placing.py
+++ b/chicoryshunt/relay/placing.py
@@ -5,11 +5,14 @@
 from collections.abc import Iterable, Sequence
 
 from chicoryshunt.dispatch.engines import (
+    CLAIM_SECONDS,
     Choice,
+    Claim,
     Full,
     Hopeless,
     Placed,
     choose_engine,
+    goes_before,
 )
 from chicoryshunt.dispatch.waiting import Ticket, WaitingRoom
 from chicoryshunt.events import log_routine
@@ -54,11 +57,15 @@
             self._around.clock.now(),
             stream.route.target_latency,
         )
-        self._room.enter(ticket)
         try:
             while True:
+                self._room.enter(ticket)
                 found = self._look(stream, tried, ticket)
-                if found is not None:
+                if isinstance(found, Verdict):
+                    return found
+                if found is not None and await self._claim(
+                    stream, ticket, found
+                ):
                     return found
                 await asyncio.sleep(_POLL_SECONDS)
         finally:
@@ -131,6 +138,53 @@
         wait = min(seconds * spread, patience * _RETRY_PART)
         return refuse(Reason.no_capacity, detail, Seconds(wait))
 
+    async def _claim(
+        self,
+        stream: Stream,
+        ticket: Ticket,
+        target: TargetFact,
+    ) -> bool:
+        """Tell the fleet of a run, and keep it if no other claim goes first."""
+        self._room.leave(ticket)
+        self.note_run(stream, target.target)
+        own = Claim(stream.request, self._around.clock.now())
+        await asyncio.sleep(CLAIM_SECONDS)
+        if self._still_fits(stream, target, own):
+            return True
+        log_routine(
+            'claim_withdrawn',
+            request=stream.request,
+            target=target.target,
+        )
+        self._around.send(self._around.workload.end(stream.request))
+        stream.placed = 0
+        return False
+
+    def _still_fits(
+        self,
+        stream: Stream,
+        target: TargetFact,
+        own: Claim,
+    ) -> bool:
+        """Say whether an engine has room beside what was placed before."""
+        yielding = frozenset(
+            known.run.request
+            for known in self._around.workload.list_runs()
+            if not goes_before(Claim(known.run.request, known.placed), own)
+        )
+        engines = self._around.view_claimed_engines(
+            [target],
+            stream.engine,
+            yielding,
+        )
+        choice = choose_engine(
+            engines,
+            stream.view,
+            self._around.data_centre,
+            self._around.pace,
+        )
+        return isinstance(choice, Placed)
+
     def _look(
         self,
         stream: Stream,
--- a/chicoryshunt/relay/surroundings.py
+++ b/chicoryshunt/relay/surroundings.py
@@ -37,6 +37,7 @@
 _NEWEST_PACE_WEIGHT = 0.05
 _LEAST_PACE = 20.0
 _MOST_PACE = 500.0
+_NO_REQUESTS: frozenset[RequestId] = frozenset()
 
 
 @dataclass(slots=True)
@@ -148,29 +149,33 @@
         rules: EngineRules,
     ) -> list[Engine]:
         """Return engines with all that the fleet has placed on them."""
-        return self._view(facts, rules, {})
+        return self._view(facts, rules, {}, _NO_REQUESTS)
 
     def view_claimed_engines(
         self,
         facts: Iterable[TargetFact],
         rules: EngineRules,
+        without: frozenset[RequestId] = _NO_REQUESTS,
     ) -> list[Engine]:
         """Return engines with the runs on them and those that are to come.
 
         Load pattern: several engines leave at once, and new requests take the
         room that the copies of their runs were planned into.
         """
-        return self._view(facts, rules, self.destinations)
+        return self._view(facts, rules, self.destinations, without)
 
     def _view(
         self,
         facts: Iterable[TargetFact],
         rules: EngineRules,
         destinations: Mapping[RequestId, TargetId],
+        without: frozenset[RequestId],
     ) -> list[Engine]:
         now = self.clock.now()
         runs: dict[TargetId, list[RunView]] = {}
         for known in self.workload.list_runs():
+            if known.run.request in without:
+                continue
             view = view_run(known.run, now - known.placed)
             runs.setdefault(known.run.target, []).append(view)
             claimed = destinations.get(known.run.request)
