Take a cold engine's share before a claim is awaited

Cause: the 15 ms between the look at the share and its use, new with claims, let two requests of one node pass on one share. The new test fails without the change (two of two served at once).

--- a/chicoryshunt/relay/placing.py
+++ b/chicoryshunt/relay/placing.py
@@ -108,7 +108,7 @@
         if opening is not None:
             memory = opening.memory
             last_event = opening.last_event
-        self._around.cold.spend(target.target)
+            self._around.cold.spend(target.target)
         return Dispatch(
             target=target.target,
             remaining=stream.deadline - self._around.clock.now(),
@@ -146,6 +146,7 @@
     ) -> bool:
         """Tell the fleet of a run, and keep it if no other claim goes first."""
         self._room.leave(ticket)
+        self._around.cold.spend(target.target)
         self.note_run(stream, target.target)
         own = Claim(stream.request, self._around.clock.now())
         await asyncio.sleep(CLAIM_SECONDS)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -247,6 +247,32 @@
     _play(trial)
 
 
+def test_a_cold_engine_gets_one_request_at_once() -> None:
+    """Replays two requests of one moment for an engine that comes back."""
+
+    async def trial(platform: SmallPlatform) -> None:
+        config = build_config(2)
+        config['services'][1]['cold_per_s'] = 0.1
+        platform.store.put('op/config', config)
+        only, other = platform.engines
+        platform.leave(other.name)
+        entry = build_entry('engines', platform.addresses[only.name])
+        entry['cold_remaining_ms'] = 60000
+        platform.store.put(f'servers/{only.name}', entry)
+        await asyncio.sleep(0.5)
+
+        answers = await asyncio.gather(
+            *(
+                platform.ask('/drafts/1', request, 'POST', **GENERATION)
+                for request in ('r1', 'r2')
+            ),
+        )
+
+        assert sorted(answer.status for answer, _ in answers) == [200, 503]
+
+    _play(trial)
+
+
 def test_a_caller_is_refused_before_it_leaves() -> None:
     """Replays full engines: callers leave after some seconds of silence.
 
