Tell the fleet once of a stranded run; plan nothing for idle engines

Cause: found on reading: each stranded run was told to all nodes again with every retry, five times a second, and an engine whose false health check was taken back within 20 ms was still emptied. The new test fails without.

--- a/chicoryshunt/relay/moving.py
+++ b/chicoryshunt/relay/moving.py
@@ -64,6 +64,9 @@
         engine = self._around.find_engine_rules(source.service)
         if engine is None or not engine.can_move:
             return
+        if not self._around.is_leaving(source.target):
+            # Its health check was wrong.
+            return
         moves = self._list_moves(source, engine, frozenset())
         self._around.destinations = {
             move.request: move.destination for move in moves
@@ -182,7 +185,9 @@
         Load pattern: full engines refuse a copy, and the runs whose turn is
         next would wait for one that never leaves.
         """
-        self._around.send(self._around.workload.strand(stream.request))
+        workload = self._around.workload
+        if not workload.is_stranded(stream.request):
+            self._around.send(workload.strand(stream.request))
         self._retries[stream.request] = asyncio.get_running_loop().call_later(
             _RETRY_SECONDS,
             self._retry,
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -4,13 +4,16 @@
 import json
 import os
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from types import MappingProxyType
 from typing import Any, cast
 
 import pytest
 
 from chicoryshunt.connection.upstream import BodyEnd, Sending
+from chicoryshunt.fleet.workload import Workload
+from chicoryshunt.nodes.core import Send
+from chicoryshunt.types import RequestId
 from lab.standins.platform_files import (
     CALLERS,
     DIRECTORY,
@@ -247,6 +250,35 @@
     _play(trial)
 
 
+def test_a_stranded_run_is_told_of_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Replays many stranded runs: each retry would be told to all nodes."""
+    told: list[RequestId] = []
+    strand = Workload.strand
+
+    def record(workload: Workload, request: RequestId) -> Iterator[Send]:
+        told.append(request)
+        return strand(workload, request)
+
+    monkeypatch.setattr(Workload, 'strand', record)
+
+    async def trial(platform: SmallPlatform) -> None:
+        for engine in platform.engines:
+            engine.length = 200
+            engine.has_room = False
+        answer = await platform.open('/drafts/1', method='POST', **GENERATION)
+        await answer.body.read()
+        source = next(one for one in platform.engines if one.started)
+        platform.leave(source.name)
+        await answer.body.read_all(1 << 20)
+
+        assert len(source.copies) > 8
+        assert told == ['r1']
+
+    _play(trial)
+
+
 def test_a_cold_engine_gets_one_request_at_once() -> None:
     """Replays two requests of one moment for an engine that comes back."""
 
