--- a/lab/soak/faults.py
+++ b/lab/soak/faults.py
@@ -199,12 +199,23 @@
         case StandInEngine():
             target.breaks_off = mode in {'cut', 'fail'}
             target.has_room = mode != 'full'
+            # A false health check: the report says that the engine stays.
+            target.is_healthy = mode != 'foreign'
 
 
 async def _play_leaving(world: World, index: int, seconds: float) -> None:
     target = world.list_targets()[index]
+    _tell_state(target, 'draining')
     world.publish(target, 'draining')
     await asyncio.sleep(seconds)
     world.store.delete(f'servers/{target.name}')
     await asyncio.sleep(_LEAST_SECONDS)
+    _tell_state(target, 'ready')
     world.publish(target)
+
+
+def _tell_state(target: Target, state: str) -> None:
+    """Let an engine tell the same as its entry, for the store may be away."""
+    if isinstance(target, StandInEngine):
+        target.is_healthy = state == 'ready'
+        target.reported_state = state
