--- a/chicoryshunt/dispatch/engines.py
+++ b/chicoryshunt/dispatch/engines.py
@@ -65,8 +65,8 @@
     need_tokens: int
 
 
-# Claims of all nodes arrive within this time.
-CLAIM_SECONDS = 0.015
+# Announcements of all nodes arrive within this time.
+ANNOUNCE_SECONDS = 0.015
 
 Choice = Placed | Full | Hopeless
 
@@ -103,21 +103,21 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Claim:
+class Announcement:
     """A run that was placed on an engine just now; ``placed`` in seconds."""
 
     request: RequestId
     placed: float
 
 
-def goes_before(other: Claim, own: Claim) -> bool:
-    """Say whether another claim keeps its room whatever becomes of one's own.
+def goes_before(other: Announcement, own: Announcement) -> bool:
+    """Say whether another run stays, whatever becomes of one's own.
 
     Load pattern: requests wait on many nodes for a full engine, and all take
-    the room that comes up before they hear of each other. Of claims that
-    crossed on their way, the one with the lower id stays on every node.
+    the room that comes up before they hear of each other. Of announcements
+    that crossed on their way, the one with the lower id stays on every node.
     """
-    if other.placed < own.placed - CLAIM_SECONDS:
+    if other.placed < own.placed - ANNOUNCE_SECONDS:
         return True
     return other.request < own.request
 
--- a/chicoryshunt/relay/placing.py
+++ b/chicoryshunt/relay/placing.py
@@ -5,9 +5,9 @@
 from collections.abc import Iterable, Sequence
 
 from chicoryshunt.dispatch.engines import (
-    CLAIM_SECONDS,
+    ANNOUNCE_SECONDS,
+    Announcement,
     Choice,
-    Claim,
     Full,
     Hopeless,
     Placed,
@@ -63,7 +63,7 @@
                 found = self._look(stream, tried, ticket)
                 if isinstance(found, Verdict):
                     return found
-                if found is not None and await self._claim(
+                if found is not None and await self._announce(
                     stream, ticket, found
                 ):
                     return found
@@ -138,22 +138,22 @@
         wait = min(seconds * spread, patience * _RETRY_PART)
         return refuse(Reason.no_capacity, detail, Seconds(wait))
 
-    async def _claim(
+    async def _announce(
         self,
         stream: Stream,
         ticket: Ticket,
         target: TargetFact,
     ) -> bool:
-        """Tell the fleet of a run, and keep it if no other claim goes first."""
+        """Tell the fleet of a run, and keep it if no other goes first."""
         self._room.leave(ticket)
         self._around.cold.spend(target.target)
         self.note_run(stream, target.target)
-        own = Claim(stream.request, self._around.clock.now())
-        await asyncio.sleep(CLAIM_SECONDS)
+        own = Announcement(stream.request, self._around.clock.now())
+        await asyncio.sleep(ANNOUNCE_SECONDS)
         if self._still_fits(stream, target, own):
             return True
         log_routine(
-            'claim_withdrawn',
+            'placement_withdrawn',
             request=stream.request,
             target=target.target,
         )
@@ -165,15 +165,17 @@
         self,
         stream: Stream,
         target: TargetFact,
-        own: Claim,
+        own: Announcement,
     ) -> bool:
         """Say whether an engine has room beside what was placed before."""
         yielding = frozenset(
             known.run.request
             for known in self._around.workload.list_runs()
-            if not goes_before(Claim(known.run.request, known.placed), own)
+            if not goes_before(
+                Announcement(known.run.request, known.placed), own
+            )
         )
-        engines = self._around.view_claimed_engines(
+        engines = self._around.view_planned_engines(
             [target],
             stream.engine,
             yielding,
@@ -212,7 +214,7 @@
 
     def _choose(self, stream: Stream, facts: Iterable[TargetFact]) -> Choice:
         return choose_engine(
-            self._around.view_claimed_engines(facts, stream.engine),
+            self._around.view_planned_engines(facts, stream.engine),
             stream.view,
             self._around.data_centre,
             self._around.pace,
--- a/chicoryshunt/relay/surroundings.py
+++ b/chicoryshunt/relay/surroundings.py
@@ -151,7 +151,7 @@
         """Return engines with all that the fleet has placed on them."""
         return self._view(facts, rules, {}, _NO_REQUESTS)
 
-    def view_claimed_engines(
+    def view_planned_engines(
         self,
         facts: Iterable[TargetFact],
         rules: EngineRules,
@@ -178,9 +178,9 @@
                 continue
             view = view_run(known.run, now - known.placed)
             runs.setdefault(known.run.target, []).append(view)
-            claimed = destinations.get(known.run.request)
-            if claimed is not None and self.is_leaving(known.run.target):
-                runs.setdefault(claimed, []).append(view)
+            planned = destinations.get(known.run.request)
+            if planned is not None and self.is_leaving(known.run.target):
+                runs.setdefault(planned, []).append(view)
         return [
             Engine(
                 fact.target,
--- a/tests/test_engine_choice.py
+++ b/tests/test_engine_choice.py
@@ -8,8 +8,8 @@
 
 from chicoryshunt.dispatch.engines import (
     ADMIT_PART,
-    CLAIM_SECONDS,
-    Claim,
+    ANNOUNCE_SECONDS,
+    Announcement,
     Full,
     Hopeless,
     Placed,
@@ -119,23 +119,26 @@
 
 @settings(derandomize=True, deadline=None)
 @given(
-    st.lists(st.floats(0, CLAIM_SECONDS), min_size=2, max_size=12),
+    st.lists(st.floats(0, ANNOUNCE_SECONDS), min_size=2, max_size=12),
     st.randoms(use_true_random=False),
 )
-def test_of_crossed_claims_one_stays(skews: list[float], draws: Random) -> None:
+def test_of_crossed_announcements_one_stays(
+    skews: list[float], draws: Random
+) -> None:
     """Replays waiting requests of many nodes that see the same room."""
     requests = [RequestId(f'r{one}') for one in range(len(skews))]
     draws.shuffle(requests)
     room_for_one = build_engine('e', memory=6000)
     kept = []
     for own, own_sent in zip(requests, skews, strict=True):
-        # Each node dates a claim of another one by its arrival.
+        # Each node dates an announcement of another one by its arrival.
         before = [
             other
             for other, sent in zip(requests, skews, strict=True)
             if other != own
             and goes_before(
-                Claim(other, max(sent, own_sent)), Claim(own, own_sent)
+                Announcement(other, max(sent, own_sent)),
+                Announcement(own, own_sent),
             )
         ]
         engine = build_engine('e', *(build_run() for _ in before), memory=6000)
@@ -148,9 +151,9 @@
     assert kept == [min(requests)]
 
 
-def test_an_old_claim_goes_before_a_new_one() -> None:
-    old = Claim(RequestId('z'), 1)
-    new = Claim(RequestId('a'), 1 + 2 * CLAIM_SECONDS)
+def test_the_earlier_announcement_goes_first() -> None:
+    old = Announcement(RequestId('z'), 1)
+    new = Announcement(RequestId('a'), 1 + 2 * ANNOUNCE_SECONDS)
 
     assert goes_before(old, new)
 
