Wait for the answer to an order to copy before the next one

Cause: a leg that is cut while its run is copied is restarted where the route allows it, and the restart dropped the move. The order to copy was still unanswered: another notice then ordered a second copy, the answer to the first was taken for that of the second, and its copy was never released.

The state keeps the unanswered order with the engine it went to. A move that is asked for meanwhile waits and is planned again once the order is answered; a copy that is no longer wanted is released at the engine that made it.

Before: the state machine test fails ("one order at a time"), and so does the new test without the change.

--- a/chicoryshunt/relay/generations.py
+++ b/chicoryshunt/relay/generations.py
@@ -286,18 +286,14 @@
                 stream.close_leg(leg)
             case Replan():
                 self._mover.replan(stream, has_turn=True)
-            case Release(handle):
-                self._release(stream, handle)
+            case Release(copy):
+                self._mover.release(copy)
             case Finish():
                 return self._finish(stream)
             case Abort(reason):
                 return self._end_early(stream, reason)
         return None
 
-    def _release(self, stream: Stream, handle: str) -> None:
-        if stream.state is not None:
-            self._mover.release(stream.state.engine.address, handle)
-
     def _finish(self, stream: Stream) -> Result:
         if stream.event_count >= _MIN_RATED_EVENTS:
             seconds = self._context.clock.now() - stream.first_event_at
--- a/chicoryshunt/relay/moving.py
+++ b/chicoryshunt/relay/moving.py
@@ -26,7 +26,12 @@
     MoveRequested,
 )
 from chicoryshunt.relay.stream_state import Phase
-from chicoryshunt.relay.target_codec import Copied, CopyFailed, CopyFailure
+from chicoryshunt.relay.target_codec import (
+    Copied,
+    CopyFailed,
+    CopyFailure,
+    MemoryCopy,
+)
 from chicoryshunt.rules.model import EngineRules
 from chicoryshunt.types import RequestId, TargetId
 
@@ -139,10 +144,10 @@
         )
         stream.inputs.put_nowait(CopyEnded(outcome, stops_run))
 
-    def release(self, address: str, handle: str) -> None:
+    def release(self, copy: MemoryCopy) -> None:
         """Order an engine to drop a copy that is not needed."""
-        outgoing = self._context.codec.encode_release(handle)
-        task = asyncio.ensure_future(self._send_order(address, outgoing))
+        outgoing = self._context.codec.encode_release(copy.name)
+        task = asyncio.ensure_future(self._send_order(copy.address, outgoing))
         self._release_tasks.add(task)
         task.add_done_callback(self._release_tasks.discard)
 
--- a/chicoryshunt/relay/stream_actions.py
+++ b/chicoryshunt/relay/stream_actions.py
@@ -53,7 +53,7 @@
 class Release:
     """Drop a copy that will not be used."""
 
-    handle: str
+    copy: MemoryCopy
 
 
 @dataclass(frozen=True, slots=True)
--- a/chicoryshunt/relay/stream_state.py
+++ b/chicoryshunt/relay/stream_state.py
@@ -48,7 +48,7 @@
     done = 'done'
 
 
-@dataclass(slots=True)
+@dataclass(eq=False, slots=True)
 class _Move:
     """A move in progress."""
 
@@ -59,6 +59,14 @@
     returned_to_source: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class _CopyOrder:
+    """An order to copy that the engine at ``address`` has not answered."""
+
+    move: _Move
+    address: str
+
+
 class StreamState:
     """Tracks one stream; each input returns the actions to take."""
 
@@ -71,6 +79,8 @@
         self._current_leg = LegId(0)
         self._is_resumable = is_resumable
         self._move: _Move | None = None
+        self._order: _CopyOrder | None = None
+        self._is_move_deferred = False
 
     def process(self, received: Input) -> Iterator[Action]:
         """Handle an input and return the actions to take, in order."""
@@ -87,9 +97,9 @@
                 yield from self._recover('no engine took the run over')
             case MoveRequested(destination):
                 yield from self._handle_move_request(destination)
-            case CopyEnded(outcome, stopped_run) if self._move is not None:
-                yield from self._handle_copy_end(
-                    self._move, outcome, stopped_run
+            case CopyEnded(outcome, stopped_run) if self._order is not None:
+                yield from self._handle_answer(
+                    self._order, outcome, stopped_run
                 )
             case StopTimerExpired():
                 yield from self._handle_stop_timer()
@@ -117,7 +127,7 @@
         if end is LegEnd.whole:
             self.phase = Phase.done
             if move is not None and move.handle:
-                yield Release(move.handle)
+                yield Release(MemoryCopy(self.engine.address, move.handle))
             yield Finish()
         elif move is not None and self.phase is Phase.stopping:
             move.leg_ended = True
@@ -127,10 +137,37 @@
             yield from self._recover('the engine broke off')
 
     def _handle_move_request(self, destination: TargetId) -> Iterator[Action]:
-        if self.phase is Phase.flowing:
-            self._move = _Move(destination)
-            self.phase = Phase.copying
-            yield Copy(destination, stops_run=False)
+        if self.phase is not Phase.flowing:
+            return
+        if self._order is not None:
+            # The engine of an earlier leg still copies for a dropped move.
+            self._is_move_deferred = True
+            return
+        self._move = _Move(destination)
+        self.phase = Phase.copying
+        yield self._order_copy(self._move, stops_run=False)
+
+    def _order_copy(self, move: _Move, *, stops_run: bool) -> Copy:
+        self._order = _CopyOrder(move, self.engine.address)
+        return Copy(move.destination, stops_run=stops_run)
+
+    def _handle_answer(
+        self,
+        order: _CopyOrder,
+        outcome: Copied | CopyFailed,
+        stopped_run: bool,
+    ) -> Iterator[Action]:
+        """Handle the answer to an order, also if its move was dropped."""
+        self._order = None
+        if order.move is self._move:
+            yield from self._handle_copy_end(order.move, outcome, stopped_run)
+            return
+        if outcome.handle:
+            yield Release(MemoryCopy(order.address, outcome.handle))
+        is_deferred = self._is_move_deferred
+        self._is_move_deferred = False
+        if is_deferred and self.phase is Phase.flowing:
+            yield Replan()
 
     def _handle_copy_end(
         self,
@@ -144,7 +181,7 @@
             case Copied(handle) if self.phase is Phase.copying:
                 move.handle = handle
                 self.phase = Phase.stopping
-                yield Copy(move.destination, stops_run=True)
+                yield self._order_copy(move, stops_run=True)
             case CopyFailed(_, handle) if handle and stopped_run:
                 # The run has stopped, but its memory is still on the source.
                 move.destination = self.engine.target
--- a/tests/test_stream_state.py
+++ b/tests/test_stream_state.py
@@ -210,6 +210,30 @@
     assert actions[-1] == OpenLeg(LegId(1), None, None, 4)
 
 
+def test_a_restarted_run_awaits_the_answer_to_its_last_order() -> None:
+    """Guards against two orders at once and against a copy that is kept.
+
+    The engine of a resumable run ends while it copies the memory of the run.
+    """
+    state = StreamState(SOURCE, is_resumable=True)
+    _process(
+        state,
+        _event(1),
+        MoveRequested(DESTINATION.target),
+        LegEnded(LegId(0), LegEnd.cut),
+        LegOpened(LegId(1), DESTINATION),
+    )
+
+    assert not _process(state, MoveRequested(SOURCE.target))
+    assert _process(state, CopyEnded(Copied('h', 1), stopped_run=False)) == [
+        Release(MemoryCopy(SOURCE.address, 'h')),
+        Replan(),
+    ]
+    assert _process(state, MoveRequested(SOURCE.target)) == [
+        Copy(SOURCE.target, stops_run=False),
+    ]
+
+
 def test_a_stream_that_ends_releases_its_copy() -> None:
     state = StreamState(SOURCE, is_resumable=False)
 
@@ -220,7 +244,10 @@
         LegEnded(LegId(0), LegEnd.whole),
     )
 
-    assert actions[-2:] == [Release('h'), Finish()]
+    assert actions[-2:] == [
+        Release(MemoryCopy(SOURCE.address, 'h')),
+        Finish(),
+    ]
 
 
 def _find_number(frame: bytes) -> int:
