--- a/tests/test_stream_state.py
+++ b/tests/test_stream_state.py
@@ -210,7 +210,7 @@
     assert actions[-1] == OpenLeg(LegId(1), None, None, 4)
 
 
-def test_a_restarted_run_awaits_the_answer_to_its_last_order() -> None:
+def test_a_restarted_run_has_one_copy_ordered() -> None:
     """Guards against two orders at once and against a copy that is kept.
 
     The engine of a resumable run ends while it copies the memory of the run.
