--- a/chicoryshunt/membership/roster.py
+++ b/chicoryshunt/membership/roster.py
@@ -51,6 +51,11 @@
             return VmState.leaving
         return state
 
+    @property
+    def is_unheard(self) -> bool:
+        """Return whether the VM has not announced itself."""
+        return self.update.incarnation == _UNKNOWN_INCARNATION
+
 
 class Roster:
     """Members by id: the VMs on the published list, and this node."""
@@ -124,7 +129,7 @@
         return [
             member.update
             for member in self._members.values()
-            if member.update.incarnation != _UNKNOWN_INCARNATION
+            if not member.is_unheard
         ]
 
     def find(self, vm: VmId) -> Member | None:
--- a/lab/models/network.py
+++ b/lab/models/network.py
@@ -5,12 +5,17 @@
 from dataclasses import dataclass
 from random import Random
 
+import msgspec
+
 from chicoryshunt.clock import ManualClock
 from chicoryshunt.connection.platform_api import PublishedVm
 from chicoryshunt.nodes.core import Core, Message, Send
 from chicoryshunt.nodes.pause import PauseDetector
 from chicoryshunt.types import DataCentreId, VmId
 
+# Envelope of a datagram and its headers of UDP and IP.
+HEADER_BYTES = 98
+
 
 @dataclass(frozen=True)
 class PendingMessage:
@@ -55,6 +60,7 @@
         self.hosts: dict[VmId, Host] = {}
         self.loss: float = 0
         self.messages: Counter[str] = Counter()
+        self.bytes_sent: Counter[VmId] = Counter()
         self._rng = rng
         self._pending: list[PendingMessage] = []
         self._sides: list[frozenset[VmId]] = []
@@ -72,6 +78,9 @@
         for one in sends:
             pending = PendingMessage(sender, one.receiver, one.message)
             self.messages[type(one.message).__name__] += 1
+            self.bytes_sent[sender] += HEADER_BYTES + len(
+                msgspec.msgpack.encode(one.message)
+            )
             if self._rng.random() >= self.loss:
                 self._pending.append(pending)
             if self._rng.random() < self.loss:
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -178,12 +178,14 @@
 class FleetTrial:
     """Several nodes on a simulated network."""
 
-    def __init__(self, count: int, seed: int = 1) -> None:
+    def __init__(
+        self, count: int, seed: int = 1, data_centres: int = 3
+    ) -> None:
         self.clock = ManualClock(100)
         self.rng = Random(seed)
         self.network = Network(self.clock, self.rng)
         self.vms = [
-            build_member(f'vm-{index}', f'dc-{index % 3}')
+            build_member(f'vm-{index}', f'dc-{index % data_centres}')
             for index in range(count)
         ]
         self.nodes = [self.add(vm) for vm in self.vms]
