Bound the heads of answers, and close connections with unrequested bytes

Cause: the head of an answer was bounded line by line only. Header lines and interim answers (1xx) without end were read until the time of the route was over, 39 s for streams. Bytes that arrived on an idle connection closed it, and so did its end, but only with the next turn of the loop: a request that was sent in the same turn counted as one that may have run.

A head has at most 64 KiB, with all interim answers before it. A connection that receives bytes without a request, or its end, takes no request any more (not run, so it goes elsewhere). A connection whose refusal has a body that is not read to its end is closed.

Ruled out by the same tests, which pass before: a line without end, chunk extensions, trailers and bodies without end were bounded already.

--- a/chicoryshunt/connection/loop_transport.py
+++ b/chicoryshunt/connection/loop_transport.py
@@ -78,6 +78,11 @@
         if self._producer is not None:
             self._producer.resumeProducing()
 
+    @property
+    def is_closing(self) -> bool:
+        """Return whether the connection is closing or closed."""
+        return self._transport.is_closing()
+
     def write(self, data: bytes) -> None:
         """Send bytes unless the connection is closing."""
         if not self._transport.is_closing():
--- a/chicoryshunt/connection/upstream.py
+++ b/chicoryshunt/connection/upstream.py
@@ -12,6 +12,8 @@
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Protocol
 from twisted.web._newclient import (
+    BODY,
+    DONE,
     HTTP11ClientProtocol,
     Request,
     ResponseDone,
@@ -23,6 +25,7 @@
 
 from chicoryshunt.connection.loop import await_deferred
 from chicoryshunt.connection.loop_transport import LoopTransport
+from chicoryshunt.events import log_problem
 from chicoryshunt.exceptions import ChicoryshuntError
 
 RawHeaders = Sequence[tuple[bytes, bytes]]
@@ -37,6 +40,10 @@
 _KEEPALIVE_INTERVAL_SECONDS = 1
 _KEEPALIVE_PROBES = 2
 _HIGH_WATER_MARK_BYTES = 262144
+# Size of an answer's head, together with the interim answers before it.
+_MAX_HEAD_BYTES = 65536
+# Name of the state in which the protocol waits for a request.
+_IDLE = 'QUIESCENT'
 _KEEP_ALIVE = b'keep-alive'
 _TIMEOUT_PREFIX = b'timeout='
 
@@ -192,11 +199,28 @@
         self.idle_seconds = _DEFAULT_IDLE_SECONDS
         self.idle_since: float = 0
         self.is_closed = False
+        self._head_bytes = 0
 
     @property
     def is_usable(self) -> bool:
-        """Return whether an exchange may start."""
-        return bool(self.state == 'QUIESCENT')
+        """Return whether an exchange may start.
+
+        None may on a connection whose end has arrived, but was not handled:
+        its request would be lost, although no target ever reads it.
+        """
+        is_idle = self.state == _IDLE
+        return bool(is_idle and not cast(Any, self.transport).is_closing)
+
+    def dataReceived(self, data: bytes) -> None:
+        """Parse received bytes; abort if they belong to no answer."""
+        if self.state == _IDLE:
+            log_problem(
+                'unrequested_bytes', address=self.address, size=len(data)
+            )
+            self.abort()
+            return
+        super().dataReceived(data)
+        self._bound_head(len(data))
 
     async def send(self, outgoing: OutgoingRequest, seconds: float) -> Answer:
         """Send a request and return the answer once its headers arrived.
@@ -206,6 +230,7 @@
         """
         if not self.is_usable:
             raise NotSentError(f'{self.address}: connection is in use')
+        self._head_bytes = 0
         headers = Headers()
         for name, text in outgoing.headers:
             headers.addRawHeader(name, text)
@@ -242,6 +267,21 @@
         self._on_lost(self)
         super().connectionLost(reason)
 
+    def _bound_head(self, size: int) -> None:
+        """Abort if no head is complete after more bytes than any may have.
+
+        Interim answers count as well: a target may send them without end.
+        """
+        parser = self._parser
+        if parser is None or parser.state in {BODY, DONE}:
+            return
+        self._head_bytes += size
+        if self._head_bytes > _MAX_HEAD_BYTES:
+            log_problem(
+                'head_too_large', address=self.address, size=self._head_bytes
+            )
+            self.abort()
+
     def _finishResponse(self, rest: bytes) -> None:
         """Disable reuse of a connection that sends bytes after the answer."""
         if rest and self._currentRequest is not None:
--- a/chicoryshunt/relay/calls.py
+++ b/chicoryshunt/relay/calls.py
@@ -206,7 +206,8 @@
                 upstream, incoming, outgoing, params, timeout
             )
         finally:
-            if isinstance(attempt, Doubtful):
+            # A refusal may come with a body that is not read to its end.
+            if not isinstance(attempt, Delivered):
                 upstream.abort()
         return attempt
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -5,6 +5,7 @@
 import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
+from typing import Any, cast
 
 import pytest
 
@@ -182,3 +183,34 @@
         assert target.connections == 2
 
     _run_trial(target, trial)
+
+
+def test_bytes_on_an_idle_connection_end_it() -> None:
+    """Guards against a late second answer that the next caller would get.
+
+    The bytes arrive in the turn of the loop in which the request is sent.
+    """
+
+    async def trial(pool: UpstreamPool, address: str) -> None:
+        await _call(pool, address)
+        upstream = await pool.acquire(address, 10)
+        upstream.dataReceived(WHOLE)
+
+        with pytest.raises(NotSentError):
+            await upstream.send(REQUEST, 5)
+
+    _run_trial(RawTarget(WHOLE, WHOLE), trial)
+
+
+def test_an_ended_connection_sends_no_request() -> None:
+    """Guards against a lost request on a connection that has just ended."""
+
+    async def trial(pool: UpstreamPool, address: str) -> None:
+        await _call(pool, address)
+        upstream = await pool.acquire(address, 10)
+        cast(Any, upstream.transport).eof_received()
+
+        with pytest.raises(NotSentError):
+            await upstream.send(REQUEST, 5)
+
+    _run_trial(RawTarget(WHOLE, WHOLE), trial)
