End legs that are damaged or stall

Cause: after two megabytes without an event the reader of a leg dropped them without a word, counted as standing between events and passed on the next event, so that a stream damaged like this could end as whole. And there was no limit on the time between events: an engine that sends comments or single bytes kept its run until the caller's deadline.

A leg ends as cut with the first oversized event (256 KiB), or after the silence that callers bear, half of it where the run may restart elsewhere. Only events count as progress. A buffer is not searched anew for each byte that arrives.

Before: EventReader returns the event that follows 2 MB of bytes and is between events. After: tests/test_leg.py; slow engines that send an event in time are waited for.

--- a/chicoryshunt/connection/event_stream.py
+++ b/chicoryshunt/connection/event_stream.py
@@ -20,24 +20,36 @@
 
 
 class FrameBuffer:
-    """Splits a byte stream into frames and buffers an incomplete one."""
+    """Splits a byte stream into frames and buffers an incomplete one.
+
+    After an oversized frame, the rest of the stream is never parsed.
+    """
 
     def __init__(self, max_bytes: int) -> None:
         """Buffer at most ``max_bytes`` of an incomplete frame."""
         self._max_bytes = max_bytes
-        self._partial = b''
+        self._partial = bytearray()
+        self._is_damaged = False
 
     @property
     def is_empty(self) -> bool:
         """Return whether no incomplete frame is buffered."""
-        return not self._partial
+        return not self._partial and not self._is_damaged
 
     def feed(self, chunk: bytes) -> list[bytes] | StreamDamage:
         """Add a chunk and return the frames that it completes."""
-        frames = (self._partial + chunk).split(_EVENT_SEPARATOR)
-        self._partial = frames.pop()
+        if self._is_damaged:
+            return StreamDamage.oversized
+        # A separator may begin with the last byte that was received before.
+        unseen = max(len(self._partial) - 1, 0)
+        self._partial += chunk
+        frames: list[bytes] = []
+        if self._partial.find(_EVENT_SEPARATOR, unseen) >= 0:
+            frames = bytes(self._partial).split(_EVENT_SEPARATOR)
+            self._partial = bytearray(frames.pop())
         if len(self._partial) > self._max_bytes:
-            self._partial = b''
+            self._partial.clear()
+            self._is_damaged = True
             return StreamDamage.oversized
         return frames
 
--- a/chicoryshunt/relay/generations.py
+++ b/chicoryshunt/relay/generations.py
@@ -227,7 +227,7 @@
         if first.answer is not None:
             stream.exchange.begin(first.answer.status, first.answer.headers)
         stream.legs[first.id] = first
-        first.start(stream.inputs)
+        first.start(stream.inputs, stream.stall_limits)
         remaining = stream.deadline - self._context.clock.now()
         timer = asyncio.get_running_loop().call_later(
             max(remaining, 0),
@@ -356,7 +356,7 @@
         stream.replan_count = 0
         engine = build_engine_address(target)
         stream.inputs.put_nowait(LegOpened(opening.leg, engine))
-        opened.start(stream.inputs)
+        opened.start(stream.inputs, stream.stall_limits)
 
     def _find_destination(
         self,
--- a/chicoryshunt/relay/leg.py
+++ b/chicoryshunt/relay/leg.py
@@ -1,8 +1,10 @@
 """One leg of a stream: the exchange with the engine that serves it."""
 
 import asyncio
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+from chicoryshunt.connection.event_stream import StreamDamage
 from chicoryshunt.connection.upstream import (
     Answer,
     Body,
@@ -13,9 +15,10 @@
     Upstream,
 )
 from chicoryshunt.dispatch.outliers import ExchangeOutcome
+from chicoryshunt.events import log_event
 from chicoryshunt.fleet.facts import TargetFact
 from chicoryshunt.relay.context import RelayContext
-from chicoryshunt.relay.frames import EventReader
+from chicoryshunt.relay.frames import EventReader, is_comment
 from chicoryshunt.relay.incoming import IncomingRequest
 from chicoryshunt.relay.results import Delivered, Doubtful, NotRun
 from chicoryshunt.relay.stream_inputs import (
@@ -26,6 +29,7 @@
     LegId,
 )
 from chicoryshunt.relay.target_codec import AnswerKind, SendParams
+from chicoryshunt.types import TargetId
 
 _MAX_FAILURE_BYTES = 1048576
 
@@ -38,21 +42,49 @@
 InputQueue = asyncio.Queue[Input | DeadlinePassed]
 
 
+@dataclass(frozen=True, slots=True)
+class StallLimits:
+    """Seconds without an event after which a leg has stalled.
+
+    They apply until its first event and after it; ``None`` is no limit.
+    """
+
+    first: float | None
+    later: float | None
+
+
+class _Progress:
+    """Time at which a leg has stalled, in seconds of the loop's clock."""
+
+    def __init__(self, limits: StallLimits) -> None:
+        self._limits = limits
+        self.deadline = _add_seconds(limits.first)
+
+    def record(self, events: Iterable[tuple[int | None, bytes]]) -> None:
+        """Move the deadline if there is an event among the frames."""
+        if not all(is_comment(frame) for _, frame in events):
+            self.deadline = _add_seconds(self._limits.later)
+
+
 @dataclass(slots=True)
 class Leg:
-    """An exchange with an engine; its events go to the queue of inputs."""
+    """An exchange with an engine; its events go to the queue of inputs.
+
+    ``record`` is called with the outcome if the engine damages the answer.
+    """
 
     id: LegId
     target: TargetFact
     upstream: Upstream
+    record: Callable[[TargetId, ExchangeOutcome], None]
     answer: Answer | None = None
     reader_task: asyncio.Task[None] | None = None
 
-    def start(self, inputs: InputQueue) -> None:
+    def start(self, inputs: InputQueue, limits: StallLimits) -> None:
         """Start to queue every event, and then the end of the answer."""
         if self.answer is not None:
             self.reader_task = asyncio.ensure_future(
-                self._read_events(self.answer.body, inputs),
+                self._read_events(self.answer.body, inputs, limits),
             )
 
     def close(self) -> None:
@@ -61,19 +93,53 @@
             self.reader_task.cancel()
         self.upstream.abort()
 
-    async def _read_events(self, body: Body, inputs: InputQueue) -> None:
-        """Read until the answer ends; there is no timeout between events."""
+    async def _read_events(
+        self, body: Body, inputs: InputQueue, limits: StallLimits
+    ) -> None:
+        """Read until the answer ends, is damaged or stalls.
+
+        Only events count as progress: an engine that sends comments or parts
+        of an event for ever has stalled.
+        """
         reader = EventReader()
+        progress = _Progress(limits)
         while True:
-            piece = await body.read()
+            try:
+                async with asyncio.timeout_at(progress.deadline):
+                    piece = await body.read()
+            except TimeoutError:
+                self._break_off(inputs, ExchangeOutcome.silent)
+                return
             if isinstance(piece, BodyEnd):
                 inputs.put_nowait(
                     LegEnded(self.id, _classify_end(piece, reader))
                 )
                 return
-            for number, frame in reader.feed(piece):
+            events = reader.feed(piece)
+            if isinstance(events, StreamDamage):
+                self._break_off(inputs, ExchangeOutcome.garbled)
+                return
+            progress.record(events)
+            for number, frame in events:
                 inputs.put_nowait(LegEvent(self.id, number, frame))
 
+    def _break_off(self, inputs: InputQueue, outcome: ExchangeOutcome) -> None:
+        """End the leg because of its engine, and close the connection."""
+        log_event(
+            'leg_broken_off',
+            target=self.target.target,
+            leg=self.id,
+            outcome=outcome.value,
+        )
+        self.record(self.target.target, outcome)
+        self.upstream.abort()
+        inputs.put_nowait(LegEnded(self.id, LegEnd.cut))
+
+
+def _add_seconds(limit: float | None) -> float | None:
+    now = asyncio.get_running_loop().time()
+    return None if limit is None else now + limit
+
 
 def _classify_end(end: BodyEnd, reader: EventReader) -> LegEnd:
     if end is BodyEnd.whole and reader.is_between_events:
@@ -104,7 +170,11 @@
     opened = Doubtful(target.target, 'cancelled')
     try:
         opened = await _exchange(
-            context, incoming, outgoing, seconds, Leg(leg, target, upstream)
+            context,
+            incoming,
+            outgoing,
+            seconds,
+            Leg(leg, target, upstream, context.record_outcome),
         )
     finally:
         if not isinstance(opened, Leg):
--- a/chicoryshunt/relay/stream.py
+++ b/chicoryshunt/relay/stream.py
@@ -10,7 +10,7 @@
 from chicoryshunt.dispatch.forecast import RunView
 from chicoryshunt.fleet.facts import TargetFact
 from chicoryshunt.relay.incoming import GenerationParams, IncomingRequest
-from chicoryshunt.relay.leg import InputQueue, Leg
+from chicoryshunt.relay.leg import InputQueue, Leg, StallLimits
 from chicoryshunt.relay.stream_inputs import (
     EngineAddress,
     LegId,
@@ -24,6 +24,8 @@
 
 # Share of the longest answer that is expected without a caller's estimate.
 _DEFAULT_LENGTH_SHARE = 0.4
+# A stalled run restarts after this share of the silence that callers bear.
+_RESTART_SILENCE_SHARE = 0.5
 
 
 @dataclass(slots=True)
@@ -59,6 +61,18 @@
         """Return the route of the request."""
         return self.admitted.route
 
+    @property
+    def stall_limits(self) -> StallLimits:
+        """Return after how long without an event a leg is broken off.
+
+        Callers leave after such a silence. A run that may restart does so in
+        time for its caller to get the next event before that.
+        """
+        silence = self.route.first_event_timeout
+        if silence is None or not self.route.is_resumable:
+            return StallLimits(silence, silence)
+        return StallLimits(silence, silence * _RESTART_SILENCE_SHARE)
+
     def find_latest_start(self) -> float:
         """Return the latest start of the run for which its caller waits.
 
--- /dev/null
+++ b/tests/test_leg.py
@@ -0,0 +1,145 @@
+"""Tests of the legs of a stream, under virtual time."""
+
+import asyncio
+from collections.abc import Sequence
+from typing import Any, cast
+
+import pytest
+
+from chicoryshunt.connection.upstream import Answer, BodyEnd
+from chicoryshunt.dispatch.outliers import ExchangeOutcome
+from chicoryshunt.relay.leg import InputQueue, Leg, StallLimits
+from chicoryshunt.relay.stream_inputs import LegEnd, LegEnded, LegEvent, LegId
+from chicoryshunt.types import TargetId
+from tests.fleet_builders import build_fact
+from tests.virtual_loop import run_virtual
+
+LIMITS = StallLimits(first=8, later=4)
+OVERSIZED = b'x' * 300000
+EVENT_COUNT = 30
+# A piece of the body, the seconds before it, or how the body ends.
+Step = bytes | float | BodyEnd
+
+
+class FakeBody:
+    """Body whose pieces arrive as listed; nothing follows the last one."""
+
+    def __init__(self, steps: Sequence[Step]) -> None:
+        """Read these steps in order."""
+        self._steps = list(steps)
+
+    async def read(self) -> bytes | BodyEnd:
+        """Return the next piece after the seconds listed before it."""
+        while self._steps:
+            step = self._steps.pop(0)
+            if not isinstance(step, float):
+                return step
+            await asyncio.sleep(step)
+        return await asyncio.Future[bytes]()
+
+
+class FakeUpstream:
+    """Connection that only records that it was closed."""
+
+    is_aborted = False
+
+    def abort(self) -> None:
+        """Record that the connection was closed."""
+        self.is_aborted = True
+
+
+class Trial:
+    """A leg that reads a body, and what came of it."""
+
+    def __init__(self, steps: Sequence[Step]) -> None:
+        """Read the steps as the body of the engine's answer."""
+        self.outcomes: list[tuple[TargetId, ExchangeOutcome]] = []
+        self.upstream = FakeUpstream()
+        self.events: list[int | None] = []
+        self.ended_at: float = 0
+        self.end = LegEnd.whole
+        self._steps = steps
+
+    async def run(self) -> None:
+        """Read until the leg ends."""
+        inputs: InputQueue = asyncio.Queue()
+        body = cast(Any, FakeBody(self._steps))
+        leg = Leg(
+            LegId(0),
+            build_fact('e1'),
+            cast(Any, self.upstream),
+            lambda *outcome: self.outcomes.append(outcome),
+            Answer(200, (), None, body),
+        )
+        leg.start(inputs, LIMITS)
+        while True:
+            match await inputs.get():
+                case LegEvent(_, number):
+                    self.events.append(number)
+                case LegEnded(_, end):
+                    self.end = end
+                    break
+        self.ended_at = asyncio.get_running_loop().time()
+
+
+def _read(*steps: Step) -> Trial:
+    trial = Trial(steps)
+    run_virtual(trial.run())
+    return trial
+
+
+def _frame(number: int) -> bytes:
+    return b'id: %d\ndata: token\n\n' % number
+
+
+def test_a_whole_answer_ends_whole() -> None:
+    trial = _read(_frame(1), _frame(2), BodyEnd.whole)
+
+    assert trial.end is LegEnd.whole
+    assert trial.events == [1, 2]
+    assert not trial.outcomes
+
+
+@pytest.mark.parametrize(
+    'later', [(BodyEnd.whole,), (b'\n\n', _frame(2), BodyEnd.whole)]
+)
+def test_an_oversized_event_ends_the_leg(later: Sequence[Step]) -> None:
+    """Guards against a damaged answer that counts as whole."""
+    trial = _read(_frame(1), OVERSIZED, *later)
+
+    assert trial.end is LegEnd.cut
+    assert trial.events == [1]
+    assert trial.outcomes == [('e1', ExchangeOutcome.garbled)]
+    assert trial.upstream.is_aborted
+
+
+@pytest.mark.parametrize('piece', [b': alive\n\n', b'x'])
+def test_a_stalled_engine_is_broken_off(piece: bytes) -> None:
+    """Guards against engines that send a byte now and then for ever."""
+    drip: list[Step] = [1.0, piece]
+    trial = _read(_frame(1), *(drip * EVENT_COUNT))
+
+    assert trial.end is LegEnd.cut
+    assert trial.ended_at == LIMITS.later
+    assert trial.outcomes == [('e1', ExchangeOutcome.silent)]
+    assert trial.upstream.is_aborted
+
+
+def test_a_slow_engine_is_waited_for() -> None:
+    """Guards against a limit on the whole answer of a sound engine."""
+    steps: list[Step] = [7.0]
+    for number in range(1, EVENT_COUNT + 1):
+        steps.extend((_frame(number), 3.5))
+
+    trial = _read(*steps, BodyEnd.whole)
+
+    assert trial.end is LegEnd.whole
+    assert trial.events == list(range(1, EVENT_COUNT + 1))
+    assert not trial.outcomes
+
+
+def test_half_an_event_is_an_answer_cut() -> None:
+    trial = _read(_frame(1), b'id: 2\nda', BodyEnd.whole)
+
+    assert trial.end is LegEnd.cut
+    assert trial.events == [1]
