Contain unexpected errors to one message, item, tick or poll

Cause: an unexpected error in the tick of a core, in the handling of an item of the store or in a poll of the engines ended the process. As all nodes read the same items, one item that is not handled would end them all, and again after each restart. A page of items that cannot be read was asked for again without a pause. A cancellation that came in the same turn of the loop as an answer was lost by asyncio.wait_for, and the request went on without a caller.

Each of these is enclosed, and logged as a problem with what it was about. A page without a next key counts as a failed read. Waits for answers use asyncio.timeout. Requests were contained already (status 500, which promises nothing about the run).

--- a/chicoryshunt/connection/upstream.py
+++ b/chicoryshunt/connection/upstream.py
@@ -138,7 +138,8 @@
         complete after ``seconds``.
         """
         try:
-            return await asyncio.wait_for(self._collect(max_bytes), seconds)
+            async with asyncio.timeout(seconds):
+                return await self._collect(max_bytes)
         except TimeoutError:
             return BodyEnd.cut
 
@@ -246,7 +247,9 @@
             ),
         )
         try:
-            response: Any = await asyncio.wait_for(pending, seconds)
+            # Unlike wait_for, this never loses a cancellation.
+            async with asyncio.timeout(seconds):
+                response: Any = await pending
         except TimeoutError as error:
             raise ConnectionLostError(
                 f'{self.address}: no answer within {seconds:.3f} s',
--- a/chicoryshunt/nodes/driver.py
+++ b/chicoryshunt/nodes/driver.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Sequence
 
+from chicoryshunt.failures import contain_failure
 from chicoryshunt.nodes.core import Core
 from chicoryshunt.nodes.mesh import Mesh
 from chicoryshunt.nodes.pause import PauseDetector
@@ -19,5 +20,6 @@
     while True:
         now = pause_detector.check()
         for core in cores:
-            mesh.send_all(core.tick(now))
+            with contain_failure('tick_failed', core=type(core).__name__):
+                mesh.send_all(core.tick(now))
         await asyncio.sleep(TICK_SECONDS)
--- a/chicoryshunt/nodes/mesh.py
+++ b/chicoryshunt/nodes/mesh.py
@@ -9,6 +9,7 @@
 from twisted.internet.protocol import DatagramProtocol
 
 from chicoryshunt.events import log_problem
+from chicoryshunt.failures import contain_failure
 from chicoryshunt.metrics import Metrics
 from chicoryshunt.nodes.core import Core, Message, Send
 from chicoryshunt.nodes.links import Links
@@ -63,11 +64,16 @@
             self._drop('undecodable', addr)
             return
         core = self._cores[type(message)]
-        self.send_all(
-            core.receive(
-                envelope.sender, message, self._pause_detector.check()
-            ),
-        )
+        with contain_failure(
+            'datagram_failed',
+            kind=type(message).__name__,
+            sender=envelope.sender,
+        ):
+            self.send_all(
+                core.receive(
+                    envelope.sender, message, self._pause_detector.check()
+                ),
+            )
 
     def _send(self, receiver: VmId, message: Message) -> None:
         address = self._links.find_gossip(receiver)
--- a/chicoryshunt/platform/store.py
+++ b/chicoryshunt/platform/store.py
@@ -19,8 +19,13 @@
 )
 from chicoryshunt.events import log_event, log_problem
 from chicoryshunt.exceptions import ChicoryshuntError
+from chicoryshunt.failures import contain_failure
 from chicoryshunt.fleet.agent import FleetAgent
-from chicoryshunt.fleet.catalog import PLATFORM_SOURCE, build_gone_fact
+from chicoryshunt.fleet.catalog import (
+    PLATFORM_SOURCE,
+    build_gone_fact,
+    get_key,
+)
 from chicoryshunt.fleet.catalog_sync import ReaderRole
 from chicoryshunt.fleet.facts import (
     EvacuationFact,
@@ -219,10 +224,15 @@
         while True:
             page = await self._client.read_range(prefix, after)
             revision = page.current_rev if revision is None else revision
-            found.extend(_decode_items(page.items))
-            if not page.more_pages or not found:
+            readable = _decode_items(page.items)
+            found.extend(readable)
+            if not page.more_pages:
                 return revision
-            after = found[-1].key
+            if not readable or readable[-1].key <= after:
+                raise StoreError(
+                    f'the page of {prefix!r} after {after!r} has no next key'
+                )
+            after = readable[-1].key
 
     async def _read_changes(self) -> None:
         changes = await self._client.watch('', self._revision)
@@ -252,9 +262,10 @@
     def _apply_items(self, changed: Iterable[items.Item]) -> None:
         facts = []
         for item in changed:
-            fact = self._decode(item)
-            if fact is not None:
-                facts.append(fact)
+            with contain_failure('item_failed', key=item.key):
+                fact = self._decode(item)
+                if fact is not None:
+                    facts.append(fact)
         self._apply_facts(facts)
 
     def _decode(self, item: items.Item) -> Fact | None:
@@ -289,11 +300,11 @@
 
     def _apply_facts(self, facts: Iterable[Fact]) -> None:
         now = self._clock.now()
-        accepted = [
-            fact
-            for fact in facts
-            if self._catalog.apply(fact, now, PLATFORM_SOURCE)
-        ]
+        accepted = []
+        for fact in facts:
+            with contain_failure('fact_failed', key=get_key(fact)):
+                if self._catalog.apply(fact, now, PLATFORM_SOURCE):
+                    accepted.append(fact)
         if accepted:
             self._fleet_agent.publish(accepted)
 
--- a/chicoryshunt/relay/engine_poller.py
+++ b/chicoryshunt/relay/engine_poller.py
@@ -17,6 +17,7 @@
     OutgoingRequest,
 )
 from chicoryshunt.events import log_event
+from chicoryshunt.failures import contain_failure
 from chicoryshunt.fleet.facts import Revision, TargetFact, TargetPhase
 from chicoryshunt.membership.rendezvous import rank_vms
 from chicoryshunt.relay.context import RelayContext
@@ -67,15 +68,17 @@
         """Poll until the process ends."""
         while True:
             await asyncio.sleep(_POLL_SECONDS)
-            self._round += 1
-            checks = [
-                self._confirm(target) for target in self._list_confirmable()
-            ]
-            if self._is_store_down(self._context.clock.now()):
-                checks.extend(map(self._check, self._list_engines()))
-            else:
-                self._false_alarms.clear()
-            await asyncio.gather(*checks)
+            with contain_failure('engine_poll_failed'):
+                await self._poll()
+
+    async def _poll(self) -> None:
+        self._round += 1
+        checks = [self._confirm(target) for target in self._list_confirmable()]
+        if self._is_store_down(self._context.clock.now()):
+            checks.extend(map(self._check, self._list_engines()))
+        else:
+            self._false_alarms.clear()
+        await asyncio.gather(*checks)
 
     def _list_engines(self) -> list[TargetId]:
         """Return the engines with runs that this node is to poll."""
