Spare the store when all nodes start

Each node reads all items when it starts, and then read on as a reader until it had heard of the two that rank before it.

The first read of a node asks for items that may be some seconds old, which costs a tenth and does not count towards the store's rate. A reader watches from the revision that it read; the others compare their facts with those of the readers twice a second, as ever. A node that has just started, or was paused, waits with regular reading until it knows others and was answered by some (0.3 s where it finds none).

Weighed: no read at all at the start. A fleet in which no reader is known yet has nobody to ask, and nodes would be ready later.

A test starts a node from items of the past. The test of the route's timeout started before its rules were read; it now starts with them.

--- a/chicoryshunt/fleet/catalog_sync.py
+++ b/chicoryshunt/fleet/catalog_sync.py
@@ -29,6 +29,8 @@
 # intervals: it is unlikely to refuse all of them unless it is down.
 _QUICK_RANKS = 8
 _LATE_RANK_DELAY_SECONDS = 1.0
+# A node that has just started learns in this time whether there are others.
+_SETTLING_SECONDS = 0.3
 # A node that took over keeps reading, so that readers do not alternate.
 _TAKEOVER_SECONDS = 6.0
 _REQUEST_INTERVAL_SECONDS = 0.6
@@ -172,6 +174,8 @@
     def _choose_role(self, now: float) -> ReaderRole:
         if self.needs_full_read:
             return ReaderRole.uncertain
+        if not self._is_settled(now):
+            return ReaderRole.none
         ranked = self._rank_readers()
         rank = ranked.index(self._membership.own)
         if rank < _READERS:
@@ -184,6 +188,16 @@
             else ReaderRole.none
         )
 
+    def _is_settled(self, now: float) -> bool:
+        """Return whether this node knows enough others to rank them.
+
+        Load pattern: hundreds of nodes start together, and each would read
+        until it has heard of those that rank before it.
+        """
+        if self._membership.roster.published_count <= 1:
+            return now - self._started >= _SETTLING_SECONDS
+        return self._membership.is_confirmed(now)
+
     def _must_take_over(
         self,
         readers: Sequence[VmId],
--- a/chicoryshunt/platform/store.py
+++ b/chicoryshunt/platform/store.py
@@ -78,12 +78,18 @@
         self._pool = pool
         self._metrics = metrics
 
-    async def read_range(self, prefix: str, after: str) -> items.Page:
+    async def read_range(
+        self, prefix: str, after: str, *, may_be_stale: bool
+    ) -> items.Page:
         """Return one page of the items under a prefix.
 
         ``after`` is the last key of the previous page, empty for the first.
+        A page that may be stale is some seconds old, and costs the store a
+        tenth.
         """
         query = {'prefix': prefix}
+        if may_be_stale:
+            query['allow_stale'] = '1'
         if after:
             # Despite its name on the wire, this parameter holds a key here.
             query['since_revision'] = after
@@ -200,10 +206,19 @@
         return self._reread_at is not None and now >= self._reread_at
 
     async def _read_all(self) -> None:
+        """Read all items; what is stale is corrected at once.
+
+        Load pattern: hundreds of nodes start together, and each reads. After
+        a start, a reader watches from the revision that it read, and the
+        other nodes compare their facts with those of the readers.
+        """
+        may_be_stale = self._catalog_sync.needs_full_read
         found: list[items.Item] = []
         revision = None
         for prefix in _PREFIXES:
-            page_revision = await self._read_prefix(prefix, found)
+            page_revision = await self._read_prefix(
+                prefix, found, may_be_stale=may_be_stale
+            )
             # Pages are not a snapshot, so the watch starts from the first
             # revision and reads later changes again.
             revision = page_revision if revision is None else revision
@@ -218,11 +233,15 @@
         self,
         prefix: str,
         found: list[items.Item],
+        *,
+        may_be_stale: bool,
     ) -> int:
         after = ''
         revision = None
         while True:
-            page = await self._client.read_range(prefix, after)
+            page = await self._client.read_range(
+                prefix, after, may_be_stale=may_be_stale
+            )
             revision = page.current_rev if revision is None else revision
             readable = _decode_items(page.items)
             found.extend(readable)
--- a/lab/standins/platform_store.py
+++ b/lab/standins/platform_store.py
@@ -23,6 +23,8 @@
         self.revision = 10
         self.is_down = False
         self.calls = 0
+        self.stale_calls = 0
+        self._snapshot: tuple[int, dict[str, dict[str, Any]]] | None = None
         self._oldest = 0
         self._items: dict[str, dict[str, Any]] = {}
         self._history: list[dict[str, Any]] = []
@@ -51,6 +53,10 @@
             {'key': key, 'revision': self.revision, 'deleted': True}
         )
 
+    def keep_snapshot(self) -> None:
+        """Answer stale reads with the present items from now on."""
+        self._snapshot = self.revision, self._items.copy()
+
     def compact(self) -> None:
         """Delete the history, and abort watches that need it."""
         self._oldest = self.revision
@@ -68,18 +74,25 @@
         if self.is_down:
             exchange.respond(b'', status=HTTPStatus.SERVICE_UNAVAILABLE)
         elif exchange.path.endswith('/kv-range'):
-            exchange.respond_json(self._read(prefix, since))
+            is_stale = exchange.get_query('allow_stale', '') == '1'
+            self.stale_calls += is_stale
+            exchange.respond_json(self._read(prefix, since, is_stale=is_stale))
         else:
             await self._watch(exchange, prefix, int(since))
 
-    def _read(self, prefix: str, after: str) -> dict[str, Any]:
+    def _read(
+        self, prefix: str, after: str, *, is_stale: bool
+    ) -> dict[str, Any]:
+        revision, items = self.revision, self._items
+        if is_stale and self._snapshot is not None:
+            revision, items = self._snapshot
         keys = sorted(
-            key for key in self._items if key.startswith(prefix) and key > after
+            key for key in items if key.startswith(prefix) and key > after
         )
         return {
-            'items': [self._items[key] for key in keys[:_PAGE_ITEMS]],
+            'items': [items[key] for key in keys[:_PAGE_ITEMS]],
             'more_pages': len(keys) > _PAGE_ITEMS,
-            'current_rev': self.revision,
+            'current_rev': revision,
         }
 
     async def _watch(
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -100,10 +100,13 @@
 @asynccontextmanager
 async def run_platform(
     store_down_seconds: float = 0,
+    config: dict[str, Any] | None = None,
+    later_config: dict[str, Any] | None = None,
 ) -> AsyncIterator[SmallPlatform]:
     """Run one node until the block ends; it is ready at the start.
 
-    The store is down for the first ``store_down_seconds``.
+    The store is down for the first ``store_down_seconds``. Stale reads of it
+    do not have the ``later_config``.
     """
     fleet: dict[str, int] = {}
     services = [StandInService(f'p{one}') for one in range(2)]
@@ -116,7 +119,10 @@
             addresses[target.name] = await stack.enter_async_context(
                 listen(target.site),
             )
-        _publish(store, addresses)
+        _publish(store, addresses, config or build_patient_config())
+        if later_config is not None:
+            store.keep_snapshot()
+            store.put('op/config', later_config)
         store_address = await stack.enter_async_context(listen(store.site))
         host = take_host()
         settings = parse_settings(build_lines(store_address, host), 'test')
@@ -158,8 +164,10 @@
         received += piece
 
 
-def _publish(store: StandInStore, addresses: dict[str, str]) -> None:
-    store.put('op/config', build_patient_config())
+def _publish(
+    store: StandInStore, addresses: dict[str, str], config: dict[str, Any]
+) -> None:
+    store.put('op/config', config)
     for name, address in addresses.items():
         kind = 'engines' if name.startswith('e') else 'plain'
         store.put(f'servers/{name}', build_entry(kind, address))
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -1,5 +1,6 @@
 """Tests of the control traffic of hundreds of nodes, under virtual time."""
 
+from chicoryshunt.fleet.catalog_sync import ReaderRole
 from chicoryshunt.types import VmId, VmState
 from tests.fleet_builders import FleetTrial, build_member
 
@@ -29,6 +30,25 @@
         assert len(node.discovery.known) == COUNT
 
 
+def test_few_nodes_read_while_all_start() -> None:
+    """Guards against calls of the store by every node that starts."""
+    trial = FleetTrial(COUNT, data_centres=DATA_CENTRES)
+    for node in trial.nodes:
+        node.catalog_sync.record_success(trial.clock.now())
+    readings = 0
+    for _ in range(60):
+        trial.network.run(0.1)
+        now = trial.clock.now()
+        for node in trial.nodes:
+            role = node.catalog_sync.decide_role(now)
+            readings += role is not ReaderRole.none
+            if role is not ReaderRole.none:
+                node.catalog_sync.record_success(now)
+
+    # A reader needs up to six calls a second, and two nodes read.
+    assert readings < COUNT
+
+
 def test_equal_nodes_send_no_addresses() -> None:
     """Guards against traffic that grows with the square of the fleet."""
     trial = _start_fleet(12)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -396,24 +396,26 @@
 
 
 def test_a_timeout_of_the_route_is_kept() -> None:
-    async def trial(platform: SmallPlatform) -> None:
-        routes = build_config()['routes']
-        for route in routes:
-            route['timeout_ms'] = 300
-        platform.store.put('op/config', build_config(2, routes=routes))
-        for service in platform.services:
-            service.mode = 'hang'
-        # The caller's own timeout is longer than a test may hang.
-        answer, _ = await platform.ask(
-            '/filings/1',
-            method='POST',
-            X_Chicoryshunt_Deadline_Ms='600000',
-        )
+    config = build_config()
+    for route in config['routes']:
+        route['timeout_ms'] = 300
 
-        assert answer.status == 504
-        assert sum(one.runs.total() for one in platform.services) == 1
+    async def run() -> None:
+        async with run_platform(config=config) as platform:
+            for service in platform.services:
+                service.mode = 'hang'
+            # The caller's own timeout is longer than a test may hang.
+            answer, _ = await platform.ask(
+                '/filings/1',
+                method='POST',
+                X_Chicoryshunt_Deadline_Ms='600000',
+            )
 
-    _run_trial(trial)
+            assert answer.status == 504
+            runs = sum(one.runs.total() for one in platform.services)
+            assert runs == 1
+
+    run_on_reactor(run())
 
 
 def test_a_stalled_answer_is_not_waited_for() -> None:
@@ -459,6 +461,24 @@
     run_on_reactor(run())
 
 
+def test_a_stale_read_at_the_start_is_corrected() -> None:
+    """Guards against rules of the past after a start.
+
+    The first read may be seconds old, and costs the store a tenth.
+    """
+    later = build_config(2, routes=build_config()['routes'][:1])
+
+    async def run() -> None:
+        async with run_platform(later_config=later) as platform:
+            assert platform.store.stale_calls
+            while True:
+                answer, _ = await platform.ask('/filings/1', method='POST')
+                if answer.status == 404:
+                    break
+
+    run_on_reactor(run())
+
+
 def test_engines_stop_when_callers_leave() -> None:
     async def trial(platform: SmallPlatform) -> None:
         for engine in platform.engines:
