--- a/chicoryshunt/fleet/discovery.py
+++ b/chicoryshunt/fleet/discovery.py
@@ -25,6 +25,8 @@
 # new. It compares at this interval for a while.
 _SOON_SECONDS = 0.5
 _SETTLING_SECONDS = 4.0
+# Neighbours to which many new VMs are announced at once.
+_INFORMED_NEIGHBOURS = 8
 # Share of the comparisons that are with a seed.
 _SEED_SHARE = 0.5
 _SETTLING_SEED_SHARE = 0.15
@@ -109,7 +111,7 @@
             case Introduction(vms, is_for_all):
                 self._add(vms, now)
                 if is_for_all:
-                    yield from _introduce(self._list_neighbours(now), vms)
+                    yield from _introduce(self._choose_informed(vms, now), vms)
             case Comparison(vm, digests):
                 differing = self._known.list_differing(digests, now)
                 if self._add((vm,), now):
@@ -181,11 +183,26 @@
         self._unannounced.clear()
         if not vms:
             return
-        yield from _introduce(self._list_neighbours(now), vms)
+        yield from _introduce(self._choose_informed(vms, now), vms)
         for remote in self._group_remote(now).values():
             relay = self._rng.choice(remote)
             yield from _introduce((relay,), vms, is_for_all=True)
 
+    def _choose_informed(
+        self, vms: Sequence[PublishedVm], now: float
+    ) -> list[VmId]:
+        """Return the neighbours to which new VMs are announced.
+
+        These are all for a few VMs. When many nodes start together, a few
+        neighbours are told; the others, which compare at short intervals
+        then, learn the VMs from each other.
+        """
+        neighbours = self._list_neighbours(now)
+        if len(vms) <= _VMS_PER_MESSAGE:
+            return neighbours
+        count = min(_INFORMED_NEIGHBOURS, len(neighbours))
+        return self._rng.sample(neighbours, count)
+
     def _list_neighbours(self, now: float) -> list[VmId]:
         """Return the other nodes of this data centre."""
         return [
