--- a/chicoryshunt/fleet/discovery.py
+++ b/chicoryshunt/fleet/discovery.py
@@ -166,9 +166,8 @@
             for vm in vms
             if vm.vm != self._own.vm and self._known.add(vm, now)
         ]
-        for vm in new:
-            log_event('vm_introduced', vm=vm.vm, data_centre=vm.data_centre)
         if new:
+            log_event('vms_introduced', vms=','.join(vm.vm for vm in new))
             self._links.update_addresses(new)
             self._membership.apply_vm_list(self._known, now)
             self._settled_at = now + _SETTLING_SECONDS
