Do not break off a leg because this process was paused

A run that may restart would be restarted for nothing.

What has arrived is read first. The new test fails without the change.

--- a/chicoryshunt/connection/upstream.py
+++ b/chicoryshunt/connection/upstream.py
@@ -111,6 +111,11 @@
         self._arrived = asyncio.Event()
         self._is_paused = False
 
+    @property
+    def is_readable(self) -> bool:
+        """Return whether a read returns at once."""
+        return self._arrived.is_set()
+
     async def read(self) -> bytes | BodyEnd:
         """Return the bytes since the last call, or how the body ended.
 
--- a/chicoryshunt/relay/leg.py
+++ b/chicoryshunt/relay/leg.py
@@ -104,10 +104,8 @@
         reader = EventReader()
         progress = _Progress(limits)
         while True:
-            try:
-                async with asyncio.timeout_at(progress.deadline):
-                    piece = await body.read()
-            except TimeoutError:
+            piece = await _read_piece(body, progress.deadline)
+            if piece is None:
                 self._break_off(inputs, ExchangeOutcome.silent)
                 return
             if isinstance(piece, BodyEnd):
@@ -136,6 +134,18 @@
         inputs.put_nowait(LegEnded(self.id, LegEnd.cut))
 
 
+async def _read_piece(
+    body: Body, deadline: float | None
+) -> bytes | BodyEnd | None:
+    """Return the next piece of a body, ``None`` if none arrives in time."""
+    try:
+        async with asyncio.timeout_at(deadline):
+            return await body.read()
+    except TimeoutError:
+        # If this process was paused, the piece may have arrived meanwhile.
+        return await body.read() if body.is_readable else None
+
+
 def _add_seconds(limit: float | None) -> float | None:
     now = asyncio.get_running_loop().time()
     return None if limit is None else now + limit
--- a/tests/test_leg.py
+++ b/tests/test_leg.py
@@ -6,13 +6,13 @@
 
 import pytest
 
-from chicoryshunt.connection.upstream import Answer, BodyEnd
+from chicoryshunt.connection.upstream import Answer, Body, BodyEnd
 from chicoryshunt.dispatch.outliers import ExchangeOutcome
 from chicoryshunt.relay.leg import InputQueue, Leg, StallLimits
 from chicoryshunt.relay.stream_inputs import LegEnd, LegEnded, LegEvent, LegId
 from chicoryshunt.types import TargetId
 from tests.fleet_builders import build_fact
-from tests.virtual_loop import run_virtual
+from tests.virtual_loop import VirtualLoop, run_virtual
 
 LIMITS = StallLimits(first=8, later=4)
 OVERSIZED = b'x' * 300000
@@ -24,6 +24,8 @@
 class FakeBody:
     """Body whose pieces arrive as listed; nothing follows the last one."""
 
+    is_readable = False
+
     def __init__(self, steps: Sequence[Step]) -> None:
         """Read these steps in order."""
         self._steps = list(steps)
@@ -61,9 +63,12 @@
         self._steps = steps
 
     async def run(self) -> None:
-        """Read until the leg ends."""
+        """Read the steps until the leg ends."""
+        await self.read(cast(Any, FakeBody(self._steps)))
+
+    async def read(self, body: Body) -> None:
+        """Read a body until the leg ends."""
         inputs: InputQueue = asyncio.Queue()
-        body = cast(Any, FakeBody(self._steps))
         leg = Leg(
             LegId(0),
             build_fact('e1'),
@@ -138,6 +143,32 @@
     assert not trial.outcomes
 
 
+def test_a_pause_of_the_process_breaks_no_leg() -> None:
+    """Guards against sound legs that end when the process wakes up.
+
+    The event and the timer of the leg are handled in the same turn.
+    """
+    trial = Trial(())
+
+    async def run() -> None:
+        loop = cast(VirtualLoop, asyncio.get_running_loop())
+        body = Body(cast(Any, trial.upstream))
+        reading = asyncio.ensure_future(trial.read(body))
+        body.dataReceived(_frame(1))
+        loop.call_at(LIMITS.later or 0, body.dataReceived, _frame(2))
+        await asyncio.sleep(1)
+        loop.jump(60)
+        await asyncio.sleep(1)
+        body.connectionLost()
+        await reading
+
+    run_virtual(run())
+
+    assert trial.end is LegEnd.whole
+    assert trial.events == [1, 2]
+    assert not trial.outcomes
+
+
 def test_half_an_event_is_an_answer_cut() -> None:
     trial = _read(_frame(1), b'id: 2\nda', BodyEnd.whole)
 
