Log and count the runs that engines break off

Callers saw streams break off at engine after engine. The logs did not tell whether prompts, load, repeats by this system or one team's traffic cause it: they held no prompt parts, no team, and neither the stage of a cut run nor the state of its engine.

Each run that its engine breaks off is now logged as run_broken_off with these, and counted by stage.

--- a/chicoryshunt/relay/context.py
+++ b/chicoryshunt/relay/context.py
@@ -139,6 +139,12 @@
         fact = self.catalog.find(target)
         return fact is None or fact.phase is not TargetPhase.ready
 
+    def count_runs(self, target: TargetId) -> int:
+        """Return how many runs all nodes have placed on a target."""
+        return sum(
+            known.run.target == target for known in self.workload.list_runs()
+        )
+
     def find_engine_rules(self, service: ServiceId) -> EngineRules | None:
         """Return the engine rules of a service, ``None`` for a plain one."""
         rules = self._find_rules(service)
--- a/chicoryshunt/relay/leg.py
+++ b/chicoryshunt/relay/leg.py
@@ -1,8 +1,9 @@
 """One leg of a stream: the exchange with the engine that serves it."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import Protocol
 
 from chicoryshunt.connection.event_stream import StreamDamage
 from chicoryshunt.connection.upstream import (
@@ -15,11 +16,11 @@
     Upstream,
 )
 from chicoryshunt.dispatch.outliers import ExchangeOutcome
-from chicoryshunt.events import log_event
 from chicoryshunt.fleet.facts import TargetFact
 from chicoryshunt.relay.context import RelayContext
 from chicoryshunt.relay.frames import EventReader, is_comment
 from chicoryshunt.relay.incoming import IncomingRequest
+from chicoryshunt.relay.leg_watch import LegWatch
 from chicoryshunt.relay.results import Delivered, Doubtful, NotRun
 from chicoryshunt.relay.stream_inputs import (
     Input,
@@ -29,7 +30,6 @@
     LegId,
 )
 from chicoryshunt.relay.target_codec import AnswerKind, SendParams
-from chicoryshunt.types import TargetId
 
 _MAX_FAILURE_BYTES = 1048576
 
@@ -60,23 +60,32 @@
         self._limits = limits
         self.deadline = _add_seconds(limits.first)
 
-    def record(self, events: Iterable[tuple[int | None, bytes]]) -> None:
-        """Move the deadline if there is an event among the frames."""
-        if not all(is_comment(frame) for _, frame in events):
-            self.deadline = _add_seconds(self._limits.later)
+    def restart(self) -> None:
+        """Move the deadline after an event."""
+        self.deadline = _add_seconds(self._limits.later)
+
+
+class LegObserver(Protocol):
+    """Observer of a leg while its answer is read."""
+
+    def record_events(self, count: int) -> None:
+        """Record that events arrived."""
+
+    def record_end(self, end: LegEnd) -> None:
+        """Record how the answer ended."""
+
+    def record_damage(self, outcome: ExchangeOutcome) -> None:
+        """Record that the leg is given up because of its engine."""
 
 
 @dataclass(slots=True)
 class Leg:
-    """An exchange with an engine; its events go to the queue of inputs.
-
-    ``record`` is called with the outcome if the engine damages the answer.
-    """
+    """An exchange with an engine; its events go to the queue of inputs."""
 
     id: LegId
     target: TargetFact
     upstream: Upstream
-    record: Callable[[TargetId, ExchangeOutcome], None]
+    observer: LegObserver
     answer: Answer | None = None
     reader_task: asyncio.Task[None] | None = None
 
@@ -109,27 +118,24 @@
                 self._break_off(inputs, ExchangeOutcome.silent)
                 return
             if isinstance(piece, BodyEnd):
-                inputs.put_nowait(
-                    LegEnded(self.id, _classify_end(piece, reader))
-                )
+                end = _classify_end(piece, reader)
+                self.observer.record_end(end)
+                inputs.put_nowait(LegEnded(self.id, end))
                 return
             events = reader.feed(piece)
             if isinstance(events, StreamDamage):
                 self._break_off(inputs, ExchangeOutcome.garbled)
                 return
-            progress.record(events)
+            event_count = _count_events(events)
+            if event_count:
+                progress.restart()
+                self.observer.record_events(event_count)
             for number, frame in events:
                 inputs.put_nowait(LegEvent(self.id, number, frame))
 
     def _break_off(self, inputs: InputQueue, outcome: ExchangeOutcome) -> None:
         """End the leg because of its engine, and close the connection."""
-        log_event(
-            'leg_broken_off',
-            target=self.target.target,
-            leg=self.id,
-            outcome=outcome.value,
-        )
-        self.record(self.target.target, outcome)
+        self.observer.record_damage(outcome)
         self.upstream.abort()
         inputs.put_nowait(LegEnded(self.id, LegEnd.cut))
 
@@ -151,6 +157,10 @@
     return None if limit is None else now + limit
 
 
+def _count_events(frames: Iterable[tuple[int | None, bytes]]) -> int:
+    return sum(not is_comment(frame) for _, frame in frames)
+
+
 def _classify_end(end: BodyEnd, reader: EventReader) -> LegEnd:
     if end is BodyEnd.whole and reader.is_between_events:
         return LegEnd.whole
@@ -176,6 +186,9 @@
         context.record_outcome(target.target, ExchangeOutcome.unreachable)
         return NotRun(target.target, str(error))
     outgoing = context.codec.encode(incoming, params)
+    watch = LegWatch(
+        context, incoming, target, params.team, leg, context.clock.now()
+    )
     opened: Leg | Delivered | NotRun | Doubtful
     opened = Doubtful(target.target, 'cancelled')
     try:
@@ -184,7 +197,8 @@
             incoming,
             outgoing,
             seconds,
-            Leg(leg, target, upstream, context.record_outcome),
+            Leg(leg, target, upstream, watch),
+            watch,
         )
     finally:
         if not isinstance(opened, Leg):
@@ -198,6 +212,7 @@
     outgoing: OutgoingRequest,
     seconds: float,
     leg: Leg,
+    watch: LegWatch,
 ) -> Leg | Delivered | NotRun | Doubtful:
     target = leg.target.target
     try:
@@ -207,7 +222,10 @@
     except ConnectionLostError as error:
         context.record_outcome(target, ExchangeOutcome.silent)
         is_timeout = isinstance(error.__cause__, TimeoutError)
+        if not is_timeout:
+            watch.record_cut()
         return Doubtful(target, str(error), is_timeout)
+    watch.record_opened()
     leg.answer = answer
     return await _classify_answer(context, incoming, leg, answer)
 
--- /dev/null
+++ b/chicoryshunt/relay/leg_watch.py
@@ -0,0 +1,98 @@
+"""Observes one leg of a stream: how far its engine got, and how it ended."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from chicoryshunt.dispatch.outliers import ExchangeOutcome
+from chicoryshunt.events import log_event
+from chicoryshunt.fleet.facts import TargetFact
+from chicoryshunt.relay.context import RelayContext
+from chicoryshunt.relay.incoming import IncomingRequest
+from chicoryshunt.relay.stream_inputs import LegEnd, LegId
+from chicoryshunt.types import TeamId
+
+
+class RunStage(Enum):
+    """How far an engine got with a run.
+
+    ``waiting``: no head of an answer arrived; ``opened``: a head and no event;
+    ``writing``: events.
+    """
+
+    waiting = 'waiting'
+    opened = 'opened'
+    writing = 'writing'
+
+
+@dataclass(slots=True)
+class LegWatch:
+    """Progress of a leg; times are in monotonic seconds, 0 if not reached."""
+
+    context: RelayContext
+    incoming: IncomingRequest
+    target: TargetFact
+    team: TeamId | None
+    leg: LegId
+    sent_at: float
+    opened_at: float = 0
+    first_event_at: float = 0
+    events: int = 0
+
+    @property
+    def stage(self) -> RunStage:
+        """Return how far the engine got."""
+        if self.first_event_at:
+            return RunStage.writing
+        return RunStage.opened if self.opened_at else RunStage.waiting
+
+    def record_opened(self) -> None:
+        """Record that the head of the answer arrived."""
+        self.opened_at = self.context.clock.now()
+
+    def record_events(self, count: int) -> None:
+        """Record that events arrived."""
+        self.events += count
+        if not self.first_event_at:
+            self.first_event_at = self.context.clock.now()
+
+    def record_end(self, end: LegEnd) -> None:
+        """Record how the answer ended."""
+        if end is LegEnd.cut:
+            self.record_cut()
+
+    def record_damage(self, outcome: ExchangeOutcome) -> None:
+        """Record that the leg is given up because of its engine."""
+        log_event(
+            'leg_broken_off',
+            target=self.target.target,
+            leg=self.leg,
+            outcome=outcome.value,
+        )
+        self.context.record_outcome(self.target.target, outcome)
+
+    def record_cut(self) -> None:
+        """Report a run that its engine broke off."""
+        now = self.context.clock.now()
+        target = self.target.target
+        writing_since = self.first_event_at or now
+        params = self.incoming.params
+        self.context.metrics.count(
+            'runs_broken_off',
+            'Runs that engines broke off, by how far they were',
+            stage=self.stage.value,
+        )
+        log_event(
+            'run_broken_off',
+            request=self.incoming.request,
+            target=target,
+            service=self.target.service,
+            team=self.team,
+            leg=self.leg,
+            stage=self.stage.value,
+            events=self.events,
+            seconds=now - self.sent_at,
+            writing_seconds=now - writing_since,
+            parts=params and ','.join(params.prefix),
+            engine_runs=self.context.count_runs(target),
+            cold=self.context.cold.limits(target),
+        )
--- a/lab/standins/platform_targets.py
+++ b/lab/standins/platform_targets.py
@@ -7,10 +7,12 @@
 
 from chicoryshunt.connection.relayed_exchange import RelayedExchange
 from chicoryshunt.connection.web import BoundedSite
+from lab.standins.crashable_server import CrashableServer
 from lab.standins.platform_store import BOUNDS
 
 _REQUEST_ID_HEADER = 'x-chicoryshunt-request-id'
 _SEAL_HEADER = 'X-Chicoryshunt-Response-Seal'
+_PARTS_HEADER = 'x-chicoryshunt-prefix-hash'
 _NOT_RUN_HEADER = 'X-Chicoryshunt-Not-Executed'
 _EVENT_SECONDS = 0.01
 
@@ -83,6 +85,9 @@
         """Start healthy, with room and without runs."""
         self.name = name
         self.site = BoundedSite(self._handle, BOUNDS)
+        self.server = CrashableServer(self.site)
+        # Part of a prompt on which the engine crashes.
+        self.crashing_part = ''
         self.length = 40
         self.has_room = True
         self.breaks_off = False
@@ -142,16 +147,29 @@
             exchange.respond(b'', status=HTTPStatus.SERVICE_UNAVAILABLE)
             return
         self.started.append(request)
-        exchange.set_header(_REQUEST_ID_HEADER, request)
-        exchange.set_header(_SEAL_HEADER, f'seal-{self.name}')
-        exchange.set_header('content-type', 'text/event-stream')
-        if self.breaks_off:
+        self._set_head(exchange, request)
+        if self.crashing_part and self._holds_crashing_part(exchange):
+            exchange.write(b'')
+            await asyncio.sleep(_EVENT_SECONDS)
+            self.server.crash()
+        elif self.breaks_off:
             exchange.write(b'id: 1\nda')
             await asyncio.sleep(_EVENT_SECONDS)
             exchange.abort()
         else:
             await self._stream(exchange, request, last)
 
+    def _set_head(self, exchange: RelayedExchange, request: str) -> None:
+        exchange.set_header(_REQUEST_ID_HEADER, request)
+        exchange.set_header(_SEAL_HEADER, f'seal-{self.name}')
+        exchange.set_header('content-type', 'text/event-stream')
+
+    def _holds_crashing_part(self, exchange: RelayedExchange) -> bool:
+        parts = exchange.get_header(_PARTS_HEADER).split(',')
+        return any(
+            part.partition(':')[0] == self.crashing_part for part in parts
+        )
+
     async def _stream(
         self,
         exchange: RelayedExchange,
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -114,11 +114,14 @@
     store = StandInStore()
     async with AsyncExitStack() as stack:
         addresses = {}
-        targets: list[StandInService | StandInEngine] = [*services, *engines]
-        for target in targets:
-            addresses[target.name] = await stack.enter_async_context(
-                listen(target.site),
+        for service in services:
+            addresses[service.name] = await stack.enter_async_context(
+                listen(service.site),
             )
+        for engine in engines:
+            await engine.server.start()
+            stack.callback(engine.server.close)
+            addresses[engine.name] = engine.server.address
         _publish(store, addresses, config or build_patient_config())
         if later_config is not None:
             store.keep_snapshot()
--- a/tests/test_leg.py
+++ b/tests/test_leg.py
@@ -10,7 +10,6 @@
 from chicoryshunt.dispatch.outliers import ExchangeOutcome
 from chicoryshunt.relay.leg import InputQueue, Leg, StallLimits
 from chicoryshunt.relay.stream_inputs import LegEnd, LegEnded, LegEvent, LegId
-from chicoryshunt.types import TargetId
 from tests.fleet_builders import build_fact
 from tests.virtual_loop import VirtualLoop, run_virtual
 
@@ -55,7 +54,9 @@
 
     def __init__(self, steps: Sequence[Step]) -> None:
         """Read the steps as the body of the engine's answer."""
-        self.outcomes: list[tuple[TargetId, ExchangeOutcome]] = []
+        self.outcomes: list[ExchangeOutcome] = []
+        self.observed_events = 0
+        self.observed_ends: list[LegEnd] = []
         self.upstream = FakeUpstream()
         self.events: list[int | None] = []
         self.ended_at: float = 0
@@ -73,7 +74,7 @@
             LegId(0),
             build_fact('e1'),
             cast(Any, self.upstream),
-            lambda *outcome: self.outcomes.append(outcome),
+            self,
             Answer(200, (), None, body),
         )
         leg.start(inputs, LIMITS)
@@ -86,6 +87,18 @@
                     break
         self.ended_at = asyncio.get_running_loop().time()
 
+    def record_events(self, count: int) -> None:
+        """Count events, as an observer of the leg."""
+        self.observed_events += count
+
+    def record_end(self, end: LegEnd) -> None:
+        """Keep how the answer ended, as an observer of the leg."""
+        self.observed_ends.append(end)
+
+    def record_damage(self, outcome: ExchangeOutcome) -> None:
+        """Keep why the leg was given up, as an observer of the leg."""
+        self.outcomes.append(outcome)
+
 
 def _read(*steps: Step) -> Trial:
     trial = Trial(steps)
@@ -98,10 +111,12 @@
 
 
 def test_a_whole_answer_ends_whole() -> None:
-    trial = _read(_frame(1), _frame(2), BodyEnd.whole)
+    trial = _read(_frame(1), b': alive\n\n', _frame(2), BodyEnd.whole)
 
     assert trial.end is LegEnd.whole
-    assert trial.events == [1, 2]
+    assert trial.events == [1, None, 2]
+    assert trial.observed_events == 2
+    assert trial.observed_ends == [LegEnd.whole]
     assert not trial.outcomes
 
 
@@ -114,7 +129,7 @@
 
     assert trial.end is LegEnd.cut
     assert trial.events == [1]
-    assert trial.outcomes == [('e1', ExchangeOutcome.garbled)]
+    assert trial.outcomes == [ExchangeOutcome.garbled]
     assert trial.upstream.is_aborted
 
 
@@ -126,7 +141,7 @@
 
     assert trial.end is LegEnd.cut
     assert trial.ended_at == LIMITS.later
-    assert trial.outcomes == [('e1', ExchangeOutcome.silent)]
+    assert trial.outcomes == [ExchangeOutcome.silent]
     assert trial.upstream.is_aborted
 
 
