Show that a prompt that crashes engines is sent for ever

Fourteen requests that share a prompt part on which engines crash all reach an engine. The users' rule allows three after the fifth crash and a window.

--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -1,5 +1,6 @@
 """Tests of prompts that crash the engines that run them."""
 
+import asyncio
 import logging
 from collections.abc import Mapping
 from types import MappingProxyType
@@ -8,11 +9,18 @@
 
 from tests.platform_builders import (
     LONG_TIMEOUT_MS,
+    SmallPlatform,
     run_platform,
 )
 from tests.reactor import run_on_reactor
 
 CRASHING_PART = 'bad'
+# The users' rule counts the requests that come after the fifth crash and a
+# window; three of those may reach an engine.
+MAX_CRASHES = 8
+REQUEST_COUNT = 14
+# An engine is back before the next request.
+PAUSE_SECONDS = 0.4
 
 
 def _build_generation(*parts: str) -> Mapping[str, str]:
@@ -28,6 +36,50 @@
     )
 
 
+async def _restart_engines(platform: SmallPlatform) -> None:
+    for engine in platform.engines:
+        await engine.server.start()
+
+
+async def _ask_crashing(platform: SmallPlatform, request: str) -> int:
+    """Send a request that crashes its engine; return the status."""
+    answer, _ = await platform.ask(
+        '/drafts/1',
+        request,
+        'POST',
+        **_build_generation('first', CRASHING_PART, request),
+    )
+    await asyncio.sleep(PAUSE_SECONDS)
+    await _restart_engines(platform)
+    return answer.status
+
+
+def test_a_crashing_prompt_is_not_sent_for_ever() -> None:
+    """Guards against one prompt that crashes engine after engine."""
+
+    async def run() -> None:
+        async with run_platform() as platform:
+            for engine in platform.engines:
+                engine.crashing_part = CRASHING_PART
+            statuses = [
+                await _ask_crashing(platform, f'r{number}')
+                for number in range(REQUEST_COUNT)
+            ]
+            answer, _ = await platform.ask(
+                '/drafts/1',
+                'sound',
+                'POST',
+                **_build_generation('first', 'other', 'last'),
+            )
+
+            crashes = sum(one.server.crash_count for one in platform.engines)
+            assert crashes <= MAX_CRASHES
+            assert statuses[-1] == 503
+            assert answer.status == 200
+
+    run_on_reactor(run())
+
+
 @pytest.mark.parametrize('is_crash', [True, False])
 def test_broken_runs_are_told_apart(
     caplog: pytest.LogCaptureFixture,
