Stop sending prompts that crash engines

Callers saw streams of one kind break off at engine after engine, and then refusals for lack of room: requests that share a prompt part on which engines crash were sent to every engine that came back.

Cause: the outcome of a run was only counted against its engine. Nothing linked crashes of different engines, so each engine was taken for faulty by itself and the prompt for sound. Load, repeats by this system and one team's traffic are ruled out in docs/incidents/crashing-prompts.md.

Nodes now tell each other which prompt parts had just begun when an engine crashed, and which parts are known to be harmless. Parts that explain two crashes are blocked; requests that hold them are refused as not run, and broken runs with them are not restarted. Sound requests that share the other parts go on (docs/design/crashing-prompts.md).

It works because the deadly part is the only one that is at every crash and in no run that lasts.

--- a/chicoryshunt/fleet/agent.py
+++ b/chicoryshunt/fleet/agent.py
@@ -10,6 +10,7 @@
 from chicoryshunt.fleet.broadcast import Broadcast
 from chicoryshunt.fleet.catalog import Catalog
 from chicoryshunt.fleet.catalog_sync import CatalogSync
+from chicoryshunt.fleet.crash_exchange import CrashExchange
 from chicoryshunt.fleet.discovery import Discovery
 from chicoryshunt.fleet.facts import Fact
 from chicoryshunt.fleet.rules_offers import RulesOffers
@@ -46,7 +47,12 @@
             self.catalog, self.membership, broadcast, now
         )
         self.workload = Workload(self.membership, broadcast, now)
-        broadcast.deliver_to((self.catalog_sync, self.workload))
+        self.crash_exchange = CrashExchange(
+            self.membership, broadcast, now, rng
+        )
+        broadcast.deliver_to(
+            (self.catalog_sync, self.workload, self.crash_exchange)
+        )
         self.rules_offers = RulesOffers(self.catalog, self.membership, rng)
         links = Links()
         # The deployment provides no key, so seals detect only damage.
@@ -59,6 +65,7 @@
             self.discovery,
             self.catalog_sync,
             self.workload,
+            self.crash_exchange,
             broadcast,
             self.rules_offers,
         )
--- a/chicoryshunt/fleet/broadcast.py
+++ b/chicoryshunt/fleet/broadcast.py
@@ -5,13 +5,19 @@
 
 import msgspec
 
-from chicoryshunt.fleet.messages import Beacon, FactNews, RunList, RunNews
+from chicoryshunt.fleet.messages import (
+    Beacon,
+    CrashNews,
+    FactNews,
+    RunList,
+    RunNews,
+)
 from chicoryshunt.membership.membership import Membership
 from chicoryshunt.membership.roster import Roster
 from chicoryshunt.nodes.core import Core, Message, Send
 from chicoryshunt.types import DataCentreId, VmId
 
-BroadcastMessage = Beacon | FactNews | RunNews | RunList
+BroadcastMessage = Beacon | CrashNews | FactNews | RunNews | RunList
 
 
 class Passed(msgspec.Struct, frozen=True, array_like=True, tag='bp'):
--- a/chicoryshunt/fleet/messages.py
+++ b/chicoryshunt/fleet/messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from chicoryshunt.dispatch.crash_suspects import PartKey
 from chicoryshunt.fleet.facts import Fact
 from chicoryshunt.types import ConfigVersion, RequestId, TargetId
 
@@ -64,3 +65,31 @@
     """Offer of a version of the rules to another node."""
 
     version: ConfigVersion
+
+
+class CrashNote(msgspec.Struct, frozen=True, array_like=True):
+    """A crash of an engine, and the prompt parts that are suspected of it.
+
+    ``age`` is in seconds.
+    """
+
+    target: TargetId
+    age: float
+    suspects: tuple[PartKey, ...]
+
+
+class CrashNews(msgspec.Struct, frozen=True, array_like=True, tag='cn'):
+    """Crashes of engines, and prompt parts that were proved to be harmless."""
+
+    crashes: tuple[CrashNote, ...] = ()
+    cleared: tuple[PartKey, ...] = ()
+
+
+class CrashRequest(msgspec.Struct, frozen=True, array_like=True, tag='cr'):
+    """Request for the crashes that a node knows."""
+
+
+class ClearedParts(msgspec.Struct, frozen=True, array_like=True, tag='cc'):
+    """Answer to the report of a crash: suspects that are harmless."""
+
+    parts: tuple[PartKey, ...]
--- a/chicoryshunt/platform/node.py
+++ b/chicoryshunt/platform/node.py
@@ -168,6 +168,7 @@
             pool=self._pool,
             codec=PlatformTargetCodec(),
             retry_budget=FleetRetryBudget(self._settings.bounds.retries),
+            crash_exchange=fleet_agent.crash_exchange,
             metrics=self._metrics,
             send=fleet_agent.send,
             publish=fleet_agent.publish,
--- a/chicoryshunt/relay/context.py
+++ b/chicoryshunt/relay/context.py
@@ -28,12 +28,14 @@
 from chicoryshunt.dispatch.retry_budget import FleetRetryBudget
 from chicoryshunt.events import log_event
 from chicoryshunt.fleet.catalog import Catalog
+from chicoryshunt.fleet.crash_exchange import CrashExchange
 from chicoryshunt.fleet.facts import Fact, TargetFact, TargetPhase
 from chicoryshunt.fleet.messages import PlacedRun
 from chicoryshunt.fleet.workload import Workload
 from chicoryshunt.membership.membership import Membership
 from chicoryshunt.metrics import Metrics
 from chicoryshunt.nodes.core import Send
+from chicoryshunt.relay.prompt_guard import PromptGuard
 from chicoryshunt.relay.target_codec import TargetCodec
 from chicoryshunt.rules.model import EngineRules, ServiceRules
 from chicoryshunt.types import DataCentreId, RequestId, ServiceId, TargetId
@@ -57,6 +59,7 @@
     pool: UpstreamPool
     codec: TargetCodec
     retry_budget: FleetRetryBudget
+    crash_exchange: CrashExchange
     metrics: Metrics
     send: Callable[[Iterable[Send]], None]
     publish: Callable[[Sequence[Fact]], None]
@@ -64,6 +67,7 @@
     cold: ColdStartLimiter = field(
         default_factory=lambda: ColdStartLimiter(Random())
     )
+    prompt_guard: PromptGuard = field(init=False)
     open_calls: Counter[TargetId] = field(default_factory=Counter)
     token_rate: float = DEFAULT_TOKENS_PER_SECOND
     max_nodes: int = 1
@@ -72,6 +76,18 @@
         default_factory=dict
     )
 
+    def __post_init__(self) -> None:
+        """Build the guard that all generations share."""
+        self.prompt_guard = PromptGuard(
+            clock=self.clock,
+            catalog=self.catalog,
+            membership=self.membership,
+            crash_exchange=self.crash_exchange,
+            pool=self.pool,
+            metrics=self.metrics,
+            send=self.send,
+        )
+
     def count_nodes(self) -> int:
         """Return how many nodes may share a bound: the maximum ever known."""
         known = len(tuple(self.membership.roster))
--- a/chicoryshunt/relay/generations.py
+++ b/chicoryshunt/relay/generations.py
@@ -38,6 +38,7 @@
 )
 from chicoryshunt.relay.stream_inputs import (
     Input,
+    LegDenied,
     LegEvent,
     LegId,
     LegOpened,
@@ -132,6 +133,7 @@
         self._streams.pop(stream.request, None)
         self._mover.cancel(stream)
         stream.close()
+        self._context.prompt_guard.release(stream.request)
         self._context.send(self._context.workload.end(stream.request))
 
     async def _run(self, stream: Stream) -> Result:
@@ -319,6 +321,10 @@
         return _build_result(stream, is_whole=False)
 
     async def _open_next(self, stream: Stream, opening: OpenLeg) -> None:
+        objection = self._context.prompt_guard.find_objection(stream.incoming)
+        if objection is not None:
+            stream.inputs.put_nowait(LegDenied(opening.leg, objection))
+            return
         target = self._find_destination(stream, opening)
         if target is None:
             log_event(
--- a/chicoryshunt/relay/leg_watch.py
+++ b/chicoryshunt/relay/leg_watch.py
@@ -11,6 +11,9 @@
 from chicoryshunt.relay.stream_inputs import LegEnd, LegId
 from chicoryshunt.types import TeamId
 
+# An engine that writes for so long has survived the prompt.
+_SURVIVAL_SECONDS = 1.0
+
 
 class RunStage(Enum):
     """How far an engine got with a run.
@@ -37,6 +40,7 @@
     opened_at: float = 0
     first_event_at: float = 0
     events: int = 0
+    has_survived: bool = False
 
     @property
     def stage(self) -> RunStage:
@@ -51,14 +55,23 @@
 
     def record_events(self, count: int) -> None:
         """Record that events arrived."""
+        now = self.context.clock.now()
         self.events += count
         if not self.first_event_at:
-            self.first_event_at = self.context.clock.now()
+            self.first_event_at = now
+        elif (
+            not self.has_survived
+            and now - self.first_event_at >= _SURVIVAL_SECONDS
+        ):
+            self.has_survived = True
+            self.context.prompt_guard.clear(self.incoming)
 
     def record_end(self, end: LegEnd) -> None:
         """Record how the answer ended."""
         if end is LegEnd.cut:
             self.record_cut()
+        elif not self.has_survived:
+            self.context.prompt_guard.clear_later(self.incoming, self.target)
 
     def record_damage(self, outcome: ExchangeOutcome) -> None:
         """Record that the leg is given up because of its engine."""
@@ -69,6 +82,7 @@
             outcome=outcome.value,
         )
         self.context.record_outcome(self.target.target, outcome)
+        self._report_break()
 
     def record_cut(self) -> None:
         """Report a run that its engine broke off."""
@@ -96,3 +110,8 @@
             engine_runs=self.context.count_runs(target),
             cold=self.context.cold.limits(target),
         )
+        self._report_break()
+
+    def _report_break(self) -> None:
+        if not self.has_survived:
+            self.context.prompt_guard.report_break(self.incoming, self.target)
--- a/chicoryshunt/relay/stream_inputs.py
+++ b/chicoryshunt/relay/stream_inputs.py
@@ -57,6 +57,14 @@
     leg: LegId
 
 
+@dataclass(frozen=True, slots=True)
+class LegDenied:
+    """The run may not be sent to any engine again."""
+
+    leg: LegId
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class MoveRequested:
     """The engine of the current leg is leaving; move to ``destination``."""
@@ -82,6 +90,7 @@
     | LegEnded
     | LegOpened
     | LegRefused
+    | LegDenied
     | MoveRequested
     | CopyEnded
     | StopTimerExpired
--- a/chicoryshunt/relay/stream_state.py
+++ b/chicoryshunt/relay/stream_state.py
@@ -25,6 +25,7 @@
     CopyEnded,
     EngineAddress,
     Input,
+    LegDenied,
     LegEnd,
     LegEnded,
     LegEvent,
@@ -95,6 +96,9 @@
                 yield from self._handle_opened(leg, engine)
             case LegRefused(leg) if leg == self._current_leg:
                 yield from self._recover('no engine took the run over')
+            case LegDenied(leg, reason) if leg == self._current_leg:
+                self.phase = Phase.done
+                yield Abort(reason)
             case MoveRequested(destination):
                 yield from self._handle_move_request(destination)
             case CopyEnded(outcome, stopped_run) if self._order is not None:
--- a/chicoryshunt/types.py
+++ b/chicoryshunt/types.py
@@ -38,6 +38,7 @@
     body_too_large = 'body_too_large'
     body_truncated = 'body_truncated'
     cancelled = 'cancelled'
+    crashing_prompt = 'crashing_prompt'
     config_missing = 'config_missing'
     draining = 'draining'
     engine_garbled = 'engine_garbled'
--- a/lab/models/network.py
+++ b/lab/models/network.py
@@ -60,6 +60,8 @@
         self.hosts: dict[VmId, Host] = {}
         self.loss: float = 0
         self.messages: Counter[str] = Counter()
+        # Counts messages that are passed on by what they carry.
+        self.payloads: Counter[str] = Counter()
         self.bytes_sent: Counter[VmId] = Counter()
         self._rng = rng
         self._pending: list[PendingMessage] = []
@@ -78,6 +80,8 @@
         for one in sends:
             pending = PendingMessage(sender, one.receiver, one.message)
             self.messages[type(one.message).__name__] += 1
+            payload = getattr(one.message, 'payload', one.message)
+            self.payloads[type(payload).__name__] += 1
             self.bytes_sent[sender] += HEADER_BYTES + len(
                 msgspec.msgpack.encode(one.message)
             )
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -11,6 +11,7 @@
 from chicoryshunt.fleet.broadcast import Broadcast
 from chicoryshunt.fleet.catalog import Catalog
 from chicoryshunt.fleet.catalog_sync import CatalogSync
+from chicoryshunt.fleet.crash_exchange import CrashExchange
 from chicoryshunt.fleet.discovery import Discovery
 from chicoryshunt.fleet.facts import Revision, TargetFact, TargetPhase
 from chicoryshunt.fleet.messages import PlacedRun
@@ -159,7 +160,12 @@
         )
         self.catalog_sync.needs_full_read = False
         self.workload = Workload(self.membership, broadcast, now)
-        broadcast.deliver_to((self.catalog_sync, self.workload))
+        self.crash_exchange = CrashExchange(
+            self.membership, broadcast, now, rng
+        )
+        broadcast.deliver_to(
+            (self.catalog_sync, self.workload, self.crash_exchange)
+        )
         self.rules_offers = RulesOffers(self.catalog, self.membership, rng)
         self.discovery = Discovery(vm, seeds, self.membership, Links(), rng)
         self.host = Host(
@@ -168,6 +174,7 @@
                 self.discovery,
                 self.catalog_sync,
                 self.workload,
+                self.crash_exchange,
                 broadcast,
                 self.rules_offers,
             ),
--- a/tests/test_stream_state.py
+++ b/tests/test_stream_state.py
@@ -27,6 +27,7 @@
 from chicoryshunt.relay.stream_inputs import (
     CopyEnded,
     EngineAddress,
+    LegDenied,
     LegEnd,
     LegEnded,
     LegEvent,
@@ -210,6 +211,14 @@
     assert actions[-1] == OpenLeg(LegId(1), None, None, 4)
 
 
+def test_a_denied_run_is_not_sent_again() -> None:
+    state = StreamState(SOURCE, is_resumable=True)
+    _process(state, _event(4), LegEnded(LegId(0), LegEnd.cut))
+
+    assert _process(state, LegDenied(LegId(1), 'denied')) == [Abort('denied')]
+    assert not _process(state, LegOpened(LegId(1), DESTINATION))
+
+
 def test_a_restarted_run_has_one_copy_ordered() -> None:
     """Guards against two orders at once and against a copy that is kept.
 
