Wait for an engine when a run begins anew

Callers saw streams of resumable routes hang or break off although an engine was free again moments later. Found while looking for further places that send one request to engine after engine.

Cause: a run whose engine broke off asked for another one in a loop without a pause. Each turn took a retry of the node's budget before it looked for an engine, so a lack of room for some milliseconds used up the retries of all requests, and the loop kept the processor until the deadline. A restart that an engine answered with an error went on in the same way, past the attempts of the route.

A restart now looks every 50 ms, takes a retry only once an engine has room, does not ask an engine again that refused it, and ends when the caller would leave or when the attempts of the route are used up.

--- a/chicoryshunt/relay/generations.py
+++ b/chicoryshunt/relay/generations.py
@@ -39,6 +39,7 @@
 from chicoryshunt.relay.stream_inputs import (
     Input,
     LegDenied,
+    LegEnding,
     LegEvent,
     LegId,
     LegOpened,
@@ -56,6 +57,8 @@
 _RESUME_TIMEOUT_SECONDS = 1.0
 # A run that restarts waits until its prompt has been read once more.
 _RESTART_TIMEOUT_SECONDS = 3.0
+# Interval at which a run that begins anew looks for an engine with room.
+_RESTART_POLL_SECONDS = 0.05
 # The last events of a stopped engine arrive within this time.
 _STOP_TIMER_SECONDS = 0.03
 _MAX_REFUSALS = 4
@@ -321,18 +324,15 @@
         return _build_result(stream, is_whole=False)
 
     async def _open_next(self, stream: Stream, opening: OpenLeg) -> None:
-        objection = self._context.prompt_guard.find_objection(stream.incoming)
-        if objection is not None:
-            stream.inputs.put_nowait(LegDenied(opening.leg, objection))
-            return
-        target = self._find_destination(stream, opening)
-        if target is None:
+        target = await self._find_destination(stream, opening)
+        if isinstance(target, LegEnding):
             log_event(
                 'no_engine_to_go_on',
                 request=stream.request,
                 wanted=opening.target,
+                reason=target,
             )
-            stream.inputs.put_nowait(LegRefused(opening.leg))
+            stream.inputs.put_nowait(target)
             return
         opened = await open_leg(
             self._context,
@@ -355,6 +355,7 @@
             detail=getattr(opened, 'detail', None),
         )
         if not isinstance(opened, Leg):
+            stream.record_failed_restart(opened)
             stream.inputs.put_nowait(LegRefused(opening.leg))
             return
         self._placer.announce_run(stream, target.target)
@@ -364,18 +365,40 @@
         stream.inputs.put_nowait(LegOpened(opening.leg, engine))
         opened.start(stream.inputs, stream.stall_limits)
 
-    def _find_destination(
+    async def _find_destination(
         self,
         stream: Stream,
         opening: OpenLeg,
-    ) -> TargetFact | None:
+    ) -> TargetFact | LegEnding:
         if opening.target is None:
-            if self._placer.spend_retry(stream):
-                return self._placer.find_other_engine(stream)
-            return None
+            return await self._find_restart(stream, opening.leg)
         fact = self._context.catalog.find(opening.target)
-        is_gone = fact is None or fact.phase is TargetPhase.gone
-        return None if is_gone else fact
+        if fact is None or fact.phase is TargetPhase.gone:
+            return LegRefused(opening.leg)
+        return fact
+
+    async def _find_restart(
+        self, stream: Stream, leg: LegId
+    ) -> TargetFact | LegDenied:
+        """Return an engine for a run that begins anew once one has room.
+
+        Load pattern: an engine that breaks off leaves no room for its runs
+        on the others for some time, and all its runs look for it at once.
+        """
+        until = stream.find_latest_restart(self._context.clock.now())
+        while self._context.clock.now() < until:
+            if stream.has_used_attempts:
+                return LegDenied(leg, 'an engine failed the restarted run')
+            objection = self._context.prompt_guard.find_objection(
+                stream.incoming
+            )
+            if objection is not None:
+                return LegDenied(leg, objection)
+            target = self._placer.find_other_engine(stream)
+            if target is not None and self._placer.spend_retry(stream):
+                return target
+            await asyncio.sleep(_RESTART_POLL_SECONDS)
+        return LegDenied(leg, 'no engine has room in time')
 
 
 def _build_result(stream: Stream, *, is_whole: bool) -> Streamed:
--- a/chicoryshunt/relay/placing.py
+++ b/chicoryshunt/relay/placing.py
@@ -72,9 +72,11 @@
             self._wait_queue.remove(waiter)
 
     def find_other_engine(self, stream: Stream) -> TargetFact | None:
-        """Return an engine with room other than the current one."""
+        """Return an engine with room that has not failed or refused the run."""
         state = stream.state
-        tried = () if state is None else (state.engine.target,)
+        tried = set(stream.refusing)
+        if state is not None:
+            tried.add(state.engine.target)
         facts = self._context.list_candidates(stream.service, tried)
         choice = self._choose(stream, facts)
         if isinstance(choice, Placed):
--- a/chicoryshunt/relay/stream.py
+++ b/chicoryshunt/relay/stream.py
@@ -11,6 +11,7 @@
 from chicoryshunt.fleet.facts import TargetFact
 from chicoryshunt.relay.incoming import GenerationParams, IncomingRequest
 from chicoryshunt.relay.leg import InputQueue, Leg, StallLimits
+from chicoryshunt.relay.results import Delivered, Doubtful, NotRun
 from chicoryshunt.relay.stream_inputs import (
     EngineAddress,
     LegId,
@@ -43,6 +44,9 @@
     legs: dict[LegId, Leg] = field(default_factory=dict)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
     excluded: set[TargetId] = field(default_factory=set)
+    # Engines that did not take the run when it began anew.
+    refusing: set[TargetId] = field(default_factory=set)
+    failed_restarts: int = 0
     state: StreamState | None = None
     placed_at: float = 0
     first_event_at: float = 0
@@ -73,6 +77,25 @@
             return StallLimits(silence, silence)
         return StallLimits(silence, silence * _RESTART_SILENCE_SHARE)
 
+    @property
+    def has_used_attempts(self) -> bool:
+        """Return whether so many engines have failed the run as may try it."""
+        return self.failed_restarts + 1 >= max(self.route.max_attempts, 2)
+
+    def record_failed_restart(
+        self, failed: Delivered | NotRun | Doubtful
+    ) -> None:
+        """Exclude an engine from restarts; count it if it ran the request."""
+        self.refusing.add(failed.target)
+        self.failed_restarts += isinstance(failed, Delivered)
+
+    def find_latest_restart(self, now: float) -> float:
+        """Return until when the caller waits for a run that begins anew."""
+        silence = self.route.first_event_timeout
+        if silence is None:
+            return self.deadline
+        return min(self.deadline, (self.last_forwarded_at or now) + silence)
+
     def find_latest_start(self) -> float:
         """Return the latest start of the run for which its caller waits.
 
--- a/chicoryshunt/relay/stream_inputs.py
+++ b/chicoryshunt/relay/stream_inputs.py
@@ -85,6 +85,8 @@
     """The time for the last events of the stopped engine has passed."""
 
 
+LegEnding = LegRefused | LegDenied
+
 Input = (
     LegEvent
     | LegEnded
--- a/lab/standins/platform_targets.py
+++ b/lab/standins/platform_targets.py
@@ -91,6 +91,10 @@
         self.length = 40
         self.has_room = True
         self.breaks_off = False
+        # Number of events after which a stream breaks off, 0 for none.
+        self.breaks_after = 0
+        # Status with which every request is answered, 0 for a stream.
+        self.error_status = 0
         self.is_healthy = True
         self.reported_state = 'ready'
         self.started: list[str] = []
@@ -152,6 +156,8 @@
             exchange.write(b'')
             await asyncio.sleep(_EVENT_SECONDS)
             self.server.crash()
+        elif self.error_status:
+            exchange.respond(b'an error', status=self.error_status)
         elif self.breaks_off:
             exchange.write(b'id: 1\nda')
             await asyncio.sleep(_EVENT_SECONDS)
@@ -178,10 +184,14 @@
     ) -> None:
         self._stopped.discard(request)
         for number in range(last + 1, self.length + 1):
-            if request in self._stopped or not exchange.is_open:
+            if self._is_broken(request, number) or not exchange.is_open:
                 exchange.abort()
                 return
             self._produced[request] = number
             exchange.write(b'id: %d\ndata: token %d\n\n' % (number, number))
             await asyncio.sleep(_EVENT_SECONDS)
         exchange.finish()
+
+    def _is_broken(self, request: str, number: int) -> bool:
+        is_cut = 0 < self.breaks_after < number
+        return is_cut or request in self._stopped
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -157,6 +157,16 @@
     return config
 
 
+def build_generation(*parts: str) -> dict[str, str]:
+    """Return the headers of a generation with these parts of its prompt."""
+    return {
+        'X_Chicoryshunt_Model': 'm',
+        'X_Chicoryshunt_Token_Count': '1000,160',
+        'X_Chicoryshunt_Prefix_Hash': ','.join(f'{part}:80' for part in parts),
+        'X_Chicoryshunt_Deadline_Ms': str(LONG_TIMEOUT_MS),
+    }
+
+
 async def read_until_end(answer: Answer) -> tuple[bytes, BodyEnd]:
     """Return what arrives of a body, and whether it is whole."""
     received = bytearray()
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -2,14 +2,12 @@
 
 import asyncio
 import logging
-from collections.abc import Mapping
-from types import MappingProxyType
 
 import pytest
 
 from tests.platform_builders import (
-    LONG_TIMEOUT_MS,
     SmallPlatform,
+    build_generation,
     run_platform,
 )
 from tests.reactor import run_on_reactor
@@ -23,19 +21,6 @@
 PAUSE_SECONDS = 0.4
 
 
-def _build_generation(*parts: str) -> Mapping[str, str]:
-    return MappingProxyType(
-        {
-            'X_Chicoryshunt_Model': 'm',
-            'X_Chicoryshunt_Token_Count': '1000,160',
-            'X_Chicoryshunt_Prefix_Hash': ','.join(
-                f'{part}:80' for part in parts
-            ),
-            'X_Chicoryshunt_Deadline_Ms': str(LONG_TIMEOUT_MS),
-        }
-    )
-
-
 async def _restart_engines(platform: SmallPlatform) -> None:
     for engine in platform.engines:
         await engine.server.start()
@@ -47,7 +32,7 @@
         '/drafts/1',
         request,
         'POST',
-        **_build_generation('first', CRASHING_PART, request),
+        **build_generation('first', CRASHING_PART, request),
     )
     await asyncio.sleep(PAUSE_SECONDS)
     await _restart_engines(platform)
@@ -69,7 +54,7 @@
                 '/drafts/1',
                 'sound',
                 'POST',
-                **_build_generation('first', 'other', 'last'),
+                **build_generation('first', 'other', 'last'),
             )
 
             crashes = sum(one.server.crash_count for one in platform.engines)
@@ -98,7 +83,7 @@
                 '/drafts/1',
                 'r1',
                 'POST',
-                **_build_generation('first', part, 'last'),
+                **build_generation('first', part, 'last'),
             )
 
     run_on_reactor(run())
--- /dev/null
+++ b/tests/test_restarts.py
@@ -0,0 +1,92 @@
+"""Tests of streams that restart on another engine, against stand-ins."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from chicoryshunt.connection.upstream import BodyEnd
+from lab.standins.platform_files import build_entry
+from tests.platform_builders import (
+    SmallPlatform,
+    build_generation,
+    build_patient_config,
+    read_until_end,
+    run_platform,
+)
+from tests.reactor import run_on_reactor
+
+LENGTH = 40
+# Callers leave after so long without an event.
+PATIENCE_SECONDS = 4
+WHOLE = b''.join(
+    b'id: %d\ndata: token %d\n\n' % (number, number)
+    for number in range(1, LENGTH + 1)
+)
+
+
+def _build_config() -> dict[str, Any]:
+    config = build_patient_config()
+    for route in config['routes']:
+        if route['kind'] == 'streaming':
+            route.update(stream_resume=True, max_attempts=2)
+    return config
+
+
+def _run(trial: Callable[[SmallPlatform], Awaitable[None]]) -> None:
+    async def run() -> None:
+        async with run_platform(config=_build_config()) as platform:
+            await trial(platform)
+
+    run_on_reactor(run())
+
+
+async def _begin(platform: SmallPlatform) -> asyncio.Task[Any]:
+    """Begin a stream on e0, which is the only engine; e1 is leaving."""
+    platform.leave('e1')
+    await asyncio.sleep(0.3)
+    answer = await platform.open(
+        '/drafts/1', 'r1', 'POST', **build_generation('first', 'last')
+    )
+    assert answer.status == 200
+    return asyncio.ensure_future(read_until_end(answer))
+
+
+def _return(platform: SmallPlatform) -> None:
+    entry = build_entry('engines', platform.addresses['e1'])
+    platform.store.put('servers/e1', entry)
+
+
+def test_a_restart_waits_for_an_engine() -> None:
+    """Guards against a restart that uses up all retries within milliseconds.
+
+    No engine is free at the moment the first one breaks off.
+    """
+
+    async def trial(platform: SmallPlatform) -> None:
+        platform.engines[0].breaks_after = 3
+        reading = await _begin(platform)
+        await asyncio.sleep(0.3)
+        _return(platform)
+
+        async with asyncio.timeout(PATIENCE_SECONDS):
+            assert await reading == (WHOLE, BodyEnd.whole)
+
+    _run(trial)
+
+
+def test_the_error_of_a_restart_is_not_streamed() -> None:
+    """Guards against the text of an error in the middle of a stream."""
+
+    async def trial(platform: SmallPlatform) -> None:
+        platform.engines[0].breaks_after = 3
+        platform.engines[1].error_status = 500
+        reading = await _begin(platform)
+        _return(platform)
+
+        received, end = await reading
+        assert end is BodyEnd.cut
+        assert WHOLE.startswith(received)
+        assert received.count(b'id:') == 3
+        assert len(platform.engines[1].started) == 1
+
+    _run(trial)
