Count crashes 0.3 s apart as separate

The logs show bursts of five crashes within 0.9 s that counted as one.

Crashes within a second were taken for one event, so that a data centre that loses power does not block what had just begun there. Such engines fall silent or reset at the same instant, so 0.3 s is enough for that; the test of it now spreads its nine crashes over 0.16 s instead of 0.8 s, and a new test demands a block within a burst. A single request may now crash three engines instead of two: innocent runs that were hit twice by other prompts' crashes were denied.

--- a/chicoryshunt/dispatch/crash_suspects.py
+++ b/chicoryshunt/dispatch/crash_suspects.py
@@ -18,7 +18,7 @@
 _MIN_CRASHES = 2
 # Engines that crash within this time may have crashed together, for a reason
 # that has nothing to do with their requests.
-_JOINT_SECONDS = 1.0
+_JOINT_SECONDS = 0.3
 # Reports of one engine's crash by several nodes are within this time. A crashed
 # engine is not back before.
 _SAME_CRASH_SECONDS = 1.5
--- a/chicoryshunt/relay/prompt_guard.py
+++ b/chicoryshunt/relay/prompt_guard.py
@@ -30,7 +30,7 @@
 # after this time.
 _SURVIVAL_SECONDS = 5.0
 # A request at whose start so many engines crashed is not sent again.
-_MAX_CRASHES = 2
+_MAX_CRASHES = 3
 
 
 @dataclass(slots=True)
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -67,12 +67,21 @@
 def test_engines_that_crash_together_accuse_once() -> None:
     """Guards against a data centre without power that blocks a prompt."""
     suspects = _build(
-        *((f'e{number}', number / 10, (FIRST,)) for number in range(9))
+        *((f'e{number}', number / 50, (FIRST,)) for number in range(9))
     )
 
     assert suspects.find_block((FIRST,)) is None
 
 
+def test_a_burst_of_crashes_blocks_soon() -> None:
+    """Guards against a fleet whose engines all crash before a block."""
+    suspects = _build(
+        *((f'e{number}', number * 0.31, (BAD,)) for number in range(3))
+    )
+
+    assert _find_parts(suspects, BAD) == {BAD}
+
+
 def test_reports_of_one_crash_count_once() -> None:
     suspects = _build(('e1', 0, (FIRST, BAD)), ('e1', 1.2, (BAD, OTHER)))
 
