Believe only refusals that name the request

Report of another operator: a faulty target wrote an earlier refusal once more on a kept connection; callers were told 'not run' for requests that ran, or such a request ran at a second target. It can happen here: a repeated refusal that arrives as the next request is sent is read as its answer. With the id of the earlier request it was already recognised. Without an id it was believed, and a filing went to a second target.

An answer without the id of the request now proves nothing, whatever its status, so such a request ends with an uncertain outcome. The stand-ins' refusals lacked it and now have it.

test_a_repeated_refusal_is_not_believed[] failed before with 200 after a second run; the case with an id passed. Of another report, an answer that is cut in its head: test_part_of_an_answer_is_never_whole closes after each byte of an answer and passes without a change, as do streams without length or chunks that are cut at each byte.

--- a/chicoryshunt/platform/targets.py
+++ b/chicoryshunt/platform/targets.py
@@ -86,9 +86,13 @@
     def classify_answer(
         self, incoming: IncomingRequest, answer: Answer
     ) -> AnswerKind:
-        """Return what an answer proves about the run of the request."""
+        """Return what an answer proves about the run of the request.
+
+        Without the request's id it proves nothing: a target may write an
+        earlier answer once more.
+        """
         echoed = answer.get(wire.REQUEST_ID).decode('latin-1')
-        if echoed and echoed != incoming.request:
+        if echoed != incoming.request:
             return AnswerKind.foreign
         if answer.status == HTTPStatus.MISDIRECTED_REQUEST:
             return AnswerKind.other_target
--- a/lab/standins/platform_targets.py
+++ b/lab/standins/platform_targets.py
@@ -37,6 +37,7 @@
             status = HTTPStatus.MISDIRECTED_REQUEST
             if self.mode == 'full':
                 status = HTTPStatus.SERVICE_UNAVAILABLE
+            exchange.set_header(_REQUEST_ID_HEADER, request)
             exchange.set_header(_NOT_RUN_HEADER, '1')
             exchange.respond(b'', status=status)
             return
@@ -147,6 +148,7 @@
         memory = exchange.get_header('kv-from')
         last = int(exchange.get_header('last-event-id') or 0)
         if memory and self._fleet.pop(memory.partition('/')[2], None) is None:
+            exchange.set_header(_REQUEST_ID_HEADER, request)
             exchange.set_header(_NOT_RUN_HEADER, '1')
             exchange.respond(b'', status=HTTPStatus.SERVICE_UNAVAILABLE)
             return
--- /dev/null
+++ b/tests/test_faulty_answers.py
@@ -0,0 +1,145 @@
+"""Tests of answers that targets repeat, cut off or leave without a length."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+
+import pytest
+
+from chicoryshunt.connection.upstream import BodyEnd
+from lab.standins.platform_files import build_entry
+from tests.platform_builders import (
+    SmallPlatform,
+    build_generation,
+    read_until_end,
+    run_platform,
+)
+from tests.raw_targets import RawTarget, serve_raw
+from tests.reactor import run_on_reactor
+
+# The node learns of a changed entry within this time.
+CHANGE_SECONDS = 0.3
+EVENTS = b'id: 1\ndata: a\n\nid: 2\ndata: b\n\n'
+REFUSAL = b'HTTP/1.1 503 Full\r\nX-Chicoryshunt-Not-Executed: 1\r\n%s%s\r\n'
+EMPTY = b'Content-Length: 0\r\n'
+
+
+def _build_head(request: str, *lines: bytes) -> bytes:
+    named = (
+        b'HTTP/1.1 200 OK',
+        b'X-Chicoryshunt-Request-Id: %s' % request.encode(),
+        b'X-Chicoryshunt-Response-Seal: seal',
+        *lines,
+        b'',
+        b'',
+    )
+    return b'\r\n'.join(named)
+
+
+def _build_answer(request: str) -> bytes:
+    head = _build_head(request, b'Content-Length: 4')
+    return b'%sbody' % head
+
+
+def _run(
+    kind: str,
+    target: RawTarget,
+    trial: Callable[[SmallPlatform], Awaitable[None]],
+) -> None:
+    """Run a node whose first target of a kind is ``target``.
+
+    The other target of the kind is idle.
+    """
+
+    async def run() -> None:
+        async with AsyncExitStack() as stack:
+            platform = await stack.enter_async_context(run_platform())
+            address = await stack.enter_async_context(serve_raw(target))
+            entry = build_entry(kind, address)
+            name = 'e' if kind == 'engines' else 'p'
+            platform.store.put(f'servers/{name}0', entry)
+            await asyncio.sleep(CHANGE_SECONDS)
+            await trial(platform)
+
+    run_on_reactor(run())
+
+
+@pytest.mark.parametrize('id_line', [b'', b'X-Chicoryshunt-Request-Id: r1\r\n'])
+def test_a_repeated_refusal_is_not_believed(id_line: bytes) -> None:
+    """Guards against 'not run' for a request that a target runs.
+
+    The target writes an earlier refusal once more, before its answer.
+    """
+    repeated = REFUSAL % (id_line, EMPTY) + _build_answer('r2')
+    target = RawTarget(_build_answer('r1'), repeated)
+
+    async def trial(platform: SmallPlatform) -> None:
+        first, _ = await platform.ask('/filings/1', 'r1', 'POST')
+        second, _ = await platform.ask('/filings/2', 'r2', 'POST')
+
+        assert (first.status, second.status) == (200, 502)
+        assert target.connections == 1
+        assert len(target.requests) == 2
+        assert not platform.services[1].runs
+
+    _run('plain', target, trial)
+
+
+def test_a_refusal_of_the_request_is_believed() -> None:
+    target = RawTarget(REFUSAL % (b'X-Chicoryshunt-Request-Id: r1\r\n', EMPTY))
+
+    async def trial(platform: SmallPlatform) -> None:
+        answer, _ = await platform.ask('/filings/1', 'r1', 'POST')
+
+        assert answer.status == 200
+        assert platform.services[1].runs == {'r1': 1}
+
+    _run('plain', target, trial)
+
+
+def test_part_of_an_answer_is_never_whole() -> None:
+    """Guards against a short answer framed as whole.
+
+    The target closes after each number of bytes of its answer, also in the
+    middle of the head.
+    """
+    answer = _build_answer('r0')
+    parts = [answer[:size] for size, _ in enumerate(answer)]
+    target = RawTarget(*parts, closes=True)
+
+    async def trial(platform: SmallPlatform) -> None:
+        platform.leave('p1')
+        await asyncio.sleep(CHANGE_SECONDS)
+        for _ in parts:
+            received, _ = await platform.ask('/filings/1', 'r0', 'POST')
+            assert received.status == 502
+
+    _run('plain', target, trial)
+
+
+@pytest.mark.parametrize('resets', [True, False])
+@pytest.mark.parametrize('size', range(1, len(EVENTS) + 1))
+def test_an_unframed_stream_ends_between_events(
+    size: int, resets: bool
+) -> None:
+    """Guards against a stream cut inside an event that looks complete."""
+    head = _build_head('r0', b'Content-Type: text/event-stream')
+    target = RawTarget(head + EVENTS[:size], resets=resets)
+    whole = EVENTS[: EVENTS[:size].rfind(b'\n\n') + 2]
+
+    async def trial(platform: SmallPlatform) -> None:
+        platform.leave('e1')
+        await asyncio.sleep(CHANGE_SECONDS)
+        answer = await platform.open(
+            '/drafts/1', 'r0', 'POST', **build_generation('a')
+        )
+        received, end = await read_until_end(answer)
+        is_complete = EVENTS[:size].endswith(b'\n\n') and not resets
+        if is_complete:
+            assert (answer.status, received) == (200, whole)
+            assert end is BodyEnd.whole
+        else:
+            assert answer.status == 502 or end is BodyEnd.cut
+            assert answer.status == 502 or whole.startswith(received)
+
+    _run('engines', target, trial)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -1,10 +1,7 @@
 """Tests of connections to targets that answer in various ways."""
 
 import asyncio
-import socket
-import struct
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from collections.abc import Awaitable, Callable
 from typing import Any, cast
 
 import pytest
@@ -17,6 +14,7 @@
     UpstreamPool,
 )
 from tests.platform_builders import take_host
+from tests.raw_targets import RawTarget, serve_raw
 from tests.reactor import run_on_reactor
 
 REQUEST = OutgoingRequest(b'GET', b'/x', [(b'Host', b'a')])
@@ -31,54 +29,12 @@
 MAX_BYTES = 1 << 16
 
 
-class RawTarget:
-    """Target that answers each request with fixed bytes."""
-
-    def __init__(self, *answers: bytes, resets: bool = False) -> None:
-        self.answers = list(answers)
-        self.connections = 0
-        self._resets = resets
-
-    async def serve(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        """Answer requests until no answer is left, then close or reset."""
-        self.connections += 1
-        while self.answers:
-            try:
-                await reader.readuntil(b'\r\n\r\n')
-            except asyncio.IncompleteReadError:
-                return
-            writer.write(self.answers.pop(0))
-            await writer.drain()
-        if self._resets:
-            connection = writer.get_extra_info('socket')
-            linger = struct.pack('ii', 1, 0)
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-            writer.transport.abort()
-        else:
-            writer.close()
-
-
-@asynccontextmanager
-async def _listen(target: RawTarget) -> AsyncIterator[str]:
-    host = take_host()
-    server = await asyncio.start_server(target.serve, host, 0)
-    port = server.sockets[0].getsockname()[1]
-    try:
-        yield f'{host}:{port}'
-    finally:
-        server.close()
-
-
 def _run_trial(
     target: RawTarget,
     trial: Callable[[UpstreamPool, str], Awaitable[None]],
 ) -> None:
     async def run() -> None:
-        async with _listen(target) as address:
+        async with serve_raw(target) as address:
             await trial(UpstreamPool(1), address)
 
     run_on_reactor(run())
