--- a/lab/standins/platform_targets.py
+++ b/lab/standins/platform_targets.py
@@ -37,9 +37,7 @@
             status = HTTPStatus.MISDIRECTED_REQUEST
             if self.mode == 'full':
                 status = HTTPStatus.SERVICE_UNAVAILABLE
-            exchange.set_header(_REQUEST_ID_HEADER, request)
-            exchange.set_header(_NOT_RUN_HEADER, '1')
-            exchange.respond(b'', status=status)
+            _refuse(exchange, request, status)
             return
         self.runs[request] += 1
         self.bodies.append(exchange.body)
@@ -148,9 +146,7 @@
         memory = exchange.get_header('kv-from')
         last = int(exchange.get_header('last-event-id') or 0)
         if memory and self._fleet.pop(memory.partition('/')[2], None) is None:
-            exchange.set_header(_REQUEST_ID_HEADER, request)
-            exchange.set_header(_NOT_RUN_HEADER, '1')
-            exchange.respond(b'', status=HTTPStatus.SERVICE_UNAVAILABLE)
+            _refuse(exchange, request, HTTPStatus.SERVICE_UNAVAILABLE)
             return
         self.started.append(request)
         self._set_head(exchange, request)
@@ -197,3 +193,11 @@
     def _is_broken(self, request: str, number: int) -> bool:
         is_cut = 0 < self.breaks_after < number
         return is_cut or request in self._stopped
+
+
+def _refuse(
+    exchange: RelayedExchange, request: str, status: HTTPStatus
+) -> None:
+    exchange.set_header(_REQUEST_ID_HEADER, request)
+    exchange.set_header(_NOT_RUN_HEADER, '1')
+    exchange.respond(b'', status=status)
