Take an empty unframed stream for broken off

A head cut at any byte ends in 502 here already. But an engine that closed right behind the head, before its first event, gave callers a complete stream without events, if the answer had neither a length nor chunks: its end by the connection counted as whole.

Such an answer without any event is now cut. One with events is whole if it ends between two, and an end that a length or chunks mark counts as before, since a run that continues may have nothing left to write.

--- a/chicoryshunt/connection/upstream.py
+++ b/chicoryshunt/connection/upstream.py
@@ -110,6 +110,8 @@
         self._end: BodyEnd | None = None
         self._arrived = asyncio.Event()
         self._is_paused = False
+        # Whether a length or chunks, and not the connection, mark the end.
+        self.is_framed = True
 
     @property
     def is_readable(self) -> bool:
@@ -166,6 +168,7 @@
             # A body without a declared length ends with the connection; it
             # is complete unless the connection was reset.
             self._end = BodyEnd.whole
+            self.is_framed = False
         self._arrived.set()
 
     async def _collect(self, max_bytes: int) -> bytes | BodyEnd:
--- a/chicoryshunt/relay/leg.py
+++ b/chicoryshunt/relay/leg.py
@@ -59,9 +59,11 @@
     def __init__(self, limits: StallLimits) -> None:
         self._limits = limits
         self.deadline = _add_seconds(limits.first)
+        self.has_events = False
 
     def restart(self) -> None:
         """Move the deadline after an event."""
+        self.has_events = True
         self.deadline = _add_seconds(self._limits.later)
 
 
@@ -118,9 +120,7 @@
                 self._break_off(inputs, ExchangeOutcome.silent)
                 return
             if isinstance(piece, BodyEnd):
-                end = _classify_end(piece, reader)
-                self.observer.record_end(end)
-                inputs.put_nowait(LegEnded(self.id, end))
+                self._end(inputs, _classify_end(piece, reader, body, progress))
                 return
             events = reader.feed(piece)
             if isinstance(events, StreamDamage):
@@ -133,6 +133,10 @@
             for number, frame in events:
                 inputs.put_nowait(LegEvent(self.id, number, frame))
 
+    def _end(self, inputs: InputQueue, end: LegEnd) -> None:
+        self.observer.record_end(end)
+        inputs.put_nowait(LegEnded(self.id, end))
+
     def _break_off(self, inputs: InputQueue, outcome: ExchangeOutcome) -> None:
         """End the leg because of its engine, and close the connection."""
         self.observer.record_damage(outcome)
@@ -161,8 +165,15 @@
     return sum(not is_comment(frame) for _, frame in frames)
 
 
-def _classify_end(end: BodyEnd, reader: EventReader) -> LegEnd:
-    if end is BodyEnd.whole and reader.is_between_events:
+def _classify_end(
+    end: BodyEnd, reader: EventReader, body: Body, progress: _Progress
+) -> LegEnd:
+    """Return whether an answer that ended is whole.
+
+    One that only the end of its connection delimits is not if it has no event.
+    """
+    is_begun = body.is_framed or progress.has_events
+    if end is BodyEnd.whole and reader.is_between_events and is_begun:
         return LegEnd.whole
     return LegEnd.cut
 
--- a/tests/test_faulty_answers.py
+++ b/tests/test_faulty_answers.py
@@ -117,6 +117,24 @@
     _run('plain', target, trial)
 
 
+def test_a_stream_cut_in_its_head_does_not_begin() -> None:
+    """Guards against an empty stream that looks complete."""
+    head = _build_head('r0', b'Content-Type: text/event-stream')
+    parts = [head[:size] for size, _ in enumerate(head)]
+    target = RawTarget(*parts, head, closes=True)
+
+    async def trial(platform: SmallPlatform) -> None:
+        platform.leave('e1')
+        await asyncio.sleep(CHANGE_SECONDS)
+        for _ in (*parts, head):
+            received, _ = await platform.ask(
+                '/drafts/1', 'r0', 'POST', **build_generation('a')
+            )
+            assert received.status == 502
+
+    _run('engines', target, trial)
+
+
 @pytest.mark.parametrize('resets', [True, False])
 @pytest.mark.parametrize('size', range(1, len(EVENTS) + 1))
 def test_an_unframed_stream_ends_between_events(
--- a/tests/test_leg.py
+++ b/tests/test_leg.py
@@ -24,6 +24,7 @@
     """Body whose pieces arrive as listed; nothing follows the last one."""
 
     is_readable = False
+    is_framed = True
 
     def __init__(self, steps: Sequence[Step]) -> None:
         """Read these steps in order."""
