Keep the idle timeouts that targets announce

Callers could see 502 for requests that were sent on a connection which its target had already closed.

Cause: twisted.web puts Keep-Alive with the connection's own headers, not with those of the answer in which it was looked up. So the default of 4 s always held, also where a target announces less.

The header is now read from the parser while it has it. Two of the four cases of test_an_announced_idle_timeout_is_kept failed before, with 4 s for 0.7 and 14 s.

--- a/chicoryshunt/connection/upstream.py
+++ b/chicoryshunt/connection/upstream.py
@@ -228,7 +228,11 @@
             )
             self.abort()
             return
+        # The parser is dropped once the answer is complete.
+        parser = self._parser
         super().dataReceived(data)
+        if parser is not None:
+            self._record_idle_timeout(parser.connHeaders)
         self._bound_head(len(data))
 
     async def send(self, outgoing: OutgoingRequest, seconds: float) -> Answer:
@@ -305,16 +309,13 @@
             for name, texts in response.headers.getAllRawHeaders()
             for text in texts
         ]
-        self._record_idle_timeout(headers)
         body = Body(self)
         response.deliverBody(body)
         length = None if response.length is UNKNOWN_LENGTH else response.length
         return Answer(response.code, headers, length, body)
 
-    def _record_idle_timeout(self, headers: RawHeaders) -> None:
-        for name, text in headers:
-            if name.lower() != _KEEP_ALIVE:
-                continue
+    def _record_idle_timeout(self, headers: Headers) -> None:
+        for text in headers.getRawHeaders(_KEEP_ALIVE, ()):
             _, _, number = text.partition(_TIMEOUT_PREFIX)
             digits = number.split(b',')[0].strip()
             if digits.isdigit():
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -141,6 +141,29 @@
     _run_trial(target, trial)
 
 
+@pytest.mark.parametrize(
+    ('line', 'seconds'),
+    [
+        (b'', 4.0),
+        (b'Keep-Alive: timeout=1, max=9\r\n', 0.7),
+        (b'Keep-Alive: timeout=20\r\n', 14.0),
+        (b'Keep-Alive: max=9\r\n', 4.0),
+    ],
+)
+def test_an_announced_idle_timeout_is_kept(line: bytes, seconds: float) -> None:
+    """Guards against requests lost on a connection that its target closes."""
+    answer = b'HTTP/1.1 200 OK\r\n%sContent-Length: 4\r\n\r\nbody' % line
+    target = RawTarget(answer, answer)
+
+    async def trial(pool: UpstreamPool, address: str) -> None:
+        await _call(pool, address)
+        upstream = await pool.acquire(address, 10)
+
+        assert upstream.idle_seconds == pytest.approx(seconds)
+
+    _run_trial(target, trial)
+
+
 def test_bytes_on_an_idle_connection_end_it() -> None:
     """Guards against a late second answer that the next caller would get.
 
