Accuse no prompt for an engine that is away or leaves

Only a refused connection is now taken for a crash, and only of an engine that has not announced that it leaves. A restart also ends when a caller leaves that has not got an event yet: it was counted from the restart.

Both cases of test_an_engine_that_is_away_did_not_crash fail without the change, since they then block after two events.

--- a/chicoryshunt/relay/generations.py
+++ b/chicoryshunt/relay/generations.py
@@ -385,7 +385,7 @@
         Load pattern: an engine that breaks off leaves no room for its runs
         on the others for some time, and all its runs look for it at once.
         """
-        until = stream.find_latest_restart(self._context.clock.now())
+        until = stream.find_latest_restart()
         while self._context.clock.now() < until:
             if stream.has_used_attempts:
                 return LegDenied(leg, 'an engine failed the restarted run')
--- a/chicoryshunt/relay/prompt_guard.py
+++ b/chicoryshunt/relay/prompt_guard.py
@@ -22,8 +22,8 @@
 from chicoryshunt.relay.incoming import GenerationParams, IncomingRequest
 from chicoryshunt.types import RequestId
 
-# A crashed engine accepts no connections; it is tried as often as this, as its
-# port may close after its connections.
+# A crashed engine refuses connections; one that is out of reach is silent.
+# It is tried as often as this, as its port may close after its connections.
 _CHECKS = 2
 _CHECK_PAUSE_SECONDS = 0.05
 # An engine that crashed after it wrote a whole answer is missed by others
@@ -53,8 +53,10 @@
         """Return why a request may not be sent to an engine, if so."""
         if self._crashes[incoming.request] >= _MAX_CRASHES:
             return f'{_MAX_CRASHES} engines crashed at the start of the run'
-        parts = list_part_keys(incoming.params)
-        block = self.crash_exchange.suspects.find_block(parts)
+        suspects = self.crash_exchange.suspects
+        if not suspects.blocks:
+            return None
+        block = suspects.find_block(list_part_keys(incoming.params))
         if block is None or self._may_try(incoming.request, block):
             return None
         return f'parts of the prompt crashed {block.crash_count} engines'
@@ -71,7 +73,8 @@
     ) -> None:
         """Accuse the prompt of a run that broke off at its start.
 
-        It is no crash if the engine still accepts connections.
+        It is no crash if the engine still accepts connections or has
+        announced that it leaves.
         """
         self._spawn(self._report_crash(incoming, target))
 
@@ -116,7 +119,8 @@
             try:
                 upstream = await self.pool.open(target.address)
             except NotSentError as error:
-                self._accuse(incoming, target, broke_at, str(error))
+                if isinstance(error.__cause__, ConnectionRefusedError):
+                    self._accuse(incoming, target, broke_at)
                 return
             upstream.abort()
             await asyncio.sleep(_CHECK_PAUSE_SECONDS)
@@ -126,8 +130,10 @@
         incoming: IncomingRequest,
         target: TargetFact,
         broke_at: float,
-        detail: str,
     ) -> None:
+        fact = self.catalog.find(target.target)
+        if fact is None or fact.phase is not TargetPhase.ready:
+            return
         self._crashes[incoming.request] += 1
         parts = list_part_keys(incoming.params)
         self.metrics.count(
@@ -139,7 +145,6 @@
             request=incoming.request,
             target=target.target,
             parts=','.join(f'{part:x}' for part in parts),
-            detail=detail,
         )
         self.send(self.crash_exchange.report(target.target, parts, broke_at))
 
--- a/chicoryshunt/relay/stream.py
+++ b/chicoryshunt/relay/stream.py
@@ -89,12 +89,13 @@
         self.refusing.add(failed.target)
         self.failed_restarts += isinstance(failed, Delivered)
 
-    def find_latest_restart(self, now: float) -> float:
+    def find_latest_restart(self) -> float:
         """Return until when the caller waits for a run that begins anew."""
         silence = self.route.first_event_timeout
         if silence is None:
             return self.deadline
-        return min(self.deadline, (self.last_forwarded_at or now) + silence)
+        waiting_since = self.last_forwarded_at or self.incoming.received_at
+        return min(self.deadline, waiting_since + silence)
 
     def find_latest_start(self) -> float:
         """Return the latest start of the run for which its caller waits.
--- a/tests/guard_builders.py
+++ b/tests/guard_builders.py
@@ -9,7 +9,7 @@
 from chicoryshunt.fleet.broadcast import Broadcast
 from chicoryshunt.fleet.catalog import Catalog
 from chicoryshunt.fleet.crash_exchange import CrashExchange
-from chicoryshunt.fleet.facts import TargetFact
+from chicoryshunt.fleet.facts import TargetFact, TargetPhase
 from chicoryshunt.membership.membership import Membership
 from chicoryshunt.metrics import Metrics
 from chicoryshunt.nodes.core import Send
@@ -47,6 +47,8 @@
     def __init__(self) -> None:
         """Start without crashes."""
         self.is_reachable = False
+        self.failure: OSError = ConnectionRefusedError()
+        self.phase = TargetPhase.ready
         rng = Random(1)
         now: float = 0
         self._clock = _LoopClock()
@@ -68,7 +70,7 @@
         """Return a connection, as the pool of the guard."""
         if self.is_reachable:
             return _Upstream()
-        raise NotSentError(address)
+        raise NotSentError(address) from self.failure
 
     def apply(self, fact: TargetFact) -> None:
         """Add a fact to the catalog."""
@@ -92,7 +94,9 @@
 
     async def break_off(self, request: str, target: str, *parts: str) -> None:
         """Break a run off at its start, and wait for the checks."""
-        self.guard.report_break(self.build(request, *parts), build_fact(target))
+        fact = build_fact(target, phase=self.phase)
+        self.apply(fact)
+        self.guard.report_break(self.build(request, *parts), fact)
         await asyncio.sleep(_CHECK_SECONDS)
 
     def is_refused(self, request: str, *parts: str, model: str = 'm') -> bool:
--- a/tests/test_prompt_guard.py
+++ b/tests/test_prompt_guard.py
@@ -51,6 +51,28 @@
     _run(trial)
 
 
+@pytest.mark.parametrize(
+    ('failure', 'phase'),
+    [
+        (TimeoutError(), TargetPhase.ready),
+        (ConnectionRefusedError(), TargetPhase.leaving),
+    ],
+)
+def test_an_engine_that_is_away_did_not_crash(
+    failure: OSError, phase: TargetPhase
+) -> None:
+    """Guards against prompts that are blocked for a cut or planned work."""
+
+    async def trial(guard: GuardTrial) -> None:
+        guard.failure = failure
+        guard.phase = phase
+        await _crash_twice(guard, 'first', 'bad')
+
+        assert not guard.is_refused('r8', 'first', 'bad', 'o8')
+
+    _run(trial)
+
+
 def test_one_request_crashes_no_fourth_engine() -> None:
     """Guards against a restarted run that crashes engine after engine."""
 
