--- a/chicoryshunt/dispatch/crash_suspects.py
+++ b/chicoryshunt/dispatch/crash_suspects.py
@@ -47,7 +47,7 @@
     """Parts of which a request may not hold all, until a time.
 
     Parts that were at the same crashes cannot be told apart. A request that
-    lacks one of them may run, which clears the others or accuses them.
+    lacks one of them may run, which clears its parts or adds a crash to them.
     """
 
     parts: frozenset[PartKey]
@@ -78,9 +78,9 @@
         return [part for part in parts if part in self._cleared]
 
     def list_suspects(self, parts: Iterable[PartKey]) -> list[PartKey]:
-        """Return the parts that a crash accuses, at most so many."""
-        accused = [part for part in parts if part not in self._cleared]
-        return accused[:_MAX_SUSPECTS]
+        """Return the parts that are not cleared, up to a maximum number."""
+        suspected = [part for part in parts if part not in self._cleared]
+        return suspected[:_MAX_SUSPECTS]
 
     def has_crashed(self, target: TargetId, since: float) -> bool:
         """Return whether a crash of an engine was reported."""
@@ -173,26 +173,28 @@
 def _explain(crashes: Iterable[Crash]) -> Iterator[Block]:
     """Yield the fewest parts that explain the crashes, by a greedy cover.
 
-    A crash that is explained accuses no other part: sound runs had begun on
-    that engine as well.
+    A crash that is explained says nothing about other parts: sound runs had
+    begun on that engine as well.
     """
     unexplained = set(crashes)
     while unexplained:
-        accused = _list_accused(unexplained)
+        suspected = _group_by_part(unexplained)
         # The key decides between equals, alike on all nodes.
-        count, worst = max((_count(accused[one]), one) for one in accused)
-        explained = accused[worst]
+        count, likeliest = max(
+            (_count(suspected[one]), one) for one in suspected
+        )
+        explained = suspected[likeliest]
         if count < _MIN_CRASHES:
             return
         yield Block(
-            frozenset(one for one in accused if accused[one] == explained),
+            frozenset(one for one in suspected if suspected[one] == explained),
             count,
             max(crash.at for crash in explained) + _get_block_seconds(count),
         )
         unexplained -= explained
 
 
-def _list_accused(
+def _group_by_part(
     crashes: Collection[Crash],
 ) -> dict[PartKey, frozenset[Crash]]:
     """Return the crashes of which each part is suspected."""
--- a/chicoryshunt/fleet/crash_exchange.py
+++ b/chicoryshunt/fleet/crash_exchange.py
@@ -54,11 +54,11 @@
         self, target: TargetId, parts: Collection[PartKey], now: float
     ) -> Iterator[Send]:
         """Add a crash that this node saw; return the messages to send."""
-        accused = self.suspects.list_suspects(parts)
-        if not self.suspects.add_crash(target, accused, now):
+        suspected = self.suspects.list_suspects(parts)
+        if not self.suspects.add_crash(target, suspected, now):
             return iter(())
         self._log_blocks()
-        note = CrashNote(target, 0, tuple(accused))
+        note = CrashNote(target, 0, tuple(suspected))
         return self._broadcast.send_to_all(CrashNews((note,)))
 
     def clear(self, parts: Collection[PartKey]) -> Iterator[Send]:
--- a/chicoryshunt/relay/generations.py
+++ b/chicoryshunt/relay/generations.py
@@ -389,11 +389,9 @@
         while self._context.clock.now() < until:
             if stream.has_used_attempts:
                 return LegDenied(leg, 'an engine failed the restarted run')
-            objection = self._context.prompt_guard.find_objection(
-                stream.incoming
-            )
-            if objection is not None:
-                return LegDenied(leg, objection)
+            refusal = self._context.prompt_guard.find_refusal(stream.incoming)
+            if refusal is not None:
+                return LegDenied(leg, refusal)
             target = self._placer.find_other_engine(stream)
             if target is not None and self._placer.spend_retry(stream):
                 return target
--- a/chicoryshunt/relay/placing.py
+++ b/chicoryshunt/relay/placing.py
@@ -199,9 +199,9 @@
         tried: Iterable[TargetId],
         waiter: WaitingRequest,
     ) -> TargetFact | Verdict | None:
-        objection = self._context.prompt_guard.find_objection(stream.incoming)
-        if objection is not None:
-            return refuse(Reason.crashing_prompt, objection)
+        refusal = self._context.prompt_guard.find_refusal(stream.incoming)
+        if refusal is not None:
+            return refuse(Reason.crashing_prompt, refusal)
         facts = self._context.list_candidates(stream.service, tried)
         choice = self._choose(stream, facts)
         now = self._context.clock.now()
--- a/chicoryshunt/relay/prompt_guard.py
+++ b/chicoryshunt/relay/prompt_guard.py
@@ -49,7 +49,7 @@
     _trials: dict[frozenset[PartKey], RequestId] = field(default_factory=dict)
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
-    def find_objection(self, incoming: IncomingRequest) -> str | None:
+    def find_refusal(self, incoming: IncomingRequest) -> str | None:
         """Return why a request may not be sent to an engine, if so."""
         if self._crashes[incoming.request] >= _MAX_CRASHES:
             return f'{_MAX_CRASHES} engines crashed at the start of the run'
@@ -71,7 +71,7 @@
     def report_break(
         self, incoming: IncomingRequest, target: TargetFact
     ) -> None:
-        """Accuse the prompt of a run that broke off at its start.
+        """Suspect the prompt of a run that broke off at its start.
 
         It is no crash if the engine still accepts connections or has
         announced that it leaves.
@@ -120,12 +120,12 @@
                 upstream = await self.pool.open(target.address)
             except NotSentError as error:
                 if isinstance(error.__cause__, ConnectionRefusedError):
-                    self._accuse(incoming, target, broke_at)
+                    self._record_crash(incoming, target, broke_at)
                 return
             upstream.abort()
             await asyncio.sleep(_CHECK_PAUSE_SECONDS)
 
-    def _accuse(
+    def _record_crash(
         self,
         incoming: IncomingRequest,
         target: TargetFact,
--- a/tests/guard_builders.py
+++ b/tests/guard_builders.py
@@ -102,4 +102,4 @@
     def is_refused(self, request: str, *parts: str, model: str = 'm') -> bool:
         """Return whether a request may not be sent to an engine."""
         incoming = self.build(request, *parts, model=model)
-        return self.guard.find_objection(incoming) is not None
+        return self.guard.find_refusal(incoming) is not None
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -64,7 +64,7 @@
     assert suspects.find_block((FIRST,)) is None
 
 
-def test_engines_that_crash_together_accuse_once() -> None:
+def test_engines_that_crash_together_count_once() -> None:
     """Guards against a data centre without power that blocks a prompt."""
     suspects = _build(
         *((f'e{number}', number / 50, (FIRST,)) for number in range(9))
@@ -89,7 +89,7 @@
     assert len(suspects.list_crashes()) == 1
 
 
-def test_an_explained_crash_accuses_no_other_part() -> None:
+def test_an_explained_crash_suspects_nothing_else() -> None:
     """Guards against parts that happened to begin on a crashing engine."""
     suspects = _build(
         ('e1', 0, (BAD, OTHER)),
--- a/tests/test_prompt_guard.py
+++ b/tests/test_prompt_guard.py
@@ -1,4 +1,4 @@
-"""Tests of which prompts are accused, cleared and tried, in virtual time."""
+"""Tests of which prompts are suspected, cleared and tried, in virtual time."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
