Ignore stop signals once a node has stopped

The soak's second SIGTERM came while the interpreter shut down, which restores the default action of signals. An operator would take it for a crash.

The product's own process already ignored signals at that point; the process on the platform did not. Both now share chicoryshunt/signals.py.

--- a/chicoryshunt/platform/__main__.py
+++ b/chicoryshunt/platform/__main__.py
@@ -6,6 +6,7 @@
 from chicoryshunt.events import configure_logging
 from chicoryshunt.exceptions import ChicoryshuntError
 from chicoryshunt.log_stream import LogStream
+from chicoryshunt.signals import ignore_stop_signals
 
 
 def main() -> int:
@@ -20,6 +21,8 @@
     except ChicoryshuntError as error:
         print(f'chicoryshunt: {error}', file=sys.stderr)
         return 1
+    finally:
+        ignore_stop_signals()
     return 0
 
 
--- a/chicoryshunt/process/node.py
+++ b/chicoryshunt/process/node.py
@@ -1,7 +1,6 @@
 """The daemon: opens the ports and runs until it is shut down."""
 
 import asyncio
-import signal
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from functools import partial
@@ -27,10 +26,10 @@
 from chicoryshunt.serving.callers import CallerApi
 from chicoryshunt.serving.state import NodeState
 from chicoryshunt.settings import Settings
+from chicoryshunt.signals import STOP_SIGNALS, ignore_stop_signals
 from chicoryshunt.types import VmId, VmState
 
 _GRACE_SECONDS = 1.0
-_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 def run_node(settings: Settings) -> None:
@@ -44,7 +43,7 @@
 
     def stop(running: 'asyncio.Task[None]') -> None:
         failures.append(running.exception())
-        ignore_signals()
+        ignore_stop_signals()
         reactor.stop()
 
     def start() -> None:
@@ -115,16 +114,10 @@
 def start_shutdown_on_signal(shutdown: GracefulShutdown) -> None:
     """Start the graceful shutdown on SIGTERM or SIGINT."""
     loop = asyncio.get_running_loop()
-    for stop_signal in _STOP_SIGNALS:
+    for stop_signal in STOP_SIGNALS:
         loop.add_signal_handler(stop_signal, shutdown.start, stop_signal.name)
 
 
-def ignore_signals() -> None:
-    """Ignore further signals, so that they don't change the exit status."""
-    for stop_signal in _STOP_SIGNALS:
-        signal.signal(stop_signal, signal.SIG_IGN)
-
-
 def _shut_down_when_leaving(
     own_vm: VmId,
     shutdown: GracefulShutdown,
