--- a/lab/soak/regressions.py
+++ b/lab/soak/regressions.py
@@ -24,6 +24,10 @@
     'the soak judged a process by the log or the end of the one that another '
     'fault had started after it; no fault of the nodes'
 )
+_SIGNAL_AT_EXIT = (
+    'a second SIGTERM met a process that had stopped and was about to exit: it '
+    'ended with -15 instead of 0'
+)
 
 REGRESSIONS = (
     Regression(2, _WRONG_PROCESS),
@@ -35,4 +39,5 @@
     Regression(27, _JUST_ACCEPTED),
     Regression(33, _JUST_ACCEPTED),
     Regression(35, _RELEASE_AS_RUN),
+    Regression(1105, _SIGNAL_AT_EXIT),
 )
