Publish the targets of a test before its node starts

The test changed the entry of the first target and waited 0.3 s, within which a busy node had not read it, so the request went to the sound stand-in at the old address.

Replaced and leaving targets are now published before the node starts, in test_restarts.py as well, and nothing waits. The checks are the same; the case of a repeated refusal without an id still fails on the earlier code.

--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import os
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
 from typing import Any
@@ -102,11 +102,14 @@
     store_down_seconds: float = 0,
     config: dict[str, Any] | None = None,
     later_config: dict[str, Any] | None = None,
+    replaced: Mapping[str, str] | None = None,
+    leaving: str = '',
 ) -> AsyncIterator[SmallPlatform]:
     """Run one node until the block ends; it is ready at the start.
 
     The store is down for the first ``store_down_seconds``. Stale reads of it
-    do not have the ``later_config``.
+    do not have the ``later_config``. Targets that are ``replaced`` have
+    another address; the one named ``leaving`` takes no requests.
     """
     fleet: dict[str, int] = {}
     services = [StandInService(f'p{one}') for one in range(2)]
@@ -122,7 +125,8 @@
             await engine.server.start()
             stack.callback(engine.server.close)
             addresses[engine.name] = engine.server.address
-        _publish(store, addresses, config or build_patient_config())
+        addresses.update(replaced or {})
+        _publish(store, addresses, config or build_patient_config(), leaving)
         if later_config is not None:
             store.keep_snapshot()
             store.put('op/config', later_config)
@@ -178,12 +182,16 @@
 
 
 def _publish(
-    store: StandInStore, addresses: dict[str, str], config: dict[str, Any]
+    store: StandInStore,
+    addresses: dict[str, str],
+    config: dict[str, Any],
+    leaving: str,
 ) -> None:
     store.put('op/config', config)
     for name, address in addresses.items():
         kind = 'engines' if name.startswith('e') else 'plain'
-        store.put(f'servers/{name}', build_entry(kind, address))
+        state = 'draining' if name == leaving else 'ready'
+        store.put(f'servers/{name}', build_entry(kind, address, state))
 
 
 async def _wait_ready(
--- a/tests/test_faulty_answers.py
+++ b/tests/test_faulty_answers.py
@@ -1,13 +1,10 @@
 """Tests of answers that targets repeat, cut off or leave without a length."""
 
-import asyncio
 from collections.abc import Awaitable, Callable
-from contextlib import AsyncExitStack
 
 import pytest
 
 from chicoryshunt.connection.upstream import BodyEnd
-from lab.standins.platform_files import build_entry
 from tests.platform_builders import (
     SmallPlatform,
     build_generation,
@@ -17,8 +14,6 @@
 from tests.raw_targets import RawTarget, serve_raw
 from tests.reactor import run_on_reactor
 
-# The node learns of a changed entry within this time.
-CHANGE_SECONDS = 0.3
 EVENTS = b'id: 1\ndata: a\n\nid: 2\ndata: b\n\n'
 REFUSAL = b'HTTP/1.1 503 Full\r\nX-Chicoryshunt-Not-Executed: 1\r\n%s%s\r\n'
 EMPTY = b'Content-Length: 0\r\n'
@@ -42,23 +37,18 @@
 
 
 def _run(
-    kind: str,
+    name: str,
     target: RawTarget,
     trial: Callable[[SmallPlatform], Awaitable[None]],
+    leaving: str = '',
 ) -> None:
-    """Run a node whose first target of a kind is ``target``.
-
-    The other target of the kind is idle.
-    """
+    """Run a node for which ``target`` is the target of that name."""
 
     async def run() -> None:
-        async with AsyncExitStack() as stack:
-            platform = await stack.enter_async_context(run_platform())
-            address = await stack.enter_async_context(serve_raw(target))
-            entry = build_entry(kind, address)
-            name = 'e' if kind == 'engines' else 'p'
-            platform.store.put(f'servers/{name}0', entry)
-            await asyncio.sleep(CHANGE_SECONDS)
+        async with (
+            serve_raw(target) as address,
+            run_platform(replaced={name: address}, leaving=leaving) as platform,
+        ):
             await trial(platform)
 
     run_on_reactor(run())
@@ -82,7 +72,7 @@
         assert len(target.requests) == 2
         assert not platform.services[1].runs
 
-    _run('plain', target, trial)
+    _run('p0', target, trial)
 
 
 def test_a_refusal_of_the_request_is_believed() -> None:
@@ -94,7 +84,7 @@
         assert answer.status == 200
         assert platform.services[1].runs == {'r1': 1}
 
-    _run('plain', target, trial)
+    _run('p0', target, trial)
 
 
 def test_part_of_an_answer_is_never_whole() -> None:
@@ -108,13 +98,11 @@
     target = RawTarget(*parts, closes=True)
 
     async def trial(platform: SmallPlatform) -> None:
-        platform.leave('p1')
-        await asyncio.sleep(CHANGE_SECONDS)
         for _ in parts:
             received, _ = await platform.ask('/filings/1', 'r0', 'POST')
             assert received.status == 502
 
-    _run('plain', target, trial)
+    _run('p0', target, trial, leaving='p1')
 
 
 def test_a_stream_cut_in_its_head_does_not_begin() -> None:
@@ -124,15 +112,13 @@
     target = RawTarget(*parts, head, closes=True)
 
     async def trial(platform: SmallPlatform) -> None:
-        platform.leave('e1')
-        await asyncio.sleep(CHANGE_SECONDS)
         for _ in (*parts, head):
             received, _ = await platform.ask(
                 '/drafts/1', 'r0', 'POST', **build_generation('a')
             )
             assert received.status == 502
 
-    _run('engines', target, trial)
+    _run('e0', target, trial, leaving='e1')
 
 
 def _check_cut(status: int, received: bytes, end: BodyEnd) -> None:
@@ -155,8 +141,6 @@
     )
 
     async def trial(platform: SmallPlatform) -> None:
-        platform.leave('e1')
-        await asyncio.sleep(CHANGE_SECONDS)
         for part in parts:
             answer = await platform.open(
                 '/drafts/1', 'r0', 'POST', **build_generation('a')
@@ -169,4 +153,4 @@
                 _check_cut(answer.status, received, end)
                 assert answer.status == 502 or part.startswith(received)
 
-    _run('engines', target, trial)
+    _run('e0', target, trial, leaving='e1')
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -34,7 +34,9 @@
 
 def _run(trial: Callable[[SmallPlatform], Awaitable[None]]) -> None:
     async def run() -> None:
-        async with run_platform(config=_build_config()) as platform:
+        async with run_platform(
+            config=_build_config(), leaving='e1'
+        ) as platform:
             await trial(platform)
 
     run_on_reactor(run())
@@ -42,8 +44,6 @@
 
 async def _begin(platform: SmallPlatform) -> asyncio.Task[Any]:
     """Begin a stream on e0, which is the only engine; e1 is leaving."""
-    platform.leave('e1')
-    await asyncio.sleep(0.3)
     answer = await platform.open(
         '/drafts/1', 'r1', 'POST', **build_generation('first', 'last')
     )
