--- a/review/1/case.py
+++ b/review/1/case.py
@@ -5,7 +5,7 @@
 
 from standins.http import ask, build_chunk, build_head
 from standins.runners import Engine, Runner
-from standins.world import build_config, build_headers, run_case
+from standins.world import ZONES, build_config, build_headers, run_case
 
 _SECONDS = 40
 _CALLS_PER_SECOND = 5
@@ -19,7 +19,8 @@
 # The rule counts so many requests, and more than this share.
 _LATE = 8
 _LATE_SHARE = 0.25
-# One runner of three does so with each third of its requests.
+# As many engines as at the site; one does so with each third request.
+_ENGINES = 6
 _ENDLESS = 3
 _FILLER = b': ping\n\n' * 8192
 
@@ -64,10 +65,11 @@
     endless = EndlessEngine('i-engine-0', 'luzon-a', world.record)
     endless.is_endless = trouble
     runners = [endless]
-    for number, zone in enumerate(('luzon-a', 'luzon-b', 'luzon-c')):
+    for number in range(1, _ENGINES):
+        zone = ZONES[number % len(ZONES)]
+        runners.append(Engine(f'i-engine-{number}', zone, world.record))
+    for number, zone in enumerate(ZONES):
         runners.append(Runner(f'i-runner-{number}', zone, world.record))
-        if number:
-            runners.append(Engine(f'i-engine-{number}', zone, world.record))
     for runner in runners:
         runner.address = await world.serve(runner.serve)
         world.publish(runner)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -5,9 +5,15 @@
 
 from standins.http import ask, build_chunk, build_head, reset
 from standins.runners import Engine
-from standins.world import build_config, build_headers, run_case
+from standins.world import ZONES, build_config, build_headers, run_case
 
 _ROUNDS = 3
+# One of so many nodes is killed in each round.
+_NODES = 6
+_ENGINES = 6
+# Other generations, so that 3 answers of more than 150 are broken off.
+_OTHERS_PER_SECOND = 5
+_PAUSE_SECONDS = 7
 _EVENTS_BEFORE_KILL = 12
 _DEADLINE_MS = 6000
 
@@ -45,18 +51,44 @@
 
 async def play(world, trouble):
     """Return what was broken."""
-    for number, zone in enumerate(('luzon-a', 'luzon-b', 'luzon-c')):
+    for number in range(_ENGINES):
+        zone = ZONES[number % len(ZONES)]
         runner = BreakingEngine(f'i-engine-{number}', zone, world.record)
         runner.address = await world.serve(runner.serve)
         world.publish(runner)
-    await world.start(3, build_config())
+    await world.start(_NODES, build_config())
+    others = asyncio.ensure_future(_load(world))
     broken = []
     for number in range(_ROUNDS):
-        first, second = world.nodes[number % 2], world.nodes[2]
+        await asyncio.sleep(_PAUSE_SECONDS)
+        first, second = world.nodes[number], world.nodes[_ROUNDS + number]
         broken += await _play_round(world, number, first, second, trouble)
+    await asyncio.sleep(_PAUSE_SECONDS)
+    others.cancel()
     return broken
 
 
+async def _load(world):
+    """Send other generations to all nodes in turn."""
+    sending = set()
+    number = 0
+    while True:
+        await asyncio.sleep(1 / _OTHERS_PER_SECOND)
+        number += 1
+        node = world.nodes[number % len(world.nodes)]
+        name = f'{number:08x}dd'
+        task = asyncio.ensure_future(_try_send(world, node, name))
+        sending.add(task)
+        task.add_done_callback(sending.discard)
+
+
+async def _try_send(world, node, name):
+    try:
+        await _send(world, node, name, None, [], lambda _: None)
+    except TimeoutError:
+        world.record.write(f'{name} has no whole answer at its deadline')
+
+
 async def _play_round(world, number, first, second, trouble):
     """Kill the first node in the middle of a stream; resume at the second."""
     seen = []
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -22,7 +22,6 @@
         self._items = {}
         self._history = []
         self._changed = asyncio.Event()
-        self._watching = set()
 
     def put(self, key, message):
         """Write an item, encoded as JSON."""
@@ -44,11 +43,6 @@
         self._items.pop(key, None)
         self._record({'key': key, 'revision': self.revision, 'deleted': True})
 
-    def cut_watches(self):
-        """Cut the channels of all watches that wait."""
-        for writer in tuple(self._watching):
-            reset(writer)
-
     async def serve(self, reader, writer):
         """Serve one channel."""
         try:
@@ -63,10 +57,7 @@
                     reset(writer)
                     return
                 self.calls += 1
-                if request.path == '/chicoryshunt/kv-watch':
-                    self._watching.add(writer)
                 status, message = await self._answer(request)
-                self._watching.discard(writer)
                 body = json.dumps(message).encode()
                 writer.write(
                     build_answer(
@@ -76,7 +67,6 @@
         except ConnectionError:
             return
         finally:
-            self._watching.discard(writer)
             writer.close()
 
     async def _answer(self, request):
