Record what plain runners run, and which nodes were killed

Read as a user: record.txt named no runs of the plain runners, and called a node that the case had killed one that ended by itself.

--- a/review/standins/runners.py
+++ b/review/standins/runners.py
@@ -76,6 +76,7 @@
 
     async def run(self, request, name, writer):
         """Run one request."""
+        self.record.write(f'{self.id} runs {name}')
         await asyncio.sleep(self.work_seconds)
         body = f'{request.method} {request.target}'.encode()
         writer.write(build_answer(200, body, self.get_echo(request)))
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -45,7 +45,6 @@
         self.name = name
         self.host = host
         self.zone = zone
-        self.ports = {}
         self.own_ends = 0
         self.starts = 0
         self.process = None
@@ -86,11 +85,15 @@
             status = self.process.poll()
             if status is None:
                 continue
-            self.own_ends += 1
-            last = self._read_last_line()
-            self._record.write(
-                f'{self.name} ended by itself with status {status}: {last}'
-            )
+            if status == -signal.SIGKILL:
+                # Only the case itself kills nodes.
+                self._record.write(f'{self.name} ended, as it was killed')
+            else:
+                self.own_ends += 1
+                last = self._read_last_line()
+                self._record.write(
+                    f'{self.name} ended by itself with status {status}: {last}'
+                )
             await asyncio.sleep(_RESTART_SECONDS)
             if self._is_wanted:
                 self.start()
