Let a resumed stream go on after a break before its first event

Cause: StreamState started without a last event, whatever the request said. Only the first leg took the number from the request; the leg that follows a break or a move takes it from the state.

The state now starts from the number of the request. It works because all later legs and the filter of repeated events use that one field.

test_a_resumed_stream_repeats_no_event failed before: it got the events from 1 instead of from 13.

--- a/chicoryshunt/relay/generations.py
+++ b/chicoryshunt/relay/generations.py
@@ -225,6 +225,7 @@
             stream.state = StreamState(
                 build_engine_address(target),
                 is_resumable=stream.route.is_resumable,
+                last_event=stream.incoming.last_event,
             )
         return opened
 
--- a/chicoryshunt/relay/stream_state.py
+++ b/chicoryshunt/relay/stream_state.py
@@ -71,11 +71,21 @@
 class StreamState:
     """Tracks one stream; each input returns the actions to take."""
 
-    def __init__(self, engine: EngineAddress, *, is_resumable: bool) -> None:
-        """Start with the first leg open on an engine."""
+    def __init__(
+        self,
+        engine: EngineAddress,
+        *,
+        is_resumable: bool,
+        last_event: int | None = None,
+    ) -> None:
+        """Start with the first leg open on an engine.
+
+        ``last_event`` is the number of the last event that the caller has, if
+        it resumes a stream.
+        """
         self.phase = Phase.flowing
         self.engine = engine
-        self.last_event: int | None = None
+        self.last_event = last_event
         self.leg_count = 1
         self._current_leg = LegId(0)
         self._is_resumable = is_resumable
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -42,11 +42,10 @@
     run_on_reactor(run())
 
 
-async def _begin(platform: SmallPlatform) -> asyncio.Task[Any]:
+async def _begin(platform: SmallPlatform, **headers: str) -> asyncio.Task[Any]:
     """Begin a stream on e0, which is the only engine; e1 is leaving."""
-    answer = await platform.open(
-        '/drafts/1', 'r1', 'POST', **build_generation('first', 'last')
-    )
+    headers |= build_generation('first', 'last')
+    answer = await platform.open('/drafts/1', 'r1', 'POST', **headers)
     assert answer.status == 200
     return asyncio.ensure_future(read_until_end(answer))
 
@@ -74,6 +73,28 @@
     _run(trial)
 
 
+def test_a_resumed_stream_repeats_no_event() -> None:
+    """Guards against events that the caller had before it resumed.
+
+    The engine breaks off within the first event that the caller has not.
+    """
+    resumed_after = 12
+
+    async def trial(platform: SmallPlatform) -> None:
+        platform.engines[0].breaks_off = True
+        beginning = asyncio.ensure_future(
+            _begin(platform, Last_Event_Id=str(resumed_after))
+        )
+        await asyncio.sleep(0.3)
+        _return(platform)
+
+        reading = await beginning
+        missing = WHOLE[WHOLE.index(b'id: %d' % (resumed_after + 1)) :]
+        assert await reading == (missing, BodyEnd.whole)
+
+    _run(trial)
+
+
 def test_the_error_of_a_restart_is_not_streamed() -> None:
     """Guards against the text of an error in the middle of a stream."""
 
--- a/tests/test_stream_state.py
+++ b/tests/test_stream_state.py
@@ -211,6 +211,15 @@
     assert actions[-1] == OpenLeg(LegId(1), None, None, 4)
 
 
+def test_a_resumed_stream_does_not_begin_anew() -> None:
+    """Guards against events that a caller who resumes already has."""
+    state = StreamState(SOURCE, is_resumable=True, last_event=12)
+
+    actions = _process(state, LegEnded(LegId(0), LegEnd.cut))
+
+    assert actions[-1] == OpenLeg(LegId(1), None, None, 12)
+
+
 def test_a_denied_run_is_not_sent_again() -> None:
     state = StreamState(SOURCE, is_resumable=True)
     _process(state, _event(4), LegEnded(LegId(0), LegEnd.cut))
@@ -270,12 +279,18 @@
     run was stopped, and only a resumable run restarts.
     """
 
-    @initialize(is_resumable=st.booleans())
-    def begin(self, is_resumable: bool) -> None:
-        self.state = StreamState(SOURCE, is_resumable=is_resumable)
+    @initialize(
+        is_resumable=st.booleans(),
+        last_event=st.sampled_from((None, 12)),
+    )
+    def begin(self, is_resumable: bool, last_event: int | None) -> None:
+        self.state = StreamState(
+            SOURCE, is_resumable=is_resumable, last_event=last_event
+        )
         self.is_resumable = is_resumable
         self.current = LegId(0)
-        self.next_number = 1
+        self.first_number = (last_event or 0) + 1
+        self.next_number = self.first_number
         self.running = True
         self.forwarded: list[int] = []
         self.opening: OpenLeg | None = None
@@ -386,8 +401,9 @@
     @invariant()
     def every_event_comes_once_in_order(self) -> None:
         if hasattr(self, 'state'):
-            count = len(self.forwarded)
-            assert self.forwarded == list(range(1, count + 1))
+            first = self.first_number
+            numbers = range(first, first + len(self.forwarded))
+            assert self.forwarded == list(numbers)
 
     @invariant()
     def an_end_is_final(self) -> None:
