Keep nodes alive when an entry holds a number out of range

Cause: the entry was accepted, and the fact made of it could not be encoded for the other nodes: MessagePack has integers of at most 64 bits. The traceback ends in Mesh._send; the error left the reader of the store, whose end is the end of the process.

Entries with a negative number, or one of more than 63 bits, are now unreadable and so name no target. Besides, the mesh contains the error of one message, as it does on the receiving side.

Nine new cases failed before: eight of test_an_odd_number_names_no_target, and test_a_message_that_fails_is_one_lost with the OverflowError of the case. It works because no fact can hold a number that messages cannot, and another message that fails costs only itself.

--- a/chicoryshunt/nodes/mesh.py
+++ b/chicoryshunt/nodes/mesh.py
@@ -43,9 +43,17 @@
         self._decoder = msgspec.msgpack.Decoder(_build_union(self._cores))
 
     def send_all(self, sends: Iterable[Send]) -> None:
-        """Send messages; drop those whose receiver has no known address."""
+        """Send messages; drop those whose receiver has no known address.
+
+        A message that cannot be encoded is logged and does not stop others.
+        """
         for send in sends:
-            self._send(send.receiver, send.message)
+            with contain_failure(
+                'datagram_not_sent',
+                kind=type(send.message).__name__,
+                receiver=send.receiver,
+            ):
+                self._send(send.receiver, send.message)
 
     def datagramReceived(self, datagram: bytes, addr: object) -> None:
         """Verify, decode and dispatch one datagram; send the replies."""
--- a/chicoryshunt/platform/items.py
+++ b/chicoryshunt/platform/items.py
@@ -4,6 +4,7 @@
 import binascii
 from enum import Enum
 from types import MappingProxyType
+from typing import Annotated
 
 import msgspec
 
@@ -82,6 +83,12 @@
     streaming = 'streaming'
 
 
+# Other writers may put any number into a field. Messages between nodes hold
+# integers of at most 64 bits.
+_MAX_COUNT = 0x7FFFFFFFFFFFFFFF
+_Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_COUNT)]
+
+
 class _Server(msgspec.Struct):
     """Entry that a target writes about itself.
 
@@ -92,9 +99,9 @@
     address: str
     zone: str
     state: str
-    slots: int = 0
+    slots: _Count = 0
     cold_remaining_ms: float = 0
-    born: int = 0
+    born: _Count = 0
 
 
 class _Split(msgspec.Struct):
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -1,7 +1,9 @@
 """Helpers that run a node with a store, services and engines."""
 
 import asyncio
+import base64
 import itertools
+import json
 import os
 from collections.abc import AsyncIterator, Mapping
 from contextlib import AsyncExitStack, asynccontextmanager
@@ -14,6 +16,7 @@
     OutgoingRequest,
     UpstreamPool,
 )
+from chicoryshunt.platform import items
 from chicoryshunt.platform.node import Node
 from chicoryshunt.platform.settings import parse_settings
 from lab.standins.platform_files import (
@@ -161,6 +164,16 @@
     return config
 
 
+def build_item(key: str, entry: Any) -> items.Item:
+    """Return an item of the store that holds an entry as JSON."""
+    content = entry if isinstance(entry, bytes) else json.dumps(entry).encode()
+    return items.Item(
+        key=key,
+        value=base64.b64encode(content).decode(),
+        revision=7,
+    )
+
+
 def build_generation(*parts: str) -> dict[str, str]:
     """Return the headers of a generation with these parts of its prompt."""
     return {
--- a/tests/test_contained_failures.py
+++ b/tests/test_contained_failures.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 from collections.abc import Awaitable, Callable, Iterator
-from typing import Any
+from typing import Any, cast
 
 import msgspec
 import pytest
@@ -20,6 +20,7 @@
 from chicoryshunt.platform.callers import PlatformCallerCodec
 from chicoryshunt.relay.engine_poller import EnginePoller
 from chicoryshunt.types import VmId
+from lab.models.network import build_vm
 from tests.builders import build_seal
 from tests.platform_builders import SmallPlatform, run_platform
 from tests.reactor import run_on_reactor
@@ -66,9 +67,23 @@
         """Do nothing."""
 
 
+class FakeTransport:
+    """Records the datagrams that were sent."""
+
+    def __init__(self) -> None:
+        """Start without datagrams."""
+        self.sent: list[bytes] = []
+
+    def write(self, datagram: bytes, address: object) -> None:
+        """Record a datagram."""
+        self.sent.append(datagram)
+
+
 def _build_mesh(core: FailingCore) -> Mesh:
     detector = PauseDetector(ManualClock())
-    return Mesh(build_seal(OWN), Links(), detector, Metrics(), [core])
+    links = Links()
+    links.update_addresses([build_vm(PEER)])
+    return Mesh(build_seal(OWN), links, detector, Metrics(), [core])
 
 
 def test_a_datagram_that_fails_is_one_lost() -> None:
@@ -83,6 +98,16 @@
     assert core.received == [1, 3]
 
 
+def test_a_message_that_fails_is_one_lost() -> None:
+    """Guards against an odd number that ends all nodes as they send it."""
+    mesh, transport = _build_mesh(FailingCore()), FakeTransport()
+    cast(Any, mesh).transport = transport
+
+    mesh.send_all(Send(PEER, Note(number)) for number in (1, 2**70, 3))
+
+    assert len(transport.sent) == 2
+
+
 def test_a_tick_that_fails_ends_no_other() -> None:
     core, other = FailingCore(), FailingCore()
 
--- /dev/null
+++ b/tests/test_odd_entries.py
@@ -0,0 +1,33 @@
+"""Tests that odd entries among those of targets harm no node."""
+
+from typing import Any
+
+import msgspec
+import pytest
+
+from chicoryshunt.fleet.facts import TargetFact
+from chicoryshunt.platform import items
+from lab.standins.platform_files import build_entry
+from tests.platform_builders import build_item
+
+UUID_NUMBER = 0xF47AC10B58CC4372A5670E02B2C3D479
+
+
+def _decode(**changes: Any) -> TargetFact | items.Unreadable:
+    entry = build_entry('plain', '10.0.0.1:80') | changes
+    return items.decode_target(build_item('servers/odd', entry))
+
+
+@pytest.mark.parametrize('field', ['slots', 'born'])
+@pytest.mark.parametrize('number', [UUID_NUMBER, 2**63, -1, -(2**70)])
+def test_an_odd_number_names_no_target(field: str, number: int) -> None:
+    """Guards against nodes that end as they send on what they have read."""
+    assert isinstance(_decode(**{field: number}), items.Unreadable)
+
+
+def test_the_largest_number_is_sent_on() -> None:
+    fact = _decode(slots=2**63 - 1, born=2**63 - 1)
+
+    assert isinstance(fact, TargetFact)
+    encoded = msgspec.msgpack.encode(fact)
+    assert msgspec.msgpack.decode(encoded, type=TargetFact) == fact
--- a/tests/test_platform_fuzz.py
+++ b/tests/test_platform_fuzz.py
@@ -1,6 +1,5 @@
 """Fuzz tests of the decoders of items, settings and rules."""
 
-import base64
 import itertools
 import json
 from typing import Any
@@ -21,6 +20,7 @@
     build_entry,
     build_lines,
 )
+from tests.platform_builders import build_item
 
 _EXAMPLES = settings(max_examples=300, derandomize=True, deadline=None)
 _SCALARS = st.one_of(
@@ -40,14 +40,6 @@
 )
 
 
-def _build_item(key: str, content: bytes) -> items.Item:
-    return items.Item(
-        key=key,
-        value=base64.b64encode(content).decode(),
-        revision=7,
-    )
-
-
 def _list_places(tree: Any) -> list[tuple[Any, Any]]:
     """Return every container of a tree with each of its keys."""
     if isinstance(tree, dict):
@@ -75,7 +67,7 @@
 def test_any_entry_is_a_target_or_unreadable(content: bytes | str) -> None:
     encoded = content.encode() if isinstance(content, str) else content
 
-    fact = items.decode_target(_build_item('servers/e1', encoded))
+    fact = items.decode_target(build_item('servers/e1', encoded))
 
     assert isinstance(fact, TargetFact | items.Unreadable)
 
@@ -85,11 +77,14 @@
 def test_an_entry_with_a_foreign_field_is_read(data: st.DataObject) -> None:
     entry = build_entry('plain', '10.0.0.1:80')
     entry[data.draw(st.sampled_from(sorted(entry)))] = data.draw(_ANYTHING)
-    item = _build_item('servers/e1', json.dumps(entry).encode())
+    item = build_item('servers/e1', entry)
 
     fact = items.decode_target(item)
 
     assert isinstance(fact, TargetFact | items.Unreadable)
+    if isinstance(fact, TargetFact):
+        # It is sent to all other nodes.
+        assert msgspec.msgpack.encode(fact)
 
 
 @_EXAMPLES
@@ -99,7 +94,7 @@
     places = _list_places(config)
     container, key = places[data.draw(st.integers(0, len(places) - 1))]
     container[key] = data.draw(_ANYTHING)
-    item = _build_item('op/config', json.dumps(config).encode())
+    item = build_item('op/config', config)
 
     assert isinstance(items.decode_rules(item), Rules | items.Unreadable)
 
