Take a target out of use when its entry is nested too deeply

Another operator reported odd entries among those of targets: nested very deeply, or with a port out of range. Here callers' requests went on to a target whose entry had been replaced by such an entry, which names none.

Cause: decode_target expected DecodeError. Nesting raises RecursionError, also in a field that is skipped, and a port of more than 4,300 digits or a value outside of ASCII raises ValueError; these were contained as a failed item, so the earlier fact stayed. Nesting in the item itself, which only the store can write, was not contained and ended the reader.

All JSON of the platform is now decoded by decode_document, which returns why a document cannot be decoded; orders to copy, reports and pages too. A port has at most five digits.

It works because every entry that cannot be decoded now takes the same way.

--- a/chicoryshunt/address.py
+++ b/chicoryshunt/address.py
@@ -1,9 +1,11 @@
 """IP addresses with ports."""
 
 import ipaddress
+import re
 from typing import NamedTuple
 
 MAX_PORT = 65535
+_PORT = re.compile('[0-9]{1,5}')
 
 
 class Address(NamedTuple):
@@ -34,7 +36,6 @@
     host, _, port = text.rpartition(':')
     return (
         is_ip_number(host)
-        and port.isascii()
-        and port.isdecimal()
+        and _PORT.fullmatch(port) is not None
         and int(port) <= MAX_PORT
     )
--- a/chicoryshunt/platform/items.py
+++ b/chicoryshunt/platform/items.py
@@ -1,10 +1,9 @@
 """Decodes the items of the platform's store into rules and facts."""
 
 import base64
-import binascii
 from enum import Enum
 from types import MappingProxyType
-from typing import Annotated
+from typing import Annotated, TypeVar
 
 import msgspec
 
@@ -15,6 +14,7 @@
     TargetFact,
     TargetPhase,
 )
+from chicoryshunt.platform.documents import Undecodable, decode_document
 from chicoryshunt.rules.model import (
     ApiKey,
     CallerLimits,
@@ -48,6 +48,9 @@
 _EVENT_TIMEOUT_GAPS = 8
 
 
+_Value = TypeVar('_Value')
+
+
 class Item(msgspec.Struct):
     """Item of the store, or the record of its deletion.
 
@@ -177,10 +180,10 @@
 
 def decode_item(raw: msgspec.Raw) -> Item | Unreadable:
     """Decode an item of a page or of a watch."""
-    try:
-        return msgspec.json.decode(raw, type=Item)
-    except msgspec.DecodeError as error:
-        return Unreadable('', str(error))
+    item = decode_document(raw, Item)
+    if isinstance(item, Undecodable):
+        return Unreadable('', item.reason)
+    return item
 
 
 def decode_target(item: Item) -> TargetFact | Unreadable:
@@ -189,10 +192,9 @@
     Entries of other writers may hold anything, so an entry that can't be
     decoded is reported as unreadable.
     """
-    try:
-        server = msgspec.json.decode(_decode_value(item), type=_Server)
-    except (msgspec.DecodeError, binascii.Error) as error:
-        return Unreadable(item.key, repr(error))
+    server = _decode_value(item, _Server)
+    if isinstance(server, Undecodable):
+        return Unreadable(item.key, server.reason)
     phase = _PHASES.get(server.state)
     if phase is None or not is_address(server.address):
         return Unreadable(item.key, f'{server.state} at {server.address}')
@@ -225,10 +227,9 @@
 
 def decode_rules(item: Item) -> Rules | Unreadable:
     """Decode the rules of a configuration."""
-    try:
-        config = msgspec.json.decode(_decode_value(item), type=_Config)
-    except (msgspec.DecodeError, binascii.Error) as error:
-        return Unreadable(item.key, repr(error))
+    config = _decode_value(item, _Config)
+    if isinstance(config, Undecodable):
+        return Unreadable(item.key, config.reason)
     limits = config.limits
     return Rules(
         version=ConfigVersion(config.version),
@@ -250,8 +251,12 @@
 )
 
 
-def _decode_value(item: Item) -> bytes:
-    return base64.b64decode(item.value, validate=True)
+def _decode_value(item: Item, kind: type[_Value]) -> _Value | Undecodable:
+    try:
+        content = base64.b64decode(item.value, validate=True)
+    except ValueError as error:
+        return Undecodable(repr(error))
+    return decode_document(content, kind)
 
 
 def _build_route(route: _Route) -> Route:
--- a/chicoryshunt/platform/store.py
+++ b/chicoryshunt/platform/store.py
@@ -35,6 +35,7 @@
 )
 from chicoryshunt.metrics import Metrics
 from chicoryshunt.platform import items, wire
+from chicoryshunt.platform.documents import Undecodable, decode_document
 
 _PREFIXES = ('op/', items.TARGET_PREFIX)
 # A watch returns at the first change, and targets write all the time. The
@@ -145,10 +146,10 @@
         raise HistoryGoneError('the history is gone')
     if status != HTTPStatus.OK:
         raise StoreError(f'status {status}')
-    try:
-        return msgspec.json.decode(body, type=kind)
-    except msgspec.DecodeError as error:
-        raise StoreError(f'unreadable answer: {error}') from error
+    decoded = decode_document(body, kind)
+    if isinstance(decoded, Undecodable):
+        raise StoreError(f'unreadable answer: {decoded.reason}')
+    return decoded
 
 
 class StoreReader:
--- a/chicoryshunt/platform/targets.py
+++ b/chicoryshunt/platform/targets.py
@@ -8,6 +8,7 @@
 
 from chicoryshunt.connection.upstream import Answer, OutgoingRequest
 from chicoryshunt.platform import wire
+from chicoryshunt.platform.documents import Undecodable, decode_document
 from chicoryshunt.relay.incoming import IncomingRequest
 from chicoryshunt.relay.target_codec import (
     AnswerKind,
@@ -124,12 +125,9 @@
 
     def decode_copy(self, answer: Answer, body: bytes) -> Copied | CopyFailed:
         """Return the outcome of an order to copy memory."""
-        decoded = CopyAnswer()
-        if body:
-            try:
-                decoded = msgspec.json.decode(body, type=CopyAnswer)
-            except msgspec.DecodeError:
-                return CopyFailed(CopyFailure.unreachable)
+        decoded = decode_document(body or b'{}', CopyAnswer)
+        if isinstance(decoded, Undecodable):
+            return CopyFailed(CopyFailure.unreachable)
         if answer.is_success and decoded.handle:
             return Copied(decoded.handle, decoded.created)
         reason = _FAILURE_BY_STATUS.get(answer.status, CopyFailure.unreachable)
@@ -145,9 +143,8 @@
         """Return an engine's report, ``None`` if the answer has none."""
         if not answer.is_success:
             return None
-        try:
-            decoded = msgspec.json.decode(body, type=ReportAnswer)
-        except msgspec.DecodeError:
+        decoded = decode_document(body, ReportAnswer)
+        if isinstance(decoded, Undecodable):
             return None
         leaves = decoded.leaves_ms
         return EngineReport(
