Pack facts by their size, and refuse an entry that fits into no message

Facts about targets with long names, which another writer may leave, made messages that do not fit into a datagram. They were dropped as datagram_too_large, with the sound facts in them, and the catalogs of the nodes stayed different.

Cause: six facts went into each message whatever their size, and entries with texts of any length were taken.

Facts are now packed by their encoded size, and an entry that fits into no message names no target. Both tests failed before: nine facts with names of 200 characters made a message of 1443 bytes, without its envelope, and an entry with a service of 2000 characters was read.

--- a/chicoryshunt/fleet/catalog_sync.py
+++ b/chicoryshunt/fleet/catalog_sync.py
@@ -12,6 +12,7 @@
 from chicoryshunt.membership.membership import Membership
 from chicoryshunt.membership.rendezvous import rank_vms
 from chicoryshunt.nodes.core import Message, Send
+from chicoryshunt.nodes.packing import pack
 from chicoryshunt.types import ConfigVersion, VmId
 
 # One of two readers in different data centres may fail without a gap.
@@ -37,8 +38,6 @@
 # A reader without an answer for this long sees an outage; a watch is answered
 # within half of it, whether or not there is a change.
 _OUTAGE_SECONDS = 1.0
-# This many facts fit into a datagram of 1400 bytes, also when relayed.
-_FACTS_PER_MESSAGE = 6
 # Nodes offer new rules to each other; after this time a reader is asked.
 _OFFER_TIMEOUT_SECONDS = 0.4
 # After this many requests a node reads the platform itself.
@@ -296,5 +295,4 @@
 
 
 def _split(facts: Sequence[Fact]) -> Iterator[FactNews]:
-    for start in range(0, len(facts), _FACTS_PER_MESSAGE):
-        yield FactNews(tuple(facts[start : start + _FACTS_PER_MESSAGE]))
+    return map(FactNews, pack(facts))
--- a/chicoryshunt/platform/items.py
+++ b/chicoryshunt/platform/items.py
@@ -14,6 +14,7 @@
     TargetFact,
     TargetPhase,
 )
+from chicoryshunt.nodes.packing import MAX_PACKED_BYTES
 from chicoryshunt.platform.documents import Undecodable, decode_document
 from chicoryshunt.rules.model import (
     ApiKey,
@@ -198,7 +199,7 @@
     phase = _PHASES.get(server.state)
     if phase is None or not is_address(server.address):
         return Unreadable(item.key, f'{server.state} at {server.address}')
-    return TargetFact(
+    fact = TargetFact(
         target=get_target(item.key),
         revision=Revision(item.revision),
         phase=phase,
@@ -209,6 +210,11 @@
         cold_seconds=max(server.cold_remaining_ms, 0) / _MILLISECONDS,
         born=server.born,
     )
+    size = len(msgspec.msgpack.encode(fact))
+    if size > MAX_PACKED_BYTES:
+        # No message to another node could hold it.
+        return Unreadable(item.key, f'{size} bytes')
+    return fact
 
 
 def get_target(key: str) -> TargetId:
--- a/tests/test_catalog_sync.py
+++ b/tests/test_catalog_sync.py
@@ -1,10 +1,12 @@
 """Tests of discovery, of the exchange of facts and of placed runs."""
 
+import msgspec
 import pytest
 
 from chicoryshunt.fleet.catalog import build_gone_fact
 from chicoryshunt.fleet.catalog_sync import ReaderRole
 from chicoryshunt.fleet.facts import Revision, TargetFact, TargetPhase
+from chicoryshunt.nodes.mesh import MAX_DATAGRAM_BYTES
 from chicoryshunt.types import RequestId, TargetId, VmState
 from tests.fleet_builders import (
     HOME,
@@ -16,6 +18,10 @@
 )
 
 COUNT = 9
+# The longest key of an entry.
+NAME_LENGTH = 200
+# Space for the envelope of a datagram and the name of the node that sends it.
+SEAL_BYTES = 100
 
 
 def _list_roles(trial: FleetTrial) -> dict[str, ReaderRole]:
@@ -306,3 +312,16 @@
     assert isinstance(left, TargetFact)
     assert (left.phase, left.data_centre) == (TargetPhase.gone, HOME)
     assert not list(catalog.list_present())
+
+
+def test_facts_with_long_names_reach_all_nodes() -> None:
+    """Guards against facts that are lost beside others with long names."""
+    trial = FleetTrial(COUNT)
+    trial.network.run(5)
+    facts = [build_fact(f't{one}'.ljust(NAME_LENGTH, '-')) for one in range(9)]
+
+    sends = trial.nodes[0].catalog_sync.publish(facts)
+
+    sizes = [len(msgspec.msgpack.encode(one.message)) for one in sends]
+    assert sizes
+    assert max(sizes) < MAX_DATAGRAM_BYTES - SEAL_BYTES
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -44,6 +44,11 @@
     assert isinstance(read, items.Unreadable)
 
 
+def test_a_long_entry_names_no_target() -> None:
+    """Guards against facts that one node has and cannot send to others."""
+    assert isinstance(_decode(service='s' * 2000), items.Unreadable)
+
+
 def test_an_odd_alphabet_names_no_target() -> None:
     read = items.decode_target(items.Item('servers/odd', 7, 'é'))
 
