Bound what one endless answer takes from a node

Cause: a leg queued all frames of a piece at once, tens of thousands, and each was written by itself before any other task had a turn. Comments, blank lines and repeated events were bounded by time only, events without a number not at all, and a caller that read slowly did not slow its engine down, so that the answer was kept in memory.

A piece is now parsed in slices of 2 KiB with a turn for other tasks in between. A leg is not read while its caller's write buffer is full.

Six cases of test_leg.py failed before: filler ended by silence or never, 5,000 events were queued in one turn, and a leg was read to its end for a caller that took nothing.

--- a/chicoryshunt/relay/generations.py
+++ b/chicoryshunt/relay/generations.py
@@ -49,6 +49,7 @@
 from chicoryshunt.relay.stream_state import (
     StreamState,
 )
+from chicoryshunt.relay.write_gate import register_gate
 from chicoryshunt.rules.routing import AdmittedRequest
 from chicoryshunt.types import Reason, RequestId, ServiceId, TargetId
 from chicoryshunt.verdict import Verdict, build_uncertain, refuse
@@ -233,17 +234,18 @@
         if first.answer is not None:
             stream.exchange.begin(first.answer.status, first.answer.headers)
         stream.legs[first.id] = first
-        first.start(stream.inputs, stream.stall_limits)
+        first.start(stream.inputs, stream.stall_limits, stream.gate)
         remaining = stream.deadline - self._context.clock.now()
         timer = asyncio.get_running_loop().call_later(
             max(remaining, 0),
             stream.inputs.put_nowait,
             DeadlinePassed(),
         )
-        try:
-            return await self._process_inputs(stream)
-        finally:
-            timer.cancel()
+        with register_gate(stream.exchange, stream.gate):
+            try:
+                return await self._process_inputs(stream)
+            finally:
+                timer.cancel()
 
     async def _process_inputs(self, stream: Stream) -> Result:
         state = stream.state
@@ -305,6 +307,8 @@
             seconds = self._context.clock.now() - stream.first_event_at
             tokens = stream.event_count * stream.engine_rules.tokens_per_event
             self._context.record_token_rate(tokens, seconds)
+        # The connection accepts the end of an answer without a producer only.
+        stream.exchange.unregister_producer()
         stream.exchange.finish()
         return _build_result(stream, is_whole=True)
 
@@ -364,7 +368,7 @@
         stream.replan_count = 0
         engine = build_engine_address(target)
         stream.inputs.put_nowait(LegOpened(opening.leg, engine))
-        opened.start(stream.inputs, stream.stall_limits)
+        opened.start(stream.inputs, stream.stall_limits, stream.gate)
 
     async def _find_destination(
         self,
--- a/chicoryshunt/relay/leg.py
+++ b/chicoryshunt/relay/leg.py
@@ -1,7 +1,6 @@
 """One leg of a stream: the exchange with the engine that serves it."""
 
 import asyncio
-from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -18,7 +17,7 @@
 from chicoryshunt.dispatch.outliers import ExchangeOutcome
 from chicoryshunt.fleet.facts import TargetFact
 from chicoryshunt.relay.context import RelayContext
-from chicoryshunt.relay.frames import EventReader, is_comment
+from chicoryshunt.relay.frames import EventReader
 from chicoryshunt.relay.incoming import IncomingRequest
 from chicoryshunt.relay.leg_watch import LegWatch
 from chicoryshunt.relay.results import Delivered, Doubtful, NotRun
@@ -30,8 +29,15 @@
     LegId,
 )
 from chicoryshunt.relay.target_codec import AnswerKind, SendParams
+from chicoryshunt.relay.write_gate import WriteGate
 
 _MAX_FAILURE_BYTES = 1048576
+# Bytes of an answer that are parsed without a turn for other requests.
+_SLICE_BYTES = 2048
+# A slice with more events than this is followed by a pause: engines write an
+# event every few milliseconds.
+_BURST_EVENTS = 32
+_BURST_PAUSE_SECONDS = 0.01
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +67,11 @@
         self.deadline = _add_seconds(limits.first)
         self.has_events = False
 
+    def extend(self, seconds: float) -> None:
+        """Move the deadline by a time in which the leg was not read."""
+        if self.deadline is not None:
+            self.deadline += seconds
+
     def restart(self) -> None:
         """Move the deadline after an event."""
         self.has_events = True
@@ -91,11 +102,16 @@
     answer: Answer | None = None
     reader_task: asyncio.Task[None] | None = None
 
-    def start(self, inputs: InputQueue, limits: StallLimits) -> None:
-        """Start to queue every event, and then the end of the answer."""
+    def start(
+        self, inputs: InputQueue, limits: StallLimits, gate: WriteGate
+    ) -> None:
+        """Start to queue every event, and then the end of the answer.
+
+        Nothing is read while ``gate`` is closed.
+        """
         if self.answer is not None:
             self.reader_task = asyncio.ensure_future(
-                self._read_events(self.answer.body, inputs, limits),
+                self._read_events(self.answer.body, inputs, limits, gate),
             )
 
     def close(self) -> None:
@@ -105,7 +121,11 @@
         self.upstream.abort()
 
     async def _read_events(
-        self, body: Body, inputs: InputQueue, limits: StallLimits
+        self,
+        body: Body,
+        inputs: InputQueue,
+        limits: StallLimits,
+        gate: WriteGate,
     ) -> None:
         """Read until the answer ends, is damaged or stalls.
 
@@ -115,6 +135,7 @@
         reader = EventReader()
         progress = _Progress(limits)
         while True:
+            progress.extend(await gate.wait_open())
             piece = await _read_piece(body, progress.deadline)
             if piece is None:
                 self._break_off(inputs, ExchangeOutcome.silent)
@@ -122,16 +143,42 @@
             if isinstance(piece, BodyEnd):
                 self._end(inputs, _classify_end(piece, reader, body, progress))
                 return
-            events = reader.feed(piece)
-            if isinstance(events, StreamDamage):
+            if not await self._queue_events(
+                piece, reader, progress, inputs, gate
+            ):
                 self._break_off(inputs, ExchangeOutcome.garbled)
                 return
-            event_count = _count_events(events)
+
+    async def _queue_events(
+        self,
+        piece: bytes,
+        reader: EventReader,
+        progress: _Progress,
+        inputs: InputQueue,
+        gate: WriteGate,
+    ) -> bool:
+        """Queue the events of a piece; return whether it is an answer's.
+
+        Load pattern: an engine sends small events as fast as its connection
+        takes them, and each costs this process more than it costs the engine.
+        Other requests get a turn after each slice.
+        """
+        for start in range(0, len(piece), _SLICE_BYTES):
+            if start:
+                await asyncio.sleep(0)
+                progress.extend(await gate.wait_open())
+            events = reader.feed(piece[start : start + _SLICE_BYTES])
+            if isinstance(events, StreamDamage):
+                return False
+            event_count = sum(number is not None for number, _ in events)
             if event_count:
                 progress.restart()
                 self.observer.record_events(event_count)
             for number, frame in events:
                 inputs.put_nowait(LegEvent(self.id, number, frame))
+            if event_count > _BURST_EVENTS:
+                await asyncio.sleep(_BURST_PAUSE_SECONDS)
+        return True
 
     def _end(self, inputs: InputQueue, end: LegEnd) -> None:
         self.observer.record_end(end)
@@ -161,10 +208,6 @@
     return None if limit is None else now + limit
 
 
-def _count_events(frames: Iterable[tuple[int | None, bytes]]) -> int:
-    return sum(not is_comment(frame) for _, frame in frames)
-
-
 def _classify_end(
     end: BodyEnd, reader: EventReader, body: Body, progress: _Progress
 ) -> LegEnd:
--- a/chicoryshunt/relay/stream.py
+++ b/chicoryshunt/relay/stream.py
@@ -19,6 +19,7 @@
 from chicoryshunt.relay.stream_state import (
     StreamState,
 )
+from chicoryshunt.relay.write_gate import WriteGate
 from chicoryshunt.rules.model import EngineRules, Route
 from chicoryshunt.rules.routing import AdmittedRequest
 from chicoryshunt.types import RequestId, ServiceId, TargetId
@@ -41,6 +42,7 @@
     exchange: RelayedExchange
     view: RunView
     inputs: InputQueue = field(default_factory=asyncio.Queue)
+    gate: WriteGate = field(default_factory=WriteGate)
     legs: dict[LegId, Leg] = field(default_factory=dict)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
     excluded: set[TargetId] = field(default_factory=set)
--- a/tests/test_leg.py
+++ b/tests/test_leg.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Sequence
+from itertools import repeat
 from typing import Any, cast
 
 import pytest
@@ -10,10 +11,17 @@
 from chicoryshunt.dispatch.outliers import ExchangeOutcome
 from chicoryshunt.relay.leg import InputQueue, Leg, StallLimits
 from chicoryshunt.relay.stream_inputs import LegEnd, LegEnded, LegEvent, LegId
+from chicoryshunt.relay.write_gate import WriteGate
 from tests.fleet_builders import build_fact
 from tests.virtual_loop import VirtualLoop, run_virtual
 
 LIMITS = StallLimits(first=8, later=4)
+PIECE_BYTES = 262144
+FLOOD = 5000
+# Longer than the limits above.
+LONG_SECONDS = 60
+# Queued in one turn; each takes some 30 microseconds to relay.
+MAX_BURST = 160
 OVERSIZED = b'x' * 300000
 EVENT_COUNT = 30
 # A piece of the body, the seconds before it, or how the body ends.
@@ -29,11 +37,14 @@
     def __init__(self, steps: Sequence[Step]) -> None:
         """Read these steps in order."""
         self._steps = list(steps)
+        self.bytes_read = 0
 
     async def read(self) -> bytes | BodyEnd:
         """Return the next piece after the seconds listed before it."""
         while self._steps:
             step = self._steps.pop(0)
+            if isinstance(step, bytes):
+                self.bytes_read += len(step)
             if not isinstance(step, float):
                 return step
             await asyncio.sleep(step)
@@ -62,11 +73,14 @@
         self.events: list[int | None] = []
         self.ended_at: float = 0
         self.end = LegEnd.whole
-        self._steps = steps
+        self.gate = WriteGate()
+        self.body = FakeBody(steps)
+        # The most events that were queued in one turn of the loop.
+        self.burst = 0
 
     async def run(self) -> None:
         """Read the steps until the leg ends."""
-        await self.read(cast(Any, FakeBody(self._steps)))
+        await self.read(cast(Any, self.body))
 
     async def read(self, body: Body) -> None:
         """Read a body until the leg ends."""
@@ -78,8 +92,9 @@
             self,
             Answer(200, (), None, body),
         )
-        leg.start(inputs, LIMITS)
+        leg.start(inputs, LIMITS, self.gate)
         while True:
+            self.burst = max(self.burst, inputs.qsize())
             match await inputs.get():
                 case LegEvent(_, number):
                     self.events.append(number)
@@ -185,6 +200,53 @@
     assert not trial.outcomes
 
 
+@pytest.mark.parametrize(
+    'filler', [b': ping\n\n', b'\n', b'data: x\n\n', b'id: 1\ndata: x\n\n']
+)
+def test_endless_filler_ends_the_leg(filler: bytes) -> None:
+    """Guards against a node that does nothing but read one faulty engine."""
+    piece = filler * (PIECE_BYTES // len(filler))
+    pieces = repeat(piece, EVENT_COUNT)
+    trial = _read(_frame(1), *pieces)
+
+    assert [one for one in trial.events if one is not None] == [1]
+    assert trial.outcomes == [ExchangeOutcome.garbled]
+    assert trial.upstream.is_aborted
+    assert trial.body.bytes_read < 2 * PIECE_BYTES
+    assert trial.burst <= MAX_BURST
+
+
+def test_a_flood_of_events_leaves_turns_to_others() -> None:
+    """Guards against requests that wait while one stream is relayed."""
+    numbers = range(1, FLOOD + 1)
+    flood = b''.join(map(_frame, numbers))
+
+    trial = _read(flood, BodyEnd.whole)
+
+    assert trial.end is LegEnd.whole
+    assert trial.events == list(numbers)
+    assert trial.burst <= MAX_BURST
+
+
+def test_a_slow_caller_stops_the_leg() -> None:
+    """Guards against an answer that is kept in memory for a slow caller."""
+    trial = Trial([*map(_frame, range(1, EVENT_COUNT + 1)), BodyEnd.whole])
+
+    async def run() -> None:
+        trial.gate.pauseProducing()
+        reading = asyncio.ensure_future(trial.run())
+        await asyncio.sleep(LONG_SECONDS)
+        assert not trial.body.bytes_read
+        trial.gate.resumeProducing()
+        await reading
+
+    run_virtual(run())
+
+    assert trial.end is LegEnd.whole
+    assert trial.events == list(range(1, EVENT_COUNT + 1))
+    assert not trial.outcomes
+
+
 def test_half_an_event_is_an_answer_cut() -> None:
     trial = _read(_frame(1), b'id: 2\nda', BodyEnd.whole)
 
