Refuse what a node that stops cannot answer before its end

Cause: a node that stops took every request until its end, whatever it would last. Callers with an old list of nodes, or on a kept connection, come later than the three seconds that the rule excuses.

That a node ends too early, or that closing idle connections hits requests, is ruled out: nothing was cut before the end of the grace, and no call at all.

A node that stops now refuses at once what could not be answered in time: until callers' lists have expired, streams whose longest answer is too long; after that, whatever does not end by its deadline. It works because a refusal says that the request did not run, and sends the caller to a node that can serve all of it.

--- a/Makefile
+++ b/Makefile
@@ -72,5 +72,10 @@
 		--seeds=$(or $(SEEDS),1) --seconds=$(or $(SECONDS),8) \
 		--keep=$(or $(KEEP),/tmp/chicoryshunt-soak)
 
+soak-stops: venv  ## planned stops of real nodes; SEED, SEEDS, SECONDS, NODES
+	$(BIN)/python -m lab.soak.stops --seed=$(or $(SEED),1) \
+		--seeds=$(or $(SEEDS),1) --seconds=$(or $(SECONDS),14) \
+		--nodes=$(or $(NODES),6)
+
 soak-regressions: venv  ## the seeds of the soak that once failed
 	$(BIN)/python -m lab.soak.soak --regressions
--- a/chicoryshunt/relay/calls.py
+++ b/chicoryshunt/relay/calls.py
@@ -16,6 +16,7 @@
 from chicoryshunt.fleet.facts import TargetFact
 from chicoryshunt.relay.context import RelayContext
 from chicoryshunt.relay.incoming import IncomingRequest
+from chicoryshunt.relay.planned_stop import refuse_stopping
 from chicoryshunt.relay.results import Attempt, Delivered, Doubtful, NotRun
 from chicoryshunt.relay.target_codec import AnswerKind, SendParams
 from chicoryshunt.rules.routing import AdmittedRequest
@@ -64,6 +65,10 @@
         deadline: float,
     ) -> Delivered | Verdict:
         """Return the answer of a target, or the verdict if there is none."""
+        stop = self._context.planned_stop
+        received = incoming.received_at
+        if stop is not None and not stop.accepts(received, received, deadline):
+            return refuse_stopping()
         attempts = _Attempts()
         while True:
             target = self._choose_next(service, attempts, deadline)
--- a/chicoryshunt/relay/context.py
+++ b/chicoryshunt/relay/context.py
@@ -35,6 +35,7 @@
 from chicoryshunt.membership.membership import Membership
 from chicoryshunt.metrics import Metrics
 from chicoryshunt.nodes.core import Send
+from chicoryshunt.relay.planned_stop import PlannedStop
 from chicoryshunt.relay.prompt_guard import PromptGuard
 from chicoryshunt.relay.target_codec import TargetCodec
 from chicoryshunt.rules.model import EngineRules, ServiceRules
@@ -70,6 +71,7 @@
     prompt_guard: PromptGuard = field(init=False)
     open_calls: Counter[TargetId] = field(default_factory=Counter)
     token_rate: float = DEFAULT_TOKENS_PER_SECOND
+    planned_stop: PlannedStop | None = None
     max_nodes: int = 1
     # Where the runs of leaving engines are to continue.
     planned_destinations: dict[RequestId, TargetId] = field(
--- a/chicoryshunt/relay/gateway.py
+++ b/chicoryshunt/relay/gateway.py
@@ -13,6 +13,7 @@
 from chicoryshunt.relay.context import RelayContext
 from chicoryshunt.relay.generations import GenerationRelay
 from chicoryshunt.relay.incoming import IncomingRequest
+from chicoryshunt.relay.planned_stop import PlannedStop
 from chicoryshunt.relay.results import Delivered, Result, Streamed
 from chicoryshunt.rules.model import RequestType
 from chicoryshunt.rules.routing import (
@@ -71,9 +72,21 @@
         self._generations = GenerationRelay(context)
         self._measure_rules_age = measure_rules_age
         self.active = 0
-        self.is_leaving = False
         context.catalog.subscribe(self._on_fact)
 
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether this node stops."""
+        return self._context.planned_stop is not None
+
+    def leave(self, lists_expire: float, end: float) -> None:
+        """Accept only requests that can be answered before the node ends.
+
+        Times are in monotonic seconds: until when callers may have a list of
+        nodes with this one, and when its connections are closed.
+        """
+        self._context.planned_stop = PlannedStop(lists_expire, end)
+
     async def handle(self, exchange: RelayedExchange) -> None:
         """Serve one request until it is answered or its caller disconnects."""
         incoming = self._codec.decode(exchange)
--- a/chicoryshunt/relay/placing.py
+++ b/chicoryshunt/relay/placing.py
@@ -19,6 +19,7 @@
 from chicoryshunt.fleet.facts import TargetFact
 from chicoryshunt.fleet.messages import PlacedRun
 from chicoryshunt.relay.context import RelayContext
+from chicoryshunt.relay.planned_stop import refuse_stopping
 from chicoryshunt.relay.stream import Stream
 from chicoryshunt.relay.stream_actions import (
     OpenLeg,
@@ -202,9 +203,11 @@
         refusal = self._context.prompt_guard.find_refusal(stream.incoming)
         if refusal is not None:
             return refuse(Reason.crashing_prompt, refusal)
+        now = self._context.clock.now()
+        if not self._ends_before_stop(stream, now):
+            return refuse_stopping()
         facts = self._context.list_candidates(stream.service, tried)
         choice = self._choose(stream, facts)
-        now = self._context.clock.now()
         remaining = stream.find_latest_start() - now
         waiter.is_blocked = not isinstance(choice, Placed)
         match choice:
@@ -222,6 +225,14 @@
             return self.refuse_no_capacity(stream, 'no room in time')
         return None
 
+    def _ends_before_stop(self, stream: Stream, now: float) -> bool:
+        stop = self._context.planned_stop
+        return stop is None or stop.accepts(
+            stream.incoming.received_at,
+            stream.find_latest_end(now, self._context.token_rate),
+            stream.deadline,
+        )
+
     def _choose(
         self, stream: Stream, facts: Iterable[TargetFact]
     ) -> EngineChoice:
--- a/chicoryshunt/relay/stream.py
+++ b/chicoryshunt/relay/stream.py
@@ -113,6 +113,16 @@
             self.deadline, self.incoming.received_at + silence - prompt_seconds
         )
 
+    def find_latest_end(self, now: float, token_rate: float) -> float:
+        """Return when the longest answer ends of a run that starts now."""
+        prompt_seconds = self.view.prompt_tokens / PREFILL_TOKENS_PER_SECOND
+        events = self.incoming.last_event or 0
+        tokens = self.view.max_tokens - (
+            events * self.engine_rules.tokens_per_event
+        )
+        latest = now + prompt_seconds + max(tokens, 0) / token_rate
+        return min(self.deadline, latest)
+
     def count_events(self, count: int, now: float) -> None:
         """Count forwarded events and measure the gap before them."""
         if self.last_forwarded_at:
--- a/lab/soak/world.py
+++ b/lab/soak/world.py
@@ -5,7 +5,7 @@
 import signal
 import subprocess
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator, Sequence
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -148,12 +148,19 @@
 async def run_world(
     folder: Path,
     node_count: int,
+    targets: Sequence[Target] = (),
+    config: dict[str, Any] | None = None,
 ) -> AsyncIterator[World]:
-    """Start everything and stop it by its ids, however the block ends."""
+    """Start everything and stop it by its ids, however the block ends.
+
+    By default there are three services and three engines.
+    """
     world = World(folder)
-    copies: dict[str, int] = {}
-    world.services += [StandInService(f'p{one}') for one in range(3)]
-    world.engines += [StandInEngine(f'e{one}', copies) for one in range(3)]
+    for target in targets or _build_targets():
+        if isinstance(target, StandInEngine):
+            world.engines.append(target)
+        else:
+            world.services.append(target)
     async with AsyncExitStack() as stack:
         for target in world.list_targets():
             address = await _serve(stack, target.site)
@@ -161,7 +168,7 @@
             await stack.enter_async_context(proxy.listen())
             world.proxies[target.name] = proxy
             world.publish(target)
-        world.store.put('op/config', build_config())
+        world.store.put('op/config', config or build_config())
         store = await _serve(stack, world.store.site)
         for number in range(node_count):
             node = await _build_node(stack, world, store, number)
@@ -172,6 +179,12 @@
         yield world
 
 
+def _build_targets() -> Iterator[Target]:
+    copies: dict[str, int] = {}
+    yield from (StandInService(f'p{one}') for one in range(3))
+    yield from (StandInEngine(f'e{one}', copies) for one in range(3))
+
+
 async def _serve(stack: AsyncExitStack, site: Any) -> str:
     server = await open_server(site, '127.0.0.1', 0)
     stack.callback(server.close)
