Close the port for callers before the last connections

The port stayed open until the process ended, so a request on a connection that was accepted after the last check could be passed on and then lost (LOST).

The port is now closed once nothing is in progress or the grace ends, and then the remaining connections are. It works because no request can come on a connection that the check has not seen.

test_no_connection_is_accepted_at_the_end failed before: a filing that was sent while the last connections were closed was accepted.

--- a/chicoryshunt/platform/node.py
+++ b/chicoryshunt/platform/node.py
@@ -13,7 +13,7 @@
 from chicoryshunt.connection.loop import get_reactor
 from chicoryshunt.connection.platform_api import PublishedVm
 from chicoryshunt.connection.upstream import UpstreamPool
-from chicoryshunt.connection.web import BoundedSite, close_connections
+from chicoryshunt.connection.web import close_connections
 from chicoryshunt.dispatch.retry_budget import FleetRetryBudget
 from chicoryshunt.events import log_event, log_problem
 from chicoryshunt.exceptions import SettingsError
@@ -21,7 +21,7 @@
 from chicoryshunt.fleet.rules_exchange import RulesExchange
 from chicoryshunt.metrics import Metrics
 from chicoryshunt.platform.callers import PlatformCallerCodec
-from chicoryshunt.platform.servers import NodeServers
+from chicoryshunt.platform.servers import CallerServer, NodeServers
 from chicoryshunt.platform.settings import (
     SETTINGS_VARIABLE,
     PlatformSettings,
@@ -122,7 +122,7 @@
         for one in done:
             one.result()
 
-    async def _leave(self, callers: BoundedSite) -> None:
+    async def _leave(self, callers: CallerServer) -> None:
         started = self._clock.now()
         log_event('node_leaving', active=self._gateway.active)
         self._fleet_agent.leave(started)
@@ -137,11 +137,14 @@
             if lingered and not self._gateway.active:
                 break
             await asyncio.sleep(_POLL_SECONDS)
+        # A connection that is accepted now could not be served to its end.
+        callers.listener.close()
+        site = callers.site
         remaining = max(deadline - self._clock.now(), _POLL_SECONDS)
         try:
-            await asyncio.wait_for(close_connections(callers), remaining)
+            await asyncio.wait_for(close_connections(site), remaining)
         except TimeoutError:
-            log_event('connections_left', count=callers.usage.connections)
+            log_event('connections_left', count=site.usage.connections)
         self._pool.close_idle()
         log_event('node_stopped', active=self._gateway.active)
 
--- a/chicoryshunt/platform/servers.py
+++ b/chicoryshunt/platform/servers.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import dataclass
 from http import HTTPStatus
 from random import Random
 from typing import Final
@@ -40,6 +41,14 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class CallerServer:
+    """Site for callers and the server that accepts its connections."""
+
+    site: BoundedSite
+    listener: asyncio.Server
+
+
 class NodeServers:
     """Servers for callers, readiness, directory, other nodes and metrics."""
 
@@ -60,19 +69,20 @@
         self._rng = Random()
 
     @asynccontextmanager
-    async def open(self) -> AsyncIterator[BoundedSite]:
-        """Listen on all addresses; yield the site for callers."""
+    async def open(self) -> AsyncIterator[CallerServer]:
+        """Listen on all addresses; yield the server for callers."""
         settings = self._settings
-        callers = BoundedSite(self._gateway.handle, _BOUNDS)
+        site = BoundedSite(self._gateway.handle, _BOUNDS)
+        callers = await _listen(site, settings.callers)
         servers = [
-            await _listen(callers, settings.callers),
+            callers,
             await _serve(self._answer_readiness, settings.readiness),
             await _serve(self._answer_directory, settings.directory),
             await _serve(self._rules_exchange.handle, settings.peers),
             await _serve(self._answer_metrics, settings.metrics),
         ]
         try:
-            yield callers
+            yield CallerServer(site, callers)
         finally:
             for server in servers:
                 server.close()
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -7,6 +7,8 @@
 
 import pytest
 
+from chicoryshunt.connection.upstream import NotSentError
+from chicoryshunt.platform import node
 from chicoryshunt.relay.planned_stop import PlannedStop
 from tests.platform_builders import (
     SmallPlatform,
@@ -91,3 +93,26 @@
         assert sum(one.runs.total() for one in platform.services) == 1
 
     _run_stopping(trial)
+
+
+def test_no_connection_is_accepted_at_the_end(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a request that is passed on as the process ends."""
+    refused = []
+
+    async def run() -> None:
+        async with run_platform() as platform:
+
+            async def connect(_: object) -> None:
+                with pytest.raises(NotSentError):
+                    await platform.ask('/filings/1', 'f', 'POST')
+                refused.append('f')
+
+            monkeypatch.setattr(node, 'close_connections', connect)
+            os.kill(os.getpid(), signal.SIGTERM)
+            await platform.running
+
+    run_on_reactor(run())
+
+    assert refused
