Count a connection that is closed at once as not sent

Cause: options of the socket are set some turns of the loop after it has connected. If the peer has closed it by then, setsockopt raises EBADF, outside of what is translated into NotSentError; the reader of the store expects only that, and its end is the end of the node.

The options are now set where errors of connecting are translated.

It works because the error means what the others there mean: nothing of the request was written.

--- a/chicoryshunt/connection/upstream.py
+++ b/chicoryshunt/connection/upstream.py
@@ -396,9 +396,11 @@
                 connecting,
                 self._connect_seconds,
             )
+            # The target may have closed the connection already.
+            _set_failure_detection(transport.get_extra_info('socket'))
         except (TimeoutError, OSError) as error:
+            upstream.abort()
             raise NotSentError(f'{address}: {error!r}') from error
-        _set_failure_detection(transport.get_extra_info('socket'))
         return upstream
 
     def close_idle(self) -> None:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -27,6 +27,7 @@
 FINISHED = b'%s0\r\n\r\n' % UNFINISHED
 EXTRA_BYTES = b'%s%s' % (WHOLE, WHOLE)
 MAX_BYTES = 1 << 16
+BUSY_SECONDS = 0.1
 
 
 def _run_trial(
@@ -116,6 +117,34 @@
     run_on_reactor(trial())
 
 
+def test_a_connection_closed_at_once_sent_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against nodes that end when the store turns them away."""
+
+    async def close(_: object, writer: asyncio.StreamWriter) -> None:
+        writer.close()
+
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        connect = loop.create_connection
+
+        async def connect_slowly(*args: Any) -> Any:
+            # A busy process handles the end before it uses the connection.
+            connected = await connect(*args)
+            await asyncio.sleep(BUSY_SECONDS)
+            return connected
+
+        server = await asyncio.start_server(close, take_host(), 0)
+        host, port = server.sockets[0].getsockname()
+        monkeypatch.setattr(loop, 'create_connection', connect_slowly)
+        async with server:
+            with pytest.raises(NotSentError):
+                await UpstreamPool(1).open(f'{host}:{port}')
+
+    run_on_reactor(run())
+
+
 def test_closed_connection_is_not_reused() -> None:
     target = RawTarget(WHOLE)
 
