Keep a node alive when a read of the store fails unexpectedly

Related to the connections that the store closes at once: any unexpected error of one read ended the reader, and with it the node and all streams and calls on it. No caller reported it.

Such an error is now logged as store_read_failed and counts as a failed read; all items are read again, as the changes may be applied in part.

test_a_read_that_fails_is_one_read_lost failed before: the node had ended when the request came. It works because a read is repeated anyway.

--- a/chicoryshunt/platform/store.py
+++ b/chicoryshunt/platform/store.py
@@ -190,6 +190,11 @@
                 self._revision = 0
             except StoreError as error:
                 await self._record_failure(error)
+            except Exception as error:
+                log_problem('store_read_failed', error=repr(error))
+                # What was read may be applied in part only.
+                self._revision = 0
+                await self._record_failure(StoreError(repr(error)))
             else:
                 self._record_success()
 
--- a/tests/test_contained_failures.py
+++ b/tests/test_contained_failures.py
@@ -18,6 +18,7 @@
 from chicoryshunt.nodes.pause import PauseDetector
 from chicoryshunt.platform import items
 from chicoryshunt.platform.callers import PlatformCallerCodec
+from chicoryshunt.platform.store import StoreClient
 from chicoryshunt.relay.engine_poller import EnginePoller
 from chicoryshunt.types import VmId
 from lab.models.network import build_vm
@@ -162,6 +163,32 @@
     _run_trial(trial)
 
 
+def test_a_read_that_fails_is_one_read_lost(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against nodes that end at an unexpected error of a read."""
+    watch = StoreClient.watch
+    numbers = itertools.count(1)
+
+    async def watch_later(
+        client: StoreClient, prefix: str, revision: int
+    ) -> items.Changes:
+        if next(numbers) == 1:
+            raise KeyError('unexpected')
+        return await watch(client, prefix, revision)
+
+    monkeypatch.setattr(StoreClient, 'watch', watch_later)
+
+    async def trial(platform: SmallPlatform) -> None:
+        platform.leave('p0')
+        await asyncio.sleep(1)
+        answer, _ = await platform.ask('/reads/1')
+        assert answer.status == 200
+        assert not platform.services[0].runs
+
+    _run_trial(trial)
+
+
 def test_a_poll_that_fails_is_one_poll_lost(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
