--- a/chicoryshunt/connection/upstream.py
+++ b/chicoryshunt/connection/upstream.py
@@ -384,20 +384,9 @@
         """Return a new connection; raise ``NotSentError`` without one."""
         upstream = Upstream(self._add_idle, self._remove_idle)
         upstream.address = address
-        host, _, port = address.rpartition(':')
-        connecting = asyncio.get_running_loop().create_connection(
-            lambda: LoopTransport(upstream),
-            host,
-            int(port),
-        )
         self.opened += 1
         try:
-            transport, _ = await asyncio.wait_for(
-                connecting,
-                self._connect_seconds,
-            )
-            # The target may have closed the connection already.
-            _set_failure_detection(transport.get_extra_info('socket'))
+            await self._connect(upstream)
         except (TimeoutError, OSError) as error:
             upstream.abort()
             raise NotSentError(f'{address}: {error!r}') from error
@@ -409,6 +398,17 @@
             for upstream in tuple(idle):
                 upstream.abort()
 
+    async def _connect(self, upstream: Upstream) -> None:
+        """Connect; raise ``OSError`` also if the target closes at once."""
+        host, _, port = upstream.address.rpartition(':')
+        connecting = asyncio.get_running_loop().create_connection(
+            lambda: LoopTransport(upstream),
+            host,
+            int(port),
+        )
+        transport, _ = await asyncio.wait_for(connecting, self._connect_seconds)
+        _set_failure_detection(transport.get_extra_info('socket'))
+
     def _add_idle(self, upstream: Upstream) -> None:
         upstream.idle_since = asyncio.get_running_loop().time()
         idle = self._idle.setdefault(upstream.address, [])
--- a/chicoryshunt/platform/store.py
+++ b/chicoryshunt/platform/store.py
@@ -183,20 +183,24 @@
                 self._revision = 0
                 await asyncio.sleep(_IDLE_POLL_SECONDS)
                 continue
-            try:
-                await self._read_once()
-            except HistoryGoneError:
-                log_event('store_history_gone', revision=self._revision)
-                self._revision = 0
-            except StoreError as error:
-                await self._record_failure(error)
-            except Exception as error:
-                log_problem('store_read_failed', error=repr(error))
-                # What was read may be applied in part only.
-                self._revision = 0
-                await self._record_failure(StoreError(repr(error)))
-            else:
-                self._record_success()
+            await self._read_safely()
+
+    async def _read_safely(self) -> None:
+        """Read once, and record whether the store answered."""
+        try:
+            await self._read_once()
+        except HistoryGoneError:
+            log_event('store_history_gone', revision=self._revision)
+            self._revision = 0
+        except StoreError as error:
+            await self._record_failure(error)
+        except Exception as error:
+            log_problem('store_read_failed', error=repr(error))
+            # What was read may be applied in part only.
+            self._revision = 0
+            await self._record_failure(StoreError(repr(error)))
+        else:
+            self._record_success()
 
     async def _read_once(self) -> None:
         if self._must_read_all():
