End a stream when the task that opens its next leg fails

Each task of a stream now has an input that replaces its outcome when it fails unexpectedly, and the error is logged as stream_task_failed. A stream whose next leg cannot be opened ends as cut, so that its caller may resume it; one whose memory cannot be copied goes on where it is.

It works because the state machine ends or continues on every input of that kind.

--- a/chicoryshunt/relay/generations.py
+++ b/chicoryshunt/relay/generations.py
@@ -281,6 +281,7 @@
                         destination,
                         stops_run=stops_run,
                     ),
+                    self._mover.build_failure(stops_run),
                 )
             case StartStopTimer():
                 asyncio.get_running_loop().call_later(
@@ -289,7 +290,10 @@
                     StopTimerExpired(),
                 )
             case OpenLeg():
-                stream.spawn(self._open_next(stream, action))
+                stream.spawn(
+                    self._open_next(stream, action),
+                    LegDenied(action.leg, 'an unexpected error'),
+                )
             case CloseLeg(leg):
                 stream.close_leg(leg)
             case Replan():
--- a/chicoryshunt/relay/moving.py
+++ b/chicoryshunt/relay/moving.py
@@ -144,6 +144,10 @@
         )
         stream.inputs.put_nowait(CopyEnded(outcome, stops_run))
 
+    def build_failure(self, stops_run: bool) -> CopyEnded:
+        """Return the outcome of a copy that failed unexpectedly."""
+        return CopyEnded(CopyFailed(CopyFailure.unreachable), stops_run)
+
     def release(self, copy: MemoryCopy) -> None:
         """Order an engine to drop a copy that is not needed."""
         outgoing = self._context.codec.encode_release(copy.name)
--- a/chicoryshunt/relay/stream.py
+++ b/chicoryshunt/relay/stream.py
@@ -8,12 +8,14 @@
 from chicoryshunt.connection.relayed_exchange import RelayedExchange
 from chicoryshunt.dispatch.engines import PREFILL_TOKENS_PER_SECOND
 from chicoryshunt.dispatch.forecast import RunView
+from chicoryshunt.events import log_problem
 from chicoryshunt.fleet.facts import TargetFact
 from chicoryshunt.relay.incoming import GenerationParams, IncomingRequest
 from chicoryshunt.relay.leg import InputQueue, Leg, StallLimits
 from chicoryshunt.relay.results import Delivered, Doubtful, NotRun
 from chicoryshunt.relay.stream_inputs import (
     EngineAddress,
+    Input,
     LegId,
 )
 from chicoryshunt.relay.stream_state import (
@@ -131,9 +133,14 @@
         self.last_forwarded_at = now
         self.event_count += count
 
-    def spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        """Run a coroutine in a task that is cancelled with the stream."""
-        task = asyncio.ensure_future(coroutine)
+    def spawn(
+        self, coroutine: Coroutine[Any, Any, None], on_error: Input
+    ) -> None:
+        """Run a coroutine in a task that is cancelled with the stream.
+
+        ``on_error`` is the input of the stream if it fails unexpectedly.
+        """
+        task = asyncio.ensure_future(self._contain(coroutine, on_error))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
@@ -150,6 +157,17 @@
         if closed is not None:
             closed.close()
 
+    async def _contain(
+        self, coroutine: Coroutine[Any, Any, None], on_error: Input
+    ) -> None:
+        try:
+            await coroutine
+        except Exception as error:
+            log_problem(
+                'stream_task_failed', request=self.request, error=repr(error)
+            )
+            self.inputs.put_nowait(on_error)
+
 
 def build_run_view(params: GenerationParams) -> RunView:
     """Return the forecast input for a run that has not started."""
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -4,7 +4,10 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import pytest
+
 from chicoryshunt.connection.upstream import BodyEnd
+from chicoryshunt.relay import generations
 from lab.standins.platform_files import build_entry
 from tests.platform_builders import (
     SmallPlatform,
@@ -111,3 +114,26 @@
         assert len(platform.engines[1].started) == 1
 
     _run(trial)
+
+
+def test_a_leg_that_fails_ends_its_stream(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a stream that hangs after an unexpected error."""
+
+    async def trial(platform: SmallPlatform) -> None:
+        platform.engines[0].breaks_after = 3
+        reading = await _begin(platform)
+        monkeypatch.setattr(generations, 'open_leg', _fail)
+        _return(platform)
+
+        async with asyncio.timeout(2 * PATIENCE_SECONDS):
+            received, end = await reading
+        assert end is BodyEnd.cut
+        assert WHOLE.startswith(received)
+
+    _run(trial)
+
+
+async def _fail(*_: Any) -> Any:
+    raise KeyError('unexpected')
