Answer a request whose engine fails with a body without end

Cause: the body of a failure was read without a limit on time, and the timer of the deadline starts only once a leg is open. The answers to orders to copy were read in the same way, so that a run stayed on an engine that was leaving.

The body of a failure is now read for a second at most, and not past the time of the attempt; without its end the outcome is unknown. The body of an answer to an order is read for a second.

--- a/chicoryshunt/relay/leg.py
+++ b/chicoryshunt/relay/leg.py
@@ -32,6 +32,8 @@
 from chicoryshunt.relay.write_gate import WriteGate
 
 _MAX_FAILURE_BYTES = 1048576
+# A failure is short; a longer wait would take time from another attempt.
+_FAILURE_SECONDS = 1.0
 # Bytes of an answer that are parsed without a turn for other requests.
 _SLICE_BYTES = 2048
 # A slice with more events than this is followed by a pause: engines write an
@@ -269,6 +271,7 @@
     watch: LegWatch,
 ) -> Leg | Delivered | NotRun | Doubtful:
     target = leg.target.target
+    until = context.clock.now() + seconds
     try:
         answer = await leg.upstream.send(outgoing, seconds)
     except NotSentError as error:
@@ -281,7 +284,8 @@
         return Doubtful(target, str(error), is_timeout)
     watch.record_opened()
     leg.answer = answer
-    return await _classify_answer(context, incoming, leg, answer)
+    remaining = max(until - context.clock.now(), 0)
+    return await _classify_answer(context, incoming, leg, answer, remaining)
 
 
 async def _classify_answer(
@@ -289,6 +293,7 @@
     incoming: IncomingRequest,
     leg: Leg,
     answer: Answer,
+    seconds: float,
 ) -> Leg | Delivered | NotRun | Doubtful:
     target = leg.target.target
     answer_kind = context.codec.classify_answer(incoming, answer)
@@ -303,7 +308,9 @@
         context.record_outcome(target, ExchangeOutcome.answered)
         return leg
     context.record_outcome(target, ExchangeOutcome.failed)
-    body = await answer.body.read_all(_MAX_FAILURE_BYTES)
+    body = await answer.body.read_all(
+        _MAX_FAILURE_BYTES, min(seconds, _FAILURE_SECONDS)
+    )
     if isinstance(body, bytes):
         return Delivered(target, answer.status, answer.headers, body)
     return Doubtful(target, 'failure is cut')
--- a/chicoryshunt/relay/moving.py
+++ b/chicoryshunt/relay/moving.py
@@ -36,6 +36,8 @@
 from chicoryshunt.types import RequestId, TargetId
 
 _COPY_TIMEOUT_SECONDS = 2.5
+# The body of an answer follows its head at once.
+_ANSWER_BODY_SECONDS = 1.0
 _MAX_ANSWER_BYTES = 65536
 # Moves that are planned for a run in direct succession, before a retry.
 _MAX_REPLANS = 6
@@ -321,7 +323,9 @@
             log_event('copy_not_answered', error=str(error))
             return failed
         else:
-            body = await answer.body.read_all(_MAX_ANSWER_BYTES)
+            body = await answer.body.read_all(
+                _MAX_ANSWER_BYTES, _ANSWER_BODY_SECONDS
+            )
         finally:
             upstream.abort()
         received = body if isinstance(body, bytes) else b''
--- a/lab/standins/platform_targets.py
+++ b/lab/standins/platform_targets.py
@@ -94,6 +94,8 @@
         self.breaks_after = 0
         # Status with which every request is answered, 0 for a stream.
         self.error_status = 0
+        # Whether the bodies of errors and of answers to orders never end.
+        self.drips = False
         self.is_healthy = True
         self.reported_state = 'ready'
         self.started: list[str] = []
@@ -104,7 +106,7 @@
 
     async def _handle(self, exchange: RelayedExchange) -> None:
         if exchange.path == '/chicoryshunt/kv-move':
-            self._move(exchange)
+            await self._move(exchange)
         elif exchange.path.startswith('/chicoryshunt/kv-handle/'):
             self._fleet.pop(exchange.path.rpartition('/')[2], None)
             exchange.respond(b'')
@@ -122,7 +124,7 @@
             status = HTTPStatus.SERVICE_UNAVAILABLE
         exchange.respond(b'', status=status)
 
-    def _move(self, exchange: RelayedExchange) -> None:
+    async def _move(self, exchange: RelayedExchange) -> None:
         order = json.loads(exchange.body)
         request = order['id']
         if request not in self._produced:
@@ -130,6 +132,9 @@
             return
         is_last = order.get('last', False)
         self.copies.append((request, is_last))
+        if self.drips:
+            await _drip(exchange)
+            return
         if not self.has_room:
             exchange.respond(b'', status=HTTPStatus.SERVICE_UNAVAILABLE)
             return
@@ -155,7 +160,7 @@
             await asyncio.sleep(_EVENT_SECONDS)
             self.server.crash()
         elif self.error_status:
-            exchange.respond(b'an error', status=self.error_status)
+            await self._answer_error(exchange)
         elif self.breaks_off:
             exchange.write(b'id: 1\nda')
             await asyncio.sleep(_EVENT_SECONDS)
@@ -163,6 +168,12 @@
         else:
             await self._stream(exchange, request, last)
 
+    async def _answer_error(self, exchange: RelayedExchange) -> None:
+        if self.drips:
+            await _drip(exchange, self.error_status)
+        else:
+            exchange.respond(b'an error', status=self.error_status)
+
     def _set_head(self, exchange: RelayedExchange, request: str) -> None:
         exchange.set_header(_REQUEST_ID_HEADER, request)
         exchange.set_header(_SEAL_HEADER, f'seal-{self.name}')
@@ -201,3 +212,12 @@
     exchange.set_header(_REQUEST_ID_HEADER, request)
     exchange.set_header(_NOT_RUN_HEADER, '1')
     exchange.respond(b'', status=status)
+
+
+async def _drip(exchange: RelayedExchange, status: int = HTTPStatus.OK) -> None:
+    """Send a body without end, slowly, until the caller disconnects."""
+    request = exchange.get_header(_REQUEST_ID_HEADER).encode()
+    exchange.begin(status, [(b'X-Chicoryshunt-Request-Id', request)])
+    while exchange.is_open:
+        exchange.write(b'.')
+        await asyncio.sleep(_EVENT_SECONDS)
