Do not wait for the body of a target's refusal

A call that a target refused with a body without end was refused in turn after all its time, although other targets had room.

Cause: the body of an answer was read before its head was looked at, and then not used for a refusal or an answer to another request.

The body is now read only of an answer to a call that ran. No connection is lost by this: it was dropped after a refusal before, too.

test_a_refusal_without_end_costs_no_time failed before with 503.

--- a/chicoryshunt/relay/calls.py
+++ b/chicoryshunt/relay/calls.py
@@ -249,7 +249,6 @@
         seconds: float,
     ) -> Attempt:
         answer_kind = self._context.codec.classify_answer(incoming, answer)
-        body = await answer.body.read_all(_MAX_ANSWER_BYTES, seconds)
         match answer_kind:
             case AnswerKind.not_run | AnswerKind.other_target:
                 self._context.record_outcome(target, ExchangeOutcome.failed)
@@ -257,6 +256,7 @@
             case AnswerKind.foreign:
                 self._context.record_outcome(target, ExchangeOutcome.garbled)
                 return Doubtful(target, 'answer to another request')
+        body = await answer.body.read_all(_MAX_ANSWER_BYTES, seconds)
         if not isinstance(body, bytes):
             self._context.record_outcome(target, ExchangeOutcome.garbled)
             return Doubtful(target, 'answer is cut')
--- a/lab/standins/platform_targets.py
+++ b/lab/standins/platform_targets.py
@@ -6,6 +6,7 @@
 from http import HTTPStatus
 
 from chicoryshunt.connection.relayed_exchange import RelayedExchange
+from chicoryshunt.connection.upstream import RawHeaders
 from chicoryshunt.connection.web import BoundedSite
 from lab.standins.crashable_server import CrashableServer
 from lab.standins.platform_store import BOUNDS
@@ -25,6 +26,8 @@
         self.name = name
         self.site = BoundedSite(self._handle, BOUNDS)
         self.mode = 'well'
+        # Whether the bodies of refusals never end.
+        self.drips = False
         self.runs: Counter[str] = Counter()
         self.headers: list[dict[str, str]] = []
         self.bodies: list[bytes] = []
@@ -37,7 +40,11 @@
             status = HTTPStatus.MISDIRECTED_REQUEST
             if self.mode == 'full':
                 status = HTTPStatus.SERVICE_UNAVAILABLE
-            _refuse(exchange, request, status)
+            if self.drips:
+                not_run = (_NOT_RUN_HEADER.encode(), b'1')
+                await _drip(exchange, status, [not_run])
+            else:
+                _refuse(exchange, request, status)
             return
         self.runs[request] += 1
         self.bodies.append(exchange.body)
@@ -214,10 +221,14 @@
     exchange.respond(b'', status=status)
 
 
-async def _drip(exchange: RelayedExchange, status: int = HTTPStatus.OK) -> None:
+async def _drip(
+    exchange: RelayedExchange,
+    status: int = HTTPStatus.OK,
+    headers: RawHeaders = (),
+) -> None:
     """Send a body without end, slowly, until the caller disconnects."""
     request = exchange.get_header(_REQUEST_ID_HEADER).encode()
-    exchange.begin(status, [(b'X-Chicoryshunt-Request-Id', request)])
+    exchange.begin(status, [(b'X-Chicoryshunt-Request-Id', request), *headers])
     while exchange.is_open:
         exchange.write(b'.')
         await asyncio.sleep(_EVENT_SECONDS)
--- a/tests/test_dripping_answers.py
+++ b/tests/test_dripping_answers.py
@@ -11,6 +11,8 @@
 from tests.reactor import run_on_reactor
 
 GENERATION = build_generation('first', 'last')
+# Half of them meet the target that refuses.
+FILINGS = 8
 # Longer than an answer to a failure or to an order is waited for.
 PATIENCE_SECONDS = 6
 
@@ -52,3 +54,16 @@
             await asyncio.sleep(0.05)
 
     _run(trial)
+
+
+def test_a_refusal_without_end_costs_no_time() -> None:
+    """Guards against filings whose time is used up by one full target."""
+
+    async def trial(platform: SmallPlatform) -> None:
+        platform.services[0].mode = 'full'
+        platform.services[0].drips = True
+        for number in range(FILINGS):
+            answer, _ = await platform.ask('/filings/1', f'f{number}', 'POST')
+            assert answer.status == 200
+
+    _run(trial)
