Bound the memory of all answers that are received at the same time

Another operator reported a machine that kept the bytes without end of a faulty runner and ran out of memory. Here a node with 40 calls at once to services whose bodies do not end took 433 MB, and 139 MB with 8 calls; a process starts with 39 MB, and sites allow from 128 MB on.

Cause: each body was bounded, at 8 MiB for a call, but not all together.

All whole answers of a process now share 16 MiB. If they need more, the largest gives way and ends as cut: short answers of other targets, which are most of the traffic, are still received.

--- a/chicoryshunt/connection/upstream.py
+++ b/chicoryshunt/connection/upstream.py
@@ -23,6 +23,7 @@
 from twisted.web.iweb import UNKNOWN_LENGTH, IBodyProducer
 from zope.interface import implementer
 
+from chicoryshunt.connection.answer_buffers import AnswerBuffers
 from chicoryshunt.connection.loop import await_deferred
 from chicoryshunt.connection.loop_transport import LoopTransport
 from chicoryshunt.events import log_problem
@@ -40,6 +41,8 @@
 _KEEPALIVE_INTERVAL_SECONDS = 1
 _KEEPALIVE_PROBES = 2
 _HIGH_WATER_MARK_BYTES = 262144
+# Whole answers that a pool receives at the same time.
+_MAX_BUFFERED_BYTES = 16777216
 # Size of an answer's head, together with the interim answers before it.
 _MAX_HEAD_BYTES = 65536
 # Name of the state in which the protocol waits for a request.
@@ -141,8 +144,8 @@
     ) -> bytes | BodyEnd:
         """Return the whole body.
 
-        Return ``BodyEnd.cut`` if it is cut, exceeds ``max_bytes`` or is not
-        complete after ``seconds``.
+        Return ``BodyEnd.cut`` if it is cut, exceeds ``max_bytes``, is not
+        complete after ``seconds`` or gives way to other answers.
         """
         try:
             async with asyncio.timeout(seconds):
@@ -172,16 +175,16 @@
         self._arrived.set()
 
     async def _collect(self, max_bytes: int) -> bytes | BodyEnd:
-        received = bytearray()
-        while True:
-            chunk = await self.read()
-            if chunk is BodyEnd.whole:
-                return bytes(received)
-            if isinstance(chunk, BodyEnd):
-                return chunk
-            received += chunk
-            if len(received) > max_bytes:
-                return BodyEnd.cut
+        buffers = self._connection.buffers
+        with buffers.open() as buffer:
+            while not buffer.is_dropped and buffer.size <= max_bytes:
+                chunk = await self.read()
+                if buffer.is_dropped or chunk is BodyEnd.cut:
+                    break
+                if isinstance(chunk, BodyEnd):
+                    return buffer.join()
+                buffers.append(buffer, chunk)
+        return BodyEnd.cut
 
     def _resume(self) -> None:
         if self._is_paused:
@@ -196,14 +199,16 @@
         self,
         on_idle: Callable[['Upstream'], None],
         on_lost: Callable[['Upstream'], None],
+        buffers: AnswerBuffers,
     ) -> None:
         """Create a connection and the callbacks of its state.
 
         ``on_idle`` is called when the next exchange may start, ``on_lost``
-        when the connection ended.
+        when the connection ended. Whole bodies are received into ``buffers``.
         """
         super().__init__(lambda _: on_idle(self))
         self._on_lost = on_lost
+        self.buffers = buffers
         self.address = ''
         self.idle_seconds = _DEFAULT_IDLE_SECONDS
         self.idle_since: float = 0
@@ -343,6 +348,7 @@
         """Time out connecting after ``connect_seconds``."""
         self._connect_seconds = connect_seconds
         self._idle: dict[str, list[Upstream]] = {}
+        self._buffers = AnswerBuffers(_MAX_BUFFERED_BYTES)
         self.opened = 0
 
     async def acquire(self, address: str, max_idle_seconds: float) -> Upstream:
@@ -382,7 +388,7 @@
 
     async def open(self, address: str) -> Upstream:
         """Return a new connection; raise ``NotSentError`` without one."""
-        upstream = Upstream(self._add_idle, self._remove_idle)
+        upstream = Upstream(self._add_idle, self._remove_idle, self._buffers)
         upstream.address = address
         self.opened += 1
         try:
