Read event numbers of a bounded length

The review names it by reading: an event whose id has more than 4,300 digits raised ValueError in the task that reads the answer, and the stream waited for its deadline although other engines were sound.

A number now has at most 19 digits; an event with more has none, and so is no progress. test_a_number_of_many_digits_is_none hung before.

--- a/chicoryshunt/relay/frames.py
+++ b/chicoryshunt/relay/frames.py
@@ -9,6 +9,8 @@
 _FRAME_END = b'\n\n'
 _LINE_END = b'\n'
 _NO_EVENT = -1
+# Numbers of 64 bits have at most 19 digits; int() rejects very long ones.
+_MAX_DIGITS = 19
 
 NumberedFrames = list[tuple[int | None, bytes]]
 
@@ -72,5 +74,6 @@
     for line in frame.split(_LINE_END):
         if line.startswith(_ID_FIELD):
             text = line[len(_ID_FIELD) :].strip()
-            return int(text) if text.isdigit() else None
+            is_number = text.isdigit() and len(text) <= _MAX_DIGITS
+            return int(text) if is_number else None
     return None
--- a/tests/test_leg.py
+++ b/tests/test_leg.py
@@ -216,6 +216,16 @@
     assert trial.burst <= MAX_BURST
 
 
+def test_a_number_of_many_digits_is_none() -> None:
+    """Guards against a stream that hangs at a number too long to read."""
+    odd = b'id: %s\ndata: token\n\n' % (b'9' * 5000)
+
+    trial = _read(_frame(1), odd, _frame(2), BodyEnd.whole)
+
+    assert trial.end is LegEnd.whole
+    assert trial.events == [1, None, 2]
+
+
 def test_a_flood_of_events_leaves_turns_to_others() -> None:
     """Guards against requests that wait while one stream is relayed."""
     numbers = range(1, FLOOD + 1)
