Refuse a request whose numbers are out of range

Found on paths related to odd entries; no caller reported it. A deadline of 1e999 and a number of tokens with 400 digits raised OverflowError, and the callers got 500 and 502, which do not say that the request did not run.

Numbers that no float or no message can hold are now refused with 400. Two new cases of test_what_is_not_allowed_is_refused failed before.

--- a/chicoryshunt/platform/callers.py
+++ b/chicoryshunt/platform/callers.py
@@ -16,6 +16,8 @@
 
 _MILLISECONDS = 1000
 _BEARER = b'bearer '
+# Messages to other nodes hold no larger integers than 64 bits.
+_MAX_TOKENS = 0x7FFFFFFF
 _STATUS_BY_REASON = MappingProxyType(
     {
         Reason.unknown_team: HTTPStatus.UNAUTHORIZED,
@@ -42,7 +44,7 @@
             return refuse(Reason.bad_request, 'the request has no id')
         try:
             return self._build(exchange, RequestId(request), sent, headers)
-        except ValueError as error:
+        except (ValueError, OverflowError) as error:
             return refuse(Reason.bad_request, str(error))
 
     def respond(
@@ -135,13 +137,20 @@
     parts = _get(headers, wire.PROMPT_PARTS)
     return GenerationParams(
         ModelId(model),
-        int(prompt),
-        int(limit or 0),
+        _decode_count(prompt),
+        _decode_count(limit or '0'),
         round(float(estimate)) if estimate else None,
         tuple(part.partition(':')[0].strip() for part in parts.split(',')),
     )
 
 
+def _decode_count(text: str) -> int:
+    count = int(text)
+    if count > _MAX_TOKENS:
+        raise ValueError(f'more than {_MAX_TOKENS} tokens')
+    return count
+
+
 def _decode_number(text: str) -> int | None:
     return int(float(text)) if text else None
 
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -39,6 +39,9 @@
 )
 
 
+_TOKENS = 'X_Chicoryshunt_Token_Count'
+
+
 def _run_trial(trial: Callable[[SmallPlatform], Awaitable[None]]) -> None:
     async def run() -> None:
         async with run_platform() as platform:
@@ -73,6 +76,8 @@
         ('/reads/1', {'Authorization': 'Bearer forged'}, 401),
         ('/reads/1', {'X_Chicoryshunt_Request_Id': ''}, 400),
         ('/reads/1', {'X_Chicoryshunt_Deadline_Ms': 'soon'}, 400),
+        ('/reads/1', {'X_Chicoryshunt_Deadline_Ms': '1e999'}, 400),
+        ('/drafts/1', {**GENERATION, _TOKENS: '1000,%s' % ('9' * 400)}, 400),
     ],
 )
 def test_what_is_not_allowed_is_refused(
