--- a/chicoryshunt/platform/callers.py
+++ b/chicoryshunt/platform/callers.py
@@ -16,7 +16,7 @@
 
 _MILLISECONDS = 1000
 _BEARER = b'bearer '
-# Messages to other nodes hold no larger integers than 64 bits.
+# Forecasts and messages to other nodes cannot hold numbers of any size.
 _MAX_TOKENS = 0x7FFFFFFF
 _STATUS_BY_REASON = MappingProxyType(
     {
