Use a short grace to its last sixth in a planned stop

Found while requests that planned stops cut off were looked into. A node closed its connections half a second before the end of the grace, however short. With a grace of 2 s that is before its last sixth, so that each stream that was cut counted as lost (LOST).

The margin is now a sixteenth of a grace of less than 8 s.

test_a_short_grace_is_used_to_its_last_sixth fails for 0.5 and 2 s with the earlier margin. The answer margin moved beside the rule that uses it.

--- a/chicoryshunt/platform/node.py
+++ b/chicoryshunt/platform/node.py
@@ -38,9 +38,6 @@
 _CONNECT_SECONDS = 0.4
 # A leaving node keeps serving until most cached lists with it have expired.
 _LINGER_SECONDS = 3.0
-_GRACE_MARGIN_SECONDS = 0.5
-# The last answers are written in this time before connections are closed.
-_ANSWER_SECONDS = 0.3
 _POLL_SECONDS = 0.05
 
 
@@ -126,11 +123,8 @@
         started = self._clock.now()
         log_event('node_leaving', active=self._gateway.active)
         self._fleet_agent.leave(started)
-        deadline = started + self._settings.bounds.stop_grace
-        deadline -= _GRACE_MARGIN_SECONDS
-        self._gateway.leave(
-            lists_expire=started + _LINGER_SECONDS,
-            end=deadline - _ANSWER_SECONDS,
+        deadline = self._gateway.leave(
+            started, _LINGER_SECONDS, self._settings.bounds.stop_grace
         )
         while self._clock.now() < deadline:
             lingered = self._clock.now() - started >= _LINGER_SECONDS
--- a/chicoryshunt/relay/gateway.py
+++ b/chicoryshunt/relay/gateway.py
@@ -13,7 +13,11 @@
 from chicoryshunt.relay.context import RelayContext
 from chicoryshunt.relay.generations import GenerationRelay
 from chicoryshunt.relay.incoming import IncomingRequest
-from chicoryshunt.relay.planned_stop import PlannedStop
+from chicoryshunt.relay.planned_stop import (
+    ANSWER_SECONDS,
+    PlannedStop,
+    find_last_moment,
+)
 from chicoryshunt.relay.results import Delivered, Result, Streamed
 from chicoryshunt.rules.model import RequestType
 from chicoryshunt.rules.routing import (
@@ -79,13 +83,18 @@
         """Return whether this node stops."""
         return self._context.planned_stop is not None
 
-    def leave(self, lists_expire: float, end: float) -> None:
+    def leave(self, started: float, list_seconds: float, grace: float) -> float:
         """Accept only requests that can be answered before the node ends.
 
-        Times are in monotonic seconds: until when callers may have a list of
-        nodes with this one, and when its connections are closed.
+        Callers keep their lists of nodes for ``list_seconds``; the node is
+        killed ``grace`` seconds after ``started``, in monotonic seconds. Return
+        when to close the last connections.
         """
-        self._context.planned_stop = PlannedStop(lists_expire, end)
+        last_moment = find_last_moment(started, grace)
+        self._context.planned_stop = PlannedStop(
+            started + list_seconds, last_moment - ANSWER_SECONDS
+        )
+        return last_moment
 
     async def handle(self, exchange: RelayedExchange) -> None:
         """Serve one request until it is answered or its caller disconnects."""
--- a/chicoryshunt/relay/planned_stop.py
+++ b/chicoryshunt/relay/planned_stop.py
@@ -6,6 +6,11 @@
 from chicoryshunt.types import Reason, Seconds
 from chicoryshunt.verdict import Verdict, refuse
 
+# The process ends this long before it is killed, in a short grace for a share.
+_MAX_MARGIN_SECONDS: Final = 0.5
+_MARGIN_SHARE: Final = 0.0625
+# The last answers are written in this time before connections are closed.
+ANSWER_SECONDS: Final = 0.3
 # Another node may serve the request at once.
 _RETRY_AFTER_SECONDS: Final = Seconds(0)
 
@@ -37,6 +42,14 @@
         return expected_end <= self.end
 
 
+def find_last_moment(started: float, grace: float) -> float:
+    """Return when a node closes its connections in a planned stop.
+
+    It is killed ``grace`` seconds after ``started``.
+    """
+    return started + grace - min(_MAX_MARGIN_SECONDS, grace * _MARGIN_SHARE)
+
+
 def refuse_stopping() -> Verdict:
     """Refuse a request that this node could not answer before it ends."""
     return refuse(Reason.draining, 'the node stops', _RETRY_AFTER_SECONDS)
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -9,7 +9,7 @@
 
 from chicoryshunt.connection.upstream import NotSentError
 from chicoryshunt.platform import node
-from chicoryshunt.relay.planned_stop import PlannedStop
+from chicoryshunt.relay.planned_stop import PlannedStop, find_last_moment
 from tests.platform_builders import (
     SmallPlatform,
     build_generation,
@@ -40,6 +40,12 @@
     assert STOP.accepts(received, expected_end, deadline) is is_accepted
 
 
+@pytest.mark.parametrize('grace', [0.5, 2, 8, 60])
+def test_a_short_grace_is_used_to_its_last_sixth(grace: float) -> None:
+    """Guards against streams that a node cuts long before it has to end."""
+    assert grace * 5 / 6 < find_last_moment(0, grace) < grace
+
+
 def _run_stopping(trial: Callable[[SmallPlatform], Awaitable[None]]) -> None:
     """Stop the node of a platform while it serves a stream of nine seconds."""
 
