--- a/Makefile
+++ b/Makefile
@@ -75,7 +75,8 @@
 soak-stops: venv  ## planned stops of real nodes; SEED, SEEDS, SECONDS, NODES
 	$(BIN)/python -m lab.soak.stops --seed=$(or $(SEED),1) \
 		--seeds=$(or $(SEEDS),1) --seconds=$(or $(SECONDS),14) \
-		--nodes=$(or $(NODES),6)
+		--nodes=$(or $(NODES),6) \
+		--keep=$(or $(KEEP),/tmp/chicoryshunt-soak)
 
 soak-regressions: venv  ## the seeds of the soak that once failed
 	$(BIN)/python -m lab.soak.soak --regressions
--- a/lab/soak/stops.py
+++ b/lab/soak/stops.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import shutil
 import signal
 import sys
 import tempfile
@@ -47,6 +48,9 @@
 flags.DEFINE_integer('nodes', 5, 'node processes', flag_values=_FLAGS)
 flags.DEFINE_integer('callers', 40, 'callers at once', flag_values=_FLAGS)
 flags.DEFINE_float('gap', 1.3, 'seconds between stops', flag_values=_FLAGS)
+flags.DEFINE_string(
+    'keep', '', 'folder for logs of seeds that failed', flag_values=_FLAGS
+)
 
 _START_SECONDS = 60.0
 _POLL_SECONDS = 0.2
@@ -360,11 +364,13 @@
     node.start()
 
 
-async def _soak_in_turn(seeds: range, size: Size) -> bool:
+async def _soak_in_turn(seeds: range, size: Size, keep: str) -> bool:
     all_held = True
     for seed in seeds:
         with tempfile.TemporaryDirectory() as name:
             findings = await soak(seed, size, Path(name))
+            if findings.lost and keep:
+                shutil.copytree(name, Path(keep) / f'stops-{seed}')
         all_held = all_held and not findings.lost
         print(
             f'seed {seed}: {findings.stops} stops, '
@@ -381,7 +387,7 @@
     parse_flags(_FLAGS)
     size = Size(_FLAGS.seconds, _FLAGS.nodes, _FLAGS.callers, _FLAGS.gap)
     seeds = range(_FLAGS.seed, _FLAGS.seed + _FLAGS.seeds)
-    all_held = run_until_done(lambda: _soak_in_turn(seeds, size))
+    all_held = run_until_done(lambda: _soak_in_turn(seeds, size, _FLAGS.keep))
     sys.exit(0 if all_held else 1)
 
 
