--- a/chicoryshunt/relay/leg_watch.py
+++ b/chicoryshunt/relay/leg_watch.py
@@ -4,7 +4,7 @@
 from enum import Enum
 
 from chicoryshunt.dispatch.outliers import ExchangeOutcome
-from chicoryshunt.events import log_event
+from chicoryshunt.events import log_event, log_routine
 from chicoryshunt.fleet.facts import TargetFact
 from chicoryshunt.relay.context import RelayContext
 from chicoryshunt.relay.incoming import IncomingRequest
@@ -68,6 +68,14 @@
 
     def record_end(self, end: LegEnd) -> None:
         """Record how the answer ended."""
+        log_routine(
+            'leg_ended',
+            request=self.incoming.request,
+            target=self.target.target,
+            leg=self.leg,
+            end=end.value,
+            events=self.events,
+        )
         if end is LegEnd.cut:
             self.record_cut()
         elif not self.has_survived:
