Do not take a stopped run for a complete one

Cause: the end of such a connection means the end of the stream or the stop that the node has ordered, and relay/leg.py decided for the first without knowing of the order.

Change: legs end whole, closed or cut. A closed leg waits for the answer to an order to stop. An order of which it is not known whether it was carried out makes the leg one that may have been stopped; it then continues from its copy, on the destination or on the source, or is cut. An order that was never sent is told apart from one without an answer.

The model of test_stream_state.py knows engines that stop runs without an answer; with a closed leg taken as whole during the order, or after a lost one, it fails.

--- a/chicoryshunt/relay/leg.py
+++ b/chicoryshunt/relay/leg.py
@@ -213,14 +213,15 @@
 def _classify_end(
     end: BodyEnd, reader: EventReader, body: Body, progress: _Progress
 ) -> LegEnd:
-    """Return whether an answer that ended is whole.
+    """Return how an answer ended.
 
-    One that only the end of its connection delimits is not if it has no event.
+    One that only the end of its connection delimits is cut if it has no event.
     """
-    is_begun = body.is_framed or progress.has_events
-    if end is BodyEnd.whole and reader.is_between_events and is_begun:
+    if end is BodyEnd.cut or not reader.is_between_events:
+        return LegEnd.cut
+    if body.is_framed:
         return LegEnd.whole
-    return LegEnd.cut
+    return LegEnd.closed if progress.has_events else LegEnd.cut
 
 
 async def open_leg(
--- a/chicoryshunt/relay/moving.py
+++ b/chicoryshunt/relay/moving.py
@@ -124,7 +124,7 @@
         """Order a copy and queue its outcome as an input of the stream."""
         state = stream.state
         fact = self._context.catalog.find(destination)
-        outcome: Copied | CopyFailed = CopyFailed(CopyFailure.unreachable)
+        outcome: Copied | CopyFailed = CopyFailed(CopyFailure.not_sent)
         if state is not None and fact is not None:
             outcome = await self._send_order(
                 state.engine.address,
@@ -311,17 +311,16 @@
         address: str,
         outgoing: OutgoingRequest,
     ) -> Copied | CopyFailed:
-        failed = CopyFailed(CopyFailure.unreachable)
         try:
             upstream = await self._context.pool.open(address)
         except NotSentError as error:
             log_event('copy_not_ordered', error=str(error))
-            return failed
+            return CopyFailed(CopyFailure.not_sent)
         try:
             answer = await upstream.send(outgoing, _COPY_TIMEOUT_SECONDS)
         except (NotSentError, ConnectionLostError) as error:
             log_event('copy_not_answered', error=str(error))
-            return failed
+            return CopyFailed(CopyFailure.unreachable)
         else:
             body = await answer.body.read_all(
                 _MAX_ANSWER_BYTES, _ANSWER_BODY_SECONDS
--- a/chicoryshunt/relay/stream_inputs.py
+++ b/chicoryshunt/relay/stream_inputs.py
@@ -11,9 +11,14 @@
 
 
 class LegEnd(Enum):
-    """How the answer of a leg ended."""
+    """How the answer of a leg ended.
+
+    ``closed``: with its connection and between two events, without a length or
+    chunks. It is whole unless the run was stopped.
+    """
 
     whole = 'whole'
+    closed = 'closed'
     cut = 'cut'
 
 
--- a/chicoryshunt/relay/stream_state.py
+++ b/chicoryshunt/relay/stream_state.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 from chicoryshunt.relay.stream_actions import (
@@ -56,8 +56,9 @@
     destination: TargetId
     handle: str = ''
     has_stopped: bool = False
-    leg_ended: bool = False
-    returned_to_source: bool = False
+    leg_end: LegEnd | None = None
+    # Engines that may continue the run from its memory, in this order.
+    holders: list[TargetId] = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,6 +91,8 @@
         self._current_leg = LegId(0)
         self._is_resumable = is_resumable
         self._move: _Move | None = None
+        # A move whose order to stop the run may have been carried out.
+        self._unconfirmed_move: _Move | None = None
         self._order: _CopyOrder | None = None
         self._is_move_deferred = False
 
@@ -138,17 +141,30 @@
 
     def _handle_end(self, end: LegEnd) -> Iterator[Action]:
         move = self._move
-        if end is LegEnd.whole:
-            self.phase = Phase.done
-            if move is not None and move.handle:
-                yield Release(MemoryCopy(self.engine.address, move.handle))
-            yield Finish()
-        elif move is not None and self.phase is Phase.stopping:
-            move.leg_ended = True
+        if end is not LegEnd.whole and self.phase is Phase.stopping and move:
+            # Only the answer to the order says whether the run was stopped.
+            move.leg_end = end
             if move.has_stopped:
-                yield self._continue_at(move.destination, move.handle)
+                yield self._continue_run(move)
+        else:
+            yield from self._end_leg(end, 'the engine broke off')
+
+    def _end_leg(self, end: LegEnd, reason: str) -> Iterator[Action]:
+        is_whole = end is LegEnd.whole
+        if end is LegEnd.closed:
+            is_whole = self._unconfirmed_move is None
+        if is_whole:
+            yield from self._finish()
         else:
-            yield from self._recover('the engine broke off')
+            yield from self._recover(reason)
+
+    def _finish(self) -> Iterator[Action]:
+        self.phase = Phase.done
+        moves = (self._move, self._unconfirmed_move)
+        handles = {move.handle for move in moves if move and move.handle}
+        for handle in sorted(handles):
+            yield Release(MemoryCopy(self.engine.address, handle))
+        yield Finish()
 
     def _handle_move_request(self, destination: TargetId) -> Iterator[Action]:
         if self.phase is not Phase.flowing:
@@ -191,51 +207,60 @@
     ) -> Iterator[Action]:
         match outcome:
             case Copied(handle) if stopped_run:
+                move.holders = [move.destination, self.engine.target]
                 yield from self._await_stop(move, handle)
             case Copied(handle) if self.phase is Phase.copying:
                 move.handle = handle
+                move.holders = [move.destination]
                 self.phase = Phase.stopping
                 yield self._order_copy(move, stops_run=True)
             case CopyFailed(_, handle) if handle and stopped_run:
                 # The run has stopped, but its memory is still on the source.
-                move.destination = self.engine.target
-                move.returned_to_source = True
+                move.holders = [self.engine.target]
                 yield from self._await_stop(move, handle)
             case CopyFailed():
+                if stopped_run and not outcome.is_rejected:
+                    move.holders = [move.destination, self.engine.target]
+                    self._unconfirmed_move = move
                 yield from self._abandon_move(move)
 
     def _await_stop(self, move: _Move, handle: str) -> Iterator[Action]:
         """Wait for the last events of the stopped engine, then continue."""
         move.handle = handle
         move.has_stopped = True
-        if move.leg_ended:
-            yield self._continue_at(move.destination, handle)
-        else:
+        if move.leg_end is None:
             yield StartStopTimer()
+        else:
+            yield self._continue_run(move)
 
     def _handle_stop_timer(self) -> Iterator[Action]:
         move = self._move
         if move is None or self.phase is not Phase.stopping:
             return
-        if move.has_stopped and not move.leg_ended:
+        if move.has_stopped and move.leg_end is None:
             yield CloseLeg(self._current_leg)
-            yield self._continue_at(move.destination, move.handle)
+            yield self._continue_run(move)
 
     def _abandon_move(self, move: _Move) -> Iterator[Action]:
         self.phase = Phase.flowing
-        if move.leg_ended:
-            yield from self._recover('the engine broke off during a move')
-        else:
+        if move.leg_end is None:
             self._move = None
             yield Replan()
+        else:
+            yield from self._end_leg(
+                move.leg_end, 'the engine broke off during a move'
+            )
 
-    def _continue_at(self, target: TargetId, handle: str) -> OpenLeg:
-        return self._open_leg(target, MemoryCopy(self.engine.address, handle))
+    def _continue_run(self, move: _Move) -> OpenLeg:
+        """Continue a run from its memory on the next engine that may."""
+        memory = MemoryCopy(self.engine.address, move.handle)
+        return self._open_leg(move.holders.pop(0), memory)
 
     def _open_leg(
         self, target: TargetId | None, memory: MemoryCopy | None
     ) -> OpenLeg:
         """Start another leg; later events of the last one are ignored."""
+        self._unconfirmed_move = None
         self._current_leg = LegId(self.leg_count)
         self.leg_count += 1
         self.phase = Phase.switching
@@ -244,14 +269,11 @@
     def _recover(self, reason: str) -> Iterator[Action]:
         """Continue after the current leg was cut, if there is a way."""
         move = self._move
-        if move is not None and move.handle and not move.returned_to_source:
-            move.returned_to_source = True
-            # A stopped run can continue on its own engine. Of a run that was
-            # cut, only the copy is left.
-            target = move.destination
-            if move.has_stopped:
-                target = self.engine.target
-            yield self._continue_at(target, move.handle)
+        if move is None or not move.holders:
+            move = self._unconfirmed_move
+        if move is not None and move.holders:
+            self._move = move
+            yield self._continue_run(move)
         elif self._is_resumable:
             self._move = None
             yield self._open_leg(None, None)
--- a/chicoryshunt/relay/target_codec.py
+++ b/chicoryshunt/relay/target_codec.py
@@ -46,14 +46,24 @@
 
 
 class CopyFailure(Enum):
-    """Why the memory of a run was not copied."""
+    """Why the memory of a run was not copied.
 
+    ``not_sent``: the engine did not get the order; ``unreachable``: it may have
+    got it.
+    """
+
+    not_sent = 'not_sent'
     no_run = 'no_run'
     busy = 'busy'
     no_room = 'no_room'
     unreachable = 'unreachable'
 
 
+_REJECTIONS = frozenset(
+    (CopyFailure.not_sent, CopyFailure.no_run, CopyFailure.busy)
+)
+
+
 @dataclass(frozen=True, slots=True)
 class Copied:
     """The memory was copied; ``events`` counts those generated so far."""
@@ -69,6 +79,11 @@
     reason: CopyFailure
     handle: str = ''
 
+    @property
+    def is_rejected(self) -> bool:
+        """Return whether the engine certainly did not carry out the order."""
+        return self.reason in _REJECTIONS
+
 
 class Health(Enum):
     """Result of a health check; a target that leaves is ``failing``."""
--- a/tests/test_stream_state.py
+++ b/tests/test_stream_state.py
@@ -52,6 +52,8 @@
 SOURCE = EngineAddress(TargetId('source'), '10.0.0.1:1')
 DESTINATION = EngineAddress(TargetId('destination'), '10.0.0.2:1')
 NO_ROOM = CopyFailed(CopyFailure.no_room)
+LOST = CopyFailed(CopyFailure.unreachable)
+NO_RUN = CopyFailed(CopyFailure.no_run)
 
 
 def _event(number: int, leg: int = 0) -> LegEvent:
@@ -268,6 +270,54 @@
     ]
 
 
+def _build_stopping() -> StreamState:
+    """Return the state of a stream whose run is ordered to stop."""
+    state = StreamState(SOURCE, is_resumable=False)
+    _process(
+        state,
+        _event(1),
+        MoveRequested(DESTINATION.target),
+        CopyEnded(Copied('h', 1), stopped_run=False),
+    )
+    return state
+
+
+def test_a_run_that_ended_by_itself_is_whole() -> None:
+    state = _build_stopping()
+
+    assert not _process(state, LegEnded(LegId(0), LegEnd.closed))
+    assert _process(state, CopyEnded(NO_RUN, stopped_run=True)) == [
+        Release(MemoryCopy(SOURCE.address, 'h')),
+        Finish(),
+    ]
+
+
+def test_a_run_that_may_be_stopped_is_not_whole() -> None:
+    """Guards against a stopped run that looks complete.
+
+    The order to stop may have been carried out, whatever later orders say.
+    """
+    state = _build_stopping()
+    _process(
+        state,
+        CopyEnded(LOST, stopped_run=True),
+        MoveRequested(DESTINATION.target),
+        CopyEnded(NO_RUN, stopped_run=False),
+    )
+
+    actions = _process(state, LegEnded(LegId(0), LegEnd.closed))
+
+    memory = MemoryCopy(SOURCE.address, 'h')
+    assert actions == [OpenLeg(LegId(1), DESTINATION.target, memory, 1)]
+    # The copy may be lost as well, and the memory still be on the source.
+    assert _process(state, LegRefused(LegId(1))) == [
+        OpenLeg(LegId(2), SOURCE.target, memory, 1)
+    ]
+    assert _process(state, LegRefused(LegId(2))) == [
+        Abort('no engine took the run over')
+    ]
+
+
 def _find_number(frame: bytes) -> int:
     return int(frame[4:-2])
 
@@ -292,6 +342,10 @@
         self.first_number = (last_event or 0) + 1
         self.next_number = self.first_number
         self.running = True
+        # Whether the run was stopped, and its leg has not ended yet.
+        self.is_stopped = False
+        # Whether the run ended by itself.
+        self.is_complete = False
         self.forwarded: list[int] = []
         self.opening: OpenLeg | None = None
         self.copying: Copy | None = None
@@ -319,6 +373,8 @@
                 self.note_end(action)
 
     def note_end(self, action: Action) -> None:
+        if isinstance(action, Finish):
+            assert self.is_complete, 'a part does not look complete'
         if isinstance(action, Finish | Abort):
             self.ended.append(action)
 
@@ -344,23 +400,52 @@
     def notice(self) -> None:
         self.apply(self.state.process(MoveRequested(DESTINATION.target)))
 
+    @precondition(
+        lambda machine: (
+            machine.running and machine.copying and machine.copying.stops_run
+        )
+    )
+    @rule()
+    def stop_run(self) -> None:
+        """Stop the run before the order is answered."""
+        self.running = False
+        self.is_stopped = True
+
     @precondition(lambda machine: machine.copying is not None)
     @rule(
         outcome=st.sampled_from(
-            [Copied('h', 1), NO_ROOM, CopyFailed(CopyFailure.no_room, 'k')],
+            [
+                Copied('h', 1),
+                NO_ROOM,
+                CopyFailed(CopyFailure.no_room, 'k'),
+                LOST,
+                NO_RUN,
+                CopyFailed(CopyFailure.busy),
+                CopyFailed(CopyFailure.not_sent),
+            ],
         ),
     )
     def answer_copy(self, outcome: Copied | CopyFailed) -> None:
         order = self.copying
         self.copying = None
         assert order is not None
-        if not order.stops_run and isinstance(outcome, CopyFailed):
-            outcome = NO_ROOM
-        has_memory = isinstance(outcome, Copied) or bool(outcome.handle)
-        if order.stops_run and has_memory:
-            self.running = False
+        if isinstance(outcome, CopyFailed) and not order.stops_run:
+            outcome = NO_ROOM if outcome.handle else outcome
+        if order.stops_run:
+            outcome = self.correct_outcome(outcome)
         self.apply(self.state.process(CopyEnded(outcome, order.stops_run)))
 
+    def correct_outcome(
+        self, outcome: Copied | CopyFailed
+    ) -> Copied | CopyFailed:
+        """Return an outcome that an engine may answer in its state."""
+        if isinstance(outcome, Copied) or outcome.handle:
+            if self.running:
+                self.stop_run()
+            return LOST if self.is_complete else outcome
+        is_broken_off = not self.running and not self.is_complete
+        return LOST if is_broken_off else outcome
+
     @precondition(lambda machine: machine.waits_for_stop)
     @rule()
     def settle(self) -> None:
@@ -378,6 +463,8 @@
             return
         self.current = opening.leg
         self.running = True
+        self.is_stopped = False
+        self.is_complete = False
         self.next_number = (opening.last_event or 0) + 1
         if repeats_events:
             # An engine may repeat events that the caller already has.
@@ -388,15 +475,14 @@
     @rule(end=st.sampled_from(LegEnd))
     def end_leg(self, end: LegEnd) -> None:
         self.running = False
+        self.is_complete = end is not LegEnd.cut
         self.apply(self.state.process(LegEnded(self.current, end)))
 
-    @precondition(
-        lambda machine: machine.waits_for_stop and not machine.running
-    )
-    @rule()
-    def end_stopped_leg(self) -> None:
-        ended = LegEnded(self.current, LegEnd.cut)
-        self.apply(self.state.process(ended))
+    @precondition(lambda machine: machine.is_stopped)
+    @rule(end=st.sampled_from((LegEnd.closed, LegEnd.cut)))
+    def end_stopped_leg(self, end: LegEnd) -> None:
+        self.is_stopped = False
+        self.apply(self.state.process(LegEnded(self.current, end)))
 
     @invariant()
     def every_event_comes_once_in_order(self) -> None:
