Reset the connection of a cut stream without chunks

A caller that speaks HTTP/1.0 gets a stream without chunks. If the stream was cut, its connection was closed, by which such a caller recognises the end of a whole one.

Evidence: test_a_cut_stream_without_chunks_is_reset failed before with 'DID NOT RAISE ConnectionResetError': the caller read five of 40 events and a regular end.

Change: an answer without chunks is aborted with a reset. Answers in chunks are aborted as before, as a reset may discard what was already sent.

--- a/chicoryshunt/connection/exchange.py
+++ b/chicoryshunt/connection/exchange.py
@@ -106,9 +106,17 @@
             self._request.finish()
 
     def abort(self) -> None:
-        """Abort the connection, so that the answer cannot seem complete."""
-        if self.is_open:
+        """Abort the connection, so that the answer cannot seem complete.
+
+        Without chunks, the end of the connection is the end of the answer
+        unless the connection is reset.
+        """
+        if not self.is_open:
+            return
+        if self._request.chunked:
             self._request.transport.abortConnection()
+        else:
+            self._request.transport.resetConnection()
 
     def register_producer(self, producer: object) -> None:
         """Register a producer to be paused while the write buffer is full."""
--- a/chicoryshunt/connection/loop_transport.py
+++ b/chicoryshunt/connection/loop_transport.py
@@ -1,6 +1,8 @@
 """Twisted protocols on asyncio's TCP transports."""
 
 import asyncio
+import socket
+import struct
 from collections.abc import Iterable
 from typing import Any, cast
 
@@ -24,6 +26,8 @@
 from zope.interface import implementer
 
 _HIGH_WATER_MARK_BYTES = 65536
+# Value of SO_LINGER: on, for zero seconds.
+_NO_WAIT = struct.pack('ii', 1, 0)
 
 
 @implementer(ITCPTransport, IConsumer, IPushProducer)
@@ -102,6 +106,13 @@
         self.disconnecting = True
         self._transport.abort()
 
+    def resetConnection(self) -> None:
+        """Close at once, and let the peer see that as an error."""
+        connection = self._transport.get_extra_info('socket')
+        if connection is not None:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_WAIT)
+        self.abortConnection()
+
     def loseWriteConnection(self) -> None:
         """Close the write side only."""
         if not self._transport.is_closing():
