Refuse answers whose head or framing HTTP/1.1 does not allow

Cause: twisted.web's parser of answers is lenient, and nothing behind it checked what it made of them. It reads the status with int(), so that 000, +200 and 2_00 are numbers, takes any version and phrase, joins folded lines, keeps control bytes in values, skips a 101, uses the first of two transfer encodings, ignores a length beside them, and does not look at the lines behind the last chunk.

connection/answer_parser.py checks each line, and is used by both clients: by Upstream, for targets, the store and other nodes, and by HttpClient. An odd answer ends its exchange like a broken connection: the request may have run, a read is tried elsewhere, a stream is cut, the connection is not used again. It is logged as odd_answer with the address and reason, so that it can be told from a broken connection.

The outcome stays "silent", as it was for heads that cannot be parsed at all: sound targets show neither, and two in a row pause the target, where "garbled" waits for the failure rate. For the prompt guard it stays a break, which counts as a crash only if the engine then refuses connections.

--- a/chicoryshunt/connection/client.py
+++ b/chicoryshunt/connection/client.py
@@ -27,6 +27,7 @@
 from zope.interface import implementer
 
 from chicoryshunt.address import is_ip_number
+from chicoryshunt.connection.answer_parser import AnswerProtocolFactory
 from chicoryshunt.connection.loop import await_deferred, get_reactor
 from chicoryshunt.connection.loop_transport import LoopClientEndpoint
 from chicoryshunt.exceptions import ChicoryshuntError
@@ -74,6 +75,7 @@
             persistent=keeps_connections,
         )
         self._pool.retryAutomatically = False
+        self._pool._factory = AnswerProtocolFactory
         self._pool.maxPersistentPerHost = _MAX_IDLE_CONNECTIONS_PER_HOST
         self._agent = Agent.usingEndpointFactory(
             reactor,
--- a/chicoryshunt/connection/upstream.py
+++ b/chicoryshunt/connection/upstream.py
@@ -14,7 +14,6 @@
 from twisted.web._newclient import (
     BODY,
     DONE,
-    HTTP11ClientProtocol,
     Request,
     ResponseDone,
 )
@@ -24,6 +23,7 @@
 from zope.interface import implementer
 
 from chicoryshunt.connection.answer_buffers import AnswerBuffers
+from chicoryshunt.connection.answer_parser import AnswerProtocol
 from chicoryshunt.connection.loop import await_deferred
 from chicoryshunt.connection.loop_transport import LoopTransport
 from chicoryshunt.events import log_problem
@@ -192,7 +192,7 @@
             cast(Any, self.transport).resumeProducing()
 
 
-class Upstream(HTTP11ClientProtocol):
+class Upstream(AnswerProtocol):
     """HTTP/1.1 connection to a target."""
 
     def __init__(
@@ -209,7 +209,6 @@
         super().__init__(lambda _: on_idle(self))
         self._on_lost = on_lost
         self.buffers = buffers
-        self.address = ''
         self.idle_seconds = _DEFAULT_IDLE_SECONDS
         self.idle_since: float = 0
         self.is_closed = False
