Believe no answer that names two requests, seals or targets

An answer with the id of its request and a second one was passed on, as only the first value of a header was looked at. So were two seals, and a health check took the first of two targets.

Headers that identify an answer must have one value; the same value twice is one.

Before: four of six cases of test_an_answer_of_two_requests_is_foreign and test_the_health_of_two_targets_is_unknown fail, three with "assert 200 == 502" and one with "<Health.sound> is <Health.unknown>".

--- a/chicoryshunt/connection/upstream.py
+++ b/chicoryshunt/connection/upstream.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import socket
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
 from enum import Enum
 from http import HTTPStatus
@@ -95,11 +95,16 @@
 
     def get(self, name: bytes) -> bytes:
         """Return the first value of a header, empty when absent."""
+        return next(self._iterate_values(name), b'')
+
+    def get_only(self, name: bytes) -> bytes:
+        """Return the value of a header, empty if there are different ones."""
+        found = set(self._iterate_values(name))
+        return found.pop() if len(found) == 1 else b''
+
+    def _iterate_values(self, name: bytes) -> Iterator[bytes]:
         lowered = name.lower()
-        for key, text in self.headers:
-            if key.lower() == lowered:
-                return text
-        return b''
+        return (text for key, text in self.headers if key.lower() == lowered)
 
 
 class Body(Protocol):
--- a/chicoryshunt/platform/targets.py
+++ b/chicoryshunt/platform/targets.py
@@ -90,16 +90,16 @@
         """Return what an answer proves about the run of the request.
 
         Without the request's id it proves nothing: a target may write an
-        earlier answer once more.
+        earlier answer once more. Nor does it with several ids or seals.
         """
-        echoed = answer.get(wire.REQUEST_ID).decode('latin-1')
+        echoed = answer.get_only(wire.REQUEST_ID).decode('latin-1')
         if echoed != incoming.request:
             return AnswerKind.foreign
         if answer.status == HTTPStatus.MISDIRECTED_REQUEST:
             return AnswerKind.other_target
         if answer.get(wire.NOT_RUN):
             return AnswerKind.not_run
-        if answer.is_success and not answer.get(wire.RESPONSE_SEAL):
+        if answer.is_success and not answer.get_only(wire.RESPONSE_SEAL):
             return AnswerKind.foreign
         if answer.get(b'Content-Encoding'):
             return AnswerKind.foreign
@@ -165,7 +165,7 @@
         It is unknown if another target answered, or if a full target refused
         the check like any request.
         """
-        name = answer.get(wire.ANSWERING_TARGET).decode('latin-1')
+        name = answer.get_only(wire.ANSWERING_TARGET).decode('latin-1')
         if name != target or answer.get(wire.NOT_RUN):
             return Health.unknown
         if answer.is_success:
--- a/tests/test_odd_heads.py
+++ b/tests/test_odd_heads.py
@@ -3,6 +3,7 @@
 import string
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from typing import Any, cast
 
 import pytest
 from hypothesis import given, strategies
@@ -15,6 +16,7 @@
 )
 from chicoryshunt.connection.client import BrokenError, HttpClient
 from chicoryshunt.connection.upstream import (
+    Answer,
     BodyEnd,
     CallBounds,
     ConnectionLostError,
@@ -23,7 +25,11 @@
     UpstreamPool,
 )
 from chicoryshunt.metrics import Metrics
+from chicoryshunt.platform import wire
 from chicoryshunt.platform.store import StoreClient, StoreError
+from chicoryshunt.platform.targets import PlatformTargetCodec
+from chicoryshunt.relay.target_codec import Health
+from chicoryshunt.types import TargetId
 from tests.odd_heads import (
     CHUNKED,
     ODD_FIELD_LINES,
@@ -259,6 +265,45 @@
     _run('p0', target, trial)
 
 
+@pytest.mark.parametrize(
+    ('line', 'status'),
+    [
+        (b'X-Chicoryshunt-Request-Id: r2', 502),
+        (b'X-Chicoryshunt-Request-Id:', 502),
+        (b'X-Chicoryshunt-Response-Seal: other', 502),
+        (b'X-Chicoryshunt-Request-Id: r1', 200),
+        (b'X-Chicoryshunt-Response-Seal: seal', 200),
+    ],
+)
+def test_an_answer_of_two_requests_is_foreign(line: bytes, status: int) -> None:
+    """Guards against a head that mixes the answers to two requests."""
+    head = build_head(line, b'Content-Length: 4')
+    target = RawTarget(b'%sbody' % head)
+
+    async def trial(platform: SmallPlatform) -> None:
+        answer, _ = await platform.ask('/filings/1', 'r1', 'POST')
+        assert answer.status == status
+
+    _run('p0', target, trial, leaving='p1')
+
+
+def test_the_health_of_two_targets_is_unknown() -> None:
+    """Guards against the health of another target."""
+    names = [
+        (wire.ANSWERING_TARGET, b'p0'),
+        (wire.ANSWERING_TARGET, b'p1'),
+    ]
+    body = cast(Any, None)
+    codec = PlatformTargetCodec()
+
+    mixed = Answer(200, names, 0, body)
+    sound = Answer(200, [names[0], names[0]], 0, body)
+
+    name = TargetId('p0')
+    assert codec.decode_health(name, mixed) is Health.unknown
+    assert codec.decode_health(name, sound) is Health.sound
+
+
 @given(
     strategies.text(NAME_CHARACTERS, min_size=1),
     strategies.binary(max_size=20),
