End a request whose answer is invalid and comes early

HttpClient wrote large bodies in parts. An answer that cannot be parsed and arrives in between fails inside twisted.web, which then forgets the request: it waits for its time limit, or for ever without one.

HttpClient now writes a body at once, as Upstream does; both hold it in memory anyway. The producer has a module of its own for that.

Before, test_early_invalid_answer_is_an_error fails after 5 s with "assert not isinstance(SlowAnswerError(... no answer within 5 s))".

--- a/chicoryshunt/connection/client.py
+++ b/chicoryshunt/connection/client.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Mapping
-from io import BytesIO
 from typing import Any, cast
 
 from twisted.internet.endpoints import HostnameEndpoint
@@ -17,7 +16,6 @@
 from twisted.web.client import (
     URI,
     Agent,
-    FileBodyProducer,
     HTTPConnectionPool,
     ResponseDone,
     ResponseFailed,
@@ -30,6 +28,7 @@
 from chicoryshunt.connection.answer_parser import AnswerProtocolFactory
 from chicoryshunt.connection.loop import await_deferred, get_reactor
 from chicoryshunt.connection.loop_transport import LoopClientEndpoint
+from chicoryshunt.connection.request_body import BytesProducer
 from chicoryshunt.exceptions import ChicoryshuntError
 
 _BROKEN_CONNECTION_ERRORS = (
@@ -224,7 +223,7 @@
 
 
 def _build_body(body: bytes) -> Any:
-    return FileBodyProducer(BytesIO(body)) if body else None
+    return BytesProducer(body) if body else None
 
 
 def _build_headers(headers: Mapping[str, str] | None) -> Headers:
--- a/chicoryshunt/connection/upstream.py
+++ b/chicoryshunt/connection/upstream.py
@@ -8,7 +8,6 @@
 from http import HTTPStatus
 from typing import Any, cast
 
-from twisted.internet.defer import succeed
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Protocol
 from twisted.web._newclient import (
@@ -19,13 +18,13 @@
 )
 from twisted.web.http import PotentialDataLoss
 from twisted.web.http_headers import Headers
-from twisted.web.iweb import UNKNOWN_LENGTH, IBodyProducer
-from zope.interface import implementer
+from twisted.web.iweb import UNKNOWN_LENGTH
 
 from chicoryshunt.connection.answer_buffers import AnswerBuffers
 from chicoryshunt.connection.answer_parser import AnswerProtocol
 from chicoryshunt.connection.loop import await_deferred
 from chicoryshunt.connection.loop_transport import LoopTransport
+from chicoryshunt.connection.request_body import BytesProducer
 from chicoryshunt.events import log_problem
 from chicoryshunt.exceptions import ChicoryshuntError
 
@@ -449,30 +448,6 @@
         return None
 
 
-@implementer(IBodyProducer)
-class BytesProducer:
-    """Producer of a request body that is held in memory."""
-
-    def __init__(self, body: bytes) -> None:
-        """Produce ``body`` in one write."""
-        self.length = len(body)
-        self._body = body
-
-    def startProducing(self, consumer: Any) -> Any:
-        """Write the whole body."""
-        consumer.write(self._body)
-        return succeed(None)
-
-    def pauseProducing(self) -> None:
-        """Do nothing, as the body is already written."""
-
-    def resumeProducing(self) -> None:
-        """Do nothing, as the body is already written."""
-
-    def stopProducing(self) -> None:
-        """Do nothing, as the body is already written."""
-
-
 def _set_failure_detection(connection: socket.socket | None) -> None:
     if connection is None:
         return
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -25,6 +25,8 @@
 from tests.relay_fakes import ORDER
 
 _OK = b'HTTP/1.1 200 OK\r\n'
+# Too large to be written before the answer arrives.
+_LARGE_BODY_BYTES = 1 << 24
 _UNAVAILABLE = b'HTTP/1.1 503 Busy\r\nContent-Length: %d\r\n\r\n%s'
 
 
@@ -83,6 +85,22 @@
     run_against(Scripted(answer), act)
 
 
+def test_early_invalid_answer_is_an_error() -> None:
+    """Guards against a request without end: its answer came too early."""
+
+    async def act(client: HttpClient, address: str) -> None:
+        with pytest.raises(BrokenError) as raised:
+            await client.request(
+                'POST',
+                f'http://{address}/',
+                bytes(_LARGE_BODY_BYTES),
+                answer_seconds=5,
+            )
+        assert not isinstance(raised.value, SlowAnswerError)
+
+    run_against(Scripted(b'nonsense\r\n\r\n', closes=False), act)
+
+
 def test_headers_have_a_timeout() -> None:
     async def act(client: HttpClient, address: str) -> None:
         with pytest.raises(SlowAnswerError):
