Ignore an idle timeout of a target that is out of range

A Keep-Alive header whose timeout has some hundred digits raised OverflowError, and one of more than 4,300 digits ValueError, behind the parser of the answer. The error ended the connection, and an answer whose body was not yet received with it.

A timeout has at most nine digits; any other is ignored.

Before, two cases of test_an_odd_idle_timeout_is_ignored fail with "assert <BodyEnd.cut> == b'\x00..." for a sound body of 1 MiB, and in the log "OverflowError: int too large to convert to float".

--- a/chicoryshunt/connection/upstream.py
+++ b/chicoryshunt/connection/upstream.py
@@ -1,6 +1,7 @@
 """Pooled HTTP/1.1 connections to targets, without pipelining."""
 
 import asyncio
+import re
 import socket
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
@@ -47,7 +48,7 @@
 # Name of the state in which the protocol waits for a request.
 _IDLE = 'QUIESCENT'
 _KEEP_ALIVE = b'keep-alive'
-_TIMEOUT_PREFIX = b'timeout='
+_IDLE_TIMEOUT = re.compile(rb'timeout=[ \t]*([0-9]{1,9})[ \t]*(?:,|$)')
 
 
 class NotSentError(ChicoryshuntError):
@@ -324,10 +325,9 @@
 
     def _record_idle_timeout(self, headers: Headers) -> None:
         for text in headers.getRawHeaders(_KEEP_ALIVE, ()):
-            _, _, number = text.partition(_TIMEOUT_PREFIX)
-            digits = number.split(b',')[0].strip()
-            if digits.isdigit():
-                self.idle_seconds = int(digits) * _IDLE_FRACTION
+            timeout = _IDLE_TIMEOUT.search(text)
+            if timeout is not None:
+                self.idle_seconds = int(timeout.group(1)) * _IDLE_FRACTION
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -27,6 +27,8 @@
 FINISHED = b'%s0\r\n\r\n' % UNFINISHED
 EXTRA_BYTES = b'%s%s' % (WHOLE, WHOLE)
 MAX_BYTES = 1 << 16
+# More than is received at once.
+MANY_BYTES = 1 << 20
 BUSY_SECONDS = 0.1
 
 
@@ -69,6 +71,26 @@
     _run_trial(target, trial)
 
 
+@pytest.mark.parametrize(
+    'timeout', [b'9' * 400, b'9' * 5000, b'x', b'', b'-1', b'\xb2']
+)
+def test_an_odd_idle_timeout_is_ignored(timeout: bytes) -> None:
+    """Guards against an answer that is cut for a number out of range."""
+    body = bytes(MANY_BYTES)
+    head = b'HTTP/1.1 200 OK\r\nKeep-Alive: timeout=%s\r\n' % timeout
+    odd = b'%sContent-Length: %d\r\n\r\n%s' % (head, len(body), body)
+    target = RawTarget(odd, WHOLE)
+
+    async def trial(pool: UpstreamPool, address: str) -> None:
+        upstream = await pool.acquire(address, 10)
+        answer = await upstream.send(REQUEST, 5)
+        assert await answer.body.read_all(MANY_BYTES) == body
+        assert await _call(pool, address) == b'body'
+        assert target.connections == 1
+
+    _run_trial(target, trial)
+
+
 @pytest.mark.parametrize(
     ('answer', 'resets', 'expected'),
     [
