Use no connection again that is to close or sent too many bytes

The next request on it may be lost, and a request that may not be repeated is then answered with 502. HttpClient also used connections again that had sent bytes behind an answer, which Upstream did not.

Both clients now check the version, the options and the rest of the bytes at the end of an answer.

Before, four cases of the two new tests in tests/test_upstream.py fail with "assert 1 == 2" connections, and both of test_a_closing_connection_is_not_reused with "assert 1 == 3".

--- a/chicoryshunt/connection/answer_parser.py
+++ b/chicoryshunt/connection/answer_parser.py
@@ -1,7 +1,7 @@
 """Strict parser of HTTP/1.1 answers; twisted.web's accepts more than that."""
 
 import re
-from typing import Any
+from typing import Any, cast
 
 from twisted.internet.address import IPv4Address, IPv6Address
 from twisted.internet.defer import Deferred
@@ -63,6 +63,18 @@
         raise OddAnswerError('a transfer encoding in an answer of HTTP/1.0')
 
 
+def announces_close(version: tuple[bytes, int, int], headers: Headers) -> bool:
+    """Return whether an answer is the last one on its connection."""
+    options = {
+        option.strip().lower()
+        for text in headers.getRawHeaders(b'Connection', ())
+        for option in text.split(b',')
+    }
+    if version == _FIRST_VERSION and b'keep-alive' not in options:
+        return True
+    return b'close' in options
+
+
 class _ChunkDecoder(_ChunkedTransferDecoder):
     """Decoder of a body in chunks that checks the fields after the last."""
 
@@ -107,6 +119,15 @@
             self._parser.__class__ = AnswerParser
         return answered
 
+    def _finishResponse(self, rest: bytes) -> None:
+        """Disable reuse of a connection that is to close or sent more bytes."""
+        parser = cast(Any, self._parser)
+        if parser is not None and (
+            rest or announces_close(parser.response.version, parser.connHeaders)
+        ):
+            cast(Any, self._currentRequest).persistent = False
+        super()._finishResponse(rest)
+
     def _giveUp(self, reason: Failure) -> None:
         """Log why an answer cannot be parsed, and close the connection."""
         is_closed = reason.check(ConnectionDone, ConnectionLost)
--- a/chicoryshunt/connection/upstream.py
+++ b/chicoryshunt/connection/upstream.py
@@ -306,12 +306,6 @@
             )
             self.abort()
 
-    def _finishResponse(self, rest: bytes) -> None:
-        """Disable reuse of a connection that sends bytes after the answer."""
-        if rest and self._currentRequest is not None:
-            cast(Any, self._currentRequest).persistent = False
-        super()._finishResponse(rest)
-
     def _build_answer(self, response: Any) -> Answer:
         headers = [
             (name, text)
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -36,8 +36,10 @@
     def __init__(self, answer: bytes, *, closes: bool = True) -> None:
         self.answer = answer
         self.closes = closes
+        self.connections = 0
 
     def buildProtocol(self, addr: object) -> Protocol:
+        self.connections += 1
         return _ScriptedConnection(self)
 
 
@@ -101,6 +103,24 @@
     run_against(Scripted(b'nonsense\r\n\r\n', closes=False), act)
 
 
+@pytest.mark.parametrize('rest', [b'', b'HTTP/1.1 200 OK\r\n'])
+def test_a_closing_connection_is_not_reused(rest: bytes) -> None:
+    """Guards against an answer, or a part of one, to an earlier request."""
+    line = b'' if rest else b'Connection: Close\r\n'
+    closing = b'%s%sContent-Length: 0\r\n\r\n%s' % (_OK, line, rest)
+    server = Scripted(closing, closes=False)
+
+    async def check() -> None:
+        async with listen(server) as address:
+            client = HttpClient()
+            for _ in range(3):
+                await client.read('GET', f'http://{address}/')
+            await client.close()
+
+    run_on_reactor(check())
+    assert server.connections == 3
+
+
 def test_headers_have_a_timeout() -> None:
     async def act(client: HttpClient, address: str) -> None:
         with pytest.raises(SlowAnswerError):
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -91,6 +91,51 @@
     _run_trial(target, trial)
 
 
+@pytest.mark.parametrize(
+    ('line', 'connections'),
+    [
+        (b'Connection: close', 2),
+        (b'Connection: Close', 2),
+        (b'Connection: keep-alive, close', 2),
+        (b'Connection: x\r\nConnection: CLOSE', 2),
+        (b'Connection: keep-alive', 1),
+        (b'Connection: close-later', 1),
+        (b'X-A: close', 1),
+    ],
+)
+def test_an_announced_close_prevents_reuse(
+    line: bytes, connections: int
+) -> None:
+    """Guards against a request lost on a connection that is to close."""
+    closing = WHOLE.replace(b'OK\r\n', b'OK\r\n%s\r\n' % line)
+    target = RawTarget(closing, WHOLE)
+
+    async def trial(pool: UpstreamPool, address: str) -> None:
+        assert await _call(pool, address) == b'body'
+        assert await _call(pool, address) == b'body'
+        assert target.connections == connections
+
+    _run_trial(target, trial)
+
+
+@pytest.mark.parametrize(
+    ('line', 'connections'), [(b'X-A: a', 2), (b'Connection: Keep-Alive', 1)]
+)
+def test_the_first_version_closes_connections(
+    line: bytes, connections: int
+) -> None:
+    """Guards against a request lost on a connection of HTTP/1.0."""
+    old = WHOLE.replace(b'1.1 200 OK\r\n', b'1.0 200 OK\r\n%s\r\n' % line)
+    target = RawTarget(old, WHOLE)
+
+    async def trial(pool: UpstreamPool, address: str) -> None:
+        assert await _call(pool, address) == b'body'
+        assert await _call(pool, address) == b'body'
+        assert target.connections == connections
+
+    _run_trial(target, trial)
+
+
 @pytest.mark.parametrize(
     ('answer', 'resets', 'expected'),
     [
