--- a/chicoryshunt/connection/answer_parser.py
+++ b/chicoryshunt/connection/answer_parser.py
@@ -30,8 +30,9 @@
 _CHUNKED = b'chunked'
 _CARRIAGE_RETURN = b'\r'
 _FIRST_VERSION = (b'HTTP', 1, 0)
-# Bytes of an odd line that are logged.
+# Bytes of an odd line that are logged, and characters of any error.
 _SHOWN_BYTES = 80
+_SHOWN_CHARACTERS = 200
 
 
 class OddAnswerError(ChicoryshuntError):
@@ -56,7 +57,7 @@
     if encodings is None:
         return
     if [encoding.lower() for encoding in encodings] != [_CHUNKED]:
-        raise OddAnswerError(f'odd transfer encodings {encodings!r}')
+        raise OddAnswerError('a transfer encoding other than one chunked')
     if headers.hasHeader(b'Content-Length'):
         raise OddAnswerError('a length beside a transfer encoding')
     if version == _FIRST_VERSION:
@@ -135,7 +136,7 @@
             log_problem(
                 'odd_answer',
                 address=self.address,
-                error=repr(reason.value),
+                error=repr(reason.value)[:_SHOWN_CHARACTERS],
             )
         super()._giveUp(reason)
 
