Refuse an answer without content that announces a body

A 204 with a length of 4, or with chunks, was passed on as a success without a body, whatever its target wrote behind the head. HTTP allows neither in a 204. A length of 0 is accepted.

Before, four tests of tests/test_odd_heads.py fail, such as {b'Content-Length: 4 (204)': 204} != {b'Content-Length: 4 (204)': 502}

--- a/chicoryshunt/connection/answer_parser.py
+++ b/chicoryshunt/connection/answer_parser.py
@@ -1,6 +1,7 @@
 """Strict parser of HTTP/1.1 answers; twisted.web's accepts more than that."""
 
 import re
+from http import HTTPStatus
 from typing import Any, cast
 
 from twisted.internet.address import IPv4Address, IPv6Address
@@ -28,6 +29,7 @@
     rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t\x20-\x7e\x80-\xff]*"
 )
 _CHUNKED = b'chunked'
+_NO_LENGTHS = (None, [b'0'])
 _CARRIAGE_RETURN = b'\r'
 _FIRST_VERSION = (b'HTTP', 1, 0)
 # Bytes of an odd line that are logged, and characters of any error.
@@ -51,17 +53,22 @@
         raise OddAnswerError(f'odd field line {line[:_SHOWN_BYTES]!r}')
 
 
-def check_framing(version: tuple[bytes, int, int], headers: Headers) -> None:
+def check_framing(
+    status: int, version: tuple[bytes, int, int], headers: Headers
+) -> None:
     """Raise ``OddAnswerError`` if headers may delimit a body in two ways."""
     encodings = headers.getRawHeaders(b'Transfer-Encoding')
+    lengths = headers.getRawHeaders(b'Content-Length')
+    if status == HTTPStatus.NO_CONTENT and (
+        encodings or lengths not in _NO_LENGTHS
+    ):
+        raise OddAnswerError('a body in an answer without content')
     if encodings is None:
         return
     if [encoding.lower() for encoding in encodings] != [_CHUNKED]:
         raise OddAnswerError('a transfer encoding other than one chunked')
-    if headers.hasHeader(b'Content-Length'):
-        raise OddAnswerError('a length beside a transfer encoding')
-    if version == _FIRST_VERSION:
-        raise OddAnswerError('a transfer encoding in an answer of HTTP/1.0')
+    if lengths is not None or version == _FIRST_VERSION:
+        raise OddAnswerError('a transfer encoding with a length or in HTTP/1.0')
 
 
 def announces_close(version: tuple[bytes, int, int], headers: Headers) -> bool:
@@ -102,7 +109,9 @@
 
     def allHeadersReceived(self) -> None:
         """Check how the body is delimited before it is received."""
-        check_framing(self.response.version, self.connHeaders)
+        check_framing(
+            self.response.code, self.response.version, self.connHeaders
+        )
         self._transferDecoders = {_CHUNKED: _ChunkDecoder}
         super().allHeadersReceived()
 
--- a/tests/odd_heads.py
+++ b/tests/odd_heads.py
@@ -1,6 +1,7 @@
 """Parts of answers that no sound server sends, and sound ones beside them."""
 
 STATUS_LINE = b'HTTP/1.1 200 OK'
+NO_CONTENT = b'HTTP/1.1 204 No Content'
 LENGTH = b'Content-Length: 4'
 CHUNKED = b'Transfer-Encoding: chunked'
 BODY = b'body'
@@ -145,6 +146,9 @@
         odd[line] = build_head(line) + chunks
     for body in ODD_CHUNKS:
         odd[body] = build_head(CHUNKED) + body
+    for line, body in ((LENGTH, BODY), (CHUNKED, chunks)):
+        head = build_head(line, status_line=NO_CONTENT)
+        odd[b'%s (204)' % line] = head + body
     odd[b'(chunks in 1.0)'] = (
         build_head(CHUNKED, status_line=b'HTTP/1.0 200 OK') + chunks
     )
--- a/tests/test_odd_heads.py
+++ b/tests/test_odd_heads.py
@@ -32,6 +32,7 @@
 from chicoryshunt.types import TargetId
 from tests.odd_heads import (
     CHUNKED,
+    NO_CONTENT,
     ODD_FIELD_LINES,
     ODD_STATUS_LINES,
     build_head,
@@ -146,6 +147,17 @@
     _run('p0', target, trial, leaving='p1')
 
 
+@pytest.mark.parametrize('line', [b'Content-Length: 0', b'X-A: a'])
+def test_an_answer_may_have_no_content(line: bytes) -> None:
+    target = RawTarget(build_head(line, status_line=NO_CONTENT))
+
+    async def trial(platform: SmallPlatform) -> None:
+        answer, body = await platform.ask('/filings/1', 'r1', 'POST')
+        assert (answer.status, body) == (204, b'')
+
+    _run('p0', target, trial, leaving='p1')
+
+
 async def _call_pool(address: str) -> list[bytes]:
     """Read each odd answer like those of other nodes."""
     received = []
