--- a/chicoryshunt/connection/upstream.py
+++ b/chicoryshunt/connection/upstream.py
@@ -1,31 +1,31 @@
 """Pooled HTTP/1.1 connections to targets, without pipelining."""
 
 import asyncio
+import re
 import socket
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
 from enum import Enum
 from http import HTTPStatus
 from typing import Any, cast
 
-from twisted.internet.defer import succeed
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Protocol
 from twisted.web._newclient import (
     BODY,
     DONE,
-    HTTP11ClientProtocol,
     Request,
     ResponseDone,
 )
 from twisted.web.http import PotentialDataLoss
 from twisted.web.http_headers import Headers
-from twisted.web.iweb import UNKNOWN_LENGTH, IBodyProducer
-from zope.interface import implementer
+from twisted.web.iweb import UNKNOWN_LENGTH
 
 from chicoryshunt.connection.answer_buffers import AnswerBuffers
+from chicoryshunt.connection.answer_parser import AnswerProtocol
 from chicoryshunt.connection.loop import await_deferred
 from chicoryshunt.connection.loop_transport import LoopTransport
+from chicoryshunt.connection.request_body import BytesProducer
 from chicoryshunt.events import log_problem
 from chicoryshunt.exceptions import ChicoryshuntError
 
@@ -48,7 +48,7 @@
 # Name of the state in which the protocol waits for a request.
 _IDLE = 'QUIESCENT'
 _KEEP_ALIVE = b'keep-alive'
-_TIMEOUT_PREFIX = b'timeout='
+_IDLE_TIMEOUT = re.compile(rb'timeout=[ \t]*([0-9]{1,9})[ \t]*(?:,|$)')
 
 
 class NotSentError(ChicoryshuntError):
@@ -95,11 +95,16 @@
 
     def get(self, name: bytes) -> bytes:
         """Return the first value of a header, empty when absent."""
+        return next(self._iterate_values(name), b'')
+
+    def get_only(self, name: bytes) -> bytes:
+        """Return the value of a header, empty if there are different ones."""
+        found = set(self._iterate_values(name))
+        return found.pop() if len(found) == 1 else b''
+
+    def _iterate_values(self, name: bytes) -> Iterator[bytes]:
         lowered = name.lower()
-        for key, text in self.headers:
-            if key.lower() == lowered:
-                return text
-        return b''
+        return (text for key, text in self.headers if key.lower() == lowered)
 
 
 class Body(Protocol):
@@ -192,7 +197,7 @@
             cast(Any, self.transport).resumeProducing()
 
 
-class Upstream(HTTP11ClientProtocol):
+class Upstream(AnswerProtocol):
     """HTTP/1.1 connection to a target."""
 
     def __init__(
@@ -209,7 +214,6 @@
         super().__init__(lambda _: on_idle(self))
         self._on_lost = on_lost
         self.buffers = buffers
-        self.address = ''
         self.idle_seconds = _DEFAULT_IDLE_SECONDS
         self.idle_since: float = 0
         self.is_closed = False
@@ -302,12 +306,6 @@
             )
             self.abort()
 
-    def _finishResponse(self, rest: bytes) -> None:
-        """Disable reuse of a connection that sends bytes after the answer."""
-        if rest and self._currentRequest is not None:
-            cast(Any, self._currentRequest).persistent = False
-        super()._finishResponse(rest)
-
     def _build_answer(self, response: Any) -> Answer:
         headers = [
             (name, text)
@@ -321,10 +319,9 @@
 
     def _record_idle_timeout(self, headers: Headers) -> None:
         for text in headers.getRawHeaders(_KEEP_ALIVE, ()):
-            _, _, number = text.partition(_TIMEOUT_PREFIX)
-            digits = number.split(b',')[0].strip()
-            if digits.isdigit():
-                self.idle_seconds = int(digits) * _IDLE_FRACTION
+            timeout = _IDLE_TIMEOUT.search(text)
+            if timeout is not None:
+                self.idle_seconds = int(timeout.group(1)) * _IDLE_FRACTION
 
 
 @dataclass(frozen=True, slots=True)
@@ -445,30 +442,6 @@
         return None
 
 
-@implementer(IBodyProducer)
-class BytesProducer:
-    """Producer of a request body that is held in memory."""
-
-    def __init__(self, body: bytes) -> None:
-        """Produce ``body`` in one write."""
-        self.length = len(body)
-        self._body = body
-
-    def startProducing(self, consumer: Any) -> Any:
-        """Write the whole body."""
-        consumer.write(self._body)
-        return succeed(None)
-
-    def pauseProducing(self) -> None:
-        """Do nothing, as the body is already written."""
-
-    def resumeProducing(self) -> None:
-        """Do nothing, as the body is already written."""
-
-    def stopProducing(self) -> None:
-        """Do nothing, as the body is already written."""
-
-
 def _set_failure_detection(connection: socket.socket | None) -> None:
     if connection is None:
         return
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -25,6 +25,8 @@
 from tests.relay_fakes import ORDER
 
 _OK = b'HTTP/1.1 200 OK\r\n'
+# Too large to be written before the answer arrives.
+_LARGE_BODY_BYTES = 1 << 24
 _UNAVAILABLE = b'HTTP/1.1 503 Busy\r\nContent-Length: %d\r\n\r\n%s'
 
 
@@ -34,8 +36,10 @@
     def __init__(self, answer: bytes, *, closes: bool = True) -> None:
         self.answer = answer
         self.closes = closes
+        self.connections = 0
 
     def buildProtocol(self, addr: object) -> Protocol:
+        self.connections += 1
         return _ScriptedConnection(self)
 
 
@@ -83,6 +87,40 @@
     run_against(Scripted(answer), act)
 
 
+def test_early_invalid_answer_is_an_error() -> None:
+    """Guards against a request without end: its answer came too early."""
+
+    async def act(client: HttpClient, address: str) -> None:
+        with pytest.raises(BrokenError) as raised:
+            await client.request(
+                'POST',
+                f'http://{address}/',
+                bytes(_LARGE_BODY_BYTES),
+                answer_seconds=5,
+            )
+        assert not isinstance(raised.value, SlowAnswerError)
+
+    run_against(Scripted(b'nonsense\r\n\r\n', closes=False), act)
+
+
+@pytest.mark.parametrize('rest', [b'', b'HTTP/1.1 200 OK\r\n'])
+def test_a_closing_connection_is_not_reused(rest: bytes) -> None:
+    """Guards against an answer, or a part of one, to an earlier request."""
+    line = b'' if rest else b'Connection: Close\r\n'
+    closing = b'%s%sContent-Length: 0\r\n\r\n%s' % (_OK, line, rest)
+    server = Scripted(closing, closes=False)
+
+    async def check() -> None:
+        async with listen(server) as address:
+            client = HttpClient()
+            for _ in range(3):
+                await client.read('GET', f'http://{address}/')
+            await client.close()
+
+    run_on_reactor(check())
+    assert server.connections == 3
+
+
 def test_headers_have_a_timeout() -> None:
     async def act(client: HttpClient, address: str) -> None:
         with pytest.raises(SlowAnswerError):
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -27,6 +27,8 @@
 FINISHED = b'%s0\r\n\r\n' % UNFINISHED
 EXTRA_BYTES = b'%s%s' % (WHOLE, WHOLE)
 MAX_BYTES = 1 << 16
+# More than is received at once.
+MANY_BYTES = 1 << 20
 BUSY_SECONDS = 0.1
 
 
@@ -69,6 +71,71 @@
     _run_trial(target, trial)
 
 
+@pytest.mark.parametrize(
+    'timeout', [b'9' * 400, b'9' * 5000, b'x', b'', b'-1', b'\xb2']
+)
+def test_an_odd_idle_timeout_is_ignored(timeout: bytes) -> None:
+    """Guards against an answer that is cut for a number out of range."""
+    body = bytes(MANY_BYTES)
+    head = b'HTTP/1.1 200 OK\r\nKeep-Alive: timeout=%s\r\n' % timeout
+    odd = b'%sContent-Length: %d\r\n\r\n%s' % (head, len(body), body)
+    target = RawTarget(odd, WHOLE)
+
+    async def trial(pool: UpstreamPool, address: str) -> None:
+        upstream = await pool.acquire(address, 10)
+        answer = await upstream.send(REQUEST, 5)
+        assert await answer.body.read_all(MANY_BYTES) == body
+        assert await _call(pool, address) == b'body'
+        assert target.connections == 1
+
+    _run_trial(target, trial)
+
+
+@pytest.mark.parametrize(
+    ('line', 'connections'),
+    [
+        (b'Connection: close', 2),
+        (b'Connection: Close', 2),
+        (b'Connection: keep-alive, close', 2),
+        (b'Connection: x\r\nConnection: CLOSE', 2),
+        (b'Connection: keep-alive', 1),
+        (b'Connection: close-later', 1),
+        (b'X-A: close', 1),
+    ],
+)
+def test_an_announced_close_prevents_reuse(
+    line: bytes, connections: int
+) -> None:
+    """Guards against a request lost on a connection that is to close."""
+    closing = WHOLE.replace(b'OK\r\n', b'OK\r\n%s\r\n' % line)
+    target = RawTarget(closing, WHOLE)
+
+    async def trial(pool: UpstreamPool, address: str) -> None:
+        assert await _call(pool, address) == b'body'
+        assert await _call(pool, address) == b'body'
+        assert target.connections == connections
+
+    _run_trial(target, trial)
+
+
+@pytest.mark.parametrize(
+    ('line', 'connections'), [(b'X-A: a', 2), (b'Connection: Keep-Alive', 1)]
+)
+def test_the_first_version_closes_connections(
+    line: bytes, connections: int
+) -> None:
+    """Guards against a request lost on a connection of HTTP/1.0."""
+    old = WHOLE.replace(b'1.1 200 OK\r\n', b'1.0 200 OK\r\n%s\r\n' % line)
+    target = RawTarget(old, WHOLE)
+
+    async def trial(pool: UpstreamPool, address: str) -> None:
+        assert await _call(pool, address) == b'body'
+        assert await _call(pool, address) == b'body'
+        assert target.connections == connections
+
+    _run_trial(target, trial)
+
+
 @pytest.mark.parametrize(
     ('answer', 'resets', 'expected'),
     [
