Close every connection before a node stops serving

What callers saw: a connection with a stream stayed open after the node had stopped serving, until its process had ended. A caller whose stream ended at that moment could send its next request into it, and got no answer.

Cause: the listeners were closed at the end, but no connection that still had a request. Those ended with the process.

Change: the servers of a node abort all their connections, those of callers and all others, before the loop stops. The node logs what it cuts: request_left with the id of each request that was taken, request_aborted for each request on a connection, and whether it was received whole.

--- a/chicoryshunt/connection/channel.py
+++ b/chicoryshunt/connection/channel.py
@@ -27,6 +27,7 @@
 class BoundedRequest(server.Request):
     """Request whose body is buffered in memory within the limits."""
 
+    is_whole = False
     _received = 0
     _deadline: asyncio.TimerHandle | None = None
     _is_refused = False
@@ -64,6 +65,7 @@
     ) -> None:
         """Handle the request once its body is complete."""
         self._cancel_deadline()
+        self.is_whole = True
         if not self._is_refused:
             super().requestReceived(command, path, version)
 
@@ -124,11 +126,17 @@
     _deadline: asyncio.TimerHandle | None = None
     _is_refused = False
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether the connection is made, and not closed."""
+        transport = cast(Any, self.transport)
+        return transport is not None and not transport.is_closing
+
     def connectionMade(self) -> None:
         """Count the connection; refuse or abort it above the limit."""
         super().connectionMade()
         if self.usage.is_at_hard_limit:
-            cast(Any, self.transport).abortConnection()
+            self.abort()
         if not self.usage.add_connection():
             limit = self.usage.bounds.connections
             self.refuse(
@@ -171,6 +179,10 @@
         self.usage.remove_connection()
         super().connectionLost(reason)
 
+    def abort(self) -> None:
+        """Close at once, so that no answer can seem complete."""
+        cast(Any, self.transport).abortConnection()
+
     def refuse(self, verdict: Verdict) -> None:
         """Send a refusal without a parsed request and close."""
         self._is_refused = True
--- a/chicoryshunt/connection/web.py
+++ b/chicoryshunt/connection/web.py
@@ -11,7 +11,7 @@
 from chicoryshunt.connection.bounds import ServerBounds, ServerUsage
 from chicoryshunt.connection.channel import BoundedChannel, BoundedRequest
 from chicoryshunt.connection.relayed_exchange import RelayedExchange
-from chicoryshunt.events import log_problem
+from chicoryshunt.events import log_event, log_problem
 from chicoryshunt.types import Reason
 from chicoryshunt.verdict import build_uncertain
 
@@ -58,6 +58,25 @@
         await asyncio.sleep(_CLOSE_POLL_SECONDS)
 
 
+async def abort_connections(site: BoundedSite) -> None:
+    """Abort all connections, with the requests in progress.
+
+    A connection that outlives the serving loop takes requests that nobody
+    reads.
+    """
+    aborted = [one for one in site.channels if one.is_open]
+    for channel in aborted:
+        for request in channel.requests:
+            log_event(
+                'request_aborted',
+                is_whole=request.is_whole,
+                is_answered=bool(request.startedWriting),
+            )
+        channel.abort()
+    # The loop closes the sockets in its next iteration.
+    await asyncio.sleep(0)
+
+
 class HandlerResource(Resource):
     """Resource that handles each request in a task."""
 
--- a/chicoryshunt/platform/node.py
+++ b/chicoryshunt/platform/node.py
@@ -21,7 +21,7 @@
 from chicoryshunt.fleet.rules_exchange import RulesExchange
 from chicoryshunt.metrics import Metrics
 from chicoryshunt.platform.callers import PlatformCallerCodec
-from chicoryshunt.platform.servers import CallerServer, NodeServers
+from chicoryshunt.platform.servers import NodeServers, SiteServer
 from chicoryshunt.platform.settings import (
     SETTINGS_VARIABLE,
     PlatformSettings,
@@ -119,7 +119,7 @@
         for one in done:
             one.result()
 
-    async def _leave(self, callers: CallerServer) -> None:
+    async def _leave(self, callers: SiteServer) -> None:
         started = self._clock.now()
         log_event('node_leaving', active=self._gateway.active)
         self._fleet_agent.leave(started)
@@ -139,6 +139,7 @@
             await asyncio.wait_for(close_connections(site), remaining)
         except TimeoutError:
             log_event('connections_left', count=site.usage.connections)
+            self._gateway.log_open()
         self._pool.close_idle()
         log_event('node_stopped', active=self._gateway.active)
 
--- a/chicoryshunt/platform/servers.py
+++ b/chicoryshunt/platform/servers.py
@@ -12,7 +12,11 @@
 from chicoryshunt.connection.bounds import ServerBounds
 from chicoryshunt.connection.exchange import Exchange
 from chicoryshunt.connection.loop_transport import open_server
-from chicoryshunt.connection.web import BoundedSite, Handler
+from chicoryshunt.connection.web import (
+    BoundedSite,
+    Handler,
+    abort_connections,
+)
 from chicoryshunt.fleet.agent import FleetAgent
 from chicoryshunt.fleet.entry_addresses import list_entry_addresses
 from chicoryshunt.fleet.rules_exchange import RulesExchange
@@ -42,8 +46,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CallerServer:
-    """Site for callers and the server that accepts its connections."""
+class SiteServer:
+    """Site and the server that accepts its connections."""
 
     site: BoundedSite
     listener: asyncio.Server
@@ -69,23 +73,25 @@
         self._rng = Random()
 
     @asynccontextmanager
-    async def open(self) -> AsyncIterator[CallerServer]:
-        """Listen on all addresses; yield the server for callers."""
+    async def open(self) -> AsyncIterator[SiteServer]:
+        """Listen on all addresses; yield the server for callers.
+
+        No connection is open afterwards.
+        """
         settings = self._settings
-        site = BoundedSite(self._gateway.handle, _BOUNDS)
-        callers = await _listen(site, settings.callers)
         servers = [
-            callers,
+            await _serve(self._gateway.handle, settings.callers),
             await _serve(self._answer_readiness, settings.readiness),
             await _serve(self._answer_directory, settings.directory),
             await _serve(self._rules_exchange.handle, settings.peers),
             await _serve(self._answer_metrics, settings.metrics),
         ]
         try:
-            yield CallerServer(site, callers)
+            yield servers[0]
         finally:
             for server in servers:
-                server.close()
+                server.listener.close()
+                await abort_connections(server.site)
 
     async def _answer_readiness(self, exchange: Exchange) -> None:
         knows_rules = self._fleet_agent.catalog.rules is not None
@@ -113,9 +119,7 @@
         exchange.respond(self._metrics.render(), _TEXT)
 
 
-async def _serve(handler: Handler, address: Address) -> asyncio.Server:
-    return await _listen(BoundedSite(handler, _BOUNDS), address)
-
-
-async def _listen(site: BoundedSite, address: Address) -> asyncio.Server:
-    return await open_server(site, address.host, address.port)
+async def _serve(handler: Handler, address: Address) -> SiteServer:
+    site = BoundedSite(handler, _BOUNDS)
+    listener = await open_server(site, address.host, address.port)
+    return SiteServer(site, listener)
--- a/chicoryshunt/relay/gateway.py
+++ b/chicoryshunt/relay/gateway.py
@@ -75,9 +75,14 @@
         self._calls = CallRelay(context)
         self._generations = GenerationRelay(context)
         self._measure_rules_age = measure_rules_age
-        self.active = 0
+        self._open: dict[RelayedExchange, IncomingRequest] = {}
         context.catalog.subscribe(self._on_fact)
 
+    @property
+    def active(self) -> int:
+        """Return how many requests have no whole answer yet."""
+        return len(self._open)
+
     @property
     def is_leaving(self) -> bool:
         """Return whether this node stops."""
@@ -96,22 +101,34 @@
         )
         return last_moment
 
+    def log_open(self) -> None:
+        """Log the requests that have no whole answer yet."""
+        now = self._context.clock.now()
+        for incoming in self._open.values():
+            log_event(
+                'request_left',
+                request=incoming.request,
+                seconds=now - incoming.received_at,
+            )
+
     async def handle(self, exchange: RelayedExchange) -> None:
         """Serve one request until it is answered or its caller disconnects."""
         incoming = self._codec.decode(exchange)
         if isinstance(incoming, Verdict):
             self._respond(exchange, incoming)
             return
-        with self._count_active():
+        with self._keep_open(exchange, incoming):
             await self._serve(incoming, exchange)
 
     @contextmanager
-    def _count_active(self) -> Iterator[None]:
-        self.active += 1
+    def _keep_open(
+        self, exchange: RelayedExchange, incoming: IncomingRequest
+    ) -> Iterator[None]:
+        self._open[exchange] = incoming
         try:
             yield
         finally:
-            self.active -= 1
+            self._open.pop(exchange)
 
     async def _serve(
         self, incoming: IncomingRequest, exchange: RelayedExchange
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -7,12 +7,13 @@
 
 import pytest
 
-from chicoryshunt.connection.upstream import NotSentError
+from chicoryshunt.connection.upstream import BodyEnd, NotSentError
 from chicoryshunt.platform import node
 from chicoryshunt.relay.planned_stop import PlannedStop, find_last_moment
 from tests.platform_builders import (
     SmallPlatform,
     build_generation,
+    read_until_end,
     run_platform,
 )
 from tests.reactor import run_on_reactor
@@ -20,6 +21,8 @@
 STOP = PlannedStop(lists_expire=3, end=7)
 # Callers' lists from before the stop have expired after this time.
 LATE_SECONDS = 3.2
+# Far less than is left of the stream when the node ends.
+MOMENT_SECONDS = 0.5
 GENERATION = build_generation('first', 'last')
 
 
@@ -122,3 +125,18 @@
     run_on_reactor(run())
 
     assert refused
+
+
+def test_no_connection_outlives_the_node() -> None:
+    """Guards against a request on a connection that nobody reads any more."""
+
+    async def trial(platform: SmallPlatform) -> None:
+        stream = await platform.open('/drafts/1', 's', 'POST', **GENERATION)
+        reading = asyncio.ensure_future(read_until_end(stream))
+        await platform.running
+
+        _, end = await asyncio.wait_for(reading, MOMENT_SECONDS)
+
+        assert end is BodyEnd.cut
+
+    _run_stopping(trial)
