Let a site that closes take no further request

What callers saw: a request that is sent at the end of a planned stop, on a connection that was accepted a moment before the port was closed or whose last answer had just ended, could be read, and was lost with the process.

Cause: closing looked at connections in rounds, and a connection was not told that its site closes. One that had been accepted but was not made yet was not counted, so that closing could return before. One with a stream that began before the stop was kept open after its end, until the next round.

Evidence: test_a_site_that_closes_accepts_nothing failed before: the request was answered with 200 after close_connections had returned. test_a_site_that_closes_reads_no_more failed with a TimeoutError: the connection was still open after its answer.

Change: a site that closes says so. A connection that is made then is aborted, and one with a request in progress is closed with its answer.

--- a/chicoryshunt/connection/bounds.py
+++ b/chicoryshunt/connection/bounds.py
@@ -27,6 +27,8 @@
         self.bounds = bounds
         self.connections = 0
         self.bodies_bytes = 0
+        # Whether connections are closed after the requests in progress.
+        self.is_closing = False
 
     @property
     def is_at_hard_limit(self) -> bool:
--- a/chicoryshunt/connection/channel.py
+++ b/chicoryshunt/connection/channel.py
@@ -133,9 +133,12 @@
         return transport is not None and not transport.is_closing
 
     def connectionMade(self) -> None:
-        """Count the connection; refuse or abort it above the limit."""
+        """Count the connection; refuse or abort it above the limit.
+
+        One that is made while the site closes is aborted.
+        """
         super().connectionMade()
-        if self.usage.is_at_hard_limit:
+        if self.usage.is_closing or self.usage.is_at_hard_limit:
             self.abort()
         if not self.usage.add_connection():
             limit = self.usage.bounds.connections
@@ -173,6 +176,12 @@
         self._cancel_deadline()
         super().allHeadersReceived()
 
+    def requestDone(self, request: http.Request) -> None:
+        """Close the connection after an answer if the site closes."""
+        if self.usage.is_closing:
+            self.persistent = False
+        super().requestDone(request)
+
     def connectionLost(self, reason: Any = None) -> None:
         """Stop counting the connection."""
         self._cancel_deadline()
--- a/chicoryshunt/connection/web.py
+++ b/chicoryshunt/connection/web.py
@@ -49,8 +49,9 @@
     """Close each connection once it has no request in progress.
 
     There is no time limit, so that no request is cut. A connection that was
-    just accepted has no transport yet and is closed in a later round.
+    just accepted has no transport yet and is closed once it is made.
     """
+    site.usage.is_closing = True
     while site.usage.connections:
         for channel in tuple(site.channels):
             if channel.transport is not None and not channel.requests:
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -1,8 +1,9 @@
 """Tests of the limits of the HTTP server, over loopback."""
 
 import asyncio
+import socket
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 
 import msgspec
 import pytest
@@ -21,6 +22,7 @@
     open_bodies_bytes=1500,
 )
 _HEAD = b'POST /v1/x HTTP/1.1\r\nHost: a\r\n'
+_WAIT_SECONDS = 3
 _CHUNKED = b'Transfer-Encoding: chunked\r\n\r\n'
 
 
@@ -148,3 +150,60 @@
             writer.close()
 
     run_on_reactor(run())
+
+
+async def _accept(echo: Echo, address: str) -> socket.socket:
+    """Connect, until the loop has accepted but not made the connection."""
+    host, _, port = address.rpartition(':')
+    caller = socket.create_connection((host, int(port)))
+    caller.setblocking(False)
+    while not echo.site.channels:
+        await asyncio.sleep(0)
+    assert not echo.site.usage.connections
+    return caller
+
+
+def test_a_site_that_closes_accepts_nothing() -> None:
+    """Guards against a request that is read after the last connections."""
+
+    async def run() -> None:
+        async with open_echo() as (echo, address):
+            caller = await _accept(echo, address)
+            await close_connections(echo.site)
+            caller.send(b'%sContent-Length: 0\r\n\r\n' % _HEAD)
+            received = b''
+            with caller, suppress(ConnectionResetError):
+                loop = asyncio.get_running_loop()
+                received = await loop.sock_recv(caller, 100)
+
+            assert not received
+
+    run_on_reactor(run())
+
+
+def test_a_site_that_closes_reads_no_more(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a request that follows the last answer of a node."""
+    monkeypatch.setattr(
+        'chicoryshunt.connection.web._CLOSE_POLL_SECONDS', 2 * _WAIT_SECONDS
+    )
+
+    async def run() -> None:
+        async with open_echo() as (echo, address):
+            echo.may_answer.clear()
+            call = b'%sContent-Length: 0\r\n\r\n' % _HEAD
+            pending = asyncio.ensure_future(send(address, call))
+            while not any(one.requests for one in echo.site.channels):
+                await asyncio.sleep(0)
+            closing = asyncio.ensure_future(close_connections(echo.site))
+            await asyncio.sleep(0)
+            echo.may_answer.set()
+
+            # The connection ends with the answer, not in a later round.
+            answer = await asyncio.wait_for(pending, _WAIT_SECONDS)
+
+            assert answer.startswith(b'HTTP/1.1 200')
+            closing.cancel()
+
+    run_on_reactor(run())
