Ignore SIGHUP while a node starts and ends

What could be seen: a node ended when its settings were changed at the wrong time. A SIGHUP before its handler was installed, or after the loop had ended, killed the process with -1.

Cause: the default action of SIGHUP ends a process. The handler is installed once everything is imported, and the interpreter removes it as it ends.

Evidence: test_signals_do_not_change_the_exit_status failed before with returncode -1 for SIGHUP. test_a_reload_does_not_end_a_starting_node failed: the process never ignored the signal before it handled it (SigIgn 0, SigCgt with bit 1 in /proc).

Change: the first step of the process is to ignore SIGHUP, and so is the last. What takes time, the imports, comes after it, for which main and the process are two modules now.

What remains: the interpreter's own start, before any code of this project.

--- a/chicoryshunt/platform/__main__.py
+++ b/chicoryshunt/platform/__main__.py
@@ -2,28 +2,16 @@
 
 import sys
 
-from chicoryshunt.connection.loop import install_reactor
-from chicoryshunt.events import configure_logging
-from chicoryshunt.exceptions import ChicoryshuntError
-from chicoryshunt.log_stream import LogStream
-from chicoryshunt.signals import ignore_stop_signals
+from chicoryshunt.signals import ignore_reloads
 
 
 def main() -> int:
     """Run a node and return the exit status."""
-    configure_logging(LogStream(sys.stdout.fileno()))
-    install_reactor()
-    # The import needs the reactor that was just installed.
-    from chicoryshunt.platform.node import run_node
+    ignore_reloads()
+    # The import takes a while, in which a reload must not end the process.
+    from chicoryshunt.platform.process import run_process
 
-    try:
-        run_node()
-    except ChicoryshuntError as error:
-        print(f'chicoryshunt: {error}', file=sys.stderr)
-        return 1
-    finally:
-        ignore_stop_signals()
-    return 0
+    return run_process()
 
 
 if __name__ == '__main__':
