Cut a stream that has begun only once its time is up

What callers saw: a stream that took its whole time was cut up to 10 ms before its deadline, so that its caller, who still waited, saw an answer without an end.

Cause: the gateway sets every deadline 10 ms early, so that a verdict still reaches the caller in time. Streams were cut at that deadline too, although nothing can be answered any more once they have begun.

Change: a stream that has begun by then gets the whole time. One without an event is answered as before.

--- a/chicoryshunt/relay/gateway.py
+++ b/chicoryshunt/relay/gateway.py
@@ -19,6 +19,7 @@
     find_last_moment,
 )
 from chicoryshunt.relay.results import Delivered, Result, Streamed
+from chicoryshunt.relay.stream import ANSWER_MARGIN_SECONDS
 from chicoryshunt.rules.model import RequestType
 from chicoryshunt.rules.routing import (
     AdmittedRequest,
@@ -29,9 +30,6 @@
 from chicoryshunt.verdict import Verdict, build_uncertain, refuse
 
 _RETRY_AFTER_SECONDS = Seconds(0.5)
-# A timeout is reported this long before the deadline, so that the answer still
-# reaches the caller.
-_ANSWER_MARGIN_SECONDS = 0.01
 _STATUS_CLASS_SIZE = 100
 _UNKNOWN_REASONS = frozenset((Reason.unknown_path, Reason.unknown_team))
 
@@ -206,7 +204,7 @@
         timeout = route.timeout
         if incoming.timeout is not None:
             timeout = min(timeout, incoming.timeout)
-        deadline = incoming.received_at + timeout - _ANSWER_MARGIN_SECONDS
+        deadline = incoming.received_at + timeout - ANSWER_MARGIN_SECONDS
         service = choose_service(route, incoming.request)
         self._context.retry_budget.record_first(service, incoming.received_at)
         relaying: Awaitable[Result]
--- a/chicoryshunt/relay/generations.py
+++ b/chicoryshunt/relay/generations.py
@@ -237,9 +237,7 @@
         first.start(stream.inputs, stream.stall_limits, stream.gate)
         remaining = stream.deadline - self._context.clock.now()
         timer = asyncio.get_running_loop().call_later(
-            max(remaining, 0),
-            stream.inputs.put_nowait,
-            DeadlinePassed(),
+            max(remaining, 0), stream.pass_deadline
         )
         with register_gate(stream.exchange, stream.gate):
             try:
--- a/chicoryshunt/relay/stream.py
+++ b/chicoryshunt/relay/stream.py
@@ -11,7 +11,12 @@
 from chicoryshunt.events import log_problem
 from chicoryshunt.fleet.facts import TargetFact
 from chicoryshunt.relay.incoming import GenerationParams, IncomingRequest
-from chicoryshunt.relay.leg import InputQueue, Leg, StallLimits
+from chicoryshunt.relay.leg import (
+    DeadlinePassed,
+    InputQueue,
+    Leg,
+    StallLimits,
+)
 from chicoryshunt.relay.results import Delivered, Doubtful, NotRun
 from chicoryshunt.relay.stream_inputs import (
     EngineAddress,
@@ -26,6 +31,9 @@
 from chicoryshunt.rules.routing import AdmittedRequest
 from chicoryshunt.types import RequestId, ServiceId, TargetId
 
+# A timeout is reported this long before the caller's deadline, so that the
+# answer still reaches the caller.
+ANSWER_MARGIN_SECONDS = 0.01
 # Share of the longest answer that is expected without a caller's estimate.
 _DEFAULT_LENGTH_SHARE = 0.4
 # A stalled run restarts after this share of the silence that callers bear.
@@ -34,7 +42,10 @@
 
 @dataclass(slots=True)
 class Stream:
-    """One generation; times are in monotonic seconds, 0 if not reached."""
+    """One generation; times are in monotonic seconds, 0 if not reached.
+
+    ``deadline`` is when a caller without an event has to be answered.
+    """
 
     incoming: IncomingRequest
     admitted: AdmittedRequest
@@ -125,6 +136,13 @@
         latest = now + prompt_seconds + max(tokens, 0) / token_rate
         return min(self.deadline, latest)
 
+    def pass_deadline(self) -> None:
+        """Have the answer ended; one that has begun, only once time is up."""
+        left = ANSWER_MARGIN_SECONDS if self.exchange.is_started else 0
+        asyncio.get_running_loop().call_later(
+            left, self.inputs.put_nowait, DeadlinePassed()
+        )
+
     def count_events(self, count: int, now: float) -> None:
         """Count forwarded events and measure the gap before them."""
         if self.last_forwarded_at:
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -4,6 +4,7 @@
 import json
 import os
 import signal
+import time
 from collections.abc import Awaitable, Callable, Iterator
 from types import MappingProxyType
 from typing import Any, cast
@@ -484,6 +485,26 @@
     run_on_reactor(run())
 
 
+def test_a_stream_is_not_cut_before_its_deadline() -> None:
+    """Guards against a stream that is cut while its caller still waits."""
+
+    async def trial(platform: SmallPlatform) -> None:
+        for engine in platform.engines:
+            engine.length = 900
+        seconds = 0.5
+        patient = {'X_Chicoryshunt_Deadline_Ms': str(round(seconds * 1000))}
+        started = time.monotonic()
+        answer = await platform.open(
+            '/drafts/1', method='POST', **GENERATION | patient
+        )
+        _, end = await read_until_end(answer)
+
+        assert end is BodyEnd.cut
+        assert time.monotonic() - started >= seconds
+
+    _run_trial(trial)
+
+
 def test_engines_stop_when_callers_leave() -> None:
     async def trial(platform: SmallPlatform) -> None:
         for engine in platform.engines:
