Do not end a begun stream because its engine is silent

What callers saw: a stream was cut after four times its route's target latency without an event, or 2 s, long before its deadline.

Cause: a leg that is silent for so long is broken off, on the assumption that its caller leaves then. On a route without resuming the stream ends with it.

Change: such a leg is broken off only until its first event, when its caller can still be answered. After that its engine is counted as silent as before, and the stream goes on until its end, its deadline, or until its caller leaves. Routes with resuming are as they were.

--- a/chicoryshunt/relay/generations.py
+++ b/chicoryshunt/relay/generations.py
@@ -235,6 +235,7 @@
             stream.exchange.begin(first.answer.status, first.answer.headers)
         stream.legs[first.id] = first
         first.start(stream.inputs, stream.stall_limits, stream.gate)
+        stream.watch_silence(self._context.clock)
         remaining = stream.deadline - self._context.clock.now()
         timer = asyncio.get_running_loop().call_later(
             max(remaining, 0), stream.pass_deadline
--- a/chicoryshunt/relay/stream.py
+++ b/chicoryshunt/relay/stream.py
@@ -5,9 +5,11 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from chicoryshunt.clock import Clock
 from chicoryshunt.connection.relayed_exchange import RelayedExchange
 from chicoryshunt.dispatch.engines import PREFILL_TOKENS_PER_SECOND
 from chicoryshunt.dispatch.forecast import RunView
+from chicoryshunt.dispatch.outliers import ExchangeOutcome
 from chicoryshunt.events import log_problem
 from chicoryshunt.fleet.facts import TargetFact
 from chicoryshunt.relay.incoming import GenerationParams, IncomingRequest
@@ -63,6 +65,7 @@
     refusing: set[TargetId] = field(default_factory=set)
     failed_restarts: int = 0
     state: StreamState | None = None
+    silence_timer: asyncio.TimerHandle | None = None
     placed_at: float = 0
     first_event_at: float = 0
     last_forwarded_at: float = 0
@@ -84,12 +87,13 @@
     def stall_limits(self) -> StallLimits:
         """Return after how long without an event a leg is broken off.
 
-        Callers leave after such a silence. A run that may restart does so in
-        time for its caller to get the next event before that.
+        Callers may leave after such a silence. A run that may restart does so
+        in time for its caller to get the next event before that. One that may
+        not is only broken off while its caller can still be answered.
         """
         silence = self.route.first_event_timeout
         if silence is None or not self.route.is_resumable:
-            return StallLimits(silence, silence)
+            return StallLimits(silence, None)
         return StallLimits(silence, silence * _RESTART_SILENCE_SHARE)
 
     @property
@@ -162,8 +166,26 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    def watch_silence(self, clock: Clock) -> None:
+        """Count a silent engine once whose begun answer is not broken off."""
+        silence = self.route.first_event_timeout
+        if silence is None or self.route.is_resumable or not self.legs:
+            return
+        since = max(self.last_forwarded_at, self.placed_at)
+        left = since + silence - clock.now()
+        is_silent = left <= 0 and self.gate.is_open
+        if is_silent and self.exchange.is_started:
+            leg = self.legs[max(self.legs)]
+            leg.observer.record_damage(ExchangeOutcome.silent)
+            return
+        self.silence_timer = asyncio.get_running_loop().call_later(
+            left if left > 0 else silence, self.watch_silence, clock
+        )
+
     def close(self) -> None:
-        """Close every connection and cancel every task."""
+        """Close every connection and cancel every task and timer."""
+        if self.silence_timer is not None:
+            self.silence_timer.cancel()
         for leg in self.legs.values():
             leg.close()
         for task in self.tasks:
--- a/chicoryshunt/relay/write_gate.py
+++ b/chicoryshunt/relay/write_gate.py
@@ -15,6 +15,11 @@
         self._is_open = asyncio.Event()
         self._is_open.set()
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether more may be written."""
+        return self._is_open.is_set()
+
     async def wait_open(self) -> float:
         """Wait until more may be written; return the seconds waited."""
         if self._is_open.is_set():
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import logging
 import os
 import signal
 import time
@@ -485,6 +486,36 @@
     run_on_reactor(run())
 
 
+def test_a_stream_outlasts_a_silent_engine(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against a stream that ends because its engine is slow."""
+    monkeypatch.setattr('chicoryshunt.platform.items._EVENT_TIMEOUT_GAPS', 0)
+    monkeypatch.setattr(
+        'chicoryshunt.platform.items._EVENT_TIMEOUT_LATENCIES', 0
+    )
+    monkeypatch.setattr(
+        'chicoryshunt.platform.items._MIN_EVENT_TIMEOUT_SECONDS', 0.2
+    )
+    monkeypatch.setattr('lab.standins.platform_targets._EVENT_SECONDS', 0.4)
+    caplog.set_level(logging.INFO)
+
+    async def trial(platform: SmallPlatform) -> None:
+        for engine in platform.engines:
+            engine.length = 4
+        answer, body = await platform.ask(
+            '/drafts/1', method='POST', **GENERATION
+        )
+
+        assert answer.status == 200
+        assert body.count(b'data: ') == 4
+
+    _run_trial(trial)
+
+    # The engine is counted, although its run goes on.
+    assert sum(one.msg == 'leg_broken_off' for one in caplog.records) == 1
+
+
 def test_a_stream_is_not_cut_before_its_deadline() -> None:
     """Guards against a stream that is cut while its caller still waits."""
 
