Play reloads, pauses, deadlines and slow bodies around planned stops

The soak of planned stops had one deadline for all streams, engines that never pause, and no SIGHUP, so it could not show streams that are cut before their deadline or because their engine is silent.

It now sends SIGHUP to any node at any time, while it starts, serves and ends; stops the node with the most restarts in 40% of all stops, kills a node after its grace as the platform does, and reports nodes that end early or with another status than 0. The rule knows reloads and when a body is whole, and counts no work of a target after the cut. Targets and callers have modules of their own.

The tests of the rule show that each new part of it can fail.

--- a/lab/soak/lost.py
+++ b/lab/soak/lost.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 
 GRACE_SECONDS = 8.0
+# A reload counts for requests that are sent up to so long after it.
+_APPLY_SECONDS = 2.0
 # A stop counts until so long after its grace.
 _AFTER_SECONDS = 1.0
 # A request that ends so soon after it was sent may not have been read.
@@ -37,6 +39,8 @@
     span: Span
     deadline: float
     is_answered: bool
+    # When its body was whole, if that took longer than its head.
+    last_byte: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,44 +51,79 @@
     at: float
 
 
+@dataclass(frozen=True, slots=True)
+class Reload:
+    """A SIGHUP to a node, in monotonic seconds."""
+
+    node: str
+    at: float
+
+
 def find_lost(
     requests: Iterable[Sent],
-    stops: Sequence[Stop],
+    signals: Sequence[Stop | Reload],
     work: Mapping[str, Sequence[Span]],
 ) -> list[str]:
-    """Return the requests that a stop cut off without an excuse.
+    """Return the requests that a signal cut off without an excuse.
 
     ``work`` holds when targets worked on a request.
     """
     lost = []
+    stops = [one for one in signals if isinstance(one, Stop)]
     for sent in requests:
         spans = work.get(sent.request, ())
-        for stop in stops:
-            if _is_lost(sent, stop, spans):
-                after = sent.span.start - stop.at
-                lost.append(
-                    f'{sent.request} to {sent.node} was sent {after:.2f} s '
-                    f'after SIGTERM, and cut {sent.span.end - stop.at:.2f} s '
-                    f'after it; passed on: {bool(spans)}',
-                )
+        if not _is_cut(sent, spans) or any(
+            _is_excused(sent, stop, spans) for stop in stops
+        ):
+            continue
+        around = [
+            one
+            for one in signals
+            if one.node == sent.node and _concerns(one, sent.span)
+        ]
+        if around:
+            lost.append(_describe(sent, around[-1], spans))
     return lost
 
 
-def _is_lost(sent: Sent, stop: Stop, spans: Sequence[Span]) -> bool:
-    if sent.is_answered or sent.node != stop.node:
-        return False
-    grace = Span(stop.at, stop.at + GRACE_SECONDS + _AFTER_SECONDS)
-    if not grace.start <= sent.span.end <= grace.end:
-        return False
-    is_read = spans or sent.span.end - sent.span.start > _UNREAD_SECONDS
-    if not is_read or sent.span.end >= sent.deadline:
-        return False
-    return not _is_excused(sent, stop, spans)
+def _is_cut(sent: Sent, spans: Sequence[Span]) -> bool:
+    """Return whether a request that was read had no answer in time."""
+    whole_at = max(sent.span.start, sent.last_byte)
+    is_read = spans or sent.span.end - whole_at > _UNREAD_SECONDS
+    return (
+        not sent.is_answered
+        and bool(is_read)
+        and (sent.span.end < sent.deadline)
+    )
+
+
+def _concerns(one: Stop | Reload, span: Span) -> bool:
+    """Return whether a request that was cut counts around a signal."""
+    match one:
+        case Stop(_, at):
+            return at <= span.end <= at + GRACE_SECONDS + _AFTER_SECONDS
+        case Reload(_, at):
+            return span.start <= at + _APPLY_SECONDS and span.end > at
 
 
 def _is_excused(sent: Sent, stop: Stop, spans: Sequence[Span]) -> bool:
     """Return whether a target still worked on an early request at the end."""
+    if sent.node != stop.node or not _concerns(stop, sent.span):
+        return False
     end = stop.at + GRACE_SECONDS
-    last = Span(end - GRACE_SECONDS * _LAST_SHARE, end)
+    last = Span(end - GRACE_SECONDS * _LAST_SHARE, min(end, sent.span.end))
+    if last.end < last.start:
+        return False
     is_early = sent.span.start <= stop.at + _LATE_SECONDS
     return is_early and any(one.overlaps(last) for one in spans)
+
+
+def _describe(sent: Sent, one: Stop | Reload, spans: Sequence[Span]) -> str:
+    name = 'SIGTERM' if isinstance(one, Stop) else 'SIGHUP'
+    after = sent.span.start - one.at
+    return (
+        f'{sent.request} to {sent.node} was sent {after:.2f} s '
+        f'after {name}, and cut {sent.span.end - one.at:.2f} s '
+        f'after it, {sent.deadline - sent.span.end:.3f} s before its '
+        f'deadline; passed on: {bool(spans)}'
+    )
--- a/lab/soak/stops.py
+++ b/lab/soak/stops.py
@@ -8,38 +8,22 @@
 import tempfile
 import time
 from collections import Counter
-from collections.abc import AsyncIterator, Iterator
-from contextlib import asynccontextmanager, contextmanager
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
 
-import msgspec
 from absl import flags
 
-from chicoryshunt.connection.relayed_exchange import RelayedExchange
-from chicoryshunt.connection.upstream import (
-    Answer,
-    BodyEnd,
-    CallBounds,
-    ConnectionLostError,
-    NotSentError,
-    OutgoingRequest,
-    UpstreamPool,
-)
 from chicoryshunt.exceptions import ChicoryshuntError
 from chicoryshunt.operations import run_until_done
-from lab.soak.lost import Sent, Span, Stop, find_lost
+from lab.soak.lost import GRACE_SECONDS, Reload, Stop, find_lost
+from lab.soak.stop_callers import TIMEOUT_SECONDS, Caller
+from lab.soak.stop_targets import TimedEngine, TimedService, Timings
 from lab.soak.world import Node, World, run_world
 from lab.standins.daemon import parse_flags
-from lab.standins.platform_files import (
-    CALLERS,
-    DIRECTORY,
-    HOST,
-    KEY,
-    build_config,
-)
-from lab.standins.platform_targets import StandInEngine, StandInService
+from lab.standins.platform_files import CALLERS, build_config
 
 _FLAGS = flags.FlagValues()
 flags.DEFINE_integer('seed', 1, 'first seed', flag_values=_FLAGS)
@@ -54,217 +38,10 @@
 
 _START_SECONDS = 60.0
 _POLL_SECONDS = 0.2
-_TIMEOUT_SECONDS = 39.0
-_CALL_TIMEOUT_SECONDS = 1.0
-_CONNECT_SECONDS = 1.0
-_IDLE_SECONDS = 8.0
-_PAUSE_SECONDS = 0.5
-# How many times longer than they are told callers keep a list of addresses.
-# Those who get no new list keep the old one.
-_KEEP_TIMES = (1, 1, 1, 3, 3, 10)
-_EVENT_SECONDS = 0.03
-_TOKENS_PER_EVENT = 4
-_WORK_SECONDS = 0.045
-# Shares of short streams and of calls; the other requests are long streams.
-_SHORT_SHARE = 0.2
-_CALL_SHARE = 0.4
-_SHORT_TOKENS = 12
-_LONG_TOKENS = (400, 2000)
-_LOOKUP = CallBounds(idle_seconds=0, answer_seconds=1, max_bytes=65536)
-_HEADER = 'x-chicoryshunt-request-id'
-_TRIES = 3
-
-
-class Timings:
-    """When targets worked on each request."""
-
-    def __init__(self) -> None:
-        """Start without requests."""
-        self.spans: dict[str, list[Span]] = {}
-
-    @contextmanager
-    def measure(self, request: str) -> Iterator[None]:
-        """Record the time of the block as work on a request."""
-        started = time.monotonic()
-        try:
-            yield
-        finally:
-            span = Span(started, time.monotonic())
-            self.spans.setdefault(request, []).append(span)
-
-
-class TimedEngine(StandInEngine):
-    """Engine that writes as many tokens as a request asks for."""
-
-    def __init__(self, name: str, timings: Timings) -> None:
-        """Record its work in ``timings``."""
-        super().__init__(name, {})
-        self._timings = timings
-
-    async def _stream(
-        self, exchange: RelayedExchange, request: str, last: int
-    ) -> None:
-        tokens = int(
-            exchange.get_header('x-chicoryshunt-token-count').split(',')[1]
-        )
-        with self._timings.measure(request):
-            for number in range(last, tokens // _TOKENS_PER_EVENT):
-                if not exchange.is_open:
-                    return
-                exchange.write(b'id: %d\ndata: tokens\n\n' % (number + 1))
-                await asyncio.sleep(_EVENT_SECONDS)
-        exchange.finish()
-
-
-class TimedService(StandInService):
-    """Service that works for some time on each call."""
-
-    def __init__(self, name: str, timings: Timings) -> None:
-        """Record its work in ``timings``."""
-        super().__init__(name)
-        self._timings = timings
-
-    async def _answer(self, exchange: RelayedExchange, request: str) -> None:
-        with self._timings.measure(request):
-            await asyncio.sleep(_WORK_SECONDS)
-        await super()._answer(exchange, request)
-
-
-class Directory(msgspec.Struct):
-    """Answer of a node to a caller that asks where to connect."""
-
-    addresses: list[str]
-    ttl_s: float
-
-
-@dataclass(slots=True)
-class Caller:
-    """Sends requests to the nodes that a directory names, one by one."""
-
-    world: World
-    rng: Random
-    name: str
-    sent: list[Sent] = field(default_factory=list)
-    statuses: Counter[int] = field(default_factory=Counter)
-    pool: UpstreamPool = field(
-        default_factory=lambda: UpstreamPool(_CONNECT_SECONDS)
-    )
-    addresses: list[str] = field(default_factory=list)
-    asked_until: float = 0
-
-    async def keep_asking(self, until: float) -> None:
-        """Send requests until a time."""
-        times = self.rng.choice(_KEEP_TIMES)
-        for number in itertools.count():
-            if time.monotonic() > until:
-                break
-            if time.monotonic() > self.asked_until:
-                await self._resolve(times)
-            if self.addresses:
-                await self._ask(f'{self.name}-{number}')
-            await asyncio.sleep(self.rng.random() * _PAUSE_SECONDS)
-        self.pool.close_idle()
-
-    async def _resolve(self, times: int) -> None:
-        """Ask for addresses; keep the old ones if no node answers."""
-        nodes = self.rng.sample(self.world.nodes, _TRIES)
-        for node in nodes:
-            try:
-                found = await self._look_up(node)
-            except ChicoryshuntError:
-                continue
-            self.addresses = found.addresses
-            self.asked_until = time.monotonic() + found.ttl_s * times
-            return
-
-    async def _look_up(self, node: Node) -> Directory:
-        uri = f'/chicoryshunt/resolve?name={HOST}&zone=luzon-a&region=r'
-        _, body = await self.pool.call(
-            f'{node.host}:{DIRECTORY}',
-            OutgoingRequest(b'GET', uri.encode(), [(b'Host', b'node')]),
-            _LOOKUP,
-        )
-        return msgspec.json.decode(body, type=Directory)
-
-    async def _ask(self, request: str) -> None:
-        draw = self.rng.random()
-        if draw < _CALL_SHARE:
-            kind = self.rng.choice((b'GET /reads/', b'POST /filings/'))
-            outgoing = _build_request(kind, request, _CALL_TIMEOUT_SECONDS)
-            await self._send(request, outgoing, _CALL_TIMEOUT_SECONDS)
-            return
-        tokens = self.rng.randint(*_LONG_TOKENS)
-        if draw < _CALL_SHARE + _SHORT_SHARE:
-            tokens = _SHORT_TOKENS
-        outgoing = _build_request(
-            b'POST /drafts/', request, _TIMEOUT_SECONDS, tokens
-        )
-        await self._send(request, outgoing, _TIMEOUT_SECONDS)
-
-    async def _send(
-        self, request: str, outgoing: OutgoingRequest, seconds: float
-    ) -> None:
-        address = self.rng.choice(self.addresses)
-        try:
-            upstream = await self.pool.acquire(address, _IDLE_SECONDS)
-        except NotSentError:
-            self.addresses.remove(address)
-            return
-        started = time.monotonic()
-        status = 0
-        try:
-            answer = await upstream.send(outgoing, seconds)
-        except (NotSentError, ConnectionLostError):
-            upstream.abort()
-        else:
-            status = await _read_status(answer, seconds)
-        self.statuses[status] += 1
-        self.sent.append(
-            Sent(
-                request,
-                address,
-                Span(started, time.monotonic()),
-                started + seconds,
-                is_answered=bool(status),
-            )
-        )
-
-
-async def _read_status(answer: Answer, seconds: float) -> int:
-    """Return the status of a whole answer, 0 if it is cut."""
-    try:
-        async with asyncio.timeout(seconds):
-            while True:
-                piece = await answer.body.read()
-                if isinstance(piece, BodyEnd):
-                    return answer.status if piece is BodyEnd.whole else 0
-    except TimeoutError:
-        return 0
-
-
-def _build_request(
-    kind: bytes, request: str, seconds: float, tokens: int = 0
-) -> OutgoingRequest:
-    method, prefix = kind.split()
-    headers = {
-        'Host': HOST,
-        'Authorization': f'Bearer {KEY}',
-        _HEADER: request,
-        'X-Chicoryshunt-Deadline-Ms': str(round(seconds * 1000)),
-    }
-    if tokens:
-        headers |= {
-            'X-Chicoryshunt-Model': 'm',
-            'X-Chicoryshunt-Token-Count': f'200,{tokens}',
-            'X-Chicoryshunt-Length-Hint': str(tokens),
-            'X-Chicoryshunt-Prefix-Hash': f'ab:80,{request}:120',
-        }
-    return OutgoingRequest(
-        method,
-        prefix + request.encode(),
-        [(name.encode(), text.encode()) for name, text in headers.items()],
-        b'' if method == b'GET' else b'the body',
-    )
+_END_POLL_SECONDS = 0.02
+# Share of stops that follow a restart of the same node.
+_SOON_SHARE = 0.4
+_RELOADS_PER_STOP = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -281,14 +58,16 @@
 class Findings:
     """What a seed came to; status 0 counts requests without an answer."""
 
-    lost: list[str]
-    stops: int
-    statuses: Counter[int]
+    lost: list[str] = field(default_factory=list)
+    stops: int = 0
+    kills: int = 0
+    statuses: Counter[int] = field(default_factory=Counter)
 
 
 async def soak(seed: int, size: Size, folder: Path) -> Findings:
     """Stop nodes one after the other, with callers who know of none."""
     rng = Random(seed)
+    findings = Findings()
     timings = Timings()
     async with _run_fleet(folder, size.nodes, timings) as world:
         await _wait_started(world)
@@ -300,15 +79,16 @@
         asking = [
             asyncio.ensure_future(one.keep_asking(until)) for one in callers
         ]
-        stops = await _stop_in_turn(world, rng, until, size.gap)
+        sent = await _stop_in_turn(world, rng, until, size.gap, findings)
         await asyncio.gather(*asking)
-    statuses: Counter[int] = Counter()
+        findings.lost += [
+            f'{name} ended early' for name in world.find_early_ends()
+        ]
     for caller in callers:
-        statuses.update(caller.statuses)
+        findings.statuses.update(caller.statuses)
     requests = itertools.chain.from_iterable(one.sent for one in callers)
-    return Findings(
-        find_lost(requests, stops, timings.spans), len(stops), statuses
-    )
+    findings.lost += find_lost(requests, sent, timings.spans)
+    return findings
 
 
 @asynccontextmanager
@@ -317,7 +97,7 @@
 ) -> AsyncIterator[World]:
     config = build_config()
     for route in config['routes']:
-        route['timeout_ms'] = _TIMEOUT_SECONDS * 1000
+        route['timeout_ms'] = TIMEOUT_SECONDS * 1000
     services = [TimedService(f'p{one}', timings) for one in range(3)]
     engines = [TimedEngine(f'e{one}', timings) for one in range(6)]
     async with run_world(folder, nodes, [*services, *engines], config) as world:
@@ -336,31 +116,66 @@
 
 
 async def _stop_in_turn(
-    world: World, rng: Random, until: float, gap: float
-) -> list[Stop]:
-    """Send SIGTERM to a random serving node now and then; restart it."""
-    stops = []
+    world: World, rng: Random, until: float, gap: float, findings: Findings
+) -> list[Stop | Reload]:
+    """Send SIGTERM to a random serving node now and then; restart it.
+
+    SIGHUP goes to any node, also while it starts or ends.
+    """
+    sent: list[Stop | Reload] = []
     restarting = []
     while time.monotonic() < until:
-        await asyncio.sleep(gap * rng.uniform(0.5, 1.5))
-        serving = [
-            node
-            for node in world.nodes
-            if node.is_wanted and node.running and node.running.has_served()
-        ]
+        for _ in range(_RELOADS_PER_STOP):
+            await asyncio.sleep(gap * rng.uniform(0.5, 1.5) / _RELOADS_PER_STOP)
+            sent.append(_reload(rng.choice(world.nodes)))
+        serving = [node for node in world.nodes if _is_serving(node)]
         if not serving:
             continue
         node = rng.choice(serving)
-        stops.append(Stop(f'{node.host}:{CALLERS}', time.monotonic()))
+        is_soon = rng.random() < _SOON_SHARE
+        if is_soon:
+            # The one that was restarted last is stopped once more.
+            node = max(serving, key=_count_starts)
+        findings.stops += 1
+        sent.append(Stop(f'{node.host}:{CALLERS}', time.monotonic()))
         node.signal(signal.SIGTERM)
-        restarting.append(asyncio.ensure_future(_restart(node)))
+        restarting.append(asyncio.ensure_future(_restart(node, findings)))
     await asyncio.gather(*restarting)
-    return stops
+    return sent
 
 
-async def _restart(node: Node) -> None:
-    if node.running is not None:
-        await node.running.wait_end()
+def _count_starts(node: Node) -> int:
+    return node.starts
+
+
+def _is_serving(node: Node) -> bool:
+    running = node.running
+    return node.is_wanted and running is not None and running.has_served()
+
+
+def _reload(node: Node) -> Reload:
+    reload = Reload(f'{node.host}:{CALLERS}', time.monotonic())
+    if node.running is not None and node.running.log.stat().st_size:
+        node.signal(signal.SIGHUP)
+    return reload
+
+
+async def _restart(node: Node, findings: Findings) -> None:
+    """Kill a node after its grace, as the platform does, and start it."""
+    running = node.running
+    if running is None:
+        return
+    until = time.monotonic() + GRACE_SECONDS
+    while running.is_alive and time.monotonic() < until:
+        await asyncio.sleep(_END_POLL_SECONDS)
+    if running.is_alive:
+        findings.kills += 1
+        running.process.kill()
+    elif running.process.returncode:
+        findings.lost.append(
+            f'{node.name} ended with {running.process.returncode}'
+        )
+    await running.wait_end()
     node.start()
 
 
@@ -374,7 +189,8 @@
         all_held = all_held and not findings.lost
         print(
             f'seed {seed}: {findings.stops} stops, '
-            + f'{dict(findings.statuses)}, {len(findings.lost)} lost',
+            + f'{findings.kills} kills, {dict(findings.statuses)}, '
+            + f'{len(findings.lost)} lost',
             flush=True,
         )
         for text in findings.lost:
--- a/tests/test_soak_stops.py
+++ b/tests/test_soak_stops.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from lab.soak.lost import Sent, Span, Stop, find_lost
+from lab.soak.lost import Reload, Sent, Span, Stop, find_lost
 
 _ROOT = Path(__file__).resolve().parents[1]
 # A run takes half a minute; one that hangs is ended long after that.
@@ -56,6 +56,8 @@
         (102, 107.6, []),
         # Its target had finished before the last sixth of the grace.
         (99, 107.6, [Span(99, 106)]),
+        # Its target worked on when it had been cut.
+        (99, 105, [Span(99, 107.6)]),
     ],
 )
 def test_a_lost_request_is_found(
@@ -90,3 +92,46 @@
 
     assert not _find(103.1, 107.6, work, answered=True)
     assert not _find(103.1, 107.6, work, node='b')
+
+
+@pytest.mark.parametrize(
+    ('start', 'end', 'is_lost'),
+    [
+        (99, 101, True),
+        (101.9, 130, True),
+        # It was sent later, or ended before.
+        (102.1, 104, False),
+        (98, 99.9, False),
+    ],
+)
+def test_a_reload_cuts_no_request(
+    start: float, end: float, is_lost: bool
+) -> None:
+    work = Span(start, end)
+    sent = Sent('r', 'a', work, _DEADLINE, is_answered=False)
+
+    lost = find_lost([sent], [Reload('a', 100)], {'r': [work]})
+
+    assert bool(lost) is is_lost
+
+
+def test_a_reload_counts_no_excused_request() -> None:
+    work = Span(99, 107.6)
+    sent = Sent('r', 'a', work, _DEADLINE, is_answered=False)
+
+    assert not find_lost([sent], [_STOP, Reload('a', 99)], {'r': [work]})
+
+
+@pytest.mark.parametrize(
+    ('last_byte', 'is_lost'),
+    [(107.2, True), (107.5, False), (float('inf'), False)],
+)
+def test_a_body_that_is_not_whole_is_not_read(
+    last_byte: float, is_lost: bool
+) -> None:
+    span = Span(99, 107.6)
+    sent = Sent(
+        'r', 'a', span, _DEADLINE, is_answered=False, last_byte=last_byte
+    )
+
+    assert bool(find_lost([sent], [_STOP], {})) is is_lost
