--- a/chicoryshunt/relay/gateway.py
+++ b/chicoryshunt/relay/gateway.py
@@ -19,6 +19,7 @@
     find_last_moment,
 )
 from chicoryshunt.relay.results import Delivered, Result, Streamed
+from chicoryshunt.relay.stream import ANSWER_MARGIN_SECONDS
 from chicoryshunt.rules.model import RequestType
 from chicoryshunt.rules.routing import (
     AdmittedRequest,
@@ -29,9 +30,6 @@
 from chicoryshunt.verdict import Verdict, build_uncertain, refuse
 
 _RETRY_AFTER_SECONDS = Seconds(0.5)
-# A timeout is reported this long before the deadline, so that the answer still
-# reaches the caller.
-_ANSWER_MARGIN_SECONDS = 0.01
 _STATUS_CLASS_SIZE = 100
 _UNKNOWN_REASONS = frozenset((Reason.unknown_path, Reason.unknown_team))
 
@@ -75,9 +73,14 @@
         self._calls = CallRelay(context)
         self._generations = GenerationRelay(context)
         self._measure_rules_age = measure_rules_age
-        self.active = 0
+        self._open: dict[RelayedExchange, IncomingRequest] = {}
         context.catalog.subscribe(self._on_fact)
 
+    @property
+    def active(self) -> int:
+        """Return how many requests have no whole answer yet."""
+        return len(self._open)
+
     @property
     def is_leaving(self) -> bool:
         """Return whether this node stops."""
@@ -96,22 +99,34 @@
         )
         return last_moment
 
+    def log_open(self) -> None:
+        """Log the requests that have no whole answer yet."""
+        now = self._context.clock.now()
+        for incoming in self._open.values():
+            log_event(
+                'request_left',
+                request=incoming.request,
+                seconds=now - incoming.received_at,
+            )
+
     async def handle(self, exchange: RelayedExchange) -> None:
         """Serve one request until it is answered or its caller disconnects."""
         incoming = self._codec.decode(exchange)
         if isinstance(incoming, Verdict):
             self._respond(exchange, incoming)
             return
-        with self._count_active():
+        with self._keep_open(exchange, incoming):
             await self._serve(incoming, exchange)
 
     @contextmanager
-    def _count_active(self) -> Iterator[None]:
-        self.active += 1
+    def _keep_open(
+        self, exchange: RelayedExchange, incoming: IncomingRequest
+    ) -> Iterator[None]:
+        self._open[exchange] = incoming
         try:
             yield
         finally:
-            self.active -= 1
+            self._open.pop(exchange)
 
     async def _serve(
         self, incoming: IncomingRequest, exchange: RelayedExchange
@@ -189,7 +204,7 @@
         timeout = route.timeout
         if incoming.timeout is not None:
             timeout = min(timeout, incoming.timeout)
-        deadline = incoming.received_at + timeout - _ANSWER_MARGIN_SECONDS
+        deadline = incoming.received_at + timeout - ANSWER_MARGIN_SECONDS
         service = choose_service(route, incoming.request)
         self._context.retry_budget.record_first(service, incoming.received_at)
         relaying: Awaitable[Result]
--- a/chicoryshunt/relay/generations.py
+++ b/chicoryshunt/relay/generations.py
@@ -235,11 +235,10 @@
             stream.exchange.begin(first.answer.status, first.answer.headers)
         stream.legs[first.id] = first
         first.start(stream.inputs, stream.stall_limits, stream.gate)
+        stream.watch_silence(self._context.clock)
         remaining = stream.deadline - self._context.clock.now()
         timer = asyncio.get_running_loop().call_later(
-            max(remaining, 0),
-            stream.inputs.put_nowait,
-            DeadlinePassed(),
+            max(remaining, 0), stream.pass_deadline
         )
         with register_gate(stream.exchange, stream.gate):
             try:
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import json
+import logging
 import os
 import signal
+import time
 from collections.abc import Awaitable, Callable, Iterator
 from types import MappingProxyType
 from typing import Any, cast
@@ -484,6 +486,56 @@
     run_on_reactor(run())
 
 
+def test_a_stream_outlasts_a_silent_engine(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against a stream that ends because its engine is slow."""
+    monkeypatch.setattr('chicoryshunt.platform.items._EVENT_TIMEOUT_GAPS', 0)
+    monkeypatch.setattr(
+        'chicoryshunt.platform.items._EVENT_TIMEOUT_LATENCIES', 0
+    )
+    monkeypatch.setattr(
+        'chicoryshunt.platform.items._MIN_EVENT_TIMEOUT_SECONDS', 0.2
+    )
+    monkeypatch.setattr('lab.standins.platform_targets._EVENT_SECONDS', 0.4)
+    caplog.set_level(logging.INFO)
+
+    async def trial(platform: SmallPlatform) -> None:
+        for engine in platform.engines:
+            engine.length = 4
+        answer, body = await platform.ask(
+            '/drafts/1', method='POST', **GENERATION
+        )
+
+        assert answer.status == 200
+        assert body.count(b'data: ') == 4
+
+    _run_trial(trial)
+
+    # The engine is counted, although its run goes on.
+    assert sum(one.msg == 'leg_broken_off' for one in caplog.records) == 1
+
+
+def test_a_stream_is_not_cut_before_its_deadline() -> None:
+    """Guards against a stream that is cut while its caller still waits."""
+
+    async def trial(platform: SmallPlatform) -> None:
+        for engine in platform.engines:
+            engine.length = 900
+        seconds = 0.5
+        patient = {'X_Chicoryshunt_Deadline_Ms': str(round(seconds * 1000))}
+        started = time.monotonic()
+        answer = await platform.open(
+            '/drafts/1', method='POST', **GENERATION | patient
+        )
+        _, end = await read_until_end(answer)
+
+        assert end is BodyEnd.cut
+        assert time.monotonic() - started >= seconds
+
+    _run_trial(trial)
+
+
 def test_engines_stop_when_callers_leave() -> None:
     async def trial(platform: SmallPlatform) -> None:
         for engine in platform.engines:
