Tell who sent a request that the soak's targets do not know

The soak reported ": nobody sent it" and nothing else, which could not tell a node's request from one of another program. The stand-ins now record method, path, peer and headers of the first request with each id, and the message of the promise names them. What is checked stays the same.

test_who_sent_a_request_without_an_id_is_told fails without the records: the message was ': nobody sent it'.

--- a/chicoryshunt/connection/relayed_exchange.py
+++ b/chicoryshunt/connection/relayed_exchange.py
@@ -16,6 +16,12 @@
         """Return the path and the query as they were sent."""
         return cast(bytes, self._request.uri)
 
+    @property
+    def peer(self) -> str:
+        """Return the address of the sender, as host:port."""
+        address = self._request.getClientAddress()
+        return f'{address.host}:{address.port}'
+
     def list_headers(self) -> list[tuple[bytes, bytes]]:
         """Return all headers of the request as they were sent."""
         return [
--- a/lab/soak/promises.py
+++ b/lab/soak/promises.py
@@ -19,11 +19,19 @@
         )
     known = {one.request for one in outcomes}
     broken.extend(
-        f'{request}: nobody sent it' for request in runs if request not in known
+        f'{request}: nobody sent it{_find_sender(world, request)}'
+        for request in runs
+        if request not in known
     )
     return broken
 
 
+def _find_sender(world: World, request: str) -> str:
+    """Return what the target recorded of a request, for a message."""
+    found = (one.arrivals.get(request) for one in world.list_targets())
+    return next((f' ({one})' for one in found if one), '')
+
+
 def _count_runs(world: World) -> Counter[str]:
     runs: Counter[str] = Counter()
     for service in world.services:
--- a/lab/standins/platform_targets.py
+++ b/lab/standins/platform_targets.py
@@ -11,6 +11,8 @@
 from lab.standins.crashable_server import CrashableServer
 from lab.standins.platform_store import BOUNDS
 
+Arrivals = dict[str, str]
+
 _REQUEST_ID_HEADER = 'x-chicoryshunt-request-id'
 _SEAL_HEADER = 'X-Chicoryshunt-Response-Seal'
 _PARTS_HEADER = 'x-chicoryshunt-prefix-hash'
@@ -29,12 +31,14 @@
         # Whether the bodies of refusals never end.
         self.drips = False
         self.runs: Counter[str] = Counter()
+        # Sender and head of the first request with each id.
+        self.arrivals: Arrivals = {}
         self.headers: list[dict[str, str]] = []
         self.bodies: list[bytes] = []
         self.is_released = asyncio.Event()
 
     async def _handle(self, exchange: RelayedExchange) -> None:
-        request = exchange.get_header(_REQUEST_ID_HEADER)
+        request = _record_arrival(exchange, self.arrivals)
         expected = exchange.get_header('x-chicoryshunt-expect-instance')
         if expected != self.name or self.mode == 'full':
             status = HTTPStatus.MISDIRECTED_REQUEST
@@ -106,6 +110,8 @@
         self.is_healthy = True
         self.reported_state = 'ready'
         self.started: list[str] = []
+        # Sender and head of the first request with each id.
+        self.arrivals: Arrivals = {}
         self.copies: list[tuple[str, bool]] = []
         self._produced: dict[str, int] = {}
         self._stopped: set[str] = set()
@@ -154,7 +160,7 @@
         )
 
     async def _run(self, exchange: RelayedExchange) -> None:
-        request = exchange.get_header(_REQUEST_ID_HEADER)
+        request = _record_arrival(exchange, self.arrivals)
         memory = exchange.get_header('kv-from')
         last = int(exchange.get_header('last-event-id') or 0)
         if memory and self._fleet.pop(memory.partition('/')[2], None) is None:
@@ -213,6 +219,19 @@
         return is_cut or request in self._stopped
 
 
+def _record_arrival(exchange: RelayedExchange, arrivals: Arrivals) -> str:
+    """Record who sent a request; return its id, empty when absent."""
+    request = exchange.get_header(_REQUEST_ID_HEADER)
+    if request not in arrivals:
+        headers = ', '.join(
+            f'{name.decode()}: {text.decode(errors="replace")}'
+            for name, text in exchange.list_headers()
+        )
+        line = f'{exchange.method} {exchange.uri.decode(errors="replace")}'
+        arrivals[request] = f'{line} from {exchange.peer}; {headers}'
+    return request
+
+
 def _refuse(
     exchange: RelayedExchange, request: str, status: HTTPStatus
 ) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,12 +7,14 @@
 
 import pytest
 
+from chicoryshunt.connection.upstream import OutgoingRequest, UpstreamPool
 from lab.soak.callers import Ask, Outcome
 from lab.soak.faults import draw_plan
 from lab.soak.promises import find_broken
 from lab.soak.proxy import Proxy
 from lab.soak.world import Node, World
 from lab.standins.platform_targets import StandInEngine, StandInService
+from tests.reactor import listen, run_on_reactor
 
 _ROOT = Path(__file__).resolve().parents[1]
 # A run takes half a minute; one that hangs is ended long after that.
@@ -105,6 +107,24 @@
     assert find_broken(world, []) == ['forged: nobody sent it']
 
 
+def test_who_sent_a_request_without_an_id_is_told() -> None:
+    """Replays a run that a request without an id began."""
+    world = _build_world()
+
+    async def send() -> None:
+        async with listen(world.engines[0].site) as address:
+            upstream = await UpstreamPool(1).open(address)
+            head = [(b'Host', b'another.example')]
+            await upstream.send(OutgoingRequest(b'POST', b'/odd', head, b''), 9)
+            upstream.abort()
+
+    run_on_reactor(send())
+
+    found = ' '.join(find_broken(world, []))
+    assert found.startswith(': nobody sent it (POST /odd from 127.0.0.1:')
+    assert 'Host: another.example' in found
+
+
 def test_a_crash_before_another_start_is_seen(tmp_path: Path) -> None:
     """Replays a node that crashed and was started anew by a signal fault."""
     settings = tmp_path / 'node.conf'
