Give every stand-in and node of a test an address of its own

Most stand-ins listened on 127.0.0.1 and a port that the kernel selects. The clients of a server that has ended may go on to call its port, which the kernel may give to another program.

lab/standins/loopback.py claims a block of 127.0.0.0/8 for each process and gives each server an address of its own; the claim also keeps two processes apart whose ids led to the same block. The soak, its proxies, the stand-ins and the servers of the tests use it.

test_no_address_of_the_soak_is_shared failed before: all 12 addresses were on 127.0.0.1 ("assert 1 == 12"). test_addresses_are_known and test_refused_connection_is_an_error named 127.0.0.1 and now name the address of their own server: they check the same.

--- a/lab/soak/proxy.py
+++ b/lab/soak/proxy.py
@@ -6,6 +6,7 @@
 from enum import Enum
 
 from chicoryshunt.nodes.links import parse_address
+from lab.standins.loopback import take_host
 
 _PIECE_BYTES = 65536
 _DELAY_SECONDS = 0.15
@@ -30,7 +31,7 @@
         """Pass everything on."""
         self.trouble = Trouble.none
         self.address = ''
-        self._destination = parse_address(destination)
+        self.destination = parse_address(destination)
         self._open: set[asyncio.StreamWriter] = set()
 
     def disturb(self, trouble: Trouble) -> None:
@@ -42,8 +43,8 @@
 
     @asynccontextmanager
     async def listen(self) -> AsyncIterator[None]:
-        """Listen on a free port of loopback, told by ``address``."""
-        server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        """Listen on an address of its own, told by ``address``."""
+        server = await asyncio.start_server(self._serve, take_host(), 0)
         name, port = server.sockets[0].getsockname()
         self.address = f'{name}:{port}'
         try:
@@ -59,7 +60,7 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         try:
-            upstream = await asyncio.open_connection(*self._destination)
+            upstream = await asyncio.open_connection(*self.destination)
         except OSError:
             _abort(writer)
             return
--- a/lab/soak/world.py
+++ b/lab/soak/world.py
@@ -14,6 +14,7 @@
 from chicoryshunt.connection.loop_transport import open_server
 from chicoryshunt.platform.settings import SETTINGS_VARIABLE
 from lab.soak.proxy import Proxy
+from lab.standins.loopback import take_host
 from lab.standins.platform_files import (
     CALLERS,
     PEERS,
@@ -170,8 +171,9 @@
             world.publish(target)
         world.store.put('op/config', config or build_config())
         store = await _serve(stack, world.store.site)
+        hosts = [take_host() for _ in range(node_count)]
         for number in range(node_count):
-            node = await _build_node(stack, world, store, number)
+            node = await _build_node(stack, world, store, hosts, number)
             world.nodes.append(node)
         stack.push_async_callback(_stop, world)
         for node in world.nodes:
@@ -186,7 +188,7 @@
 
 
 async def _serve(stack: AsyncExitStack, site: Any) -> str:
-    server = await open_server(site, '127.0.0.1', 0)
+    server = await open_server(site, take_host(), 0)
     stack.callback(server.close)
     host, port = server.sockets[0].getsockname()
     return f'{host}:{port}'
@@ -196,14 +198,15 @@
     stack: AsyncExitStack,
     world: World,
     store: str,
+    hosts: Sequence[str],
     number: int,
 ) -> Node:
-    host = _build_host(number)
+    host = hosts[number]
     callers = Proxy(f'{host}:{CALLERS}')
     await stack.enter_async_context(callers.listen())
     to_store = Proxy(store)
     await stack.enter_async_context(to_store.listen())
-    seeds = [f'{_build_host(one)}:{PEERS}' for one in range(3)]
+    seeds = [f'{one}:{PEERS}' for one in hosts[:3]]
     lines = build_lines(
         to_store.address,
         host,
@@ -216,12 +219,6 @@
     return Node(f'node-{number}', host, settings, callers, to_store)
 
 
-def _build_host(number: int) -> str:
-    """Return a loopback address that no other run uses."""
-    process = os.getpid()
-    return f'127.{process >> 8 & 127 | 128}.{process & 255}.{number + 1}'
-
-
 async def _stop(world: World) -> None:
     for node in world.nodes:
         node.signal(signal.SIGCONT)
--- a/lab/standins/crashable_server.py
+++ b/lab/standins/crashable_server.py
@@ -4,8 +4,7 @@
 
 from chicoryshunt.connection.loop_transport import open_server
 from chicoryshunt.connection.web import BoundedSite
-
-_HOST = '127.0.0.1'
+from lab.standins.loopback import take_host
 
 
 class CrashableServer:
@@ -15,18 +14,19 @@
         """Serve ``site`` once started."""
         self._site = site
         self._server: asyncio.Server | None = None
+        self._host = take_host()
         self._port = 0
         self.crash_count = 0
 
     @property
     def address(self) -> str:
         """Return host:port, the same after each start."""
-        return f'{_HOST}:{self._port}'
+        return f'{self._host}:{self._port}'
 
     async def start(self) -> None:
         """Listen, unless the server does already."""
         if self._server is None:
-            self._server = await open_server(self._site, _HOST, self._port)
+            self._server = await open_server(self._site, self._host, self._port)
             self._port = self._server.sockets[0].getsockname()[1]
 
     def crash(self) -> None:
--- a/tests/endless_target.py
+++ b/tests/endless_target.py
@@ -5,7 +5,7 @@
 from contextlib import asynccontextmanager
 from itertools import repeat
 
-from tests.platform_builders import take_host
+from lab.standins.loopback import take_host
 
 _CHUNK_BYTES = 4096
 
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -2,9 +2,7 @@
 
 import asyncio
 import base64
-import itertools
 import json
-import os
 from collections.abc import AsyncIterator, Mapping
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
@@ -19,6 +17,7 @@
 from chicoryshunt.platform import items
 from chicoryshunt.platform.node import Node
 from chicoryshunt.platform.settings import parse_settings
+from lab.standins.loopback import take_host
 from lab.standins.platform_files import (
     CALLERS,
     HOST,
@@ -34,14 +33,6 @@
 
 # Longer than a test may take, however busy the machine is.
 LONG_TIMEOUT_MS = 600000
-_NUMBERS = itertools.count(1)
-
-
-def take_host() -> str:
-    """Return a loopback address that no other test uses."""
-    process = os.getpid()
-    number = next(_NUMBERS)
-    return f'127.{process >> 8 & 255}.{process & 255}.{number}'
 
 
 @dataclass
--- a/tests/raw_targets.py
+++ b/tests/raw_targets.py
@@ -6,7 +6,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
-from tests.platform_builders import take_host
+from lab.standins.loopback import take_host
 
 
 class RawTarget:
--- a/tests/reactor.py
+++ b/tests/reactor.py
@@ -9,6 +9,7 @@
 from twisted.internet import asyncioreactor
 
 from chicoryshunt.connection.loop_transport import open_server
+from lab.standins.loopback import take_host
 
 _TIMEOUT_SECONDS = 30
 _Result = TypeVar('_Result')
@@ -32,7 +33,7 @@
 @asynccontextmanager
 async def listen(factory: Any) -> AsyncIterator[str]:
     """Serve on a free loopback port and yield host:port."""
-    server = await open_server(factory, '127.0.0.1', 0)
+    server = await open_server(factory, take_host(), 0)
     host, port = server.sockets[0].getsockname()
     try:
         yield f'{host}:{port}'
--- a/tests/test_loop_transport.py
+++ b/tests/test_loop_transport.py
@@ -70,10 +70,12 @@
     def __init__(self) -> None:
         self.server = Peer()
         self.client = Peer()
+        self.host = ''
 
     async def run(self, test: Any) -> None:
         async with listen(PeerFactory(self.server)) as address:
             host, _, port = address.rpartition(':')
+            self.host = host
             endpoint = LoopClientEndpoint(host, int(port), 5)
             await await_deferred(endpoint.connect(PeerFactory(self.client)))
             await self.server.opened.wait()
@@ -168,10 +170,10 @@
 def test_refused_connection_is_an_error() -> None:
     async def check() -> None:
         async with listen(PeerFactory(Peer())) as address:
-            port = int(address.rpartition(':')[2])
+            host, _, port = address.rpartition(':')
         with pytest.raises(ConnectError):
             await await_deferred(
-                LoopClientEndpoint('127.0.0.1', port, 5).connect(
+                LoopClientEndpoint(host, int(port), 5).connect(
                     PeerFactory(Peer()),
                 ),
             )
@@ -181,7 +183,7 @@
 
 def test_addresses_are_known() -> None:
     async def test(peers: ConnectedPeers) -> None:
-        assert peers.client.transport.getPeer().host == '127.0.0.1'
+        assert peers.client.transport.getPeer().host == peers.host
         client_port = peers.client.transport.getHost().port
         assert peers.server.transport.getPeer().port == client_port
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -22,6 +22,7 @@
 )
 from chicoryshunt.nodes.seal import Purpose, Seal
 from chicoryshunt.types import DataCentreId, Incarnation, VmId
+from lab.standins.loopback import take_host
 from tests.builders import FLEET_KEY
 
 _SENDER = VmId('a')
@@ -94,8 +95,9 @@
 async def connect(key: str = FLEET_KEY) -> AsyncIterator[Pair]:
     """Yield a connected pair, on a free loopback port."""
     pair = Pair(key)
-    listening = await pair.server.start('127.0.0.1:0')
-    pair.address = f'127.0.0.1:{pair.server.port}'
+    host = take_host()
+    listening = await pair.server.start(f'{host}:0')
+    pair.address = f'{host}:{pair.server.port}'
     pair.links.update_addresses(
         [
             PublishedVm(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,12 +7,14 @@
 
 import pytest
 
+from chicoryshunt.address import Address
 from chicoryshunt.connection.upstream import OutgoingRequest, UpstreamPool
 from lab.soak.callers import Ask, Outcome
 from lab.soak.faults import draw_plan
 from lab.soak.promises import find_broken
 from lab.soak.proxy import Proxy
-from lab.soak.world import Node, World
+from lab.soak.world import Node, World, run_world
+from lab.standins.loopback import list_hosts
 from lab.standins.platform_targets import StandInEngine, StandInService
 from tests.reactor import listen, run_on_reactor
 
@@ -125,6 +127,31 @@
     assert 'Host: another.example' in found
 
 
+def test_no_address_of_the_soak_is_shared(tmp_path: Path) -> None:
+    """Replays a client of an ended test that reached an engine of the soak."""
+
+    async def list_addresses() -> list[Address | str]:
+        async with run_world(tmp_path, 0) as world:
+            proxies = world.proxies.values()
+            return [
+                *(one.address for one in proxies),
+                *(one.destination for one in proxies),
+            ]
+
+    addresses = run_on_reactor(list_addresses())
+    hosts = {str(one).partition(':')[0] for one in addresses}
+
+    assert len(hosts) == len(addresses)
+    assert '127.0.0.1' not in hosts
+
+
+def test_two_runs_share_no_address() -> None:
+    """Replays two processes whose ids lead to the same addresses."""
+    one, other = list_hosts(7), list_hosts(7)
+
+    assert next(one) != next(other)
+
+
 def test_a_crash_before_another_start_is_seen(tmp_path: Path) -> None:
     """Replays a node that crashed and was started anew by a signal fault."""
     settings = tmp_path / 'node.conf'
--- a/tests/test_stop_signals.py
+++ b/tests/test_stop_signals.py
@@ -8,8 +8,8 @@
 from pathlib import Path
 
 from chicoryshunt.platform.settings import SETTINGS_VARIABLE
+from lab.standins.loopback import take_host
 from lab.standins.platform_files import build_lines
-from tests.platform_builders import take_host
 
 ROOT = Path(__file__).resolve().parents[1]
 PAUSE_SECONDS = 0.0002
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -13,7 +13,7 @@
     OutgoingRequest,
     UpstreamPool,
 )
-from tests.platform_builders import take_host
+from lab.standins.loopback import take_host
 from tests.raw_targets import RawTarget, serve_raw
 from tests.reactor import run_on_reactor
 
