Refuse requests without an id in the stand-ins, as targets do

The stand-in of engines ran whatever it did not know, without an id or meant for another target, which real targets refuse with 400 and 421. The stand-ins now do the same. The soak counts such a request as before, also if it was refused: it checks every request that arrives at a target, not only those that ran.

test_who_sent_a_request_without_an_id_is_told now asks for the refusal as well; without the change the answer was a stream with status 200.

--- a/lab/soak/promises.py
+++ b/lab/soak/promises.py
@@ -18,10 +18,13 @@
             for one in found
         )
     known = {one.request for one in outcomes}
+    # A target refuses a request without an id, but should not get it either.
+    arrived = {
+        one for target in world.list_targets() for one in target.arrivals
+    }
     broken.extend(
         f'{request}: nobody sent it{_find_sender(world, request)}'
-        for request in runs
-        if request not in known
+        for request in sorted({*runs, *arrived} - known)
     )
     return broken
 
--- a/lab/standins/platform_targets.py
+++ b/lab/standins/platform_targets.py
@@ -40,6 +40,9 @@
     async def _handle(self, exchange: RelayedExchange) -> None:
         request = _record_arrival(exchange, self.arrivals)
         expected = exchange.get_header('x-chicoryshunt-expect-instance')
+        if not request:
+            _refuse(exchange, request, HTTPStatus.BAD_REQUEST)
+            return
         if expected != self.name or self.mode == 'full':
             status = HTTPStatus.MISDIRECTED_REQUEST
             if self.mode == 'full':
@@ -161,10 +164,10 @@
 
     async def _run(self, exchange: RelayedExchange) -> None:
         request = _record_arrival(exchange, self.arrivals)
-        memory = exchange.get_header('kv-from')
         last = int(exchange.get_header('last-event-id') or 0)
-        if memory and self._fleet.pop(memory.partition('/')[2], None) is None:
-            _refuse(exchange, request, HTTPStatus.SERVICE_UNAVAILABLE)
+        refusal = self._find_refusal(exchange)
+        if refusal is not None:
+            _refuse(exchange, request, refusal)
             return
         self.started.append(request)
         self._set_head(exchange, request)
@@ -181,6 +184,17 @@
         else:
             await self._stream(exchange, request, last)
 
+    def _find_refusal(self, exchange: RelayedExchange) -> HTTPStatus | None:
+        expected = exchange.get_header('x-chicoryshunt-expect-instance')
+        memory = exchange.get_header('kv-from')
+        if not exchange.get_header(_REQUEST_ID_HEADER):
+            return HTTPStatus.BAD_REQUEST
+        if expected not in {'', self.name}:
+            return HTTPStatus.MISDIRECTED_REQUEST
+        if memory and self._fleet.pop(memory.partition('/')[2], None) is None:
+            return HTTPStatus.SERVICE_UNAVAILABLE
+        return None
+
     async def _answer_error(self, exchange: RelayedExchange) -> None:
         if self.drips:
             await _drip(exchange, self.error_status)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -117,11 +117,15 @@
         async with listen(world.engines[0].site) as address:
             upstream = await UpstreamPool(1).open(address)
             head = [(b'Host', b'another.example')]
-            await upstream.send(OutgoingRequest(b'POST', b'/odd', head, b''), 9)
+            sent = OutgoingRequest(b'POST', b'/odd', head, b'')
+            answer = await upstream.send(sent, 9)
+            assert answer.status == 400
+            assert answer.get(b'X-Chicoryshunt-Not-Executed')
             upstream.abort()
 
     run_on_reactor(send())
 
+    assert not world.engines[0].started
     found = ' '.join(find_broken(world, []))
     assert found.startswith(': nobody sent it (POST /odd from 127.0.0.1:')
     assert 'Host: another.example' in found
