End the nodes of a test together with it

Nodes of ended tests called their stores for more than 90 s, on ports that the kernel may give to another program: a cancelled node leaves the tasks that read the store, poll the engines and run the membership, as a process that ends takes them along.

test_nothing_of_a_node_outlives_its_test failed before: StoreReader.run, FleetAgent.run, EnginePoller.run and two more tasks were left.

--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -3,7 +3,7 @@
 import asyncio
 import base64
 import json
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Iterable, Mapping
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
 from typing import Any
@@ -127,8 +127,7 @@
         store_address = await stack.enter_async_context(listen(store.site))
         host = take_host()
         settings = parse_settings(build_lines(store_address, host), 'test')
-        node = Node(settings)
-        running = asyncio.ensure_future(node.run())
+        running = await stack.enter_async_context(_run(Node(settings)))
         platform = SmallPlatform(
             store,
             services,
@@ -139,7 +138,6 @@
             running,
         )
         stack.callback(platform.pool.close_idle)
-        stack.callback(running.cancel)
         store.is_down = bool(store_down_seconds)
         await asyncio.sleep(store_down_seconds)
         store.is_down = False
@@ -185,6 +183,23 @@
         received += piece
 
 
+@asynccontextmanager
+async def _run(node: Node) -> AsyncIterator[asyncio.Future[None]]:
+    """Run a node, and end what it started: its own tasks outlive it."""
+    earlier = asyncio.all_tasks()
+    running = asyncio.ensure_future(node.run())
+    try:
+        yield running
+    finally:
+        await _cancel(asyncio.all_tasks() - earlier)
+
+
+async def _cancel(tasks: Iterable[asyncio.Task[Any]]) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
 def _publish(
     store: StandInStore,
     addresses: dict[str, str],
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -584,3 +584,15 @@
         if line.startswith(b'id: '):
             numbers.append(int(line[4:]))
     return numbers
+
+
+def test_nothing_of_a_node_outlives_its_test() -> None:
+    """Replays nodes that went on to call stores of ended tests."""
+
+    async def list_tasks() -> set[asyncio.Task[Any]]:
+        earlier = asyncio.all_tasks()
+        async with run_platform() as platform:
+            await platform.ask('/reads/1')
+        return asyncio.all_tasks() - earlier
+
+    assert not run_on_reactor(list_tasks())
