Reset connections in the soak's proxy instead of closing them

The soak's fault "reset" closed connections in order: asyncio's abort() sends a FIN unless bytes are unread. A body that ends with its connection looked whole after it, so the soak could not play engines with such streams. The proxy now sets SO_LINGER, which makes the kernel send a reset.

test_a_reset_does_not_look_like_an_end failed before: "DID NOT RAISE ConnectionResetError".

--- a/lab/soak/proxy.py
+++ b/lab/soak/proxy.py
@@ -1,6 +1,8 @@
 """A loopback proxy that delays, resets and silences connections."""
 
 import asyncio
+import socket
+import struct
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager, contextmanager
 from enum import Enum
@@ -8,6 +10,7 @@
 from chicoryshunt.nodes.links import parse_address
 from lab.standins.loopback import take_host
 
+_NO_LINGER = struct.pack('ii', 1, 0)
 _PIECE_BYTES = 65536
 _DELAY_SECONDS = 0.15
 # A silenced connection looks again this often whether it may go on.
@@ -146,4 +149,8 @@
 
 
 def _abort(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection; without the option it may seem to end in order."""
+    connection = writer.get_extra_info('socket')
+    if connection.fileno() >= 0:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
     writer.transport.abort()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,6 @@
 """The soak: a short run of real processes, and checks that can fail."""
 
+import asyncio
 import subprocess
 import sys
 from pathlib import Path
@@ -12,7 +13,7 @@
 from lab.soak.callers import Ask, Outcome
 from lab.soak.faults import draw_plan
 from lab.soak.promises import find_broken
-from lab.soak.proxy import Proxy
+from lab.soak.proxy import Proxy, Trouble
 from lab.soak.world import Node, World, run_world
 from lab.standins.loopback import list_hosts
 from lab.standins.platform_targets import StandInEngine, StandInService
@@ -156,6 +157,24 @@
     assert next(one) != next(other)
 
 
+def test_a_reset_does_not_look_like_an_end() -> None:
+    """Guards against a soak in which a body without a length seems whole."""
+
+    async def read() -> bytes:
+        async with listen(_build_world().services[0].site) as address:
+            proxy = Proxy(address)
+            async with proxy.listen():
+                host, _, port = proxy.address.rpartition(':')
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(b'GET / HTTP/1.1\r\n\r\n')
+                await reader.readuntil(b'\r\n\r\n')
+                proxy.disturb(Trouble.reset)
+                return await reader.read()
+
+    with pytest.raises(ConnectionResetError):
+        run_on_reactor(read())
+
+
 def test_a_crash_before_another_start_is_seen(tmp_path: Path) -> None:
     """Replays a node that crashed and was started anew by a signal fault."""
     settings = tmp_path / 'node.conf'
