--- a/lab/standins/platform_targets.py
+++ b/lab/standins/platform_targets.py
@@ -11,6 +11,8 @@
 from lab.standins.crashable_server import CrashableServer
 from lab.standins.platform_store import BOUNDS
 
+Arrivals = dict[str, str]
+
 _REQUEST_ID_HEADER = 'x-chicoryshunt-request-id'
 _SEAL_HEADER = 'X-Chicoryshunt-Response-Seal'
 _PARTS_HEADER = 'x-chicoryshunt-prefix-hash'
@@ -29,13 +31,18 @@
         # Whether the bodies of refusals never end.
         self.drips = False
         self.runs: Counter[str] = Counter()
+        # Sender and head of the first request with each id.
+        self.arrivals: Arrivals = {}
         self.headers: list[dict[str, str]] = []
         self.bodies: list[bytes] = []
         self.is_released = asyncio.Event()
 
     async def _handle(self, exchange: RelayedExchange) -> None:
-        request = exchange.get_header(_REQUEST_ID_HEADER)
+        request = _record_arrival(exchange, self.arrivals)
         expected = exchange.get_header('x-chicoryshunt-expect-instance')
+        if not request:
+            _refuse(exchange, request, HTTPStatus.BAD_REQUEST)
+            return
         if expected != self.name or self.mode == 'full':
             status = HTTPStatus.MISDIRECTED_REQUEST
             if self.mode == 'full':
@@ -106,6 +113,8 @@
         self.is_healthy = True
         self.reported_state = 'ready'
         self.started: list[str] = []
+        # Sender and head of the first request with each id.
+        self.arrivals: Arrivals = {}
         self.copies: list[tuple[str, bool]] = []
         self._produced: dict[str, int] = {}
         self._stopped: set[str] = set()
@@ -154,11 +163,11 @@
         )
 
     async def _run(self, exchange: RelayedExchange) -> None:
-        request = exchange.get_header(_REQUEST_ID_HEADER)
-        memory = exchange.get_header('kv-from')
+        request = _record_arrival(exchange, self.arrivals)
         last = int(exchange.get_header('last-event-id') or 0)
-        if memory and self._fleet.pop(memory.partition('/')[2], None) is None:
-            _refuse(exchange, request, HTTPStatus.SERVICE_UNAVAILABLE)
+        refusal = self._find_refusal(exchange)
+        if refusal is not None:
+            _refuse(exchange, request, refusal)
             return
         self.started.append(request)
         self._set_head(exchange, request)
@@ -175,6 +184,17 @@
         else:
             await self._stream(exchange, request, last)
 
+    def _find_refusal(self, exchange: RelayedExchange) -> HTTPStatus | None:
+        expected = exchange.get_header('x-chicoryshunt-expect-instance')
+        memory = exchange.get_header('kv-from')
+        if not exchange.get_header(_REQUEST_ID_HEADER):
+            return HTTPStatus.BAD_REQUEST
+        if expected not in {'', self.name}:
+            return HTTPStatus.MISDIRECTED_REQUEST
+        if memory and self._fleet.pop(memory.partition('/')[2], None) is None:
+            return HTTPStatus.SERVICE_UNAVAILABLE
+        return None
+
     async def _answer_error(self, exchange: RelayedExchange) -> None:
         if self.drips:
             await _drip(exchange, self.error_status)
@@ -213,6 +233,19 @@
         return is_cut or request in self._stopped
 
 
+def _record_arrival(exchange: RelayedExchange, arrivals: Arrivals) -> str:
+    """Record who sent a request; return its id, empty when absent."""
+    request = exchange.get_header(_REQUEST_ID_HEADER)
+    if request not in arrivals:
+        headers = ', '.join(
+            f'{name.decode()}: {text.decode(errors="replace")}'
+            for name, text in exchange.list_headers()
+        )
+        line = f'{exchange.method} {exchange.uri.decode(errors="replace")}'
+        arrivals[request] = f'{line} from {exchange.peer}; {headers}'
+    return request
+
+
 def _refuse(
     exchange: RelayedExchange, request: str, status: HTTPStatus
 ) -> None:
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -2,10 +2,8 @@
 
 import asyncio
 import base64
-import itertools
 import json
-import os
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Iterable, Mapping
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
 from typing import Any
@@ -19,6 +17,7 @@
 from chicoryshunt.platform import items
 from chicoryshunt.platform.node import Node
 from chicoryshunt.platform.settings import parse_settings
+from lab.standins.loopback import take_host
 from lab.standins.platform_files import (
     CALLERS,
     HOST,
@@ -34,14 +33,6 @@
 
 # Longer than a test may take, however busy the machine is.
 LONG_TIMEOUT_MS = 600000
-_NUMBERS = itertools.count(1)
-
-
-def take_host() -> str:
-    """Return a loopback address that no other test uses."""
-    process = os.getpid()
-    number = next(_NUMBERS)
-    return f'127.{process >> 8 & 255}.{process & 255}.{number}'
 
 
 @dataclass
@@ -136,8 +127,7 @@
         store_address = await stack.enter_async_context(listen(store.site))
         host = take_host()
         settings = parse_settings(build_lines(store_address, host), 'test')
-        node = Node(settings)
-        running = asyncio.ensure_future(node.run())
+        running = await stack.enter_async_context(_run(Node(settings)))
         platform = SmallPlatform(
             store,
             services,
@@ -148,7 +138,6 @@
             running,
         )
         stack.callback(platform.pool.close_idle)
-        stack.callback(running.cancel)
         store.is_down = bool(store_down_seconds)
         await asyncio.sleep(store_down_seconds)
         store.is_down = False
@@ -194,6 +183,23 @@
         received += piece
 
 
+@asynccontextmanager
+async def _run(node: Node) -> AsyncIterator[asyncio.Future[None]]:
+    """Run a node, and end what it started: its own tasks outlive it."""
+    earlier = asyncio.all_tasks()
+    running = asyncio.ensure_future(node.run())
+    try:
+        yield running
+    finally:
+        await _cancel(asyncio.all_tasks() - earlier)
+
+
+async def _cancel(tasks: Iterable[asyncio.Task[Any]]) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
 def _publish(
     store: StandInStore,
     addresses: dict[str, str],
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,6 @@
 """The soak: a short run of real processes, and checks that can fail."""
 
+import asyncio
 import subprocess
 import sys
 from pathlib import Path
@@ -7,12 +8,16 @@
 
 import pytest
 
+from chicoryshunt.address import Address
+from chicoryshunt.connection.upstream import OutgoingRequest, UpstreamPool
 from lab.soak.callers import Ask, Outcome
 from lab.soak.faults import draw_plan
 from lab.soak.promises import find_broken
-from lab.soak.proxy import Proxy
-from lab.soak.world import Node, World
+from lab.soak.proxy import Proxy, Trouble
+from lab.soak.world import Node, World, run_world
+from lab.standins.loopback import list_hosts
 from lab.standins.platform_targets import StandInEngine, StandInService
+from tests.reactor import listen, run_on_reactor
 
 _ROOT = Path(__file__).resolve().parents[1]
 # A run takes half a minute; one that hangs is ended long after that.
@@ -105,6 +110,71 @@
     assert find_broken(world, []) == ['forged: nobody sent it']
 
 
+def test_who_sent_a_request_without_an_id_is_told() -> None:
+    """Replays a run that a request without an id began."""
+    world = _build_world()
+
+    async def send() -> None:
+        async with listen(world.engines[0].site) as address:
+            upstream = await UpstreamPool(1).open(address)
+            head = [(b'Host', b'another.example')]
+            sent = OutgoingRequest(b'POST', b'/odd', head, b'')
+            answer = await upstream.send(sent, 9)
+            assert answer.status == 400
+            assert answer.get(b'X-Chicoryshunt-Not-Executed')
+            upstream.abort()
+
+    run_on_reactor(send())
+
+    assert not world.engines[0].started
+    found = ' '.join(find_broken(world, []))
+    assert found.startswith(': nobody sent it (POST /odd from 127.0.0.1:')
+    assert 'Host: another.example' in found
+
+
+def test_no_address_of_the_soak_is_shared(tmp_path: Path) -> None:
+    """Replays a client of an ended test that reached an engine of the soak."""
+
+    async def list_addresses() -> list[Address | str]:
+        async with run_world(tmp_path, 0) as world:
+            proxies = world.proxies.values()
+            return [
+                *(one.address for one in proxies),
+                *(one.destination for one in proxies),
+            ]
+
+    addresses = run_on_reactor(list_addresses())
+    hosts = {str(one).partition(':')[0] for one in addresses}
+
+    assert len(hosts) == len(addresses)
+    assert '127.0.0.1' not in hosts
+
+
+def test_two_runs_share_no_address() -> None:
+    """Replays two processes whose ids lead to the same addresses."""
+    one, other = list_hosts(7), list_hosts(7)
+
+    assert next(one) != next(other)
+
+
+def test_a_reset_does_not_look_like_an_end() -> None:
+    """Guards against a soak in which a body without a length seems whole."""
+
+    async def read() -> bytes:
+        async with listen(_build_world().services[0].site) as address:
+            proxy = Proxy(address)
+            async with proxy.listen():
+                host, _, port = proxy.address.rpartition(':')
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(b'GET / HTTP/1.1\r\n\r\n')
+                await reader.readuntil(b'\r\n\r\n')
+                proxy.disturb(Trouble.reset)
+                return await reader.read()
+
+    with pytest.raises(ConnectionResetError):
+        run_on_reactor(read())
+
+
 def test_a_crash_before_another_start_is_seen(tmp_path: Path) -> None:
     """Replays a node that crashed and was started anew by a signal fault."""
     settings = tmp_path / 'node.conf'
