Do not take a run whose time is up for a complete one

Callers could see a part of a stream as a complete answer at their deadline: an engine that stops a run at the time it was told closes a stream without length or chunks the same way as at its end.

Two of the three cases of test_a_run_that_is_out_of_time_is_cut failed before: the leg was closed.

Change: a leg knows until when its engine may run. One without framing that closes in the last 0.2 s of that time is cut; a run may be stopped when there is no time for another event. A stream that really ends then is cut as well, which no caller can take for complete.

tests/test_stopped_runs.py takes its addresses from where they are now.

--- a/chicoryshunt/relay/leg.py
+++ b/chicoryshunt/relay/leg.py
@@ -1,6 +1,7 @@
 """One leg of a stream: the exchange with the engine that serves it."""
 
 import asyncio
+import math
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -40,6 +41,8 @@
 # event every few milliseconds.
 _BURST_EVENTS = 32
 _BURST_PAUSE_SECONDS = 0.01
+# An engine may end a run for which there is no time for another event.
+_LAST_EVENT_SECONDS = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,12 +98,16 @@
 
 @dataclass(slots=True)
 class Leg:
-    """An exchange with an engine; its events go to the queue of inputs."""
+    """An exchange with an engine; its events go to the queue of inputs.
+
+    The engine was told to stop at ``runs_until``, in the loop's seconds.
+    """
 
     id: LegId
     target: TargetFact
     upstream: Upstream
     observer: LegObserver
+    runs_until: float = math.inf
     answer: Answer | None = None
     reader_task: asyncio.Task[None] | None = None
 
@@ -143,7 +150,8 @@
                 self._break_off(inputs, ExchangeOutcome.silent)
                 return
             if isinstance(piece, BodyEnd):
-                self._end(inputs, _classify_end(piece, reader, body, progress))
+                end = _classify_end(piece, reader, body, progress)
+                self._end(inputs, self._correct_end(end))
                 return
             if not await self._queue_events(
                 piece, reader, progress, inputs, gate
@@ -182,6 +190,12 @@
                 await asyncio.sleep(_BURST_PAUSE_SECONDS)
         return True
 
+    def _correct_end(self, end: LegEnd) -> LegEnd:
+        """Return the end of an answer; the engine may have had to stop it."""
+        now = asyncio.get_running_loop().time()
+        is_late = now >= self.runs_until - _LAST_EVENT_SECONDS
+        return LegEnd.cut if is_late and end is LegEnd.closed else end
+
     def _end(self, inputs: InputQueue, end: LegEnd) -> None:
         self.observer.record_end(end)
         inputs.put_nowait(LegEnded(self.id, end))
@@ -254,7 +268,13 @@
             incoming,
             outgoing,
             seconds,
-            Leg(leg, target, upstream, watch),
+            Leg(
+                leg,
+                target,
+                upstream,
+                watch,
+                asyncio.get_running_loop().time() + params.remaining,
+            ),
             watch,
         )
     finally:
--- a/tests/test_leg.py
+++ b/tests/test_leg.py
@@ -32,10 +32,10 @@
     """Body whose pieces arrive as listed; nothing follows the last one."""
 
     is_readable = False
-    is_framed = True
 
     def __init__(self, steps: Sequence[Step]) -> None:
         """Read these steps in order."""
+        self.is_framed = True
         self._steps = list(steps)
         self.bytes_read = 0
 
@@ -75,6 +75,7 @@
         self.end = LegEnd.whole
         self.gate = WriteGate()
         self.body = FakeBody(steps)
+        self.runs_until: float = LONG_SECONDS
         # The most events that were queued in one turn of the loop.
         self.burst = 0
 
@@ -90,6 +91,7 @@
             build_fact('e1'),
             cast(Any, self.upstream),
             self,
+            self.runs_until,
             Answer(200, (), None, body),
         )
         leg.start(inputs, LIMITS, self.gate)
@@ -122,6 +124,14 @@
     return trial
 
 
+def _read_unframed(runs_until: float, *steps: Step) -> Trial:
+    trial = Trial(steps)
+    trial.body.is_framed = False
+    trial.runs_until = runs_until
+    run_virtual(trial.run())
+    return trial
+
+
 def _frame(number: int) -> bytes:
     return b'id: %d\ndata: token\n\n' % number
 
@@ -136,6 +146,19 @@
     assert not trial.outcomes
 
 
+@pytest.mark.parametrize(
+    ('runs_until', 'end'),
+    [(3, LegEnd.closed), (2.1, LegEnd.cut), (1.9, LegEnd.cut)],
+)
+def test_a_run_that_is_out_of_time_is_cut(
+    runs_until: float, end: LegEnd
+) -> None:
+    """Guards against a run that its engine stops in time as a whole one."""
+    trial = _read_unframed(runs_until, _frame(1), 2.0, _frame(2), BodyEnd.whole)
+
+    assert trial.end is end
+
+
 @pytest.mark.parametrize(
     'later', [(BodyEnd.whole,), (b'\n\n', _frame(2), BodyEnd.whole)]
 )
--- a/tests/test_stopped_runs.py
+++ b/tests/test_stopped_runs.py
@@ -8,12 +8,12 @@
 
 from chicoryshunt.connection.upstream import BodyEnd
 from chicoryshunt.relay.frames import parse_event_number
+from lab.standins.loopback import take_host
 from tests.platform_builders import (
     SmallPlatform,
     build_generation,
     read_until_end,
     run_platform,
-    take_host,
 )
 from tests.reactor import run_on_reactor
 from tests.stoppable_engine import Fleet, StopAnswer, StoppableEngine
