Do not continue a dropped run from a copy of its memory

After an order to stop that had no answer, a leg that this node broke off because of its engine was continued from the copy. The order may not have been carried out, and an engine may work on after its connection is closed, so two engines could work on one run.

Change: a leg that the node breaks off ends 'dropped', not 'cut'. Only a run that has certainly stopped is continued then; one that may restart begins anew.

--- a/chicoryshunt/relay/leg.py
+++ b/chicoryshunt/relay/leg.py
@@ -204,7 +204,7 @@
         """End the leg because of its engine, and close the connection."""
         self.observer.record_damage(outcome)
         self.upstream.abort()
-        inputs.put_nowait(LegEnded(self.id, LegEnd.cut))
+        inputs.put_nowait(LegEnded(self.id, LegEnd.dropped))
 
 
 async def _read_piece(
--- a/chicoryshunt/relay/stream_inputs.py
+++ b/chicoryshunt/relay/stream_inputs.py
@@ -14,12 +14,14 @@
     """How the answer of a leg ended.
 
     ``closed``: with its connection and between two events, without a length or
-    chunks. It is whole unless the run was stopped.
+    chunks. It is whole unless the run was stopped. ``dropped``: by this node,
+    because of the engine, which may still work on the run.
     """
 
     whole = 'whole'
     closed = 'closed'
     cut = 'cut'
+    dropped = 'dropped'
 
 
 @dataclass(frozen=True, slots=True)
--- a/chicoryshunt/relay/stream_state.py
+++ b/chicoryshunt/relay/stream_state.py
@@ -155,6 +155,8 @@
             is_whole = self._unconfirmed_move is None
         if is_whole:
             yield from self._finish()
+        elif end is LegEnd.dropped:
+            yield from self._restart(reason)
         else:
             yield from self._recover(reason)
 
@@ -274,7 +276,12 @@
         if move is not None and move.holders:
             self._move = move
             yield self._continue_run(move)
-        elif self._is_resumable:
+        else:
+            yield from self._restart(reason)
+
+    def _restart(self, reason: str) -> Iterator[Action]:
+        """Begin the run anew, or end the stream where that is not allowed."""
+        if self._is_resumable:
             self._move = None
             yield self._open_leg(None, None)
         else:
