Abort also what is just accepted, and reset streams without chunks

When a node stops, a connection that was being accepted on another site than that of the callers stayed open until the process had ended, and a caller that speaks HTTP/1.0 took the part of its stream for a complete answer.

Cause: only close_connections marks a site as closing, and an aborted connection ends with a FIN, which ends an answer without chunks.

Evidence: two of seven cases of tests/test_aborted_connections.py failed before, one with 'DID NOT RAISE ConnectionResetError', one with an open channel.

Change: abort_connections marks its site as closing, so that a connection is aborted once it is made, and a channel with an answer without chunks is reset.

--- a/chicoryshunt/connection/channel.py
+++ b/chicoryshunt/connection/channel.py
@@ -189,8 +189,15 @@
         super().connectionLost(reason)
 
     def abort(self) -> None:
-        """Close at once, so that no answer can seem complete."""
-        cast(Any, self.transport).abortConnection()
+        """Close at once, so that no answer can seem complete.
+
+        One without chunks seems so unless the connection is reset.
+        """
+        transport = cast(Any, self.transport)
+        if all(request.chunked for request in self.requests):
+            transport.abortConnection()
+        else:
+            transport.resetConnection()
 
     def refuse(self, verdict: Verdict) -> None:
         """Send a refusal without a parsed request and close."""
--- a/chicoryshunt/connection/web.py
+++ b/chicoryshunt/connection/web.py
@@ -63,8 +63,9 @@
     """Abort all connections, with the requests in progress.
 
     A connection that outlives the serving loop takes requests that nobody
-    reads.
+    reads. One that was just accepted is aborted once it is made.
     """
+    site.usage.is_closing = True
     aborted = [one for one in site.channels if one.is_open]
     for channel in aborted:
         for request in channel.requests:
