Log a silent engine whose stream goes on as such

leg_broken_off was logged for a begun stream that is not broken off any more, and its prompt was reported as one on which an engine broke a run off. It is leg_silent now, and counts against the engine only.

--- a/chicoryshunt/relay/leg.py
+++ b/chicoryshunt/relay/leg.py
@@ -92,6 +92,9 @@
     def record_end(self, end: LegEnd) -> None:
         """Record how the answer ended."""
 
+    def record_silence(self) -> None:
+        """Record that the engine is silent, although the leg goes on."""
+
     def record_damage(self, outcome: ExchangeOutcome) -> None:
         """Record that the leg is given up because of its engine."""
 
--- a/chicoryshunt/relay/leg_watch.py
+++ b/chicoryshunt/relay/leg_watch.py
@@ -81,6 +81,11 @@
         elif not self.has_survived:
             self.context.prompt_guard.clear_later(self.incoming, self.target)
 
+    def record_silence(self) -> None:
+        """Record that the engine is silent, although the leg goes on."""
+        log_event('leg_silent', target=self.target.target, leg=self.leg)
+        self.context.record_outcome(self.target.target, ExchangeOutcome.silent)
+
     def record_damage(self, outcome: ExchangeOutcome) -> None:
         """Record that the leg is given up because of its engine."""
         log_event(
--- a/chicoryshunt/relay/stream.py
+++ b/chicoryshunt/relay/stream.py
@@ -9,7 +9,6 @@
 from chicoryshunt.connection.relayed_exchange import RelayedExchange
 from chicoryshunt.dispatch.engines import PREFILL_TOKENS_PER_SECOND
 from chicoryshunt.dispatch.forecast import RunView
-from chicoryshunt.dispatch.outliers import ExchangeOutcome
 from chicoryshunt.events import log_problem
 from chicoryshunt.fleet.facts import TargetFact
 from chicoryshunt.relay.incoming import GenerationParams, IncomingRequest
@@ -175,8 +174,7 @@
         left = since + silence - clock.now()
         is_silent = left <= 0 and self.gate.is_open
         if is_silent and self.exchange.is_started:
-            leg = self.legs[max(self.legs)]
-            leg.observer.record_damage(ExchangeOutcome.silent)
+            self.legs[max(self.legs)].observer.record_silence()
             return
         self.silence_timer = asyncio.get_running_loop().call_later(
             left if left > 0 else silence, self.watch_silence, clock
--- a/tests/test_leg.py
+++ b/tests/test_leg.py
@@ -113,6 +113,9 @@
         """Keep how the answer ended, as an observer of the leg."""
         self.observed_ends.append(end)
 
+    def record_silence(self) -> None:
+        """Do nothing, as no leg here outlasts a silent engine."""
+
     def record_damage(self, outcome: ExchangeOutcome) -> None:
         """Keep why the leg was given up, as an observer of the leg."""
         self.outcomes.append(outcome)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -513,7 +513,7 @@
     _run_trial(trial)
 
     # The engine is counted, although its run goes on.
-    assert sum(one.msg == 'leg_broken_off' for one in caplog.records) == 1
+    assert sum(one.msg == 'leg_silent' for one in caplog.records) == 1
 
 
 def test_a_stream_is_not_cut_before_its_deadline() -> None:
