Look at every value of the headers that decide about an answer

An answer with an empty Content-Encoding and one of gzip behind it was passed on, as only the first value counted; the same held for the header that says that a request was not run.

Evidence: both cases of test_an_encoding_behind_an_empty_one_is_seen failed before with 'assert 200 == 502'.

Change: such a header counts if any of its values is not empty.

--- a/chicoryshunt/connection/upstream.py
+++ b/chicoryshunt/connection/upstream.py
@@ -97,6 +97,10 @@
         """Return the first value of a header, empty when absent."""
         return next(self._iterate_values(name), b'')
 
+    def has(self, name: bytes) -> bool:
+        """Return whether a header has a value that is not empty."""
+        return any(self._iterate_values(name))
+
     def get_only(self, name: bytes) -> bytes:
         """Return the value of a header, empty if there are different ones."""
         found = set(self._iterate_values(name))
--- a/chicoryshunt/platform/targets.py
+++ b/chicoryshunt/platform/targets.py
@@ -97,11 +97,11 @@
             return AnswerKind.foreign
         if answer.status == HTTPStatus.MISDIRECTED_REQUEST:
             return AnswerKind.other_target
-        if answer.get(wire.NOT_RUN):
+        if answer.has(wire.NOT_RUN):
             return AnswerKind.not_run
         if answer.is_success and not answer.get_only(wire.RESPONSE_SEAL):
             return AnswerKind.foreign
-        if answer.get(b'Content-Encoding'):
+        if answer.has(b'Content-Encoding'):
             return AnswerKind.foreign
         return AnswerKind.ran
 
@@ -166,7 +166,7 @@
         the check like any request.
         """
         name = answer.get_only(wire.ANSWERING_TARGET).decode('latin-1')
-        if name != target or answer.get(wire.NOT_RUN):
+        if name != target or answer.has(wire.NOT_RUN):
             return Health.unknown
         if answer.is_success:
             return Health.sound
--- a/tests/test_odd_heads.py
+++ b/tests/test_odd_heads.py
@@ -299,6 +299,19 @@
     _run('p0', target, trial, leaving='p1')
 
 
+@pytest.mark.parametrize('name', [b'Content-Encoding', b'Content-encoding'])
+def test_an_encoding_behind_an_empty_one_is_seen(name: bytes) -> None:
+    """Guards against a body that is not the target's own."""
+    head = build_head(b'%s:' % name, b'%s: gzip' % name, b'Content-Length: 4')
+    target = RawTarget(b'%sbody' % head)
+
+    async def trial(platform: SmallPlatform) -> None:
+        answer, _ = await platform.ask('/filings/1', 'r1', 'POST')
+        assert answer.status == 502
+
+    _run('p0', target, trial, leaving='p1')
+
+
 def test_the_health_of_two_targets_is_unknown() -> None:
     """Guards against the health of another target."""
     names = [
