Check an engine whose stream without framing ends early for a crash

An engine that crashes between two events of a stream without length or chunks closes it as at its end, so the parts of a prompt that crash engines were never suspected on such streams.

Change: such an end is checked like a break. It counts as a crash only if the engine, which did not announce that it leaves, refuses connections.

The caller still takes such a part for complete; nothing tells before its answer has ended.

--- a/chicoryshunt/relay/leg_watch.py
+++ b/chicoryshunt/relay/leg_watch.py
@@ -78,7 +78,11 @@
         )
         if end is LegEnd.cut:
             self.record_cut()
-        elif not self.has_survived:
+            return
+        if end is LegEnd.closed:
+            # A crash may look the same.
+            self._report_break()
+        if not self.has_survived:
             self.context.prompt_guard.clear_later(self.incoming, self.target)
 
     def record_silence(self) -> None:
--- a/tests/test_leg_watch.py
+++ b/tests/test_leg_watch.py
@@ -3,12 +3,25 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
+import pytest
+
 from chicoryshunt.dispatch.outliers import ExchangeOutcome
 from chicoryshunt.relay.leg_watch import LegWatch
-from chicoryshunt.relay.stream_inputs import LegId
+from chicoryshunt.relay.stream_inputs import LegEnd, LegId
 from tests.fleet_builders import build_fact
 
 
+def _build_watch(context: SimpleNamespace) -> LegWatch:
+    return LegWatch(
+        cast(Any, context),
+        cast(Any, SimpleNamespace(request='r1')),
+        build_fact('e1'),
+        None,
+        LegId(0),
+        0,
+    )
+
+
 def test_damage_counts_against_the_engine() -> None:
     outcomes: list[object] = []
     reported: list[object] = []
@@ -18,16 +31,31 @@
             report_break=lambda _, target: reported.append(target.target)
         ),
     )
-    watch = LegWatch(
-        cast(Any, context),
-        cast(Any, None),
-        build_fact('e1'),
-        None,
-        LegId(0),
-        0,
-    )
 
-    watch.record_damage(ExchangeOutcome.garbled)
+    _build_watch(context).record_damage(ExchangeOutcome.garbled)
 
     assert outcomes == [('e1', ExchangeOutcome.garbled)]
     assert reported == ['e1']
+
+
+@pytest.mark.parametrize(
+    ('end', 'reported'), [(LegEnd.whole, []), (LegEnd.closed, ['e1'])]
+)
+def test_a_crash_without_framing_is_checked_for(
+    end: LegEnd, reported: list[str]
+) -> None:
+    """Guards against prompts that crash engines and are never suspected."""
+    found: list[object] = []
+    cleared: list[object] = []
+    context = SimpleNamespace(
+        prompt_guard=SimpleNamespace(
+            report_break=lambda _, target: found.append(target.target),
+            clear_later=lambda _, target: cleared.append(target.target),
+        ),
+    )
+
+    _build_watch(context).record_end(end)
+
+    assert found == reported
+    # It is cleared only if the engine has not crashed by then.
+    assert cleared == ['e1']
