Play odd heads and stops of streams without a length in the soak

Two faults of targets that the soak could not see, as its stand-ins wrote every answer with a length or in chunks, with a correct head, and answered every order:

- An engine whose streams end with their connections leaves.
It stops a run on the order to copy with "last", and answers this order, or does so late, not, by half, or with 503 (with and without a handle), 409 or 404.
- A target sends status 000, a field name with a blank or a control character, or both a length and chunks.

The stand-ins write such heads through lab/standins/odd_answers.py. The proxies before the nodes check each head that comes back (lab/soak/heads.py), apart from the parser that nodes and callers share. The streams of the soak are longer, 100 events, so that a move meets them. The new faults are drawn after the others, so that the seeds in lab/soak/regressions.py keep theirs.

--- a/lab/soak/faults.py
+++ b/lab/soak/faults.py
@@ -3,18 +3,26 @@
 import asyncio
 import signal
 from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 from random import Random
 
 from lab.soak.proxy import Proxy, Trouble
 from lab.soak.world import Node, Running, Target, World
-from lab.standins.platform_targets import StandInEngine, StandInService
+from lab.standins.odd_answers import Head
+from lab.standins.platform_targets import (
+    LastAnswer,
+    StandInEngine,
+    StandInService,
+)
 
 _MODES = ('fail', 'cut', 'foreign', 'full', 'stall')
 _LEAST_SECONDS = 0.3
 _MOST_SECONDS = 2.5
 # Nodes and targets that a fault may hit at the same time.
 _MOST_HIT = 2
+# A stream lasts about so long; all are unframed after this time.
+_STREAM_SECONDS = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,7 +67,32 @@
     """Publish another version."""
 
 
-Fault = Signal | Disturb | Misbehave | Leave | LoseStore | ChangeRules
+@dataclass(frozen=True, slots=True)
+class AnswerOddly:
+    """Let a target send heads that are not correct."""
+
+    target: int
+    head: Head
+
+
+@dataclass(frozen=True, slots=True)
+class LeaveUnframed:
+    """Let an engine leave whose streams end with their connections."""
+
+    engine: int
+    last_answer: LastAnswer
+
+
+Fault = (
+    Signal
+    | Disturb
+    | Misbehave
+    | Leave
+    | LoseStore
+    | ChangeRules
+    | AnswerOddly
+    | LeaveUnframed
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +120,33 @@
     return sorted(plan, key=lambda one: one.at)
 
 
+def draw_odd_answers(
+    rng: Random,
+    seconds: float,
+    rate: float,
+    world: World,
+) -> list[Planned]:
+    """Return half as many faults of answers.
+
+    They are drawn apart, so that the other faults of a seed stay the same.
+    """
+    heads = [one for one in Head if one not in {Head.correct, Head.unframed}]
+    plan = []
+    for _ in range(round(seconds * rate / 2)):
+        length = rng.uniform(_LEAST_SECONDS, _MOST_SECONDS)
+        at = rng.uniform(0, max(seconds - length - _STREAM_SECONDS, 0))
+        choices: tuple[Fault, ...] = (
+            AnswerOddly(
+                rng.randrange(len(world.list_targets())), rng.choice(heads)
+            ),
+            LeaveUnframed(
+                rng.randrange(len(world.engines)), rng.choice(tuple(LastAnswer))
+            ),
+        )
+        plan.append(Planned(at, length, rng.choice(choices)))
+    return plan
+
+
 def _draw(rng: Random, nodes: int, targets: int) -> Fault:
     hit = tuple(rng.sample(range(nodes), rng.randint(1, _MOST_HIT)))
     troubles = [one for one in Trouble if one is not Trouble.none]
@@ -120,7 +180,8 @@
             await asyncio.sleep(planned.seconds)
             _misbehave(target, 'well')
         case Leave(index):
-            await _play_leaving(world, index, planned.seconds)
+            target = world.list_targets()[index]
+            await _play_leaving(world, target, planned.seconds)
         case LoseStore():
             world.store.is_down = True
             await asyncio.sleep(planned.seconds)
@@ -128,9 +189,27 @@
             world.store.is_down = False
         case ChangeRules():
             world.publish_rules()
+        case AnswerOddly() | LeaveUnframed():
+            await _play_answers(world, planned.fault, planned.seconds)
     return []
 
 
+async def _play_answers(
+    world: World, fault: AnswerOddly | LeaveUnframed, seconds: float
+) -> None:
+    match fault:
+        case AnswerOddly(index, head):
+            with _set_head(world.list_targets()[index], head):
+                await asyncio.sleep(seconds)
+        case LeaveUnframed(index, last_answer):
+            engine = world.engines[index]
+            with _set_head(engine, Head.unframed):
+                await asyncio.sleep(_STREAM_SECONDS)
+                engine.last_answer = last_answer
+                await _play_leaving(world, engine, seconds)
+            engine.last_answer = LastAnswer.whole
+
+
 async def _play_signal(
     nodes: list[Node],
     number: signal.Signals,
@@ -203,8 +282,16 @@
             target.is_healthy = mode != 'foreign'
 
 
-async def _play_leaving(world: World, index: int, seconds: float) -> None:
-    target = world.list_targets()[index]
+@contextmanager
+def _set_head(target: Target, head: Head) -> Iterator[None]:
+    target.site.head = head
+    try:
+        yield
+    finally:
+        target.site.head = Head.correct
+
+
+async def _play_leaving(world: World, target: Target, seconds: float) -> None:
     _tell_state(target, 'draining')
     world.publish(target, 'draining')
     await asyncio.sleep(seconds)
--- a/lab/soak/promises.py
+++ b/lab/soak/promises.py
@@ -26,6 +26,11 @@
         f'{request}: nobody sent it{_find_sender(world, request)}'
         for request in sorted({*runs, *arrived} - known)
     )
+    broken.extend(
+        f'{node.name} sent a head with {line!r}'
+        for node in world.nodes
+        for line in sorted(node.callers.odd_lines - {b''})
+    )
     return broken
 
 
--- a/lab/soak/proxy.py
+++ b/lab/soak/proxy.py
@@ -8,8 +8,10 @@
 from enum import Enum
 
 from chicoryshunt.nodes.links import parse_address
+from lab.soak.heads import find_odd_line
 from lab.standins.loopback import take_host
 
+_ANSWER_START = b'HTTP/'
 _NO_LINGER = struct.pack('ii', 1, 0)
 _PIECE_BYTES = 65536
 _DELAY_SECONDS = 0.15
@@ -35,6 +37,8 @@
         self.trouble = Trouble.none
         self.address = ''
         self.destination = parse_address(destination)
+        # What was wrong with heads that came back.
+        self.odd_lines: set[bytes] = set()
         self._open: set[asyncio.StreamWriter] = set()
 
     def disturb(self, trouble: Trouble) -> None:
@@ -127,6 +131,8 @@
         is_back: bool,
     ) -> None:
         while piece := await reader.read(_PIECE_BYTES):
+            if is_back and piece.startswith(_ANSWER_START):
+                self.odd_lines.add(find_odd_line(piece))
             await self._suffer(is_back=is_back)
             writer.write(piece)
             await writer.drain()
--- a/lab/soak/regressions.py
+++ b/lab/soak/regressions.py
@@ -28,6 +28,11 @@
     'a second SIGTERM met a process that had stopped and was about to exit: it '
     'ended with -15 instead of 0'
 )
+_STOPPED_AS_WHOLE = (
+    'a stream without a length was ended as whole although the run had only '
+    'been stopped, on an order to copy its memory to another engine'
+)
+_STATUS_PASSED_ON = 'an answer with status 000 was passed on to a caller'
 
 REGRESSIONS = (
     Regression(2, _WRONG_PROCESS),
@@ -39,5 +44,7 @@
     Regression(27, _JUST_ACCEPTED),
     Regression(33, _JUST_ACCEPTED),
     Regression(35, _RELEASE_AS_RUN),
+    Regression(401, _STATUS_PASSED_ON),
+    Regression(402, _STOPPED_AS_WHOLE),
     Regression(1105, _SIGNAL_AT_EXIT),
 )
--- a/lab/soak/soak.py
+++ b/lab/soak/soak.py
@@ -15,7 +15,7 @@
 
 from chicoryshunt.operations import run_until_done
 from lab.soak.callers import Ask, Callers
-from lab.soak.faults import Planned, draw_plan, play
+from lab.soak.faults import Planned, draw_odd_answers, draw_plan, play
 from lab.soak.promises import find_broken
 from lab.soak.regressions import REGRESSIONS
 from lab.soak.world import World, run_world
@@ -79,6 +79,7 @@
             size.nodes,
             len(world.list_targets()),
         )
+        plan += draw_odd_answers(rng, size.seconds, size.rate, world)
         broken += await _disturb(world, callers, plan, size.callers)
         broken += await _wait_served(
             callers,
--- a/lab/soak/world.py
+++ b/lab/soak/world.py
@@ -27,6 +27,8 @@
 
 _ROOT = Path(__file__).resolve().parents[2]
 _STOP_SECONDS = 12
+# Streams last long enough for moves off an engine that leaves.
+_EVENTS = 100
 _PLACES = ('luzon-a', 'luzon-b', 'luzon-c')
 _POLL_SECONDS = 0.1
 
@@ -184,7 +186,10 @@
 def _build_targets() -> Iterator[Target]:
     copies: dict[str, int] = {}
     yield from (StandInService(f'p{one}') for one in range(3))
-    yield from (StandInEngine(f'e{one}', copies) for one in range(3))
+    for one in range(3):
+        engine = StandInEngine(f'e{one}', copies)
+        engine.length = _EVENTS
+        yield engine
 
 
 async def _serve(stack: AsyncExitStack, site: Any) -> str:
--- a/lab/standins/platform_targets.py
+++ b/lab/standins/platform_targets.py
@@ -3,12 +3,15 @@
 import asyncio
 import json
 from collections import Counter
+from enum import Enum
 from http import HTTPStatus
+from types import MappingProxyType
+from typing import Any
 
 from chicoryshunt.connection.relayed_exchange import RelayedExchange
 from chicoryshunt.connection.upstream import RawHeaders
-from chicoryshunt.connection.web import BoundedSite
 from lab.standins.crashable_server import CrashableServer
+from lab.standins.odd_answers import OddSite
 from lab.standins.platform_store import BOUNDS
 
 Arrivals = dict[str, str]
@@ -18,6 +21,29 @@
 _PARTS_HEADER = 'x-chicoryshunt-prefix-hash'
 _NOT_RUN_HEADER = 'X-Chicoryshunt-Not-Executed'
 _EVENT_SECONDS = 0.01
+_LATE_SECONDS = 0.5
+
+
+class LastAnswer(Enum):
+    """How an engine answers the order that stops a run."""
+
+    whole = 'whole'
+    late = 'late'
+    lost = 'lost'
+    torn = 'torn'
+    full = 'full'
+    full_without_handle = 'full_without_handle'
+    in_progress = 'in_progress'
+    unknown = 'unknown'
+
+
+_REFUSALS = MappingProxyType(
+    {
+        LastAnswer.full_without_handle: HTTPStatus.SERVICE_UNAVAILABLE,
+        LastAnswer.in_progress: HTTPStatus.CONFLICT,
+        LastAnswer.unknown: HTTPStatus.NOT_FOUND,
+    },
+)
 
 
 class StandInService:
@@ -26,7 +52,7 @@
     def __init__(self, name: str) -> None:
         """Start in the mode that answers every call correctly."""
         self.name = name
-        self.site = BoundedSite(self._handle, BOUNDS)
+        self.site = OddSite(self._handle, BOUNDS)
         self.mode = 'well'
         # Whether the bodies of refusals never end.
         self.drips = False
@@ -97,7 +123,7 @@
     def __init__(self, name: str, fleet: dict[str, int]) -> None:
         """Start healthy, with room and without runs."""
         self.name = name
-        self.site = BoundedSite(self._handle, BOUNDS)
+        self.site = OddSite(self._handle, BOUNDS)
         self.server = CrashableServer(self.site)
         # Part of a prompt on which the engine crashes.
         self.crashing_part = ''
@@ -108,6 +134,7 @@
         self.breaks_after = 0
         # Status with which every request is answered, 0 for a stream.
         self.error_status = 0
+        self.last_answer = LastAnswer.whole
         # Whether the bodies of errors and of answers to orders never end.
         self.drips = False
         self.is_healthy = True
@@ -154,13 +181,36 @@
         if not self.has_room:
             exchange.respond(b'', status=HTTPStatus.SERVICE_UNAVAILABLE)
             return
-        if is_last:
-            self._stopped.add(request)
         handle = f'handle-{request}'
         self._fleet[handle] = self._produced[request]
-        exchange.respond_json(
-            {'handle': handle, 'created': self._produced[request]},
-        )
+        answer = {'handle': handle, 'created': self._produced[request]}
+        if is_last:
+            self._stopped.add(request)
+            await self._answer_last(exchange, answer)
+        else:
+            exchange.respond_json(answer)
+
+    async def _answer_last(
+        self, exchange: RelayedExchange, answer: dict[str, Any]
+    ) -> None:
+        match self.last_answer:
+            case LastAnswer.whole:
+                exchange.respond_json(answer)
+            case LastAnswer.late:
+                await asyncio.sleep(_LATE_SECONDS)
+                exchange.respond_json(answer)
+            case LastAnswer.lost:
+                exchange.abort()
+            case LastAnswer.torn:
+                body = json.dumps(answer).encode()
+                exchange.set_header('content-length', str(len(body)))
+                exchange.write(body[: len(body) // 2])
+                exchange.abort()
+            case LastAnswer.full:
+                exchange.respond_json(answer, HTTPStatus.SERVICE_UNAVAILABLE)
+            case _:
+                status = _REFUSALS[self.last_answer]
+                exchange.respond(b'', status=status)
 
     async def _run(self, exchange: RelayedExchange) -> None:
         request = _record_arrival(exchange, self.arrivals)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,20 +3,33 @@
 import asyncio
 import subprocess
 import sys
+from contextlib import suppress
 from pathlib import Path
 from random import Random
 
 import pytest
 
 from chicoryshunt.address import Address
-from chicoryshunt.connection.upstream import OutgoingRequest, UpstreamPool
+from chicoryshunt.connection.upstream import (
+    BodyEnd,
+    ConnectionLostError,
+    OutgoingRequest,
+    UpstreamPool,
+)
 from lab.soak.callers import Ask, Outcome
-from lab.soak.faults import draw_plan
+from lab.soak.faults import draw_odd_answers, draw_plan
+from lab.soak.heads import find_odd_line
 from lab.soak.promises import find_broken
 from lab.soak.proxy import Proxy, Trouble
 from lab.soak.world import Node, World, run_world
 from lab.standins.loopback import list_hosts
-from lab.standins.platform_targets import StandInEngine, StandInService
+from lab.standins.odd_answers import Head
+from lab.standins.platform_targets import (
+    LastAnswer,
+    StandInEngine,
+    StandInService,
+)
+from tests.platform_builders import read_until_end
 from tests.reactor import listen, run_on_reactor
 
 _ROOT = Path(__file__).resolve().parents[1]
@@ -51,6 +64,15 @@
     assert len(one) == 18
 
 
+def test_a_seed_draws_the_same_odd_answers() -> None:
+    one, other = (
+        draw_odd_answers(Random(5), 12, 1.5, _build_world()) for _ in range(2)
+    )
+
+    assert one == other
+    assert len(one) == 9
+
+
 def _build_world() -> World:
     world = World(_ROOT)
     world.services.append(StandInService('p0'))
@@ -157,6 +179,90 @@
     assert next(one) != next(other)
 
 
+@pytest.mark.parametrize(
+    ('head', 'odd'),
+    [
+        (b'HTTP/1.1 200 OK\r\nX-Of: a b\r\n\r\nX odd: 1', b''),
+        (b'HTTP/1.1 0 Unknown Status\r\n\r\n', b'HTTP/1.1 0 Unknown Status'),
+        (b'HTTP/1.1 200 OK\r\nX Odd: 1\r\n\r\n', b'X Odd: 1'),
+        (b'HTTP/1.1 200 OK\r\nX-\x01Odd: 1\r\n\r\n', b'X-\x01Odd: 1'),
+        (
+            b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n'
+            + b'Transfer-Encoding: chunked\r\n\r\n',
+            b'two lengths',
+        ),
+    ],
+)
+def test_the_soak_sees_an_odd_head(head: bytes, odd: bytes) -> None:
+    """Guards against heads of targets that a node passes on unchecked."""
+    world = _build_world()
+    callers = Proxy('a:1')
+    callers.odd_lines.add(find_odd_line(head))
+    world.nodes.append(Node('n', 'h', _ROOT, callers, Proxy('a:1')))
+
+    expected = [f'n sent a head with {odd!r}'] if odd else []
+    assert find_broken(world, []) == expected
+
+
+@pytest.mark.parametrize('head', Head)
+def test_stand_ins_write_odd_heads(head: Head) -> None:
+    """Guards against a soak whose targets only send correct heads."""
+    world = _build_world()
+    site = world.services[0].site
+    site.head = head
+
+    async def ask() -> bytes:
+        async with listen(site) as address:
+            host, _, port = address.rpartition(':')
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(
+                b'GET /reads/1 HTTP/1.1\r\nHost: p0\r\n'
+                + b'X-Chicoryshunt-Request-Id: q1\r\n'
+                + b'X-Chicoryshunt-Expect-Instance: p0\r\n\r\n',
+            )
+            answer = await reader.readuntil(b'\r\n\r\n')
+            writer.close()
+            return answer
+
+    is_correct = head in {Head.correct, Head.unframed}
+    assert (find_odd_line(run_on_reactor(ask())) == b'') is is_correct
+
+
+@pytest.mark.parametrize('answer', LastAnswer)
+def test_an_unframed_stream_stops_in_order(answer: LastAnswer) -> None:
+    """Guards against a soak whose engines do not stop as they are told."""
+    engine = StandInEngine('e0', {})
+    engine.site.head = Head.unframed
+    engine.last_answer = answer
+
+    async def stop() -> tuple[bytes, BodyEnd]:
+        async with listen(engine.site) as address:
+            pool = UpstreamPool(1)
+            streaming = await pool.open(address)
+            head = [
+                (b'Host', b'e0'),
+                (b'X-Chicoryshunt-Request-Id', b'q1'),
+            ]
+            draft = OutgoingRequest(b'POST', b'/drafts/1', head, b'')
+            stream = await streaming.send(draft, 9)
+            ordering = await pool.open(address)
+            order = OutgoingRequest(
+                b'POST',
+                b'/chicoryshunt/kv-move',
+                [(b'Host', b'e0')],
+                b'{"id": "q1", "to": "h:1", "last": true}',
+            )
+            with suppress(ConnectionLostError):
+                await ordering.send(order, 9)
+            ordering.abort()
+            return await read_until_end(stream)
+
+    body, end = run_on_reactor(stop())
+    assert end is BodyEnd.whole
+    assert body.endswith(b'\n\n')
+    assert body.count(b'id: ') < engine.length
+
+
 def test_a_reset_does_not_look_like_an_end() -> None:
     """Guards against a soak in which a body without a length seems whole."""
 
