Wait in a test until the entries that it writes are known

The test gave the node half a second.

The test now publishes a version after the entries and waits until it is in force, as changes are read in their order, and then asks as before. What is checked is the same: the target gets nothing that is sent after that.

--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -559,12 +559,23 @@
         store.put('servers/odd', {'service': 7, 'address': None})
         store.put('servers/new', build_entry('plain', '127.0.0.1:1', 'odd'))
         store.put_raw('servers/p0', b'{')
-        await asyncio.sleep(0.5)
+        # The node reads changes in their order, so it knows the entries then.
+        routes = [
+            route
+            for route in build_patient_config()['routes']
+            if route['name'] != '/filings/'
+        ]
+        store.put('op/config', build_patient_config(2, routes=routes))
+        while True:
+            answer, _ = await platform.ask('/filings/1', 'f', 'POST')
+            if answer.status == 404:
+                break
+        earlier = platform.services[0].runs.copy()
 
         for number in range(3):
             answer, _ = await platform.ask('/reads/1', f'r{number}')
             assert answer.status == 200
-        assert not platform.services[0].runs
+        assert platform.services[0].runs == earlier
 
     _run_trial(trial)
 
