Let callers of the soak wait for their whole deadline

The nodes had answered all three with 200 after 0.3 to 0.4 s: the caller's own limit counted from the first chunk of its body, and the busy soak sent the last one late. It now counts from the last one.

--- a/lab/soak/stop_callers.py
+++ b/lab/soak/stop_callers.py
@@ -143,9 +143,9 @@
         last_byte = float('inf')
         answer = b''
         with suppress(OSError, TimeoutError):
-            async with asyncio.timeout(pause * _CHUNKS + seconds + 1):
-                await _write_chunks(writer, outgoing, pause)
-                last_byte = time.monotonic()
+            await _write_chunks(writer, outgoing, pause)
+            last_byte = time.monotonic()
+            async with asyncio.timeout(seconds):
                 answer = await reader.read()
         writer.close()
         status = int(answer.split()[1]) if answer else 0
