Close stopped streams without a length in order

The stand-in of engines ended a stopped stream with abort(). On this code that closes the connection in order. The stand-in now ends an unframed stream with finish(), which closes in order.

--- a/lab/standins/platform_targets.py
+++ b/lab/standins/platform_targets.py
@@ -11,7 +11,7 @@
 from chicoryshunt.connection.relayed_exchange import RelayedExchange
 from chicoryshunt.connection.upstream import RawHeaders
 from lab.standins.crashable_server import CrashableServer
-from lab.standins.odd_answers import OddSite
+from lab.standins.odd_answers import Head, OddSite
 from lab.standins.platform_store import BOUNDS
 
 Arrivals = dict[str, str]
@@ -269,7 +269,11 @@
         last: int,
     ) -> None:
         self._stopped.discard(request)
+        is_unframed = self.site.head is Head.unframed
         for number in range(last + 1, self.length + 1):
+            if is_unframed and request in self._stopped:
+                # Without chunks, this only closes the connection.
+                break
             if self._is_broken(request, number) or not exchange.is_open:
                 exchange.abort()
                 return
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,7 +11,6 @@
 
 from chicoryshunt.address import Address
 from chicoryshunt.connection.upstream import (
-    BodyEnd,
     ConnectionLostError,
     OutgoingRequest,
     UpstreamPool,
@@ -29,7 +28,6 @@
     StandInEngine,
     StandInService,
 )
-from tests.platform_builders import read_until_end
 from tests.reactor import listen, run_on_reactor
 
 _ROOT = Path(__file__).resolve().parents[1]
@@ -235,17 +233,16 @@
     engine.site.head = Head.unframed
     engine.last_answer = answer
 
-    async def stop() -> tuple[bytes, BodyEnd]:
+    async def stop() -> bytes:
         async with listen(engine.site) as address:
-            pool = UpstreamPool(1)
-            streaming = await pool.open(address)
-            head = [
-                (b'Host', b'e0'),
-                (b'X-Chicoryshunt-Request-Id', b'q1'),
-            ]
-            draft = OutgoingRequest(b'POST', b'/drafts/1', head, b'')
-            stream = await streaming.send(draft, 9)
-            ordering = await pool.open(address)
+            host, _, port = address.rpartition(':')
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(
+                b'GET /drafts/1 HTTP/1.1\r\nHost: e0\r\n'
+                + b'X-Chicoryshunt-Request-Id: q1\r\n\r\n',
+            )
+            received = await reader.readuntil(b'id: 1')
+            ordering = await UpstreamPool(1).open(address)
             order = OutgoingRequest(
                 b'POST',
                 b'/chicoryshunt/kv-move',
@@ -255,11 +252,14 @@
             with suppress(ConnectionLostError):
                 await ordering.send(order, 9)
             ordering.abort()
-            return await read_until_end(stream)
+            received += await reader.read()
+            writer.close()
+            return received
 
-    body, end = run_on_reactor(stop())
-    assert end is BodyEnd.whole
-    assert body.endswith(b'\n\n')
+    head, _, body = run_on_reactor(stop()).partition(b'\r\n\r\n')
+    assert b'Connection: close' in head
+    assert b'Transfer-Encoding' not in head
+    assert body == _build_stream(body.count(b'id: '))
     assert body.count(b'id: ') < engine.length
 
 
