Call an answer that HTTP/1.1 does not allow invalid

OddAnswerError and the event odd_answer named no property of an answer; they are InvalidAnswerError and invalid_answer now. The newest leg of a stream is named where its engine is counted as silent.

--- a/chicoryshunt/connection/answer_parser.py
+++ b/chicoryshunt/connection/answer_parser.py
@@ -32,43 +32,45 @@
 _NO_LENGTHS = (None, [b'0'])
 _CARRIAGE_RETURN = b'\r'
 _FIRST_VERSION = (b'HTTP', 1, 0)
-# Bytes of an odd line that are logged, and characters of any error.
+# Bytes of an invalid line that are logged, and characters of any error.
 _SHOWN_BYTES = 80
 _SHOWN_CHARACTERS = 200
 
 
-class OddAnswerError(ChicoryshuntError):
+class InvalidAnswerError(ChicoryshuntError):
     """The answer is not one that HTTP/1.1 allows."""
 
 
 def check_status_line(line: bytes) -> None:
-    """Raise ``OddAnswerError`` unless a line is the first of an answer."""
+    """Raise ``InvalidAnswerError`` unless a line is the first of an answer."""
     if not _STATUS_LINE.fullmatch(line):
-        raise OddAnswerError(f'odd status line {line[:_SHOWN_BYTES]!r}')
+        raise InvalidAnswerError(f'invalid status line {line[:_SHOWN_BYTES]!r}')
 
 
 def check_field_line(line: bytes) -> None:
-    """Raise ``OddAnswerError`` unless a line is one whole field."""
+    """Raise ``InvalidAnswerError`` unless a line is one whole field."""
     if not _FIELD_LINE.fullmatch(line):
-        raise OddAnswerError(f'odd field line {line[:_SHOWN_BYTES]!r}')
+        raise InvalidAnswerError(f'invalid field line {line[:_SHOWN_BYTES]!r}')
 
 
 def check_framing(
     status: int, version: tuple[bytes, int, int], headers: Headers
 ) -> None:
-    """Raise ``OddAnswerError`` if headers may delimit a body in two ways."""
+    """Raise ``InvalidAnswerError`` if a body may end in two places."""
     encodings = headers.getRawHeaders(b'Transfer-Encoding')
     lengths = headers.getRawHeaders(b'Content-Length')
     if status == HTTPStatus.NO_CONTENT and (
         encodings or lengths not in _NO_LENGTHS
     ):
-        raise OddAnswerError('a body in an answer without content')
+        raise InvalidAnswerError('a body in an answer without content')
     if encodings is None:
         return
     if [encoding.lower() for encoding in encodings] != [_CHUNKED]:
-        raise OddAnswerError('a transfer encoding other than one chunked')
+        raise InvalidAnswerError('a transfer encoding other than one chunked')
     if lengths is not None or version == _FIRST_VERSION:
-        raise OddAnswerError('a transfer encoding with a length or in HTTP/1.0')
+        raise InvalidAnswerError(
+            'a transfer encoding with a length or in HTTP/1.0'
+        )
 
 
 def announces_close(version: tuple[bytes, int, int], headers: Headers) -> bool:
@@ -99,7 +101,7 @@
     def lineReceived(self, line: bytes) -> None:
         """Check a line of the head before it is parsed."""
         if not line.endswith(_CARRIAGE_RETURN):
-            raise OddAnswerError('a line without a carriage return')
+            raise InvalidAnswerError('a line without a carriage return')
         stripped = line[:-1]
         if self.state == STATUS:
             check_status_line(stripped)
@@ -143,7 +145,7 @@
         is_closed = reason.check(ConnectionDone, ConnectionLost)
         if self._parser is not None and not is_closed:
             log_problem(
-                'odd_answer',
+                'invalid_answer',
                 address=self.address,
                 error=repr(reason.value)[:_SHOWN_CHARACTERS],
             )
--- a/chicoryshunt/relay/stream.py
+++ b/chicoryshunt/relay/stream.py
@@ -174,7 +174,8 @@
         left = since + silence - clock.now()
         is_silent = left <= 0 and self.gate.is_open
         if is_silent and self.exchange.is_started:
-            self.legs[max(self.legs)].observer.record_silence()
+            newest = max(self.legs)
+            self.legs[newest].observer.record_silence()
             return
         self.silence_timer = asyncio.get_running_loop().call_later(
             left if left > 0 else silence, self.watch_silence, clock
--- a/tests/test_odd_heads.py
+++ b/tests/test_odd_heads.py
@@ -10,7 +10,7 @@
 
 from chicoryshunt.address import Address
 from chicoryshunt.connection.answer_parser import (
-    OddAnswerError,
+    InvalidAnswerError,
     check_field_line,
     check_status_line,
 )
@@ -258,7 +258,7 @@
     odd = [
         one.__dict__
         for one in caplog.records
-        if one.getMessage() == 'odd_answer'
+        if one.getMessage() == 'invalid_answer'
     ]
     assert [one['address'] for one in odd] == addresses
     assert 'HTTP/1.1 000 OK' in odd[0]['error']
@@ -340,7 +340,7 @@
     if CONTROL_BYTES.isdisjoint(content):
         check_field_line(line)
     else:
-        with pytest.raises(OddAnswerError):
+        with pytest.raises(InvalidAnswerError):
             check_field_line(line)
 
 
@@ -353,7 +353,7 @@
 )
 def test_a_name_has_no_other_bytes(before: str, odd: int, after: str) -> None:
     line = b'%s%c%s: a' % (before.encode(), odd, after.encode())
-    with pytest.raises(OddAnswerError):
+    with pytest.raises(InvalidAnswerError):
         check_field_line(line)
 
 
@@ -363,5 +363,5 @@
     if 100 <= status <= 599 and status != 101:
         check_status_line(line)
     else:
-        with pytest.raises(OddAnswerError):
+        with pytest.raises(InvalidAnswerError):
             check_status_line(line)
