Let the runs of a test wait for the order to stop them

Runs now wait halfway until they are ordered to stop, so that no time decides. What is checked is the same: with a closed leg taken as whole during the order, the unframed cases still fail.

--- a/tests/stoppable_engine.py
+++ b/tests/stoppable_engine.py
@@ -47,6 +47,8 @@
     is_framed: bool = False
     produced: dict[str, int] = field(default_factory=dict)
     stopped: set[str] = field(default_factory=set)
+    # A run waits halfway until it is ordered to stop.
+    is_ordered: asyncio.Event = field(default_factory=asyncio.Event)
 
 
 class StoppableEngine:
@@ -119,6 +121,8 @@
             named.append('Connection: close')
         writer.write(_build_head('200 OK', named))
         for number in range(last + 1, self._fleet.length + 1):
+            if number == self._fleet.length // 2:
+                await self._fleet.is_ordered.wait()
             if request in self._fleet.stopped:
                 return
             self._fleet.produced[request] = number
@@ -148,14 +152,17 @@
             return
         match self._fleet.stop_answer:
             case StopAnswer.goes_on:
+                self._fleet.is_ordered.set()
                 _write(writer, '409 Conflict', [])
             case StopAnswer.ended:
+                self._fleet.is_ordered.set()
                 while self._fleet.produced[request] < self._fleet.length:
                     await asyncio.sleep(_EVENT_SECONDS)
                 await asyncio.sleep(_STOP_SECONDS)
                 _write(writer, '404 Not Found', [])
             case answer:
                 self._fleet.stopped.add(request)
+                self._fleet.is_ordered.set()
                 # The stream ends before the answer.
                 await asyncio.sleep(_STOP_SECONDS)
                 await _answer_stop(answer, copied, writer)
