Choose engines by their observed pace

Streams measure the time per token and the longest gap of their engines, and nodes exchange both. Long answers avoid engines whose gaps are too long for their route, moves avoid slow destinations, and a run that continues from a copy gets the time that its engine needs for the prompts that wait there.

--- /dev/null
+++ b/chicoryshunt/dispatch/engine_pace.py
@@ -0,0 +1,136 @@
+"""Compares how fast engines generate, as streams observed it."""
+
+import statistics
+from dataclasses import dataclass
+
+from chicoryshunt.types import TargetId
+
+# Observations lose half of their weight within this time.
+_HALF_LIFE_SECONDS = 10.0
+# An engine without an observation for so long is unknown again.
+_EXPIRY_SECONDS = 30.0
+# Ratios to the median up to this one, and down to its inverse, count as 1:
+# engines differ that much by their load.
+MAX_EQUAL_RATIO = 1.5
+# The median of fewer engines may be a slow one.
+_MIN_KNOWN = 4
+# The median is computed at most once in this time: the slowness of each
+# engine is read at every placement.
+_MEDIAN_SECONDS = 0.25
+
+
+@dataclass(slots=True)
+class _Pace:
+    """Observations of one engine.
+
+    ``longest_gap`` is the longest gap since ``window_start``, and
+    ``earlier_gap`` that of the window before; all times are in seconds.
+    """
+
+    seconds_per_token: float
+    longest_gap: float
+    updated: float
+    window_start: float
+    earlier_gap: float = 0
+
+
+class PaceTable:
+    """Seconds per token and longest gaps of engines.
+
+    Load pattern: some engines of a deployment generate at a third of the rate
+    of the others, and their gaps are too long for some routes.
+    """
+
+    def __init__(self) -> None:
+        """Start without observations."""
+        self._paces: dict[TargetId, _Pace] = {}
+        self._median: float = 0
+        self._median_until = float('-inf')
+
+    def record(
+        self,
+        target: TargetId,
+        seconds_per_token: float,
+        longest_gap: float,
+        now: float,
+    ) -> None:
+        """Record what a stream observed; times are in seconds."""
+        pace = self._find(target, now)
+        if pace is None:
+            self._paces[target] = _Pace(
+                seconds_per_token, longest_gap, now, now
+            )
+            return
+        weight = 0.5 ** ((now - pace.updated) / _HALF_LIFE_SECONDS)
+        share = 1 / (1 + weight)
+        difference = seconds_per_token - pace.seconds_per_token
+        pace.seconds_per_token += share * difference
+        pace.updated = now
+        if now - pace.window_start >= _HALF_LIFE_SECONDS:
+            pace.earlier_gap = pace.longest_gap
+            pace.longest_gap = longest_gap
+            pace.window_start = now
+        pace.longest_gap = max(pace.longest_gap, longest_gap)
+
+    def slowness(self, target: TargetId, now: float) -> float:
+        """Return how many times the median a token takes, 1 if unknown."""
+        pace = self._find(target, now)
+        median = self._find_median(now)
+        if pace is None or not median:
+            return 1
+        ratio = pace.seconds_per_token / median
+        if 1 / MAX_EQUAL_RATIO <= ratio <= MAX_EQUAL_RATIO:
+            return 1
+        return ratio
+
+    def find_longest_gap(self, target: TargetId, now: float) -> float:
+        """Return the longest gap seen lately, in seconds, 0 if unknown."""
+        pace = self._find(target, now)
+        return 0 if pace is None else max(pace.longest_gap, pace.earlier_gap)
+
+    def find_seconds_per_token(
+        self, target: TargetId, now: float
+    ) -> float | None:
+        """Return the seconds that a token takes, ``None`` if unknown."""
+        pace = self._find(target, now)
+        return None if pace is None else pace.seconds_per_token
+
+    def is_known(self, target: TargetId, now: float) -> bool:
+        """Return whether the pace of an engine is known."""
+        return self._find(target, now) is not None
+
+    def measure_age(self, target: TargetId, now: float) -> float | None:
+        """Return the seconds since the last observation, if it is known."""
+        pace = self._find(target, now)
+        return None if pace is None else now - pace.updated
+
+    def list_known(self, now: float) -> list[TargetId]:
+        """Return the engines whose pace is known, and drop the others."""
+        self._paces = {
+            target: pace
+            for target, pace in self._paces.items()
+            if now - pace.updated < _EXPIRY_SECONDS
+        }
+        return list(self._paces)
+
+    def forget(self, target: TargetId) -> None:
+        """Drop the observations of a removed engine."""
+        self._paces.pop(target, None)
+
+    def _find(self, target: TargetId, now: float) -> _Pace | None:
+        pace = self._paces.get(target)
+        if pace is None or now - pace.updated >= _EXPIRY_SECONDS:
+            return None
+        return pace
+
+    def _find_median(self, now: float) -> float:
+        """Return the median seconds per token, 0 if too few are known."""
+        if now >= self._median_until:
+            self._median_until = now + _MEDIAN_SECONDS
+            known = [
+                self._paces[target].seconds_per_token
+                for target in self.list_known(now)
+            ]
+            enough = len(known) >= _MIN_KNOWN
+            self._median = statistics.median(known) if enough else 0
+        return self._median
--- a/chicoryshunt/dispatch/engines.py
+++ b/chicoryshunt/dispatch/engines.py
@@ -1,8 +1,9 @@
 """Chooses the engine of a generation, or estimates when one has room."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
+from chicoryshunt.dispatch.engine_pace import MAX_EQUAL_RATIO
 from chicoryshunt.dispatch.forecast import (
     HORIZONS,
     Curve,
@@ -27,6 +28,12 @@
 _FULL_BACKLOG_SECONDS = 1.5
 # Prefill rate of a busy engine.
 PREFILL_TOKENS_PER_SECOND = 7000.0
+# Answers up to this length may be sent to any engine: they end soon even on a
+# slow one, and have few gaps.
+MAX_BRIEF_TOKENS = 16
+# Score penalty of an engine of unknown pace for a longer answer, where the
+# engines of the service differ; a slow engine scores worse in proportion.
+_UNKNOWN_PACE_PENALTY = 0.1
 # Runs older than this are assumed to have finished their prefill.
 _MAX_PREFILL_SECONDS = 1.0
 
@@ -36,6 +43,8 @@
     """An engine and the runs on it.
 
     ``penalty`` is added to its score; it is the engine's failure rate.
+    ``slowness`` is how many times the median a token takes, 1 if unknown;
+    ``longest_gap`` is in seconds, 0 if unknown.
     """
 
     target: TargetId
@@ -44,14 +53,31 @@
     memory_tokens: int
     runs: tuple[RunView, ...] = ()
     penalty: float = 0
+    slowness: float = 1
+    longest_gap: float = 0
+    is_pace_known: bool = True
+
+    def has_long_gaps(self, run: RunView) -> bool:
+        """Return whether the gaps here are too long for a run."""
+        return (
+            run.max_gap is not None
+            and run.expected_tokens > MAX_BRIEF_TOKENS
+            and self.longest_gap > run.max_gap
+        )
 
 
 @dataclass(frozen=True, slots=True)
 class Placed:
-    """The engine chosen for a request; a lower ``score`` is better."""
+    """The engine chosen for a request; a lower ``score`` is better.
+
+    ``has_long_gaps``: its gaps are too long for the run, and those of another
+    engine, which has no room, are not.
+    """
 
     target: TargetId
     score: float
+    slowness: float = 1
+    has_long_gaps: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,24 +111,27 @@
     All nodes see the same load with a delay. So that they do not all choose
     the same engine, each counts what the other nodes have placed since, and
     each prefers its own data centre. ``token_rate`` is in tokens per second
-    for one run.
+    for one run on an engine of median pace. An engine whose gaps are too long
+    for the run is chosen only if no other has room.
     """
     needed = demand.prompt_tokens + demand.max_tokens
     if engines and all(one.memory_tokens < needed for one in engines):
         return NeverFits(needed)
-    curve = forecast_run(demand, token_rate)
     fitting = []
     waits = []
+    fastest = _find_fastest(engines)
     for engine in engines:
-        held = forecast_engine(engine.runs, token_rate)
+        rate = token_rate / engine.slowness
+        curve = forecast_run(demand, rate)
+        held = forecast_engine(engine.runs, rate)
         if _fits(engine, held, curve, demand):
-            score = _score(engine, add_curves(held, curve), home, token_rate)
-            fitting.append((score, engine.target))
+            score = _score(engine, add_curves(held, curve), home)
+            score += _score_pace(engine, demand, fastest)
+            fitting.append(_build_placed(engine, demand, score))
         else:
             waits.append(_estimate_wait(engine, held, curve))
     if fitting:
-        score, target = min(fitting)
-        return Placed(target, score)
+        return _choose_best(fitting, engines, demand)
     return NoRoom(min(waits, default=HORIZONS[-1]))
 
 
@@ -151,7 +180,6 @@
     engine: Engine,
     after: Curve,
     home: DataCentreId,
-    token_rate: float,
 ) -> float:
     """Return the score of placing a request here; lower is better."""
     used = max(after) / engine.memory_tokens
@@ -160,6 +188,45 @@
         for run in engine.runs
         if run.age < _MAX_PREFILL_SECONDS
     )
-    backlog_score = backlog / PREFILL_TOKENS_PER_SECOND / _FULL_BACKLOG_SECONDS
+    rate = PREFILL_TOKENS_PER_SECOND / engine.slowness
+    backlog_score = backlog / rate / _FULL_BACKLOG_SECONDS
     is_remote = engine.data_centre != home
     return used + backlog_score + engine.penalty + is_remote * _REMOTE_PENALTY
+
+
+def _build_placed(engine: Engine, demand: RunView, score: float) -> Placed:
+    return Placed(
+        engine.target, score, engine.slowness, engine.has_long_gaps(demand)
+    )
+
+
+def _choose_best(
+    fitting: Sequence[Placed], engines: Sequence[Engine], demand: RunView
+) -> Placed:
+    """Return the best engine, one whose gaps are too long only if it must."""
+    best = min(
+        fitting, key=lambda one: (one.has_long_gaps, one.score, one.target)
+    )
+    if best.has_long_gaps and all(one.has_long_gaps(demand) for one in engines):
+        return replace(best, has_long_gaps=False)
+    return best
+
+
+def _find_fastest(engines: Sequence[Engine]) -> float | None:
+    """Return the least slowness, ``None`` if the engines are equally fast."""
+    known = [one.slowness for one in engines if one.is_pace_known]
+    if not known or max(known) <= min(known) * MAX_EQUAL_RATIO:
+        return None
+    return min(known)
+
+
+def _score_pace(
+    engine: Engine, demand: RunView, fastest: float | None
+) -> float:
+    """Return the penalty for an engine's pace; short answers have none."""
+    if fastest is None or demand.expected_tokens <= MAX_BRIEF_TOKENS:
+        return 0
+    if not engine.is_pace_known:
+        return _UNKNOWN_PACE_PENALTY
+    ratio = engine.slowness / fastest
+    return _UNKNOWN_PACE_PENALTY * ratio if ratio > MAX_EQUAL_RATIO else 0
--- a/chicoryshunt/dispatch/forecast.py
+++ b/chicoryshunt/dispatch/forecast.py
@@ -29,12 +29,17 @@
 
 @dataclass(frozen=True, slots=True)
 class RunView:
-    """One run as seen by a forecast; ``age`` is in seconds."""
+    """One run as seen by a forecast.
+
+    ``age`` is in seconds, and so is ``max_gap``, the intended longest pause
+    between two events.
+    """
 
     prompt_tokens: int
     expected_tokens: int
     max_tokens: int
     age: float = 0
+    max_gap: float | None = None
 
     def estimate_generated(self, token_rate: float) -> float:
         """Return an estimate of the tokens generated so far."""
--- a/chicoryshunt/dispatch/moves.py
+++ b/chicoryshunt/dispatch/moves.py
@@ -4,7 +4,8 @@
 from collections.abc import Collection, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 
-from chicoryshunt.dispatch.engines import Engine
+from chicoryshunt.dispatch.engine_pace import MAX_EQUAL_RATIO
+from chicoryshunt.dispatch.engines import MAX_BRIEF_TOKENS, Engine
 from chicoryshunt.dispatch.forecast import (
     RunView,
     estimate_remaining,
@@ -119,6 +120,8 @@
     destinations: tuple[_Destination, ...]
     link: Link
     token_rate: float
+    # The least slowness of the destinations.
+    fastest: float
 
     def plan(self, source: _Source, one: LeavingRun) -> Move | None:
         """Return the move of a run and reserve what it needs."""
@@ -140,7 +143,7 @@
         candidate.free_at = start + copying
         candidate.queue.append(one.request)
         candidate.tokens -= max(forecast_run(one.run, self.token_rate))
-        candidate.tokens_now -= one.run.estimate_memory(self.token_rate)
+        candidate.tokens_now -= self._estimate_held(source, one.run)
         candidate.slots -= 1
         return move
 
@@ -153,15 +156,17 @@
         then those that have room now, since a lost answer is worse than a
         possible preemption. If the notice is too short for copies to other
         data centres, any engine with room now will do, so that the fastest
-        copy is chosen.
+        copy is chosen. Slow engines are used only if no other has room in
+        time.
         """
         need = max(forecast_run(run, self.token_rate))
-        held = run.estimate_memory(self.token_rate)
+        held = self._estimate_held(source, run)
         free = [candidate for candidate in self.destinations if candidate.slots]
         # An engine immediately refuses a run that it has no room for.
         now = [
             candidate for candidate in free if candidate.tokens_now >= held
         ] or free
+        now = self._avoid_slow(source, now, run)
         lasting = [candidate for candidate in now if candidate.tokens >= need]
         fitting = now if source.is_short_notice else lasting or now
         return min(
@@ -170,6 +175,50 @@
             default=None,
         )
 
+    def _avoid_slow(
+        self, source: _Source, fitting: list[_Destination], run: RunView
+    ) -> list[_Destination]:
+        """Return the destinations that are fast enough, or all of them.
+
+        A lost answer is worse than a slow one, so a copy that is late for the
+        notice does not go before one to a slow engine that is in time.
+        """
+        fast = [
+            candidate
+            for candidate in fitting
+            if not self._is_too_slow(candidate.engine, run)
+        ]
+        if not fast or len(fast) == len(fitting):
+            return fitting
+        in_time = [
+            candidate
+            for candidate in fitting
+            if self._is_in_time(source, candidate, run)
+        ]
+        is_fast_late = not any(
+            self._is_in_time(source, candidate, run) for candidate in fast
+        )
+        return in_time if in_time and is_fast_late else fast
+
+    def _is_in_time(
+        self, source: _Source, candidate: _Destination, run: RunView
+    ) -> bool:
+        start = max(source.free_at, candidate.free_at)
+        copying = self._estimate_copy(source, candidate, run)
+        end = start + copying + _MOVE_OVERHEAD_SECONDS
+        return end <= DEFAULT_NOTICE_SECONDS
+
+    def _is_too_slow(self, engine: Engine, run: RunView) -> bool:
+        is_slow = (
+            engine.is_pace_known
+            and engine.slowness > self.fastest * MAX_EQUAL_RATIO
+            and run.expected_tokens > MAX_BRIEF_TOKENS
+        )
+        return is_slow or engine.has_long_gaps(run)
+
+    def _estimate_held(self, source: _Source, run: RunView) -> float:
+        return run.estimate_memory(self.token_rate / source.engine.slowness)
+
     def _build_sort_key(
         self,
         source: _Source,
@@ -192,7 +241,7 @@
         run: RunView,
     ) -> float:
         is_remote = candidate.engine.data_centre != source.engine.data_centre
-        held = run.estimate_memory(self.token_rate)
+        held = self._estimate_held(source, run)
         return self.link.estimate_copy_seconds(held, is_remote=is_remote)
 
 
@@ -213,7 +262,10 @@
     destinations = tuple(
         _build_destination(engine, token_rate) for engine in others
     )
-    planner = _Planner(destinations, link, token_rate)
+    fastest = min(
+        (one.slowness for one in others if one.is_pace_known), default=1
+    )
+    planner = _Planner(destinations, link, token_rate, fastest)
     sources = [_build_source(one, link, token_rate) for one in leaving_engines]
     sources.sort(key=lambda source: source.engine.target)
     planned = (planner.plan(*turn) for turn in _interleave_runs(sources))
@@ -234,6 +286,7 @@
 def _build_source(
     leaving_engine: LeavingEngine, link: Link, token_rate: float
 ) -> _Source:
+    token_rate /= leaving_engine.engine.slowness
     ordered = sorted(
         leaving_engine.runs,
         key=lambda one: _build_run_sort_key(one, token_rate),
@@ -296,7 +349,7 @@
 
 
 def _build_destination(engine: Engine, token_rate: float) -> _Destination:
-    held = forecast_engine(engine.runs, token_rate)
+    held = forecast_engine(engine.runs, token_rate / engine.slowness)
     limit = engine.memory_tokens * _MEMORY_FRACTION
     return _Destination(
         engine,
--- a/chicoryshunt/fleet/agent.py
+++ b/chicoryshunt/fleet/agent.py
@@ -13,6 +13,7 @@
 from chicoryshunt.fleet.crash_exchange import CrashExchange
 from chicoryshunt.fleet.discovery import Discovery
 from chicoryshunt.fleet.facts import Fact
+from chicoryshunt.fleet.pace_exchange import PaceExchange
 from chicoryshunt.fleet.rules_offers import RulesOffers
 from chicoryshunt.fleet.workload import Workload
 from chicoryshunt.membership.membership import Membership
@@ -50,8 +51,16 @@
         self.crash_exchange = CrashExchange(
             self.membership, broadcast, now, rng
         )
+        self.pace_exchange = PaceExchange(
+            self.membership, broadcast, now, metrics
+        )
         broadcast.deliver_to(
-            (self.catalog_sync, self.workload, self.crash_exchange)
+            (
+                self.catalog_sync,
+                self.workload,
+                self.crash_exchange,
+                self.pace_exchange,
+            )
         )
         self.rules_offers = RulesOffers(self.catalog, self.membership, rng)
         links = Links()
@@ -66,6 +75,7 @@
             self.catalog_sync,
             self.workload,
             self.crash_exchange,
+            self.pace_exchange,
             broadcast,
             self.rules_offers,
         )
--- a/chicoryshunt/fleet/broadcast.py
+++ b/chicoryshunt/fleet/broadcast.py
@@ -9,6 +9,7 @@
     Beacon,
     CrashNews,
     FactNews,
+    PaceNews,
     RunList,
     RunNews,
 )
@@ -17,7 +18,7 @@
 from chicoryshunt.nodes.core import Core, Message, Send
 from chicoryshunt.types import DataCentreId, VmId
 
-BroadcastMessage = Beacon | CrashNews | FactNews | RunNews | RunList
+BroadcastMessage = Beacon | CrashNews | FactNews | RunNews | RunList | PaceNews
 
 
 class Passed(msgspec.Struct, frozen=True, array_like=True, tag='bp'):
--- a/chicoryshunt/fleet/messages.py
+++ b/chicoryshunt/fleet/messages.py
@@ -85,6 +85,20 @@
     cleared: tuple[PartKey, ...] = ()
 
 
+class PaceNote(msgspec.Struct, frozen=True, array_like=True):
+    """Time per token and longest gap between events of an engine."""
+
+    target: TargetId
+    token_microseconds: int
+    longest_gap_ms: int
+
+
+class PaceNews(msgspec.Struct, frozen=True, array_like=True, tag='pn'):
+    """What streams of a node observed of engines."""
+
+    notes: tuple[PaceNote, ...]
+
+
 class CrashRequest(msgspec.Struct, frozen=True, array_like=True, tag='cr'):
     """Request for the crashes that a node knows."""
 
--- a/chicoryshunt/relay/context.py
+++ b/chicoryshunt/relay/context.py
@@ -31,6 +31,7 @@
 from chicoryshunt.fleet.crash_exchange import CrashExchange
 from chicoryshunt.fleet.facts import Fact, TargetFact, TargetPhase
 from chicoryshunt.fleet.messages import PlacedRun
+from chicoryshunt.fleet.pace_exchange import PaceExchange
 from chicoryshunt.fleet.workload import Workload
 from chicoryshunt.membership.membership import Membership
 from chicoryshunt.metrics import Metrics
@@ -61,6 +62,7 @@
     codec: TargetCodec
     retry_budget: FleetRetryBudget
     crash_exchange: CrashExchange
+    pace_exchange: PaceExchange
     metrics: Metrics
     send: Callable[[Iterable[Send]], None]
     publish: Callable[[Sequence[Fact]], None]
@@ -168,6 +170,11 @@
         rules = self._find_rules(service)
         return None if rules is None else rules.engine
 
+    def find_max_gap(self, service: ServiceId) -> float | None:
+        """Return the shortest intended longest gap of a service's routes."""
+        index = self.catalog.rules
+        return None if index is None else index.find_max_gap(service)
+
     def find_health_path(self, service: ServiceId) -> str:
         """Return the path of health checks of a service, '' without one."""
         rules = self._find_rules(service)
@@ -192,6 +199,10 @@
         rate = min(max(tokens / seconds, _MIN_TOKEN_RATE), _MAX_TOKEN_RATE)
         self.token_rate += _TOKEN_RATE_WEIGHT * (rate - self.token_rate)
 
+    def find_slowness(self, target: TargetId) -> float:
+        """Return how many times the median an engine needs for a token."""
+        return self.pace_exchange.table.slowness(target, self.clock.now())
+
     def build_engines(
         self,
         facts: Iterable[TargetFact],
@@ -223,6 +234,7 @@
         excluded: frozenset[RequestId],
     ) -> list[Engine]:
         now = self.clock.now()
+        pace = self.pace_exchange.table
         runs: dict[TargetId, list[RunView]] = {}
         for known in self.workload.list_runs():
             if known.run.request in excluded:
@@ -240,6 +252,9 @@
                 rules.memory_tokens,
                 tuple(runs.get(fact.target, ())),
                 self.outliers.get_failure_rate(fact.target),
+                pace.slowness(fact.target, now),
+                pace.find_longest_gap(fact.target, now),
+                pace.is_known(fact.target, now),
             )
             for fact in facts
         ]
@@ -271,11 +286,14 @@
         )
 
 
-def build_placed_run_view(run: PlacedRun, age: float) -> RunView:
-    """Return the forecast input for a placed run of an age in seconds."""
+def build_placed_run_view(
+    run: PlacedRun, age: float, max_gap: float | None = None
+) -> RunView:
+    """Return the forecast input for a placed run; times are in seconds."""
     return RunView(
         run.prompt_tokens,
         run.expected_tokens,
         run.max_tokens,
         age,
+        max_gap,
     )
--- a/chicoryshunt/relay/gateway.py
+++ b/chicoryshunt/relay/gateway.py
@@ -292,6 +292,7 @@
         self._generations.on_target_changed(fact)
         if fact.phase is TargetPhase.gone:
             self._context.outliers.forget(fact.target)
+            self._context.pace_exchange.table.forget(fact.target)
 
 
 def is_success(result: Result) -> bool:
--- a/chicoryshunt/relay/generations.py
+++ b/chicoryshunt/relay/generations.py
@@ -54,10 +54,6 @@
 from chicoryshunt.types import Reason, RequestId, ServiceId, TargetId
 from chicoryshunt.verdict import Verdict, build_uncertain, refuse
 
-# A run that continues from a copy of its memory has to start within this time.
-_RESUME_TIMEOUT_SECONDS = 1.0
-# A run that restarts waits until its prompt has been read once more.
-_RESTART_TIMEOUT_SECONDS = 3.0
 # Interval at which a run that begins anew looks for an engine with room.
 _RESTART_POLL_SECONDS = 0.05
 # The last events of a stopped engine arrive within this time.
@@ -99,7 +95,7 @@
             engine_rules,
             deadline,
             exchange,
-            build_run_view(incoming.params),
+            build_run_view(incoming.params, admitted.route.max_gap),
         )
         with self._track(stream):
             return await self._run(stream)
@@ -219,7 +215,7 @@
             stream.incoming,
             target,
             params,
-            params.remaining,
+            self._placer.find_start_time(stream, target),
             LegId(0),
         )
         if isinstance(opened, Leg):
@@ -308,6 +304,11 @@
     def _finish(self, stream: Stream) -> Result:
         if stream.event_count >= _MIN_RATED_EVENTS:
             seconds = self._context.clock.now() - stream.first_event_at
+            if stream.state is not None:
+                # The rate is that of an engine of median pace.
+                seconds /= self._context.find_slowness(
+                    stream.state.engine.target
+                )
             tokens = stream.event_count * stream.engine_rules.tokens_per_event
             self._context.record_token_rate(tokens, seconds)
         # The connection accepts the end of an answer without a producer only.
@@ -347,9 +348,7 @@
             stream.incoming,
             target,
             self._placer.build_send_params(stream, target, opening),
-            _RESTART_TIMEOUT_SECONDS
-            if opening.memory is None
-            else _RESUME_TIMEOUT_SECONDS,
+            self._placer.find_start_time(stream, target, opening),
             opening.leg,
         )
         log_event(
--- a/chicoryshunt/relay/leg.py
+++ b/chicoryshunt/relay/leg.py
@@ -16,6 +16,7 @@
     Upstream,
 )
 from chicoryshunt.dispatch.outliers import ExchangeOutcome
+from chicoryshunt.dispatch.resume_time import StartTime
 from chicoryshunt.fleet.facts import TargetFact
 from chicoryshunt.relay.context import RelayContext
 from chicoryshunt.relay.frames import EventReader
@@ -89,6 +90,9 @@
     def record_events(self, count: int) -> None:
         """Record that events arrived."""
 
+    def record_unread(self) -> None:
+        """Record that the leg was not read, as its caller did not read."""
+
     def record_end(self, end: LegEnd) -> None:
         """Record how the answer ended."""
 
@@ -147,7 +151,7 @@
         reader = EventReader()
         progress = _Progress(limits)
         while True:
-            progress.extend(await gate.wait_open())
+            await self._wait_open(gate, progress)
             piece = await _read_piece(body, progress.deadline)
             if piece is None:
                 self._break_off(inputs, ExchangeOutcome.silent)
@@ -162,6 +166,12 @@
                 self._break_off(inputs, ExchangeOutcome.garbled)
                 return
 
+    async def _wait_open(self, gate: WriteGate, progress: _Progress) -> None:
+        waited = await gate.wait_open()
+        if waited:
+            progress.extend(waited)
+            self.observer.record_unread()
+
     async def _queue_events(
         self,
         piece: bytes,
@@ -179,7 +189,7 @@
         for start in range(0, len(piece), _SLICE_BYTES):
             if start:
                 await asyncio.sleep(0)
-                progress.extend(await gate.wait_open())
+                await self._wait_open(gate, progress)
             events = reader.feed(piece[start : start + _SLICE_BYTES])
             if isinstance(events, StreamDamage):
                 return False
@@ -246,7 +256,7 @@
     incoming: IncomingRequest,
     target: TargetFact,
     params: SendParams,
-    seconds: float,
+    start_time: StartTime,
     leg: LegId,
 ) -> Leg | Delivered | NotRun | Doubtful:
     """Send a request to an engine and return the leg once it answers.
@@ -263,6 +273,7 @@
     watch = LegWatch(
         context, incoming, target, params.team, leg, context.clock.now()
     )
+    watch.measure_pace()
     opened: Leg | Delivered | NotRun | Doubtful
     opened = Doubtful(target.target, 'cancelled')
     try:
@@ -270,7 +281,7 @@
             context,
             incoming,
             outgoing,
-            seconds,
+            start_time,
             Leg(
                 leg,
                 target,
@@ -290,19 +301,20 @@
     context: RelayContext,
     incoming: IncomingRequest,
     outgoing: OutgoingRequest,
-    seconds: float,
+    start_time: StartTime,
     leg: Leg,
     watch: LegWatch,
 ) -> Leg | Delivered | NotRun | Doubtful:
     target = leg.target.target
-    until = context.clock.now() + seconds
+    until = context.clock.now() + start_time.seconds
     try:
-        answer = await leg.upstream.send(outgoing, seconds)
+        answer = await leg.upstream.send(outgoing, start_time.seconds)
     except NotSentError as error:
         return NotRun(target, str(error))
     except ConnectionLostError as error:
-        context.record_outcome(target, ExchangeOutcome.silent)
         is_timeout = isinstance(error.__cause__, TimeoutError)
+        if start_time.is_full or not is_timeout:
+            context.record_outcome(target, ExchangeOutcome.silent)
         if not is_timeout:
             watch.record_cut()
         return Doubtful(target, str(error), is_timeout)
--- a/chicoryshunt/relay/leg_watch.py
+++ b/chicoryshunt/relay/leg_watch.py
@@ -8,6 +8,7 @@
 from chicoryshunt.fleet.facts import TargetFact
 from chicoryshunt.relay.context import RelayContext
 from chicoryshunt.relay.incoming import IncomingRequest
+from chicoryshunt.relay.pace_meter import PaceMeter, build_pace_meter
 from chicoryshunt.relay.stream_inputs import LegEnd, LegId
 from chicoryshunt.types import TeamId
 
@@ -41,6 +42,7 @@
     first_event_at: float = 0
     events: int = 0
     has_survived: bool = False
+    pace_meter: PaceMeter | None = None
 
     @property
     def stage(self) -> RunStage:
@@ -49,6 +51,22 @@
             return RunStage.writing
         return RunStage.opened if self.opened_at else RunStage.waiting
 
+    def measure_pace(self) -> None:
+        """Measure the pace of an engine that generates for a route."""
+        rules = self.context.find_engine_rules(self.target.service)
+        if rules is not None:
+            self.pace_meter = build_pace_meter(
+                self.context.pace_exchange,
+                self.incoming,
+                self.target.target,
+                rules.tokens_per_event,
+            )
+
+    def record_unread(self) -> None:
+        """Record that the leg was not read, as its caller did not read."""
+        if self.pace_meter is not None:
+            self.pace_meter.skip()
+
     def record_opened(self) -> None:
         """Record that the head of the answer arrived."""
         self.opened_at = self.context.clock.now()
@@ -57,6 +75,11 @@
         """Record that events arrived."""
         now = self.context.clock.now()
         self.events += count
+        if self.pace_meter is not None:
+            if self.context.is_leaving(self.target.target):
+                # Copies of memory may delay its events.
+                self.pace_meter.skip()
+            self.pace_meter.record_events(count, now)
         if not self.first_event_at:
             self.first_event_at = now
         elif (
--- a/chicoryshunt/relay/moving.py
+++ b/chicoryshunt/relay/moving.py
@@ -266,9 +266,10 @@
         )
         engines = context.build_engines([*leaving, *others], engine_rules)
         leaving_engines = engines[: len(leaving)]
+        max_gap = context.find_max_gap(source.service)
         return plan_moves(
             [
-                LeavingEngine(engine, self._list_runs(engine.target))
+                LeavingEngine(engine, self._list_runs(engine.target, max_gap))
                 for engine in leaving_engines
             ],
             engines[len(leaving) :],
@@ -295,12 +296,14 @@
             ),
         ]
 
-    def _list_runs(self, target: TargetId) -> tuple[LeavingRun, ...]:
+    def _list_runs(
+        self, target: TargetId, max_gap: float | None
+    ) -> tuple[LeavingRun, ...]:
         now = self._context.clock.now()
         return tuple(
             LeavingRun(
                 known.run.request,
-                build_placed_run_view(known.run, now - known.placed),
+                build_placed_run_view(known.run, now - known.placed, max_gap),
             )
             for known in self._context.workload.list_runs()
             if known.run.target == target
--- a/chicoryshunt/relay/placing.py
+++ b/chicoryshunt/relay/placing.py
@@ -14,6 +14,7 @@
     choose_engine,
     has_precedence,
 )
+from chicoryshunt.dispatch.resume_time import StartTime, find_start_time
 from chicoryshunt.dispatch.waiting import WaitingRequest, WaitQueue
 from chicoryshunt.events import log_routine
 from chicoryshunt.fleet.facts import TargetFact
@@ -36,6 +37,8 @@
 _MAX_RETRY_SHARE = 1 / 3
 _DEFAULT_RETRY_SECONDS = 1.0
 _MIN_REMAINING_SECONDS = 0.02
+# A run that restarts waits until its prompt has been read once more.
+_RESTART_TIMEOUT_SECONDS = 3.0
 
 
 class Placer:
@@ -121,6 +124,24 @@
             last_event=last_event,
         )
 
+    def find_start_time(
+        self,
+        stream: Stream,
+        target: TargetFact,
+        opening: OpenLeg | None = None,
+    ) -> StartTime:
+        """Return the time for an engine to start a run."""
+        context = self._context
+        now = context.clock.now()
+        if opening is None:
+            return StartTime(stream.deadline - now, is_full=True)
+        if opening.memory is None:
+            return StartTime(_RESTART_TIMEOUT_SECONDS, is_full=True)
+        engines = context.build_planned_engines(
+            [target], stream.engine_rules, frozenset((stream.request,))
+        )
+        return find_start_time(engines[0], stream.find_latest_restart() - now)
+
     def spend_retry(self, stream: Stream) -> bool:
         """Take one retry from the budget; return whether there was one."""
         return self._context.retry_budget.spend(
@@ -211,6 +232,11 @@
         remaining = stream.find_latest_start() - now
         waiter.is_blocked = not isinstance(choice, Placed)
         match choice:
+            case Placed(_, _, slowness, True) if stream.waits_for_short_gaps(
+                now, slowness
+            ):
+                waiter.is_blocked = True
+                return None
             case Placed(target) if self._wait_queue.may_proceed(waiter, now):
                 self._log_placed(stream, choice, now - waiter.since)
                 return _find_fact(facts, target)
@@ -249,11 +275,17 @@
         placed: Placed,
         waited: float,
     ) -> None:
+        if placed.slowness > 1:
+            self._context.metrics.count(
+                'runs_placed_on_slow_engines',
+                'Runs placed on engines that are slower than most',
+            )
         log_routine(
             'run_placed',
             request=stream.request,
             target=placed.target,
             score=placed.score,
+            slowness=placed.slowness,
             waited_seconds=waited,
             waiting=len(self._wait_queue),
             pace=self._context.token_rate,
--- a/chicoryshunt/relay/stream.py
+++ b/chicoryshunt/relay/stream.py
@@ -129,6 +129,19 @@
             self.deadline, self.incoming.received_at + silence - prompt_seconds
         )
 
+    def waits_for_short_gaps(self, now: float, slowness: float) -> bool:
+        """Return whether the run may wait for an engine with shorter gaps.
+
+        It does while it can still start in time on the engine that has room,
+        whose slowness is given, and for half of its target latency at most.
+        """
+        prompt_seconds = (
+            self.view.prompt_tokens / PREFILL_TOKENS_PER_SECOND * slowness
+        )
+        latency = self.route.target_latency
+        longest = min(latency / 2, latency - prompt_seconds)
+        return now < self.incoming.received_at + longest
+
     def find_latest_end(self, now: float, token_rate: float) -> float:
         """Return when the longest answer ends of a run that starts now."""
         prompt_seconds = self.view.prompt_tokens / PREFILL_TOKENS_PER_SECOND
@@ -208,7 +221,9 @@
             self.inputs.put_nowait(on_error)
 
 
-def build_run_view(params: GenerationParams) -> RunView:
+def build_run_view(
+    params: GenerationParams, max_gap: float | None = None
+) -> RunView:
     """Return the forecast input for a run that has not started."""
     expected = params.expected_tokens
     if expected is None:
@@ -217,6 +232,7 @@
         params.prompt_tokens,
         max(min(expected, params.max_tokens), 1),
         params.max_tokens,
+        max_gap=max_gap,
     )
 
 
--- a/chicoryshunt/rules/routing.py
+++ b/chicoryshunt/rules/routing.py
@@ -69,6 +69,15 @@
         """Return the rules of a service."""
         return self._services.get(service)
 
+    def find_max_gap(self, service: ServiceId) -> float | None:
+        """Return the shortest intended longest gap of a service's routes."""
+        gaps = (
+            route.max_gap
+            for route in self.rules.routes
+            if any(share.service == service for share in route.shares)
+        )
+        return min((gap for gap in gaps if gap is not None), default=None)
+
     def _find_route(self, host: str, path: str) -> Route | None:
         for route in self._routes.get(host, ()):
             if path.startswith(route.prefix):
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -15,9 +15,11 @@
 from chicoryshunt.fleet.discovery import Discovery
 from chicoryshunt.fleet.facts import Revision, TargetFact, TargetPhase
 from chicoryshunt.fleet.messages import PlacedRun
+from chicoryshunt.fleet.pace_exchange import PaceExchange
 from chicoryshunt.fleet.rules_offers import RulesOffers
 from chicoryshunt.fleet.workload import Workload
 from chicoryshunt.membership.membership import Membership
+from chicoryshunt.metrics import Metrics
 from chicoryshunt.nodes.links import Links
 from chicoryshunt.rules.model import (
     ApiKey,
@@ -163,8 +165,16 @@
         self.crash_exchange = CrashExchange(
             self.membership, broadcast, now, rng
         )
+        self.pace_exchange = PaceExchange(
+            self.membership, broadcast, now, Metrics()
+        )
         broadcast.deliver_to(
-            (self.catalog_sync, self.workload, self.crash_exchange)
+            (
+                self.catalog_sync,
+                self.workload,
+                self.crash_exchange,
+                self.pace_exchange,
+            )
         )
         self.rules_offers = RulesOffers(self.catalog, self.membership, rng)
         self.discovery = Discovery(vm, seeds, self.membership, Links(), rng)
@@ -175,6 +185,7 @@
                 self.catalog_sync,
                 self.workload,
                 self.crash_exchange,
+                self.pace_exchange,
                 broadcast,
                 self.rules_offers,
             ),
--- a/tests/test_leg.py
+++ b/tests/test_leg.py
@@ -109,6 +109,9 @@
         """Count events, as an observer of the leg."""
         self.observed_events += count
 
+    def record_unread(self) -> None:
+        """Do nothing, as no pace is measured here."""
+
     def record_end(self, end: LegEnd) -> None:
         """Keep how the answer ended, as an observer of the leg."""
         self.observed_ends.append(end)
