Expect long gaps of slow engines only, and measure pace beside load

A loaded engine of usual pace would count as slow by its mean, and one gap would keep long answers off it.

--- a/chicoryshunt/dispatch/engine_pace.py
+++ b/chicoryshunt/dispatch/engine_pace.py
@@ -33,6 +33,10 @@
     window_start: float
     earlier_gap: float = 0
 
+    def find_longest_gap(self) -> float:
+        """Return the longest gap of both windows, in seconds."""
+        return max(self.longest_gap, self.earlier_gap)
+
 
 class PaceTable:
     """Seconds per token and longest gaps of engines.
@@ -45,6 +49,7 @@
         """Start without observations."""
         self._paces: dict[TargetId, _Pace] = {}
         self._median: float = 0
+        self._typical_gap: float = 0
         self._median_until = float('-inf')
 
     def record(
@@ -86,7 +91,19 @@
     def find_longest_gap(self, target: TargetId, now: float) -> float:
         """Return the longest gap seen lately, in seconds, 0 if unknown."""
         pace = self._find(target, now)
-        return 0 if pace is None else max(pace.longest_gap, pace.earlier_gap)
+        return 0 if pace is None else pace.find_longest_gap()
+
+    def predict_longest_gap(self, target: TargetId, now: float) -> float:
+        """Return the longest gap to expect, in seconds, 0 if unknown.
+
+        A slow engine has not shown its longest gap while it read no prompt
+        beside its runs. It is as many times longer than that of the others.
+        """
+        longest = self.find_longest_gap(target, now)
+        ratio = self.slowness(target, now)
+        if ratio <= MAX_EQUAL_RATIO:
+            return longest
+        return max(longest, self._typical_gap * ratio)
 
     def find_seconds_per_token(
         self, target: TargetId, now: float
@@ -127,10 +144,16 @@
         """Return the median seconds per token, 0 if too few are known."""
         if now >= self._median_until:
             self._median_until = now + _MEDIAN_SECONDS
-            known = [
-                self._paces[target].seconds_per_token
-                for target in self.list_known(now)
-            ]
-            enough = len(known) >= _MIN_KNOWN
-            self._median = statistics.median(known) if enough else 0
+            known = [self._paces[target] for target in self.list_known(now)]
+            self._median = 0
+            self._typical_gap = 0
+            if len(known) >= _MIN_KNOWN:
+                self._median = statistics.median(
+                    pace.seconds_per_token for pace in known
+                )
+                self._typical_gap = statistics.median(
+                    pace.find_longest_gap()
+                    for pace in known
+                    if pace.seconds_per_token <= self._median * MAX_EQUAL_RATIO
+                )
         return self._median
--- a/chicoryshunt/dispatch/engines.py
+++ b/chicoryshunt/dispatch/engines.py
@@ -44,7 +44,7 @@
 
     ``penalty`` is added to its score; it is the engine's failure rate.
     ``slowness`` is how many times the median a token takes, 1 if unknown;
-    ``longest_gap`` is in seconds, 0 if unknown.
+    ``longest_gap`` is the one to expect, in seconds, 0 if unknown.
     """
 
     target: TargetId
@@ -58,9 +58,13 @@
     is_pace_known: bool = True
 
     def has_long_gaps(self, run: RunView) -> bool:
-        """Return whether the gaps here are too long for a run."""
+        """Return whether the gaps here are too long for a run.
+
+        Engines of usual pace have long gaps by their load, which passes.
+        """
         return (
             run.max_gap is not None
+            and self.slowness > MAX_EQUAL_RATIO
             and run.expected_tokens > MAX_BRIEF_TOKENS
             and self.longest_gap > run.max_gap
         )
--- a/chicoryshunt/relay/context.py
+++ b/chicoryshunt/relay/context.py
@@ -253,7 +253,7 @@
                 tuple(runs.get(fact.target, ())),
                 self.outliers.get_failure_rate(fact.target),
                 pace.slowness(fact.target, now),
-                pace.find_longest_gap(fact.target, now),
+                pace.predict_longest_gap(fact.target, now),
                 pace.is_known(fact.target, now),
             )
             for fact in facts
--- a/chicoryshunt/relay/leg_watch.py
+++ b/chicoryshunt/relay/leg_watch.py
@@ -8,7 +8,7 @@
 from chicoryshunt.fleet.facts import TargetFact
 from chicoryshunt.relay.context import RelayContext
 from chicoryshunt.relay.incoming import IncomingRequest
-from chicoryshunt.relay.pace_meter import PaceMeter, build_pace_meter
+from chicoryshunt.relay.pace_meter import PaceMeter
 from chicoryshunt.relay.stream_inputs import LegEnd, LegId
 from chicoryshunt.types import TeamId
 
@@ -55,9 +55,8 @@
         """Measure the pace of an engine that generates for a route."""
         rules = self.context.find_engine_rules(self.target.service)
         if rules is not None:
-            self.pace_meter = build_pace_meter(
+            self.pace_meter = PaceMeter(
                 self.context.pace_exchange,
-                self.incoming,
                 self.target.target,
                 rules.tokens_per_event,
             )
