--- a/tests/test_leg_watch.py
+++ b/tests/test_leg_watch.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from chicoryshunt.clock import ManualClock
 from chicoryshunt.dispatch.outliers import ExchangeOutcome
 from chicoryshunt.relay.leg_watch import LegWatch
 from chicoryshunt.relay.stream_inputs import LegEnd, LegId
@@ -59,3 +60,27 @@
     assert found == reported
     # It is cleared only if the engine has not crashed by then.
     assert cleared == ['e1']
+
+
+@pytest.mark.parametrize(('is_leaving', 'count'), [(False, 1), (True, 0)])
+def test_a_leg_reports_the_pace(is_leaving: bool, count: int) -> None:
+    """Guards against gaps of a leaving engine that count as its pace."""
+    reports: list[object] = []
+    clock = ManualClock(100)
+    context = SimpleNamespace(
+        clock=clock,
+        is_leaving=lambda _: is_leaving,
+        find_engine_rules=lambda _: SimpleNamespace(tokens_per_event=4),
+        pace_exchange=SimpleNamespace(
+            was_delayed=lambda *_: False,
+            report=lambda *report: reports.append(report),
+        ),
+    )
+    watch = _build_watch(context)
+    watch.incoming = cast(Any, SimpleNamespace(params=None))
+    watch.measure_pace()
+    for _ in range(6):
+        clock.advance(0.04)
+        watch.record_events(1)
+
+    assert len(reports) == count
