Send a slow repeatable call to a second target beside the first

A first attempt was cancelled after 0.6 of the target latency, and its answer was lost. It now keeps its time, and a second attempt starts beside it if there is another target, an attempt left and a retry in the budget. Connecting to a target no longer loses a cancellation.

--- a/chicoryshunt/connection/upstream.py
+++ b/chicoryshunt/connection/upstream.py
@@ -413,7 +413,9 @@
             host,
             int(port),
         )
-        transport, _ = await asyncio.wait_for(connecting, self._connect_seconds)
+        # Unlike wait_for, this never loses a cancellation.
+        async with asyncio.timeout(self._connect_seconds):
+            transport, _ = await connecting
         _set_failure_detection(transport.get_extra_info('socket'))
 
     def _add_idle(self, upstream: Upstream) -> None:
--- a/chicoryshunt/relay/calls.py
+++ b/chicoryshunt/relay/calls.py
@@ -1,5 +1,8 @@
 """Relays calls of plain services, which have one complete answer each."""
 
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import ExitStack, asynccontextmanager
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
@@ -10,9 +13,14 @@
     OutgoingRequest,
     Upstream,
 )
+from chicoryshunt.dispatch.call_attempts import (
+    AttemptEnd,
+    AttemptLimits,
+    CallAttempts,
+)
 from chicoryshunt.dispatch.outliers import ExchangeOutcome
 from chicoryshunt.dispatch.services import ServiceTarget, choose_target
-from chicoryshunt.events import log_event
+from chicoryshunt.events import log_event, log_routine
 from chicoryshunt.fleet.facts import TargetFact
 from chicoryshunt.relay.context import RelayContext
 from chicoryshunt.relay.incoming import IncomingRequest
@@ -28,11 +36,6 @@
 # connection turns out to be dead.
 _REPEATABLE_IDLE_SECONDS = 8.0
 _UNREPEATABLE_IDLE_SECONDS = 0.25
-# Share of the target latency after which another target is tried.
-_ATTEMPT_LATENCY_SHARE = 0.6
-_MIN_ATTEMPT_SECONDS = 0.05
-# Each refusal excludes a target; this many mean that all targets are full.
-_MAX_REFUSALS = 4
 _MAX_ANSWER_BYTES = 8388608
 _RETRY_AFTER_SECONDS = Seconds(0.5)
 # A request is not sent with less than this time left.
@@ -40,12 +43,19 @@
 
 
 @dataclass(slots=True)
-class _Attempts:
-    """Attempts at one call so far."""
+class _Call:
+    """A call with its open attempts, in the order in which they started.
+
+    ``deadline`` is in monotonic seconds.
+    """
 
-    tried: list[TargetId] = field(default_factory=list)
-    refusals: int = 0
-    runs: int = 0
+    incoming: IncomingRequest
+    admitted: AdmittedRequest
+    service: ServiceId
+    deadline: float
+    attempts: CallAttempts
+    tasks: dict[TargetId, asyncio.Task[Attempt]] = field(default_factory=dict)
+    answer: Delivered | None = None
     failure: Delivered | None = None
     uncertain: Doubtful | None = None
 
@@ -69,41 +79,92 @@
         received = incoming.received_at
         if stop is not None and not stop.accepts(received, received, deadline):
             return refuse_stopping()
-        attempts = _Attempts()
-        while True:
-            target = self._choose_next(service, attempts, deadline)
-            if target is None:
-                break
-            attempt = await self._try_target(
-                incoming,
-                admitted,
-                target,
-                deadline,
-                is_last=attempts.runs + 1 >= admitted.route.max_attempts,
+        route = admitted.route
+        attempts = CallAttempts(
+            AttemptLimits(
+                route.target_latency, route.max_attempts, route.is_repeatable
             )
-            if self._record_attempt(attempt, admitted, attempts):
-                break
-        return _conclude(attempts, deadline - self._context.clock.now())
+        )
+        call = _Call(incoming, admitted, service, deadline, attempts)
+        async with _abort_open(call):
+            while call.answer is None:
+                self._start_due(call)
+                if not call.tasks:
+                    break
+                await self._await_attempts(call)
+            self._record_hedge(call)
+        return _conclude(call, deadline - self._context.clock.now())
 
-    def _choose_next(
-        self,
-        service: ServiceId,
-        attempts: _Attempts,
-        deadline: float,
-    ) -> TargetFact | None:
-        """Return the target of the next attempt; ``None`` ends the call."""
-        target = self._choose(service, attempts)
-        if deadline - self._context.clock.now() < _MIN_SEND_SECONDS:
+    def _start_due(self, call: _Call) -> None:
+        """Start the next attempt if it is due and possible."""
+        now = self._context.clock.now()
+        start = call.attempts.find_start()
+        if start is None or start > now:
+            return
+        target = self._choose_next(call)
+        if target is None:
+            call.attempts.postpone(now)
+            return
+        if call.tasks:
+            log_routine(
+                'call_hedged',
+                request=call.incoming.request,
+                target=target.target,
+                overdue=next(iter(call.tasks)),
+            )
+        call.attempts.start(target.target, now)
+        # The call counts at its target before other calls choose theirs.
+        tracking = ExitStack()
+        tracking.enter_context(self._context.track_call(target.target))
+        task = asyncio.create_task(self._try_target(call, target))
+        task.add_done_callback(lambda _: tracking.close())
+        call.tasks[target.target] = task
+
+    async def _await_attempts(self, call: _Call) -> None:
+        """Wait until an attempt ends or the next one is due."""
+        start = call.attempts.find_start()
+        seconds = None
+        if start is not None:
+            seconds = max(start - self._context.clock.now(), 0)
+        await asyncio.wait(
+            call.tasks.values(),
+            timeout=seconds,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        for target, task in tuple(call.tasks.items()):
+            if task.done():
+                call.tasks.pop(target)
+                call.attempts.end(target, _record_attempt(call, task.result()))
+
+    def _record_hedge(self, call: _Call) -> None:
+        """Count which attempt answered, and overtaken ones that were silent."""
+        responder = call.attempts.responder
+        if responder is None:
+            return
+        self._context.metrics.count(
+            'second_attempts',
+            'Calls sent to a second target while the first was still running',
+            answered=responder.value,
+        )
+        for target in call.attempts.list_silent(self._context.clock.now()):
+            self._context.record_outcome(target, ExchangeOutcome.silent)
+
+    def _choose_next(self, call: _Call) -> TargetFact | None:
+        """Return the target of the next attempt, ``None`` without one.
+
+        A retry is spent from the budget only if there is a target.
+        """
+        target = self._choose(call.service, call.attempts)
+        if call.deadline - self._context.clock.now() < _MIN_SEND_SECONDS:
             return None
         if target is None or (
-            attempts.tried and not self._spend_retry(service)
+            call.attempts.tried and not self._spend_retry(call.service)
         ):
             return None
-        attempts.tried.append(target.target)
         return target
 
     def _choose(
-        self, service: ServiceId, attempts: _Attempts
+        self, service: ServiceId, attempts: CallAttempts
     ) -> TargetFact | None:
         facts = self._context.list_candidates(service, attempts.tried)
         chosen = choose_target(
@@ -128,74 +189,51 @@
             self._context.clock.now(),
         )
 
-    def _record_attempt(
-        self,
-        attempt: Attempt,
-        admitted: AdmittedRequest,
-        attempts: _Attempts,
-    ) -> bool:
-        """Record an attempt and return whether it is the last one."""
-        route = admitted.route
-        match attempt:
-            case NotRun():
-                attempts.refusals += 1
-                return attempts.refusals >= _MAX_REFUSALS
-            case Doubtful():
-                attempts.runs += 1
-                attempts.uncertain = attempt
-            case Delivered(_, status):
-                attempts.runs += 1
-                attempts.failure = attempt
-                if status < HTTPStatus.INTERNAL_SERVER_ERROR:
-                    return True
-        return not route.is_repeatable or attempts.runs >= route.max_attempts
-
-    async def _try_target(
-        self,
-        incoming: IncomingRequest,
-        admitted: AdmittedRequest,
-        target: TargetFact,
-        deadline: float,
-        *,
-        is_last: bool,
-    ) -> Attempt:
-        route = admitted.route
-        remaining = deadline - self._context.clock.now()
-        timeout = remaining
-        if route.is_repeatable and not is_last:
-            attempt_timeout = max(
-                route.target_latency * _ATTEMPT_LATENCY_SHARE,
-                _MIN_ATTEMPT_SECONDS,
+    async def _try_target(self, call: _Call, target: TargetFact) -> Attempt:
+        admitted = call.admitted
+        timeout = call.deadline - self._context.clock.now()
+        upstream = await self._connect(
+            target, timeout, is_repeatable=admitted.route.is_repeatable
+        )
+        if isinstance(upstream, NotRun):
+            attempt: Attempt = upstream
+        else:
+            remaining = call.deadline - self._context.clock.now()
+            if admitted.route.is_repeatable:
+                timeout = remaining
+            attempt = await self._exchange(
+                upstream,
+                call.incoming,
+                SendParams(
+                    target=target.target,
+                    remaining=remaining,
+                    priority=admitted.priority,
+                    team=admitted.team_id,
+                ),
+                timeout,
             )
-            timeout = min(remaining, attempt_timeout)
+        _log_attempt(call.incoming, attempt)
+        return attempt
+
+    async def _connect(
+        self, target: TargetFact, remaining: float, *, is_repeatable: bool
+    ) -> Upstream | NotRun:
+        """Return a connection, for a repeatable call before its deadline."""
         idle = _UNREPEATABLE_IDLE_SECONDS
-        if route.is_repeatable:
+        timeout = None
+        if is_repeatable:
             idle = _REPEATABLE_IDLE_SECONDS
-        with self._context.track_call(target.target):
-            try:
-                upstream = await self._context.pool.acquire(
-                    target.address,
-                    idle,
-                )
-            except NotSentError as error:
-                self._context.record_outcome(
-                    target.target, ExchangeOutcome.unreachable
-                )
-                attempt: Attempt = NotRun(target.target, str(error))
-            else:
-                attempt = await self._exchange(
-                    upstream,
-                    incoming,
-                    SendParams(
-                        target=target.target,
-                        remaining=deadline - self._context.clock.now(),
-                        priority=admitted.priority,
-                        team=admitted.team_id,
-                    ),
-                    timeout,
-                )
-        _log_attempt(incoming, attempt)
-        return attempt
+            timeout = remaining - _MIN_SEND_SECONDS
+        try:
+            async with asyncio.timeout(timeout):
+                return await self._context.pool.acquire(target.address, idle)
+        except TimeoutError:
+            return NotRun(target.target, 'no connection before the deadline')
+        except NotSentError as error:
+            self._context.record_outcome(
+                target.target, ExchangeOutcome.unreachable
+            )
+            return NotRun(target.target, str(error))
 
     async def _exchange(
         self,
@@ -268,19 +306,50 @@
         return Delivered(target, answer.status, answer.headers, body)
 
 
-def _conclude(attempts: _Attempts, remaining: float) -> Delivered | Verdict:
-    if attempts.failure is not None:
-        return attempts.failure
-    if attempts.uncertain is not None:
+@asynccontextmanager
+async def _abort_open(call: _Call) -> AsyncIterator[None]:
+    """Abort the attempts that are open when the block ends.
+
+    A cancelled attempt aborts its connection; none outlives the call.
+    """
+    try:
+        yield
+    finally:
+        for task in call.tasks.values():
+            task.cancel()
+        await asyncio.gather(*call.tasks.values(), return_exceptions=True)
+
+
+def _record_attempt(call: _Call, attempt: Attempt) -> AttemptEnd:
+    """Keep what an attempt contributes to the result of the call."""
+    match attempt:
+        case NotRun():
+            return AttemptEnd.not_run
+        case Doubtful():
+            call.uncertain = attempt
+            return AttemptEnd.lost
+        case Delivered(_, status) if status < HTTPStatus.INTERNAL_SERVER_ERROR:
+            call.answer = call.answer or attempt
+            return AttemptEnd.answered
+        case Delivered():
+            call.failure = call.failure or attempt
+            return AttemptEnd.failed
+
+
+def _conclude(call: _Call, remaining: float) -> Delivered | Verdict:
+    delivered = call.answer or call.failure
+    if delivered is not None:
+        return delivered
+    if call.uncertain is not None:
         reason = Reason.target_unreachable
-        if attempts.uncertain.is_timeout:
+        if call.uncertain.is_timeout:
             reason = Reason.target_timeout
-        return build_uncertain(reason, attempts.uncertain.detail)
+        return build_uncertain(reason, call.uncertain.detail)
     if remaining < _MIN_SEND_SECONDS:
         return refuse(Reason.queue_timeout, 'no time is left')
     return refuse(
         Reason.no_target,
-        f'{len(attempts.tried)} targets refused',
+        f'{len(call.attempts.tried)} targets refused',
         _RETRY_AFTER_SECONDS,
     )
 
--- a/tests/guard_builders.py
+++ b/tests/guard_builders.py
@@ -26,7 +26,7 @@
     tuple(sends)
 
 
-class _LoopClock:
+class LoopClock:
     """Clock that shows the time of the loop."""
 
     def now(self) -> float:
@@ -51,7 +51,7 @@
         self.phase = TargetPhase.ready
         rng = Random(1)
         now: float = 0
-        self._clock = _LoopClock()
+        self._clock = LoopClock()
         self._catalog = Catalog()
         membership = Membership(build_member('vm-0'), Incarnation(1), rng, now)
         self.guard = PromptGuard(
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -289,3 +289,28 @@
             await upstream.send(REQUEST, 5)
 
     _run_trial(RawTarget(WHOLE, WHOLE), trial)
+
+
+def test_a_cancelled_attempt_to_connect_ends(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a request that is sent although its caller has left.
+
+    The connection is established in the turn of the loop that cancels it.
+    """
+
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        opening = asyncio.ensure_future(UpstreamPool(1).open('host:1'))
+
+        async def connect(*_: Any) -> tuple[Any, None]:
+            loop.call_soon(opening.cancel)
+            await asyncio.sleep(0)
+            return cast(Any, asyncio.Transport()), None
+
+        monkeypatch.setattr(loop, 'create_connection', connect)
+        await asyncio.wait([opening])
+
+        assert opening.cancelled()
+
+    run_on_reactor(run())
