--- a/chicoryshunt/dispatch/outliers.py
+++ b/chicoryshunt/dispatch/outliers.py
@@ -36,10 +36,15 @@
 
 @dataclass(slots=True)
 class _TargetStats:
-    """Failure statistics of one target; ``paused_until`` is monotonic."""
+    """Failure statistics of one target; ``paused_until`` is monotonic.
+
+    ``was_overtaken``: another target answered in its place, and it has not
+    answered since.
+    """
 
     rate: float = 0
     hard_failures: int = 0
+    was_overtaken: bool = False
     pause_seconds: float = _INITIAL_PAUSE_SECONDS
     paused_until: float = float('-inf')
 
@@ -67,6 +72,7 @@
             stats.hard_failures += 1
         elif outcome is ExchangeOutcome.answered:
             stats.hard_failures = 0
+            stats.was_overtaken = False
             if stats.rate < _MIN_OUTLIER_RATE:
                 stats.pause_seconds = _INITIAL_PAUSE_SECONDS
         if is_failure and self._is_outlier(target, stats):
@@ -78,6 +84,17 @@
             return True
         return False
 
+    def record_overtaken(self, target: TargetId) -> bool:
+        """Record that another target answered first; return if it recurs.
+
+        A slow target answers some requests in time, one that hangs answers
+        none and is overtaken each time.
+        """
+        stats = self._stats.setdefault(target, _TargetStats())
+        is_repeated = stats.was_overtaken
+        stats.was_overtaken = True
+        return is_repeated
+
     def is_paused(self, target: TargetId, now: float) -> bool:
         """Return whether a target should receive no new requests."""
         stats = self._stats.get(target)
--- a/chicoryshunt/relay/calls.py
+++ b/chicoryshunt/relay/calls.py
@@ -146,8 +146,12 @@
             'Calls sent to a second target while the first was still running',
             answered=responder.value,
         )
-        for target in call.attempts.list_silent(self._context.clock.now()):
-            self._context.record_outcome(target, ExchangeOutcome.silent)
+        now = self._context.clock.now()
+        silent = set(call.attempts.list_silent(now))
+        for target in call.tasks:
+            is_repeated = self._context.outliers.record_overtaken(target)
+            if is_repeated or target in silent:
+                self._context.record_outcome(target, ExchangeOutcome.silent)
 
     def _choose_next(self, call: _Call) -> TargetFact | None:
         """Return the target of the next attempt, ``None`` without one.
--- a/tests/call_builders.py
+++ b/tests/call_builders.py
@@ -137,6 +137,7 @@
             codec=cast(Any, FakeCodec()),
             retry_budget=self.budget,
             crash_exchange=node.crash_exchange,
+            pace_exchange=node.pace_exchange,
             metrics=Metrics(),
             send=_drop,
             publish=_drop,
--- a/tests/test_call_attempts.py
+++ b/tests/test_call_attempts.py
@@ -83,6 +83,20 @@
     assert metrics.get('exchanges', outcome='silent') == silent
 
 
+def test_a_target_that_hangs_is_avoided() -> None:
+    """Guards against a target that gets every call but answers none."""
+    answer = Reply(0.03)
+    trial = CallTrial([HANG, answer, HANG, answer, answer])
+    metrics = trial.context.metrics
+    silent = []
+    for _ in range(3):
+        _relay(trial)
+        silent.append(metrics.get('exchanges', outcome='silent'))
+
+    assert silent == [0, 1, 1]
+    assert trial.list_sent() == ['t0', 't1', 't0', 't1', 't1']
+
+
 @pytest.mark.parametrize(
     'trial',
     [
