--- a/chicoryshunt/relay/context.py
+++ b/chicoryshunt/relay/context.py
@@ -19,6 +19,7 @@
     ColdStartLimiter,
     allows_announced,
 )
+from chicoryshunt.dispatch.departures import Departures
 from chicoryshunt.dispatch.engines import Announcement, Engine
 from chicoryshunt.dispatch.forecast import (
     DEFAULT_TOKENS_PER_SECOND,
@@ -77,6 +78,7 @@
     planned_destinations: dict[RequestId, TargetId] = field(
         default_factory=dict
     )
+    departures: Departures = field(default_factory=Departures)
 
     def __post_init__(self) -> None:
         """Build the guard that all generations share."""
@@ -89,6 +91,7 @@
             metrics=self.metrics,
             send=self.send,
         )
+        self.catalog.subscribe(self._record_departure)
 
     def count_nodes(self) -> int:
         """Return how many nodes may share a bound: the maximum ever known."""
@@ -244,6 +247,22 @@
             for fact in facts
         ]
 
+    def _record_departure(self, fact: Fact) -> None:
+        """Record the notice of an engine, with the memory its runs hold."""
+        if not isinstance(fact, TargetFact):
+            return
+        if fact.phase is not TargetPhase.leaving:
+            return
+        now = self.clock.now()
+        tokens = sum(
+            build_placed_run_view(
+                known.run, now - known.placed
+            ).estimate_memory(self.token_rate)
+            for known in self.workload.list_runs()
+            if known.run.target == fact.target
+        )
+        self.departures.record(fact.service, fact.target, tokens, now)
+
     def _find_rules(self, service: ServiceId) -> ServiceRules | None:
         index = self.catalog.rules
         return None if index is None else index.find_service(service)
--- a/chicoryshunt/relay/holding.py
+++ b/chicoryshunt/relay/holding.py
@@ -25,7 +25,7 @@
         """Apply the rules in force; a retry has no time left to wait."""
         self.seconds: float = 0
         self._context = context
-        self._request = stream.request
+        self._stream = stream
         self._reserve = None if is_retry else _find_reserve(context, stream)
         self._reason: HoldReason | None = None
         self._last_held: float | None = None
@@ -61,7 +61,9 @@
         if waiter.can_wait:
             # Also the wait for the turn behind others that are held back.
             self._last_held = now
-        reason = self._reserve.find_hold(choice, now)
+        reason = self._reserve.find_hold(
+            choice, now, self._estimate_moving_tokens(now)
+        )
         if reason is not None:
             self._begin(reason, choice)
         return reason is not None
@@ -76,13 +78,21 @@
                 reason=self._reason.value,
             )
 
+    def _estimate_moving_tokens(self, now: float) -> float:
+        """Return the memory tokens to leave free for runs that move."""
+        if not self._stream.engine_rules.can_move:
+            return 0
+        return self._context.departures.estimate_group(
+            self._stream.service, now
+        )
+
     def _begin(self, reason: HoldReason, placed: Placed) -> None:
         if self._reason is not None:
             return
         self._reason = reason
         log_event(
             'run_held_back',
-            request=self._request,
+            request=self._stream.request,
             reason=reason.value,
             backlog_seconds=placed.backlog,
             free_tokens=placed.free_tokens,
--- a/tests/backlog_replay.py
+++ b/tests/backlog_replay.py
@@ -9,6 +9,7 @@
 from typing import cast
 from unittest.mock import MagicMock
 
+from chicoryshunt.dispatch.departures import Departures
 from chicoryshunt.dispatch.engines import (
     PREFILL_TOKENS_PER_SECOND,
     Engine,
@@ -162,6 +163,7 @@
         self.catalog = SimpleNamespace(rules=RuleIndex(build_rules(*routes)))
         self.prompt_guard = MagicMock(find_refusal=lambda _: None)
         self.workload = MagicMock(list_runs=list)
+        self.departures = Departures()
         self.cold = MagicMock()
         self.send = MagicMock()
         self.planned_stop: PlannedStop | None = None
--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -3,13 +3,14 @@
 import pytest
 
 from chicoryshunt.dispatch.backlog import estimate_backlog
+from chicoryshunt.dispatch.departures import Departures
 from chicoryshunt.dispatch.engines import Engine, Placed, choose_engine
 from chicoryshunt.dispatch.forecast import RunView
 from chicoryshunt.dispatch.reserve import HoldReason, Reserve, find_reserve
 from chicoryshunt.dispatch.waiting import WaitingRequest, WaitQueue
 from chicoryshunt.relay.planned_stop import PlannedStop
 from chicoryshunt.rules.model import Route
-from chicoryshunt.types import RequestId
+from chicoryshunt.types import RequestId, TargetId
 from tests.backlog_replay import (
     LONG,
     SERVICE,
@@ -172,3 +173,43 @@
     await find_engine(platform, LONG)
 
     assert platform.clock.now() == pytest.approx(0, abs=0.1)
+
+
+@pytest.mark.parametrize(
+    ('notices', 'tokens'),
+    [
+        ([('e1', 0), ('e2', 0.4)], 0),
+        ([('e1', 0), ('e2', 0.4), ('e3', 3)], 1500),
+        ([('e1', 0), ('e2', 3), ('e2', 4)], 1000),
+        ([('e1', 0), ('e2', 3), ('e3', 21), ('e4', 24)], 1000),
+    ],
+)
+def test_groups_that_left_lately_count(
+    notices: list[tuple[str, float]], tokens: float
+) -> None:
+    """One maintenance, a repeated notice or an old one reserves nothing."""
+    departures = Departures()
+    for name, now in notices:
+        departures.record(SERVICE, TargetId(name), 1000, now)
+
+    assert departures.estimate_group(SERVICE, notices[-1][1]) == tokens
+
+
+@pytest.mark.parametrize(
+    ('prompt', 'reason'), [(3000, None), (30000, HoldReason.room_for_moves)]
+)
+def test_room_is_left_for_runs_that_move(
+    prompt: int, reason: HoldReason | None
+) -> None:
+    """Runs of engines that leave together are lost if new ones take all."""
+    engines = [
+        build_engine(f'e{one}', build_run(4 * prompt // 5, age=9))
+        for one in range(3)
+    ]
+    reserve = Reserve(0.75, latest_event=3.6)
+
+    placed = choose_engine(engines, build_run(), HOME, TOKEN_RATE, 0.75)
+
+    assert isinstance(placed, Placed)
+    assert reserve.find_hold(placed, 0) is None
+    assert reserve.find_hold(placed, 0, moving_tokens=40000) is reason
