--- a/chicoryshunt/relay/placing.py
+++ b/chicoryshunt/relay/placing.py
@@ -231,7 +231,7 @@
             case NeverFits(need):
                 detail = f'no engine holds {need} tokens'
                 return refuse(Reason.no_capacity, detail)
-            case NoRoom(seconds) if seconds >= remaining + hold.seconds:
+            case NoRoom(seconds) if seconds >= remaining and not hold.seconds:
                 return self.refuse_no_capacity(
                     stream, 'no room in time', seconds
                 )
--- a/tests/backlog_replay.py
+++ b/tests/backlog_replay.py
@@ -5,8 +5,6 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field, replace
 from random import Random
-from types import SimpleNamespace
-from typing import cast
 from unittest.mock import MagicMock
 
 from chicoryshunt.dispatch.departures import Departures
@@ -19,11 +17,8 @@
 from chicoryshunt.dispatch.forecast import RunView
 from chicoryshunt.dispatch.reserve import Reserve, find_reserve
 from chicoryshunt.dispatch.waiting import WaitingRequest, WaitQueue
-from chicoryshunt.fleet.facts import TargetFact
 from chicoryshunt.metrics import Metrics
-from chicoryshunt.relay.context import RelayContext
 from chicoryshunt.relay.placing import Placer
-from chicoryshunt.relay.planned_stop import PlannedStop
 from chicoryshunt.rules.model import RequestType, Route, RouteId
 from chicoryshunt.rules.routing import RuleIndex
 from chicoryshunt.types import RequestId, ServiceId
@@ -152,54 +147,49 @@
     return now < one.first_event + generating
 
 
-class FakePlatform:
-    """What a placer needs of its context, with one engine's runs."""
-
-    def __init__(self, *runs: RunView, routes: tuple[Route, ...] = ()) -> None:
-        self.runs = runs
-        self.is_refilled = False
-        self.metrics = Metrics()
-        self.clock = SimpleNamespace(now=asyncio.get_running_loop().time)
-        self.catalog = SimpleNamespace(rules=RuleIndex(build_rules(*routes)))
-        self.prompt_guard = MagicMock(find_refusal=lambda _: None)
-        self.workload = MagicMock(list_runs=list)
-        self.departures = Departures()
-        self.cold = MagicMock()
-        self.send = MagicMock()
-        self.planned_stop: PlannedStop | None = None
-        self.data_centre = HOME
-        self.token_rate = TOKEN_RATE
-
-    def list_candidates(self, *_: object) -> list[TargetFact]:
-        """Return the only engine."""
-        return [build_fact('e1')]
-
-    def build_planned_engines(self, *_: object) -> list[Engine]:
-        """Return the engine; its runs age unless others replace them."""
-        now = 0 if self.is_refilled else self.clock.now()
-        aged = [replace(run, age=run.age + now) for run in self.runs]
+def build_context(*runs: RunView, is_refilled: bool = False) -> MagicMock:
+    """Return what a placer needs of its context, with one engine.
+
+    Its runs age unless others replace them.
+    """
+    get_time = asyncio.get_running_loop().time
+    context = MagicMock(
+        metrics=Metrics(),
+        departures=Departures(),
+        planned_stop=None,
+        data_centre=HOME,
+        token_rate=TOKEN_RATE,
+    )
+    context.clock.now = get_time
+    context.catalog.rules = RuleIndex(build_rules(LONG, SHORT))
+    context.prompt_guard.find_refusal.return_value = None
+    context.list_candidates.return_value = [build_fact('e1')]
+    context.workload.list_runs = list
+
+    def build_engines(*_: object) -> list[Engine]:
+        passed = 0 if is_refilled else get_time()
+        aged = [replace(run, age=run.age + passed) for run in runs]
         return [build_engine('e1', *aged, memory=90000)]
 
-    def keeps_cold_rate(self, *_: object) -> bool:
-        """Return that no engine is cold."""
-        return True
+    context.build_planned_engines = build_engines
+    return context
 
 
 async def find_engine(
-    platform: FakePlatform, route: Route, prompt: int = 3000
+    context: MagicMock, prompt: int = 3000, patience: float = 8
 ) -> object:
     """Return what a placer finds for a request that arrives now."""
-    now = platform.clock.now()
+    now = context.clock.now()
     stream = MagicMock(
         request=RequestId('r1'),
         service=SERVICE,
         view=build_run(prompt),
-        route=route,
+        route=LONG,
         deadline=now + 10,
         placed_at=0,
     )
-    stream.admitted.priority = route.priority
+    stream.admitted.priority = LONG.priority
     stream.incoming.received_at = now
-    stream.find_latest_start = lambda: now + 8
+    stream.find_latest_start = lambda: now + patience
     stream.find_latest_end = lambda *_: now + 8
-    return await Placer(cast(RelayContext, platform)).find_engine(stream, ())
+    return await Placer(context).find_engine(stream, ())
--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -16,7 +16,7 @@
     SERVICE,
     SHORT,
     TOKEN_RATE,
-    FakePlatform,
+    build_context,
     build_stream_route,
     count_late,
     find_engine,
@@ -136,43 +136,59 @@
 
 @on_virtual_loop
 async def test_a_hold_ends_with_a_placement() -> None:
-    platform = FakePlatform(BUSY, routes=ROUTES)
-    platform.is_refilled = True
+    context = build_context(BUSY, is_refilled=True)
 
-    found = await find_engine(platform, LONG)
+    found = await find_engine(context)
 
     assert found == build_fact('e1')
-    assert platform.clock.now() == pytest.approx(1.2, abs=0.1)
-    assert platform.metrics.get('held_back', reason='backlog') == 1
+    assert context.clock.now() == pytest.approx(1.2, abs=0.1)
+    assert context.metrics.get('held_back', reason='backlog') == 1
 
 
 @on_virtual_loop
 async def test_a_hold_ends_once_the_backlog_is_small() -> None:
-    platform = FakePlatform(BUSY, routes=ROUTES)
+    context = build_context(BUSY)
 
-    await find_engine(platform, LONG)
+    await find_engine(context)
 
-    assert platform.clock.now() == pytest.approx(1.7, abs=0.1)
+    assert context.clock.now() == pytest.approx(1.7, abs=0.1)
+
+
+@on_virtual_loop
+async def test_a_hold_is_no_reason_to_refuse() -> None:
+    """Memory fills up while a request is held, and is free again at 3 s.
+
+    The forecast of 8 s would refuse it with 7 s left of 8.5 s.
+    """
+    context = build_context(BUSY)
+    build = context.build_planned_engines
+    full = [build_engine('e1', build_run(30000, 3000, 3000, age=5))]
+    context.build_planned_engines = lambda *_: (
+        full if 1 <= context.clock.now() < 3 else build()
+    )
+
+    assert await find_engine(context, patience=8.5) == build_fact('e1')
+    assert context.clock.now() == pytest.approx(3, abs=0.1)
 
 
 @on_virtual_loop
 async def test_an_idle_fleet_holds_nothing_back() -> None:
-    platform = FakePlatform(routes=ROUTES)
+    context = build_context()
 
-    await find_engine(platform, LONG, prompt=9000)
+    await find_engine(context, prompt=9000)
 
-    assert platform.clock.now() == pytest.approx(0, abs=0.1)
+    assert context.clock.now() == pytest.approx(0, abs=0.1)
 
 
 @on_virtual_loop
 async def test_a_node_that_stops_holds_nothing_back() -> None:
     """It refuses requests that end too late, also if it held them."""
-    platform = FakePlatform(BUSY, routes=ROUTES)
-    platform.planned_stop = PlannedStop(lists_expire=99, end=99)
+    context = build_context(BUSY)
+    context.planned_stop = PlannedStop(lists_expire=99, end=99)
 
-    await find_engine(platform, LONG)
+    await find_engine(context)
 
-    assert platform.clock.now() == pytest.approx(0, abs=0.1)
+    assert context.clock.now() == pytest.approx(0, abs=0.1)
 
 
 @pytest.mark.parametrize(
