--- a/chicoryshunt/dispatch/engines.py
+++ b/chicoryshunt/dispatch/engines.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, replace
 
+from chicoryshunt.dispatch.backlog import estimate_backlog
 from chicoryshunt.dispatch.engine_pace import MAX_EQUAL_RATIO
 from chicoryshunt.dispatch.forecast import (
     HORIZONS,
@@ -34,7 +35,8 @@
 # Score penalty of an engine of unknown pace for a longer answer, where the
 # engines of the service differ; a slow engine scores worse in proportion.
 _UNKNOWN_PACE_PENALTY = 0.1
-# Runs older than this are assumed to have finished their prefill.
+# Runs older than this are assumed to have finished their prefill, unless the
+# backlog of their engine is longer than this.
 _MAX_PREFILL_SECONDS = 1.0
 
 
@@ -57,6 +59,11 @@
     longest_gap: float = 0
     is_pace_known: bool = True
 
+    @property
+    def prefill_rate(self) -> float:
+        """Return how many tokens of prompts are read per second."""
+        return PREFILL_TOKENS_PER_SECOND / self.slowness
+
     def has_long_gaps(self, run: RunView) -> bool:
         """Return whether the gaps here are too long for a run.
 
@@ -75,13 +82,21 @@
     """The engine chosen for a request; a lower ``score`` is better.
 
     ``has_long_gaps``: its gaps are too long for the run, and those of another
-    engine, which has no room, are not.
+    engine, which has no room, are not. ``backlog`` is the time in seconds until
+    the engine has prefilled the request, and ``exceeds_backlog`` is set if
+    every engine with room would exceed the bound. Of all engines together,
+    ``held_tokens`` are predicted to be held and ``free_tokens`` to be left
+    beside the request.
     """
 
     target: TargetId
     score: float
     slowness: float = 1
     has_long_gaps: bool = False
+    backlog: float = 0
+    exceeds_backlog: bool = False
+    held_tokens: float = 0
+    free_tokens: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,6 +124,7 @@
     demand: RunView,
     home: DataCentreId,
     token_rate: float,
+    max_backlog: float | None = None,
 ) -> EngineChoice:
     """Return the engine that is predicted to have the most room.
 
@@ -116,27 +132,30 @@
     the same engine, each counts what the other nodes have placed since, and
     each prefers its own data centre. ``token_rate`` is in tokens per second
     for one run on an engine of median pace. An engine whose gaps are too long
-    for the run is chosen only if no other has room.
+    for the run, or whose backlog would exceed ``max_backlog`` seconds, is
+    chosen only if no other has room.
     """
     needed = demand.prompt_tokens + demand.max_tokens
     if engines and all(one.memory_tokens < needed for one in engines):
         return NeverFits(needed)
-    fitting = []
-    waits = []
+    forecasts = [
+        _forecast(engine, demand, token_rate / engine.slowness)
+        for engine in engines
+    ]
     fastest = _find_fastest(engines)
-    for engine in engines:
-        rate = token_rate / engine.slowness
-        curve = forecast_run(demand, rate)
-        held = forecast_engine(engine.runs, rate)
-        if _fits(engine, held, curve, demand):
-            score = _score(engine, add_curves(held, curve), home)
-            score += _score_pace(engine, demand, fastest)
-            fitting.append(_build_placed(engine, demand, score))
-        else:
-            waits.append(_estimate_wait(engine, held, curve))
-    if fitting:
-        return _choose_best(fitting, engines, demand)
-    return NoRoom(min(waits, default=HORIZONS[-1]))
+    offers = [
+        _offer(one, demand, home, max_backlog, fastest)
+        for one in forecasts
+        if _fits(one, demand)
+    ]
+    if offers:
+        return replace(
+            _choose_best(offers, engines, demand),
+            held_tokens=sum(max(one.held) for one in forecasts),
+            free_tokens=_sum_free(forecasts)
+            - max(forecast_run(demand, token_rate)),
+        )
+    return NoRoom(min(map(_estimate_wait, forecasts), default=HORIZONS[-1]))
 
 
 @dataclass(frozen=True, slots=True)
@@ -159,58 +178,105 @@
     return other.request < own.request
 
 
-def _fits(
-    engine: Engine,
-    held: Curve,
-    curve: Curve,
-    demand: RunView,
-) -> bool:
+@dataclass(frozen=True, slots=True)
+class _Forecast:
+    """Memory tokens on an engine over time: now, of a request, and of both."""
+
+    engine: Engine
+    held: Curve
+    added: Curve
+    after: Curve
+
+
+def _forecast(engine: Engine, demand: RunView, token_rate: float) -> _Forecast:
+    held = forecast_engine(engine.runs, token_rate)
+    added = forecast_run(demand, token_rate)
+    return _Forecast(engine, held, added, add_curves(held, added))
+
+
+def _fits(one: _Forecast, demand: RunView) -> bool:
+    engine = one.engine
     running = len(engine.runs)
     if running >= engine.slots:
         return False
     limit = engine.memory_tokens * ADMISSION_FRACTION
     if demand.expected_tokens <= _SHORT_ANSWER_TOKENS:
         limit = engine.memory_tokens * _SHORT_ANSWER_FRACTION
-    return max(add_curves(held, curve)) <= limit or not running
+    return max(one.after) <= limit or not running
 
 
-def _estimate_wait(engine: Engine, held: Curve, curve: Curve) -> float:
-    limit = engine.memory_tokens * ADMISSION_FRACTION
-    horizon = find_fitting_horizon(held, curve, limit)
+def _estimate_wait(one: _Forecast) -> float:
+    limit = one.engine.memory_tokens * ADMISSION_FRACTION
+    horizon = find_fitting_horizon(one.held, one.added, limit)
     return HORIZONS[-1] if horizon is None else max(horizon, HORIZONS[1])
 
 
+def _offer(
+    one: _Forecast,
+    demand: RunView,
+    home: DataCentreId,
+    max_backlog: float | None,
+    fastest: float | None,
+) -> Placed:
+    """Return the placement of a request on an engine that has room."""
+    engine = one.engine
+    backlog = estimate_backlog(engine.runs, engine.prefill_rate)
+    finish = backlog + demand.prompt_tokens / engine.prefill_rate
+    is_bounded = max_backlog is not None and finish > max_backlog
+    score = _score(engine, one.after, home, backlog)
+    return Placed(
+        engine.target,
+        score + _score_pace(engine, demand, fastest),
+        engine.slowness,
+        engine.has_long_gaps(demand),
+        finish,
+        # A prompt that exceeds the bound by itself may use an idle engine.
+        exceeds_backlog=is_bounded and backlog > 0,
+    )
+
+
+def _build_sort_key(placed: Placed) -> tuple[bool, bool, float, TargetId]:
+    return (
+        placed.has_long_gaps,
+        placed.exceeds_backlog,
+        placed.score,
+        placed.target,
+    )
+
+
+def _sum_free(forecasts: Sequence[_Forecast]) -> float:
+    """Return the memory tokens that the runs on all engines leave free."""
+    return sum(
+        max(one.engine.memory_tokens * ADMISSION_FRACTION - max(one.held), 0)
+        for one in forecasts
+    )
+
+
 def _score(
     engine: Engine,
     after: Curve,
     home: DataCentreId,
+    backlog: float,
 ) -> float:
     """Return the score of placing a request here; lower is better."""
     used = max(after) / engine.memory_tokens
-    backlog = sum(
-        run.prompt_tokens
-        for run in engine.runs
-        if run.age < _MAX_PREFILL_SECONDS
-    )
-    rate = PREFILL_TOKENS_PER_SECOND / engine.slowness
-    backlog_score = backlog / rate / _FULL_BACKLOG_SECONDS
+    if backlog <= _MAX_PREFILL_SECONDS:
+        recent = sum(
+            run.prompt_tokens
+            for run in engine.runs
+            if run.age < _MAX_PREFILL_SECONDS
+        )
+        backlog = recent / engine.prefill_rate
+    backlog_score = backlog / _FULL_BACKLOG_SECONDS
     is_remote = engine.data_centre != home
     return used + backlog_score + engine.penalty + is_remote * _REMOTE_PENALTY
 
 
-def _build_placed(engine: Engine, demand: RunView, score: float) -> Placed:
-    return Placed(
-        engine.target, score, engine.slowness, engine.has_long_gaps(demand)
-    )
-
-
 def _choose_best(
     fitting: Sequence[Placed], engines: Sequence[Engine], demand: RunView
 ) -> Placed:
     """Return the best engine, one whose gaps are too long only if it must."""
-    best = min(
-        fitting, key=lambda one: (one.has_long_gaps, one.score, one.target)
-    )
+    best = min(fitting, key=_build_sort_key)
     if best.has_long_gaps and all(one.has_long_gaps(demand) for one in engines):
         return replace(best, has_long_gaps=False)
     return best
--- a/tests/test_pace_exchange.py
+++ b/tests/test_pace_exchange.py
@@ -11,6 +11,7 @@
 from chicoryshunt.dispatch.engines import Engine
 from chicoryshunt.fleet.messages import PaceNews, PaceNote
 from chicoryshunt.fleet.pace_exchange import PaceExchange
+from chicoryshunt.relay.holding import Hold
 from chicoryshunt.relay.pace_meter import PaceMeter
 from chicoryshunt.relay.placing import Placer
 from chicoryshunt.relay.stream import Stream
@@ -223,7 +224,8 @@
         waiter = SimpleNamespace(since=100, request='r')
         queue = self.placer._wait_queue
         queue.may_proceed = lambda *_: True  # type: ignore[method-assign]
-        return self.placer._try_place(self.stream, (), cast(Any, waiter))
+        hold = Hold(self.placer._context, self.stream, is_retry=True)
+        return self.placer._try_place(self.stream, (), cast(Any, waiter), hold)
 
 
 def test_a_long_run_waits_for_shorter_gaps() -> None:
