--- a/chicoryshunt/connection/upstream.py
+++ b/chicoryshunt/connection/upstream.py
@@ -55,6 +55,10 @@
     """The request failed before any byte of it was written."""
 
 
+class NotListeningError(NotSentError):
+    """No process accepts connections at the address of the target."""
+
+
 class ConnectionLostError(ChicoryshuntError):
     """The request failed after bytes of it may have been written."""
 
@@ -394,6 +398,9 @@
         self.opened += 1
         try:
             await self._connect(upstream)
+        except ConnectionRefusedError as error:
+            upstream.abort()
+            raise NotListeningError(f'{address}: {error!r}') from error
         except (TimeoutError, OSError) as error:
             upstream.abort()
             raise NotSentError(f'{address}: {error!r}') from error
--- a/chicoryshunt/dispatch/call_attempts.py
+++ b/chicoryshunt/dispatch/call_attempts.py
@@ -26,6 +26,7 @@
     failed = 'failed'
     lost = 'lost'
     not_run = 'not_run'
+    not_sent = 'not_sent'
 
 
 class Responder(Enum):
@@ -70,6 +71,7 @@
         self._answered: TargetId | None = None
         self._runs = 0
         self._refusals = 0
+        self._was_sent = False
         self._earliest = float('-inf')
 
     @property
@@ -87,6 +89,16 @@
         is_second = self._answered in self._hedges
         return Responder.second if is_second else Responder.first
 
+    @property
+    def is_retry(self) -> bool:
+        """Return whether another attempt would be a retry.
+
+        It is not after an attempt whose target never received the call: no
+        target gets more calls by it, and a retry that was spent for that
+        attempt still counts.
+        """
+        return bool(self._started) or self._was_sent
+
     def find_start(self) -> float | None:
         """Return when the next attempt may start, ``None`` for not at all.
 
@@ -118,8 +130,9 @@
         """Record how an attempt ended; after a failure the next may start."""
         self._started.pop(target)
         self._earliest = float('-inf')
+        self._was_sent = end is not AttemptEnd.not_sent
         match end:
-            case AttemptEnd.not_run:
+            case AttemptEnd.not_run | AttemptEnd.not_sent:
                 self._refusals += 1
             case AttemptEnd.answered if not self.is_answered:
                 self._answered = target
--- a/chicoryshunt/fleet/agent.py
+++ b/chicoryshunt/fleet/agent.py
@@ -13,6 +13,7 @@
 from chicoryshunt.fleet.crash_exchange import CrashExchange
 from chicoryshunt.fleet.discovery import Discovery
 from chicoryshunt.fleet.facts import Fact
+from chicoryshunt.fleet.outage_exchange import OutageExchange
 from chicoryshunt.fleet.pace_exchange import PaceExchange
 from chicoryshunt.fleet.rules_offers import RulesOffers
 from chicoryshunt.fleet.workload import Workload
@@ -54,12 +55,16 @@
         self.pace_exchange = PaceExchange(
             self.membership, broadcast, now, metrics
         )
+        self.outage_exchange = OutageExchange(
+            self.membership, broadcast, now, metrics
+        )
         broadcast.deliver_to(
             (
                 self.catalog_sync,
                 self.workload,
                 self.crash_exchange,
                 self.pace_exchange,
+                self.outage_exchange,
             )
         )
         self.rules_offers = RulesOffers(self.catalog, self.membership, rng)
@@ -76,6 +81,7 @@
             self.workload,
             self.crash_exchange,
             self.pace_exchange,
+            self.outage_exchange,
             broadcast,
             self.rules_offers,
         )
--- a/chicoryshunt/fleet/broadcast.py
+++ b/chicoryshunt/fleet/broadcast.py
@@ -9,6 +9,7 @@
     Beacon,
     CrashNews,
     FactNews,
+    OutageNews,
     PaceNews,
     RunList,
     RunNews,
@@ -18,7 +19,9 @@
 from chicoryshunt.nodes.core import Core, Message, Send
 from chicoryshunt.types import DataCentreId, VmId
 
-BroadcastMessage = Beacon | CrashNews | FactNews | RunNews | RunList | PaceNews
+BroadcastMessage = (
+    Beacon | CrashNews | FactNews | OutageNews | PaceNews | RunList | RunNews
+)
 
 
 class Passed(msgspec.Struct, frozen=True, array_like=True, tag='bp'):
--- a/chicoryshunt/fleet/messages.py
+++ b/chicoryshunt/fleet/messages.py
@@ -103,6 +103,12 @@
     """Request for the crashes that a node knows."""
 
 
+class OutageNews(msgspec.Struct, frozen=True, array_like=True, tag='on'):
+    """Targets that accepted no connection of a node."""
+
+    targets: tuple[TargetId, ...]
+
+
 class ClearedParts(msgspec.Struct, frozen=True, array_like=True, tag='cc'):
     """Answer to the report of a crash: suspects that are harmless."""
 
--- a/chicoryshunt/platform/node.py
+++ b/chicoryshunt/platform/node.py
@@ -173,6 +173,7 @@
             retry_budget=FleetRetryBudget(self._settings.bounds.retries),
             crash_exchange=fleet_agent.crash_exchange,
             pace_exchange=fleet_agent.pace_exchange,
+            outage_exchange=fleet_agent.outage_exchange,
             metrics=self._metrics,
             send=fleet_agent.send,
             publish=fleet_agent.publish,
--- a/chicoryshunt/relay/calls.py
+++ b/chicoryshunt/relay/calls.py
@@ -162,7 +162,7 @@
         if call.deadline - self._context.clock.now() < _MIN_SEND_SECONDS:
             return None
         if target is None or (
-            call.attempts.tried and not self._spend_retry(call.service)
+            call.attempts.is_retry and not self._spend_retry(call.service)
         ):
             return None
         return target
@@ -232,12 +232,14 @@
             async with asyncio.timeout(timeout):
                 return await self._context.pool.acquire(target.address, idle)
         except TimeoutError:
-            return NotRun(target.target, 'no connection before the deadline')
-        except NotSentError as error:
-            self._context.record_outcome(
-                target.target, ExchangeOutcome.unreachable
+            return NotRun(
+                target.target,
+                'no connection before the deadline',
+                was_sent=False,
             )
-            return NotRun(target.target, str(error))
+        except NotSentError as error:
+            self._context.record_unreachable(target.target, error)
+            return NotRun(target.target, str(error), was_sent=False)
 
     async def _exchange(
         self,
@@ -327,8 +329,8 @@
 def _record_attempt(call: _Call, attempt: Attempt) -> AttemptEnd:
     """Keep what an attempt contributes to the result of the call."""
     match attempt:
-        case NotRun():
-            return AttemptEnd.not_run
+        case NotRun(was_sent=was_sent):
+            return AttemptEnd.not_run if was_sent else AttemptEnd.not_sent
         case Doubtful():
             call.uncertain = attempt
             return AttemptEnd.lost
--- a/chicoryshunt/relay/context.py
+++ b/chicoryshunt/relay/context.py
@@ -13,13 +13,16 @@
 from random import Random
 
 from chicoryshunt.clock import Clock
-from chicoryshunt.connection.upstream import UpstreamPool
+from chicoryshunt.connection.upstream import (
+    NotListeningError,
+    NotSentError,
+    UpstreamPool,
+)
 from chicoryshunt.dispatch.cold_start import (
     ColdShare,
     ColdStartLimiter,
     allows_announced,
 )
-from chicoryshunt.dispatch.departures import Departures
 from chicoryshunt.dispatch.engines import Announcement, Engine
 from chicoryshunt.dispatch.forecast import (
     DEFAULT_TOKENS_PER_SECOND,
@@ -32,6 +35,7 @@
 from chicoryshunt.fleet.crash_exchange import CrashExchange
 from chicoryshunt.fleet.facts import Fact, TargetFact, TargetPhase
 from chicoryshunt.fleet.messages import PlacedRun
+from chicoryshunt.fleet.outage_exchange import OutageExchange
 from chicoryshunt.fleet.pace_exchange import PaceExchange
 from chicoryshunt.fleet.workload import Workload
 from chicoryshunt.membership.membership import Membership
@@ -47,6 +51,8 @@
 _TOKEN_RATE_WEIGHT = 0.05
 _MIN_TOKEN_RATE = 20.0
 _MAX_TOKEN_RATE = 500.0
+# A node whose last connection is older does not know whether its link works.
+_LINK_PROOF_SECONDS = 0.5
 _NO_REQUESTS: frozenset[RequestId] = frozenset()
 
 
@@ -64,6 +70,7 @@
     retry_budget: FleetRetryBudget
     crash_exchange: CrashExchange
     pace_exchange: PaceExchange
+    outage_exchange: OutageExchange
     metrics: Metrics
     send: Callable[[Iterable[Send]], None]
     publish: Callable[[Sequence[Fact]], None]
@@ -76,11 +83,12 @@
     token_rate: float = DEFAULT_TOKENS_PER_SECOND
     planned_stop: PlannedStop | None = None
     max_nodes: int = 1
+    # Monotonic time at which a target last accepted a connection.
+    last_connected: float = float('-inf')
     # Where the runs of leaving engines are to continue.
     planned_destinations: dict[RequestId, TargetId] = field(
         default_factory=dict
     )
-    departures: Departures = field(default_factory=Departures)
 
     def __post_init__(self) -> None:
         """Build the guard that all generations share."""
@@ -93,7 +101,6 @@
             metrics=self.metrics,
             send=self.send,
         )
-        self.catalog.subscribe(self._record_departure)
 
     def count_nodes(self) -> int:
         """Return how many nodes may share a bound: the maximum ever known."""
@@ -108,7 +115,7 @@
     ) -> list[TargetFact]:
         """Return the targets that may receive a request of a service now.
 
-        Paused targets are excluded, unless all of them are paused.
+        Paused targets and those that are down are excluded, unless all are.
         """
         now = self.clock.now()
         rules = self._find_rules(service)
@@ -123,6 +130,7 @@
             fact
             for fact in usable
             if not self.outliers.is_paused(fact.target, now)
+            and not self.outage_exchange.is_down(fact.target, now)
         ]
         return sound or usable
 
@@ -149,7 +157,10 @@
             'Exchanges with targets, by how they ended',
             outcome=outcome.value,
         )
-        if self.outliers.record(target, outcome, self.clock.now()):
+        now = self.clock.now()
+        if outcome is ExchangeOutcome.answered:
+            self.outage_exchange.record_answer(target, now)
+        if self.outliers.record(target, outcome, now):
             log_event(
                 'target_paused',
                 target=target,
@@ -157,6 +168,22 @@
                 failure_rate=self.outliers.get_failure_rate(target),
             )
 
+    def record_connected(self, target: TargetId) -> None:
+        """Record that a target accepted a connection."""
+        self.last_connected = self.clock.now()
+
+    def record_unreachable(self, target: TargetId, error: NotSentError) -> None:
+        """Count a target that accepts no connection, and tell other nodes.
+
+        A target that does not answer at all may be cut off from this node
+        only, so that counts if this node has just connected to another.
+        """
+        self.record_outcome(target, ExchangeOutcome.unreachable)
+        now = self.clock.now()
+        is_linked = now - self.last_connected < _LINK_PROOF_SECONDS
+        if is_linked or isinstance(error, NotListeningError):
+            self.send(self.outage_exchange.report(target, now))
+
     def is_leaving(self, target: TargetId) -> bool:
         """Return whether a target is leaving, gone or unknown."""
         fact = self.catalog.find(target)
@@ -262,22 +289,6 @@
             for fact in facts
         ]
 
-    def _record_departure(self, fact: Fact) -> None:
-        """Record the notice of an engine, with the memory its runs hold."""
-        if not isinstance(fact, TargetFact):
-            return
-        if fact.phase is not TargetPhase.leaving:
-            return
-        now = self.clock.now()
-        tokens = sum(
-            build_placed_run_view(
-                known.run, now - known.placed
-            ).estimate_memory(self.token_rate)
-            for known in self.workload.list_runs()
-            if known.run.target == fact.target
-        )
-        self.departures.record(fact.service, fact.target, tokens, now)
-
     def _find_rules(self, service: ServiceId) -> ServiceRules | None:
         index = self.catalog.rules
         return None if index is None else index.find_service(service)
--- a/chicoryshunt/relay/gateway.py
+++ b/chicoryshunt/relay/gateway.py
@@ -293,6 +293,7 @@
         if fact.phase is TargetPhase.gone:
             self._context.outliers.forget(fact.target)
             self._context.pace_exchange.table.forget(fact.target)
+        self._context.outage_exchange.forget(fact.target)
 
 
 def is_success(result: Result) -> bool:
--- a/chicoryshunt/relay/generations.py
+++ b/chicoryshunt/relay/generations.py
@@ -104,6 +104,8 @@
         """Move runs off an engine that is no longer ready."""
         if fact.phase is TargetPhase.ready:
             return
+        if fact.phase is TargetPhase.leaving:
+            self._placer.record_departure(fact)
         asyncio.get_running_loop().call_later(
             _PLAN_DELAY_SECONDS,
             self._plan_moves,
@@ -139,8 +141,10 @@
     async def _run(self, stream: Stream) -> Result:
         tried: list[TargetId] = []
         uncertain_count = 0
+        sent_count = 0
+        is_retry = False
         while True:
-            target = await self._find_next(stream, tried)
+            target = await self._find_next(stream, tried, is_retry=is_retry)
             if isinstance(target, Verdict):
                 if uncertain_count:
                     # An earlier attempt may have run, whatever stops this one.
@@ -153,8 +157,11 @@
             if isinstance(opened, Leg):
                 return await self._relay_stream(stream, opened)
             uncertain_count += isinstance(opened, Doubtful)
+            # An attempt that no engine received is no retry, nor a refusal.
+            is_retry = not isinstance(opened, NotRun) or opened.was_sent
+            sent_count += is_retry
             ended = self._resolve_failure(
-                stream, opened, len(tried), uncertain_count
+                stream, opened, sent_count, uncertain_count
             )
             if ended is not None:
                 return ended
@@ -163,9 +170,11 @@
         self,
         stream: Stream,
         tried: list[TargetId],
+        *,
+        is_retry: bool,
     ) -> TargetFact | Verdict:
         target = await self._placer.find_engine(stream, tried)
-        if isinstance(target, Verdict) or not tried:
+        if isinstance(target, Verdict) or not is_retry:
             return target
         if self._placer.spend_retry(stream):
             return target
--- a/chicoryshunt/relay/holding.py
+++ b/chicoryshunt/relay/holding.py
@@ -1,5 +1,6 @@
 """Holds back requests that can wait, and records for how long."""
 
+from chicoryshunt.dispatch.departures import Departures
 from chicoryshunt.dispatch.engines import EngineChoice, Placed
 from chicoryshunt.dispatch.reserve import HoldReason, Reserve, find_reserve
 from chicoryshunt.dispatch.waiting import WaitingRequest
@@ -20,12 +21,18 @@
     """
 
     def __init__(
-        self, context: RelayContext, stream: Stream, *, is_retry: bool
+        self,
+        context: RelayContext,
+        stream: Stream,
+        departures: Departures,
+        *,
+        is_retry: bool,
     ) -> None:
         """Apply the rules in force; a retry has no time left to wait."""
         self.seconds: float = 0
         self._context = context
         self._stream = stream
+        self._departures = departures
         self._reserve = None if is_retry else _find_reserve(context, stream)
         self._reason: HoldReason | None = None
         self._last_held: float | None = None
@@ -92,9 +99,7 @@
         """Return the memory tokens to leave free for runs that move."""
         if not self._stream.engine_rules.can_move:
             return 0
-        return self._context.departures.estimate_group(
-            self._stream.service, now
-        )
+        return self._departures.estimate_group(self._stream.service, now)
 
     def _begin(self, reason: HoldReason, placed: Placed) -> None:
         if self._reason is not None:
--- a/chicoryshunt/relay/leg.py
+++ b/chicoryshunt/relay/leg.py
@@ -267,8 +267,9 @@
     try:
         upstream = await context.pool.open(target.address)
     except NotSentError as error:
-        context.record_outcome(target.target, ExchangeOutcome.unreachable)
-        return NotRun(target.target, str(error))
+        context.record_unreachable(target.target, error)
+        return NotRun(target.target, str(error), was_sent=False)
+    context.record_connected(target.target)
     outgoing = context.codec.encode(incoming, params)
     watch = LegWatch(
         context, incoming, target, params.team, leg, context.clock.now()
--- a/chicoryshunt/relay/placing.py
+++ b/chicoryshunt/relay/placing.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Iterable, Sequence
 
+from chicoryshunt.dispatch.departures import Departures
 from chicoryshunt.dispatch.engines import (
     ANNOUNCE_DELAY_SECONDS,
     Announcement,
@@ -19,7 +20,7 @@
 from chicoryshunt.events import log_routine
 from chicoryshunt.fleet.facts import TargetFact
 from chicoryshunt.fleet.messages import PlacedRun
-from chicoryshunt.relay.context import RelayContext
+from chicoryshunt.relay.context import RelayContext, build_placed_run_view
 from chicoryshunt.relay.holding import Hold
 from chicoryshunt.relay.planned_stop import refuse_stopping
 from chicoryshunt.relay.stream import Stream
@@ -49,6 +50,7 @@
         """Start without waiting requests."""
         self._context = context
         self._wait_queue = WaitQueue()
+        self._departures = Departures()
 
     async def find_engine(
         self,
@@ -62,7 +64,9 @@
             self._context.clock.now(),
             stream.route.target_latency,
         )
-        hold = Hold(self._context, stream, is_retry=bool(tried))
+        hold = Hold(
+            self._context, stream, self._departures, is_retry=bool(tried)
+        )
         try:
             while True:
                 self._wait_queue.add(waiter)
@@ -91,6 +95,19 @@
             return _find_fact(facts, choice.target)
         return None
 
+    def record_departure(self, fact: TargetFact) -> None:
+        """Record the notice of an engine, with the memory its runs hold."""
+        context = self._context
+        now = context.clock.now()
+        tokens = sum(
+            build_placed_run_view(
+                known.run, now - known.placed
+            ).estimate_memory(context.token_rate)
+            for known in context.workload.list_runs()
+            if known.run.target == fact.target
+        )
+        self._departures.record(fact.service, fact.target, tokens, now)
+
     def announce_run(self, stream: Stream, target: TargetId) -> None:
         """Announce to the other nodes which engine a run is on."""
         context = self._context
--- a/chicoryshunt/relay/results.py
+++ b/chicoryshunt/relay/results.py
@@ -19,10 +19,14 @@
 
 @dataclass(frozen=True, slots=True)
 class NotRun:
-    """The request provably did not run at a target."""
+    """The request provably did not run at a target.
+
+    ``was_sent``: the target may have received it, and refused it.
+    """
 
     target: TargetId
     detail: str
+    was_sent: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/call_builders.py
+++ b/tests/call_builders.py
@@ -138,6 +138,7 @@
             retry_budget=self.budget,
             crash_exchange=node.crash_exchange,
             pace_exchange=node.pace_exchange,
+            outage_exchange=node.outage_exchange,
             metrics=Metrics(),
             send=_drop,
             publish=_drop,
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -15,6 +15,7 @@
 from chicoryshunt.fleet.discovery import Discovery
 from chicoryshunt.fleet.facts import Revision, TargetFact, TargetPhase
 from chicoryshunt.fleet.messages import PlacedRun
+from chicoryshunt.fleet.outage_exchange import OutageExchange
 from chicoryshunt.fleet.pace_exchange import PaceExchange
 from chicoryshunt.fleet.rules_offers import RulesOffers
 from chicoryshunt.fleet.workload import Workload
@@ -168,12 +169,16 @@
         self.pace_exchange = PaceExchange(
             self.membership, broadcast, now, Metrics()
         )
+        self.outage_exchange = OutageExchange(
+            self.membership, broadcast, now, Metrics()
+        )
         broadcast.deliver_to(
             (
                 self.catalog_sync,
                 self.workload,
                 self.crash_exchange,
                 self.pace_exchange,
+                self.outage_exchange,
             )
         )
         self.rules_offers = RulesOffers(self.catalog, self.membership, rng)
@@ -186,6 +191,7 @@
                 self.workload,
                 self.crash_exchange,
                 self.pace_exchange,
+                self.outage_exchange,
                 broadcast,
                 self.rules_offers,
             ),
--- a/tests/test_pace_exchange.py
+++ b/tests/test_pace_exchange.py
@@ -8,6 +8,7 @@
 import pytest
 
 from chicoryshunt.clock import ManualClock
+from chicoryshunt.dispatch.departures import Departures
 from chicoryshunt.dispatch.engines import Engine
 from chicoryshunt.fleet.messages import PaceNews, PaceNote
 from chicoryshunt.fleet.pace_exchange import PaceExchange
@@ -224,7 +225,9 @@
         waiter = SimpleNamespace(since=100, request='r')
         queue = self.placer._wait_queue
         queue.may_proceed = lambda *_: True  # type: ignore[method-assign]
-        hold = Hold(self.placer._context, self.stream, is_retry=True)
+        hold = Hold(
+            self.placer._context, self.stream, Departures(), is_retry=True
+        )
         return self.placer._try_place(self.stream, (), cast(Any, waiter), hold)
 
 
