Serve waiting requests in one order over the fleet

Nodes report which requests wait, and a request that has room yields to those of other nodes that precede it. Teams beyond their share go after others.

--- a/chicoryshunt/dispatch/engines.py
+++ b/chicoryshunt/dispatch/engines.py
@@ -106,6 +106,19 @@
     return NoRoom(min(waits, default=HORIZONS[-1]))
 
 
+def list_free_memory(
+    engines: Sequence[Engine], demand: RunView, token_rate: float
+) -> list[float]:
+    """Return the free memory tokens of each engine with room for a run."""
+    curve = forecast_run(demand, token_rate)
+    free = []
+    for engine in engines:
+        held = forecast_engine(engine.runs, token_rate)
+        if _fits(engine, held, curve, demand):
+            free.append(engine.memory_tokens * ADMISSION_FRACTION - max(held))
+    return free
+
+
 @dataclass(frozen=True, slots=True)
 class Announcement:
     """A run that was just placed on an engine, at ``placed`` seconds."""
--- a/chicoryshunt/dispatch/waiting.py
+++ b/chicoryshunt/dispatch/waiting.py
@@ -1,8 +1,17 @@
 """Decides which waiting request may take memory that became free."""
 
+from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass, field
+from typing import Generic, TypeVar
 
-from chicoryshunt.types import RequestId
+from chicoryshunt.dispatch.forecast import RunView
+from chicoryshunt.dispatch.service_order import (
+    Claim,
+    TeamHash,
+    WaitingGroup,
+    YieldBudget,
+)
+from chicoryshunt.types import RequestId, ServiceId
 
 # After this fraction of its target latency, a large request is no longer
 # overtaken by smaller ones; otherwise it would starve.
@@ -35,7 +44,51 @@
         return now - self.since > self.target_latency
 
 
-class WaitQueue:
+@dataclass(slots=True, kw_only=True)
+class FleetWaiter(WaitingRequest):
+    """A waiting request that has a place in the order of the fleet.
+
+    ``is_passed_over`` is set once others went first for its team's share.
+    """
+
+    claim: Claim
+    service: ServiceId
+    view: RunView
+    yields: YieldBudget = field(default_factory=YieldBudget)
+    is_passed_over: bool = False
+
+    def record_room(self, now: float, *, has_room: bool) -> None:
+        """Record whether an engine has room; without room, a yield ends."""
+        self.is_blocked = not has_room
+        if not has_room:
+            self.yields.stop(now)
+
+    def build_group(self) -> WaitingGroup:
+        """Return the request as a group of one."""
+        return WaitingGroup(
+            self.claim, 1, self.view.prompt_tokens, self.view.expected_tokens
+        )
+
+    def is_next(
+        self,
+        others: Iterable['FleetWaiter'],
+        over: Collection[TeamHash],
+        now: float,
+    ) -> bool:
+        """Return whether it precedes the others of its service and node."""
+        key = self.claim.build_key(over, now)
+        return all(
+            other.claim.service != self.claim.service
+            or other.claim.build_key(over, now) >= key
+            or other.may_be_overtaken(now)
+            for other in others
+        )
+
+
+_Waiter = TypeVar('_Waiter', bound=WaitingRequest)
+
+
+class WaitQueue(Generic[_Waiter]):
     """Requests of this node that found no engine with room.
 
     A burst may fill all memory for seconds. Requests go in order of priority;
@@ -46,21 +99,25 @@
 
     def __init__(self) -> None:
         """Create an empty queue."""
-        self._waiting: dict[RequestId, WaitingRequest] = {}
+        self._waiting: dict[RequestId, _Waiter] = {}
 
     def __len__(self) -> int:
         """Return the number of waiting requests."""
         return len(self._waiting)
 
-    def add(self, entry: WaitingRequest) -> None:
+    def __iter__(self) -> Iterator[_Waiter]:
+        """Iterate over the waiting requests."""
+        return iter(self._waiting.values())
+
+    def add(self, entry: _Waiter) -> None:
         """Add a waiting request."""
         self._waiting[entry.request] = entry
 
-    def remove(self, entry: WaitingRequest) -> None:
+    def remove(self, entry: _Waiter) -> None:
         """Remove a request that was placed or abandoned."""
         self._waiting.pop(entry.request, None)
 
-    def may_proceed(self, entry: WaitingRequest, now: float) -> bool:
+    def may_proceed(self, entry: _Waiter, now: float) -> bool:
         """Return whether a request that fits may be placed now."""
         key = _sort_key(entry, now)
         return all(
--- a/chicoryshunt/fleet/agent.py
+++ b/chicoryshunt/fleet/agent.py
@@ -11,6 +11,7 @@
 from chicoryshunt.fleet.catalog import Catalog
 from chicoryshunt.fleet.catalog_sync import CatalogSync
 from chicoryshunt.fleet.crash_exchange import CrashExchange
+from chicoryshunt.fleet.demand import Demand
 from chicoryshunt.fleet.discovery import Discovery
 from chicoryshunt.fleet.facts import Fact
 from chicoryshunt.fleet.rules_offers import RulesOffers
@@ -50,8 +51,14 @@
         self.crash_exchange = CrashExchange(
             self.membership, broadcast, now, rng
         )
+        self.demand = Demand(self.membership, broadcast, self.workload, now)
         broadcast.deliver_to(
-            (self.catalog_sync, self.workload, self.crash_exchange)
+            (
+                self.catalog_sync,
+                self.workload,
+                self.crash_exchange,
+                self.demand,
+            )
         )
         self.rules_offers = RulesOffers(self.catalog, self.membership, rng)
         links = Links()
@@ -66,6 +73,7 @@
             self.catalog_sync,
             self.workload,
             self.crash_exchange,
+            self.demand,
             broadcast,
             self.rules_offers,
         )
--- a/chicoryshunt/fleet/broadcast.py
+++ b/chicoryshunt/fleet/broadcast.py
@@ -8,6 +8,7 @@
 from chicoryshunt.fleet.messages import (
     Beacon,
     CrashNews,
+    DemandNews,
     FactNews,
     RunList,
     RunNews,
@@ -17,7 +18,9 @@
 from chicoryshunt.nodes.core import Core, Message, Send
 from chicoryshunt.types import DataCentreId, VmId
 
-BroadcastMessage = Beacon | CrashNews | FactNews | RunNews | RunList
+BroadcastMessage = (
+    Beacon | CrashNews | DemandNews | FactNews | RunNews | RunList
+)
 
 
 class Passed(msgspec.Struct, frozen=True, array_like=True, tag='bp'):
--- /dev/null
+++ b/chicoryshunt/fleet/demand.py
@@ -0,0 +1,240 @@
+"""Requests that wait at the nodes of the fleet."""
+
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator, Sequence
+from dataclasses import dataclass
+
+from chicoryshunt.dispatch.service_order import (
+    Claim,
+    ServiceHash,
+    TeamHash,
+    WaitingGroup,
+)
+from chicoryshunt.fleet.broadcast import Broadcast
+from chicoryshunt.fleet.messages import DemandGroup, DemandNews
+from chicoryshunt.fleet.workload import Workload
+from chicoryshunt.membership.membership import Membership
+from chicoryshunt.nodes.core import Message, Send
+from chicoryshunt.types import VmId, VmState
+
+# Groups in one message; with the notes they stay below the largest datagram.
+MAX_GROUPS = 16
+_INTERVAL_SECONDS = 0.25
+# In a larger fleet the interval grows with it, so that no node receives more
+# messages than it would from this many nodes.
+_REPORTING_NODES = 40
+_MIN_VALID_SECONDS = 1.0
+_VALID_INTERVALS = 3
+# A transit time beyond this is a clock that was set anew, as by a restart.
+_MAX_TRANSIT_SECONDS = 60.0
+# The shortest transit grows by this share of the time, more than clocks drift.
+_CLOCK_DRIFT = 0.001
+_MILLISECONDS = 1000
+# What was placed since the news is counted again after this time.
+_COLLECT_SECONDS = 0.02
+
+Summarise = Callable[[float], Sequence[WaitingGroup]]
+
+
+@dataclass(frozen=True, slots=True)
+class _NodeNews:
+    """Groups of a node; times in monotonic seconds."""
+
+    groups: tuple[WaitingGroup, ...]
+    sent: float
+    until: float
+
+
+@dataclass(slots=True)
+class _SenderClock:
+    """Clock of another node, compared with this one.
+
+    ``offset`` is the smallest difference between arrival and sending lately.
+    """
+
+    offset: float
+    sent: float
+    received: float
+
+    def measure_delay(self, sent: float, now: float) -> float | None:
+        """Return the extra transit time of a message, ``None`` if outdated.
+
+        A message is outdated if it was sent before one that has arrived.
+        """
+        allowed = self.offset + (now - self.received) * _CLOCK_DRIFT
+        delay = now - sent - allowed
+        if delay > _MAX_TRANSIT_SECONDS:
+            allowed = now - sent
+        elif sent <= self.sent:
+            return None
+        self.offset = min(allowed, now - sent)
+        self.sent = sent
+        self.received = now
+        return now - sent - self.offset
+
+
+class Demand:
+    """Core that tells all nodes which requests wait, and where.
+
+    Load pattern: requests wait at dozens of nodes for the same engines.
+    Nothing is sent while no request waits.
+    """
+
+    message_types = (DemandNews,)
+
+    def __init__(
+        self,
+        membership: Membership,
+        broadcast: Broadcast,
+        workload: Workload,
+        now: float,
+    ) -> None:
+        """Start without news; drop the news of nodes that are gone."""
+        self._workload = workload
+        self._membership = membership
+        self._broadcast = broadcast
+        self._summarise: Summarise = _summarise_none
+        self._next_report = now
+        self._has_reported = False
+        self._news: dict[VmId, _NodeNews] = {}
+        self._clocks: dict[VmId, _SenderClock] = {}
+        self._groups: tuple[WaitingGroup, ...] = ()
+        self._collect_at: float = 0
+        membership.subscribe(self._handle_vm_state)
+
+    def report_with(self, summarise: Summarise) -> None:
+        """Report the groups that ``summarise(now)`` returns."""
+        self._summarise = summarise
+
+    def list_groups(self, now: float) -> tuple[WaitingGroup, ...]:
+        """Return the requests that wait at other nodes, by valid news.
+
+        Those that were placed since the news do not count.
+        """
+        if self._news and now >= self._collect_at:
+            self._collect(now)
+        return self._groups
+
+    def receive(
+        self, sender: VmId, message: Message, now: float
+    ) -> Iterator[Send]:
+        """Store what waits at another node."""
+        if isinstance(message, DemandNews) and sender != self._membership.own:
+            delay = self._measure_delay(sender, message.sent, now)
+            if delay is not None:
+                self._store(sender, message, now - delay)
+                self._collect(now)
+        return iter(())
+
+    def tick(self, now: float) -> Iterator[Send]:
+        """Report what waits here when that is due, and once its end."""
+        if now < self._next_report:
+            return
+        groups = self._summarise(now)
+        if not groups and not self._has_reported:
+            return
+        self._next_report = now + self._find_interval()
+        self._has_reported = bool(groups)
+        yield from self._broadcast.send_to_all(
+            DemandNews(now, tuple(_encode(group, now) for group in groups))
+        )
+
+    def handle_pause(self, now: float, paused_seconds: float) -> None:
+        """Drop all news, which may have changed since."""
+        self._news.clear()
+        self._clocks.clear()
+        self._groups = ()
+
+    def _find_interval(self) -> float:
+        count = self._membership.roster.published_count
+        return _INTERVAL_SECONDS * max(1, count / _REPORTING_NODES)
+
+    def _measure_delay(
+        self, sender: VmId, sent: float, now: float
+    ) -> float | None:
+        clock = self._clocks.get(sender)
+        if clock is None:
+            self._clocks[sender] = _SenderClock(now - sent, sent, now)
+            return 0
+        return clock.measure_delay(sent, now)
+
+    def _store(self, sender: VmId, news: DemandNews, sent: float) -> None:
+        """Store news that was sent at a time of this node's clock."""
+        valid = max(
+            _MIN_VALID_SECONDS, self._find_interval() * _VALID_INTERVALS
+        )
+        self._news.pop(sender, None)
+        if news.groups:
+            groups = tuple(_decode(group, sent) for group in news.groups)
+            self._news[sender] = _NodeNews(groups, sent, sent + valid)
+
+    def _collect(self, now: float) -> None:
+        """Collect the groups of all valid news without what was placed."""
+        self._news = {
+            sender: news
+            for sender, news in self._news.items()
+            if news.until >= now
+        }
+        placed: Counter[VmId] = Counter()
+        for known in self._workload.list_runs():
+            news = self._news.get(known.node)
+            if news is not None and known.placed > news.sent:
+                placed[known.node] += 1
+        groups: list[WaitingGroup] = []
+        for sender, news in self._news.items():
+            groups.extend(_drop_placed(news.groups, placed[sender]))
+        self._groups = tuple(groups)
+        self._collect_at = now + _COLLECT_SECONDS
+
+    def _handle_vm_state(self, vm: VmId, state: VmState) -> None:
+        if state is VmState.gone:
+            self._clocks.pop(vm, None)
+            if self._news.pop(vm, None) is not None:
+                self._groups = ()
+                self._collect_at = 0
+
+
+def _summarise_none(now: float) -> tuple[WaitingGroup, ...]:
+    return ()
+
+
+def _drop_placed(
+    groups: Iterable[WaitingGroup], placed: int
+) -> Iterator[WaitingGroup]:
+    """Yield what is left of groups once the first requests were placed."""
+    for group in groups:
+        dropped = min(placed, group.count)
+        placed -= dropped
+        if not dropped:
+            yield group
+        elif dropped < group.count:
+            yield group.keep(group.count - dropped)
+
+
+def _encode(group: WaitingGroup, now: float) -> DemandGroup:
+    claim = group.claim
+    return DemandGroup(
+        claim.priority,
+        claim.team,
+        group.count,
+        group.prompt_tokens,
+        round((now - claim.arrived) * _MILLISECONDS),
+        round((claim.late_at - now) * _MILLISECONDS),
+        group.expected_tokens,
+        round((claim.first_at - now) * _MILLISECONDS),
+        claim.service,
+    )
+
+
+def _decode(group: DemandGroup, sent: float) -> WaitingGroup:
+    claim = Claim(
+        ServiceHash(group.service),
+        group.priority,
+        TeamHash(group.team),
+        sent - group.age / _MILLISECONDS,
+        sent + group.time_left / _MILLISECONDS,
+        sent + group.time_to_first / _MILLISECONDS,
+    )
+    return WaitingGroup(
+        claim, max(group.count, 1), group.prompt_tokens, group.expected_tokens
+    )
--- a/chicoryshunt/fleet/messages.py
+++ b/chicoryshunt/fleet/messages.py
@@ -8,7 +8,10 @@
 
 
 class PlacedRun(msgspec.Struct, frozen=True, array_like=True):
-    """A run on an engine; ``age`` is in seconds since it was placed."""
+    """A run on an engine; ``age`` is in seconds since it was placed.
+
+    ``team`` is a hash of 32 bits; 0 stands for no team, or an unknown one.
+    """
 
     request: RequestId
     target: TargetId
@@ -16,6 +19,7 @@
     expected_tokens: int
     max_tokens: int
     age: float
+    team: int = 0
 
 
 class RunNews(msgspec.Struct, frozen=True, array_like=True, tag='wn'):
@@ -93,3 +97,32 @@
     """Answer to the report of a crash: suspects that are harmless."""
 
     parts: tuple[PartKey, ...]
+
+
+class DemandGroup(msgspec.Struct, frozen=True, array_like=True):
+    """Similar requests that wait at a node; tokens are their sums.
+
+    The times are in milliseconds, for the oldest request: since it arrived,
+    until its target latency passes, and until it goes first in any case.
+    ``team`` and ``service`` are hashes of 32 bits.
+    """
+
+    priority: int
+    team: int
+    count: int
+    prompt_tokens: int
+    age: int
+    time_left: int
+    expected_tokens: int
+    time_to_first: int
+    service: int
+
+
+class DemandNews(msgspec.Struct, frozen=True, array_like=True, tag='dn'):
+    """The requests that wait at a node, most urgent first.
+
+    ``sent`` is the time of the sender's clock in monotonic seconds.
+    """
+
+    sent: float
+    groups: tuple[DemandGroup, ...] = ()
--- a/chicoryshunt/platform/node.py
+++ b/chicoryshunt/platform/node.py
@@ -172,6 +172,7 @@
             codec=PlatformTargetCodec(),
             retry_budget=FleetRetryBudget(self._settings.bounds.retries),
             crash_exchange=fleet_agent.crash_exchange,
+            demand=fleet_agent.demand,
             metrics=self._metrics,
             send=fleet_agent.send,
             publish=fleet_agent.publish,
--- a/chicoryshunt/relay/context.py
+++ b/chicoryshunt/relay/context.py
@@ -29,6 +29,7 @@
 from chicoryshunt.events import log_event
 from chicoryshunt.fleet.catalog import Catalog
 from chicoryshunt.fleet.crash_exchange import CrashExchange
+from chicoryshunt.fleet.demand import Demand
 from chicoryshunt.fleet.facts import Fact, TargetFact, TargetPhase
 from chicoryshunt.fleet.messages import PlacedRun
 from chicoryshunt.fleet.workload import Workload
@@ -61,6 +62,7 @@
     codec: TargetCodec
     retry_budget: FleetRetryBudget
     crash_exchange: CrashExchange
+    demand: Demand
     metrics: Metrics
     send: Callable[[Iterable[Send]], None]
     publish: Callable[[Sequence[Fact]], None]
--- a/chicoryshunt/relay/placing.py
+++ b/chicoryshunt/relay/placing.py
@@ -7,6 +7,7 @@
 from chicoryshunt.dispatch.engines import (
     ANNOUNCE_DELAY_SECONDS,
     Announcement,
+    Engine,
     EngineChoice,
     NeverFits,
     NoRoom,
@@ -14,11 +15,13 @@
     choose_engine,
     has_precedence,
 )
-from chicoryshunt.dispatch.waiting import WaitingRequest, WaitQueue
+from chicoryshunt.dispatch.service_order import hash_team
+from chicoryshunt.dispatch.waiting import FleetWaiter
 from chicoryshunt.events import log_routine
 from chicoryshunt.fleet.facts import TargetFact
 from chicoryshunt.fleet.messages import PlacedRun
 from chicoryshunt.relay.context import RelayContext
+from chicoryshunt.relay.fleet_queue import POLL_SECONDS, FleetQueue
 from chicoryshunt.relay.planned_stop import refuse_stopping
 from chicoryshunt.relay.stream import Stream
 from chicoryshunt.relay.stream_actions import (
@@ -28,8 +31,6 @@
 from chicoryshunt.types import Reason, Seconds, TargetId
 from chicoryshunt.verdict import Verdict, refuse
 
-# Interval at which a waiting request looks for an engine with room.
-_POLL_SECONDS = 0.03
 # Retries are spread over this share of the expected wait.
 _RETRY_JITTER = 0.5
 # Callers respect a retry time up to this share of the time they have left.
@@ -44,7 +45,7 @@
     def __init__(self, context: RelayContext) -> None:
         """Start without waiting requests."""
         self._context = context
-        self._wait_queue = WaitQueue()
+        self._wait_queue = FleetQueue(context)
 
     async def find_engine(
         self,
@@ -52,12 +53,7 @@
         tried: Sequence[TargetId],
     ) -> TargetFact | Verdict:
         """Return an engine once one has room; refuse if none will in time."""
-        waiter = WaitingRequest(
-            stream.request,
-            stream.admitted.priority,
-            self._context.clock.now(),
-            stream.route.target_latency,
-        )
+        waiter = self._wait_queue.enter(stream)
         try:
             while True:
                 self._wait_queue.add(waiter)
@@ -68,9 +64,10 @@
                     stream, waiter, found
                 ):
                     return found
-                await asyncio.sleep(_POLL_SECONDS)
+                await asyncio.sleep(POLL_SECONDS)
         finally:
             self._wait_queue.remove(waiter)
+            self._wait_queue.record_wait(waiter)
 
     def find_other_engine(self, stream: Stream) -> TargetFact | None:
         """Return an engine with room that has not failed or refused the run."""
@@ -79,7 +76,7 @@
         if state is not None:
             tried.add(state.engine.target)
         facts = self._context.list_candidates(stream.service, tried)
-        choice = self._choose(stream, facts)
+        choice = self._choose(stream, self._build_engines(stream, facts))
         if isinstance(choice, Placed):
             return _find_fact(facts, choice.target)
         return None
@@ -96,6 +93,7 @@
             stream.view.expected_tokens,
             stream.view.max_tokens,
             now - stream.placed_at,
+            hash_team(stream.admitted.team_id),
         )
         context.send(context.workload.place(run, now))
 
@@ -144,7 +142,7 @@
     async def _announce(
         self,
         stream: Stream,
-        waiter: WaitingRequest,
+        waiter: FleetWaiter,
         target: TargetFact,
     ) -> bool:
         """Announce a placement; return whether it holds against others."""
@@ -198,7 +196,7 @@
         self,
         stream: Stream,
         tried: Iterable[TargetId],
-        waiter: WaitingRequest,
+        waiter: FleetWaiter,
     ) -> TargetFact | Verdict | None:
         refusal = self._context.prompt_guard.find_refusal(stream.incoming)
         if refusal is not None:
@@ -207,11 +205,14 @@
         if not self._ends_before_stop(stream, now):
             return refuse_stopping()
         facts = self._context.list_candidates(stream.service, tried)
-        choice = self._choose(stream, facts)
+        engines = self._build_engines(stream, facts)
+        choice = self._choose(stream, engines)
         remaining = stream.find_latest_start() - now
-        waiter.is_blocked = not isinstance(choice, Placed)
+        waiter.record_room(now, has_room=isinstance(choice, Placed))
         match choice:
-            case Placed(target) if self._wait_queue.may_proceed(waiter, now):
+            case Placed(target) if self._wait_queue.may_proceed(
+                waiter, engines, now
+            ):
                 self._log_placed(stream, choice, now - waiter.since)
                 return _find_fact(facts, target)
             case NeverFits(need):
@@ -233,11 +234,16 @@
             stream.deadline,
         )
 
-    def _choose(
+    def _build_engines(
         self, stream: Stream, facts: Iterable[TargetFact]
+    ) -> list[Engine]:
+        return self._context.build_planned_engines(facts, stream.engine_rules)
+
+    def _choose(
+        self, stream: Stream, engines: Sequence[Engine]
     ) -> EngineChoice:
         return choose_engine(
-            self._context.build_planned_engines(facts, stream.engine_rules),
+            engines,
             stream.view,
             self._context.data_centre,
             self._context.token_rate,
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -12,6 +12,7 @@
 from chicoryshunt.fleet.catalog import Catalog
 from chicoryshunt.fleet.catalog_sync import CatalogSync
 from chicoryshunt.fleet.crash_exchange import CrashExchange
+from chicoryshunt.fleet.demand import Demand
 from chicoryshunt.fleet.discovery import Discovery
 from chicoryshunt.fleet.facts import Revision, TargetFact, TargetPhase
 from chicoryshunt.fleet.messages import PlacedRun
@@ -163,8 +164,14 @@
         self.crash_exchange = CrashExchange(
             self.membership, broadcast, now, rng
         )
+        self.demand = Demand(self.membership, broadcast, self.workload, now)
         broadcast.deliver_to(
-            (self.catalog_sync, self.workload, self.crash_exchange)
+            (
+                self.catalog_sync,
+                self.workload,
+                self.crash_exchange,
+                self.demand,
+            )
         )
         self.rules_offers = RulesOffers(self.catalog, self.membership, rng)
         self.discovery = Discovery(vm, seeds, self.membership, Links(), rng)
@@ -175,6 +182,7 @@
                 self.catalog_sync,
                 self.workload,
                 self.crash_exchange,
+                self.demand,
                 broadcast,
                 self.rules_offers,
             ),
--- a/tests/test_engine_choice.py
+++ b/tests/test_engine_choice.py
@@ -202,7 +202,7 @@
 
 @pytest.mark.parametrize('seed', range(5))
 def test_the_most_urgent_goes_first(seed: int) -> None:
-    queue = WaitQueue()
+    queue: WaitQueue[WaitingRequest] = WaitQueue()
     requests = [_build_waiting(f'r{one}', one % 3, one) for one in range(9)]
     Random(seed).shuffle(requests)
     for request in requests:
@@ -219,7 +219,7 @@
 
 
 def test_late_requests_go_after_those_in_time() -> None:
-    queue = WaitQueue()
+    queue: WaitQueue[WaitingRequest] = WaitQueue()
     late = _build_waiting('late', 1, since=0)
     fresh = _build_waiting('fresh', 1, since=9)
     queue.add(late)
@@ -231,7 +231,7 @@
 
 def test_a_large_request_is_overtaken_for_a_while() -> None:
     """A large request waits among small ones that always fit."""
-    queue = WaitQueue()
+    queue: WaitQueue[WaitingRequest] = WaitQueue()
     large = _build_waiting('large', 1, since=0)
     large.is_blocked = True
     small = _build_waiting('small', 1, since=0.1)
