Refuse requests early that would wait in vain, and keep their places

A request without room is refused at once if the work that precedes it in the fleet takes longer than its caller waits. All nodes note the refusal, and the caller takes its place in the order when it returns.

--- a/chicoryshunt/dispatch/service_order.py
+++ b/chicoryshunt/dispatch/service_order.py
@@ -23,11 +23,16 @@
 # A request yields for at most this long in total, so that wrong news of other
 # nodes costs little.
 MAX_YIELD_SECONDS = 0.15
+# Placements of this time give the rate; fewer than the minimum say too little.
+_RATE_SECONDS = 5.0
+_MIN_PLACEMENTS = 3
+_MIN_RATE_SECONDS = 0.1
 # Tolerance for sums of intervals.
 _EPSILON = 1e-6
 
 # The part of the order that does not depend on the time of arrival.
 Rank = tuple[bool, int, bool, bool]
+NoteKey = NewType('NoteKey', int)
 OrderKey = tuple[Rank, float, RequestId]
 _NO_REQUEST = RequestId('')
 
@@ -118,6 +123,84 @@
         self._since = None
 
 
+@dataclass(frozen=True, slots=True)
+class ReturnNote:
+    """A refused request whose caller may return at a monotonic time."""
+
+    key: NoteKey
+    group: WaitingGroup
+    return_at: float
+
+
+class PlacementRate:
+    """Rate at which memory becomes free for requests that wait."""
+
+    def __init__(self) -> None:
+        """Start without placements."""
+        self._placed: dict[RequestId, tuple[float, int]] = {}
+
+    def record(self, request: RequestId, tokens: int, now: float) -> None:
+        """Record the placement of a request that waited, once for each."""
+        self._drop_old(now)
+        self._placed[request] = (now, tokens)
+
+    def measure(self, now: float) -> float | None:
+        """Return the memory tokens per second, ``None`` if too few are known.
+
+        The time counts from the oldest to the newest placement: while callers
+        are away, nothing is placed although room is free.
+        """
+        self._drop_old(now)
+        if len(self._placed) < _MIN_PLACEMENTS:
+            return None
+        times = [at for at, _ in self._placed.values()]
+        intervals = len(times) - 1
+        seconds = max(max(times) - min(times), _MIN_RATE_SECONDS)
+        tokens = sum(count for _, count in self._placed.values())
+        return tokens / len(times) * intervals / seconds
+
+    def _drop_old(self, now: float) -> None:
+        self._placed = {
+            request: placed
+            for request, placed in self._placed.items()
+            if now - placed[0] <= _RATE_SECONDS
+        }
+
+
+class ReturnTimes:
+    """Spreads the times at which refused callers return to a node.
+
+    Load pattern: a burst of refused callers would return at the same moment.
+    """
+
+    def __init__(self) -> None:
+        """Start without refused callers."""
+        self._last: float = 0
+
+    def reserve(
+        self, wait: float, spacing: float, longest: float, now: float
+    ) -> float:
+        """Return after how many seconds a caller is to return.
+
+        Callers return in their order, ``spacing`` seconds after the one
+        before, which is the time in which room for one becomes free, but
+        after ``longest`` seconds at the latest.
+        """
+        self._last = min(max(now + wait, self._last + spacing), now + longest)
+        return self._last - now
+
+
+def hash_request(
+    team: TeamId | None, route: str, parts: Iterable[str]
+) -> NoteKey | None:
+    """Return the key of a request's note, ``None`` if it names no parts."""
+    prompt = tuple(parts)
+    if not prompt:
+        return None
+    named = (team or '', route, *prompt)
+    return NoteKey(xxhash.xxh3_64_intdigest('\0'.join(named).encode()))
+
+
 def hash_team(team: TeamId | None) -> TeamHash:
     """Return the hash of a team, 0 for none."""
     if team is None:
--- a/chicoryshunt/dispatch/waiting.py
+++ b/chicoryshunt/dispatch/waiting.py
@@ -1,5 +1,6 @@
 """Decides which waiting request may take memory that became free."""
 
+import math
 from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass, field
 from typing import Generic, TypeVar
@@ -7,6 +8,7 @@
 from chicoryshunt.dispatch.forecast import RunView
 from chicoryshunt.dispatch.service_order import (
     Claim,
+    NoteKey,
     TeamHash,
     WaitingGroup,
     YieldBudget,
@@ -56,13 +58,25 @@
     view: RunView
     yields: YieldBudget = field(default_factory=YieldBudget)
     is_passed_over: bool = False
+    key: NoteKey | None = None
+    looked_at: float = -math.inf
+    room_since: float = math.inf
+    checked_at: float = -math.inf
 
     def record_room(self, now: float, *, has_room: bool) -> None:
         """Record whether an engine has room; without room, a yield ends."""
         self.is_blocked = not has_room
-        if not has_room:
+        self.looked_at = now
+        if has_room:
+            self.room_since = min(self.room_since, now)
+        else:
+            self.room_since = math.inf
             self.yields.stop(now)
 
+    def has_missed(self, room_since: float) -> bool:
+        """Return whether it has not looked since room became free."""
+        return self.is_blocked and self.looked_at < room_since
+
     def build_group(self) -> WaitingGroup:
         """Return the request as a group of one."""
         return WaitingGroup(
--- a/chicoryshunt/fleet/demand.py
+++ b/chicoryshunt/fleet/demand.py
@@ -1,17 +1,24 @@
 """Requests that wait at the nodes of the fleet."""
 
+import math
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass
 
 from chicoryshunt.dispatch.service_order import (
     Claim,
+    NoteKey,
+    ReturnNote,
     ServiceHash,
     TeamHash,
     WaitingGroup,
 )
 from chicoryshunt.fleet.broadcast import Broadcast
-from chicoryshunt.fleet.messages import DemandGroup, DemandNews
+from chicoryshunt.fleet.messages import (
+    DemandGroup,
+    DemandNews,
+    DemandNote,
+)
 from chicoryshunt.fleet.workload import Workload
 from chicoryshunt.membership.membership import Membership
 from chicoryshunt.nodes.core import Message, Send
@@ -19,6 +26,13 @@
 
 # Groups in one message; with the notes they stay below the largest datagram.
 MAX_GROUPS = 16
+_NOTES_PER_MESSAGE = 10
+_RETURNED_PER_MESSAGE = 10
+# Each note is sent so often, as datagrams may be lost.
+_NOTE_SENDS = 2
+_MAX_NOTES = 256
+# Notes are kept for this long after their callers may return.
+_NOTE_SECONDS = 1.0
 _INTERVAL_SECONDS = 0.25
 # In a larger fleet the interval grows with it, so that no node receives more
 # messages than it would from this many nodes.
@@ -100,6 +114,10 @@
         self._clocks: dict[VmId, _SenderClock] = {}
         self._groups: tuple[WaitingGroup, ...] = ()
         self._collect_at: float = 0
+        self._notes: dict[NoteKey, ReturnNote] = {}
+        # How often each own note, or its end, is still to be sent.
+        self._unsent: Counter[NoteKey] = Counter()
+        self._unsent_returned: Counter[NoteKey] = Counter()
         membership.subscribe(self._handle_vm_state)
 
     def report_with(self, summarise: Summarise) -> None:
@@ -111,10 +129,33 @@
 
         Those that were placed since the news do not count.
         """
-        if self._news and now >= self._collect_at:
+        if self._news and now > self._collect_at:
             self._collect(now)
         return self._groups
 
+    def add_note(self, note: ReturnNote, now: float) -> None:
+        """Note a refusal of this node, and tell the other nodes."""
+        self._keep_note(note, now)
+        self._unsent[note.key] = _NOTE_SENDS
+        self._unsent_returned.pop(note.key, None)
+
+    def take_note(self, key: NoteKey, now: float) -> ReturnNote | None:
+        """Return and end the note of a request whose caller is back."""
+        note = self._notes.pop(key, None)
+        if note is None or now > note.return_at + _NOTE_SECONDS:
+            return None
+        self._unsent.pop(key, None)
+        self._unsent_returned[key] = _NOTE_SENDS
+        return note
+
+    def list_notes(self, now: float) -> list[WaitingGroup]:
+        """Return the requests whose callers may return, by valid notes."""
+        return [
+            note.group
+            for note in self._notes.values()
+            if now <= note.return_at + _NOTE_SECONDS
+        ]
+
     def receive(
         self, sender: VmId, message: Message, now: float
     ) -> Iterator[Send]:
@@ -123,6 +164,7 @@
             delay = self._measure_delay(sender, message.sent, now)
             if delay is not None:
                 self._store(sender, message, now - delay)
+                self._store_notes(message, now - delay, now)
                 self._collect(now)
         return iter(())
 
@@ -131,12 +173,19 @@
         if now < self._next_report:
             return
         groups = self._summarise(now)
-        if not groups and not self._has_reported:
+        notes = self._take_unsent_notes()
+        returned = _take(self._unsent_returned, _RETURNED_PER_MESSAGE)
+        if not (groups or notes or returned or self._has_reported):
             return
         self._next_report = now + self._find_interval()
         self._has_reported = bool(groups)
         yield from self._broadcast.send_to_all(
-            DemandNews(now, tuple(_encode(group, now) for group in groups))
+            DemandNews(
+                now,
+                tuple(_encode(group, now) for group in groups),
+                tuple(_encode_note(note, now) for note in notes),
+                returned,
+            )
         )
 
     def handle_pause(self, now: float, paused_seconds: float) -> None:
@@ -144,6 +193,8 @@
         self._news.clear()
         self._clocks.clear()
         self._groups = ()
+        self._notes.clear()
+        self._unsent.clear()
 
     def _find_interval(self) -> float:
         count = self._membership.roster.published_count
@@ -168,6 +219,22 @@
             groups = tuple(_decode(group, sent) for group in news.groups)
             self._news[sender] = _NodeNews(groups, sent, sent + valid)
 
+    def _store_notes(self, news: DemandNews, sent: float, now: float) -> None:
+        for one in news.notes:
+            self._keep_note(_decode_note(one, sent), now)
+        for key in news.returned:
+            self._notes.pop(NoteKey(key), None)
+
+    def _keep_note(self, note: ReturnNote, now: float) -> None:
+        self._notes[note.key] = note
+        if len(self._notes) > _MAX_NOTES:
+            first = min(self._notes.values(), key=_get_return)
+            self._notes.pop(first.key)
+
+    def _take_unsent_notes(self) -> list[ReturnNote]:
+        keys = _take(self._unsent, _NOTES_PER_MESSAGE)
+        return [self._notes[key] for key in keys if key in self._notes]
+
     def _collect(self, now: float) -> None:
         """Collect the groups of all valid news without what was placed."""
         self._news = {
@@ -184,7 +251,8 @@
         for sender, news in self._news.items():
             groups.extend(_drop_placed(news.groups, placed[sender]))
         self._groups = tuple(groups)
-        self._collect_at = now + _COLLECT_SECONDS
+        ends = [valid.until for valid in self._news.values()]
+        self._collect_at = min((now + _COLLECT_SECONDS, *ends))
 
     def _handle_vm_state(self, vm: VmId, state: VmState) -> None:
         if state is VmState.gone:
@@ -211,6 +279,50 @@
             yield group.keep(group.count - dropped)
 
 
+def _take(unsent: Counter[NoteKey], limit: int) -> tuple[NoteKey, ...]:
+    """Return keys that are due, and count one sending of each."""
+    keys = tuple(unsent)[:limit]
+    for key in keys:
+        unsent[key] -= 1
+        if not unsent[key]:
+            unsent.pop(key)
+    return keys
+
+
+def _get_return(note: ReturnNote) -> float:
+    return note.return_at
+
+
+def _encode_note(note: ReturnNote, now: float) -> DemandNote:
+    group = note.group
+    return DemandNote(
+        note.key,
+        group.claim.priority,
+        group.claim.team,
+        group.prompt_tokens,
+        round((now - group.claim.arrived) * _MILLISECONDS),
+        round((note.return_at - now) * _MILLISECONDS),
+        group.expected_tokens,
+        group.claim.service,
+    )
+
+
+def _decode_note(note: DemandNote, sent: float) -> ReturnNote:
+    claim = Claim(
+        ServiceHash(note.service),
+        note.priority,
+        TeamHash(note.team),
+        sent - note.age / _MILLISECONDS,
+        late_at=math.inf,
+        first_at=math.inf,
+    )
+    return ReturnNote(
+        NoteKey(note.key),
+        WaitingGroup(claim, 1, note.prompt_tokens, note.expected_tokens),
+        sent + note.time_to_return / _MILLISECONDS,
+    )
+
+
 def _encode(group: WaitingGroup, now: float) -> DemandGroup:
     claim = group.claim
     return DemandGroup(
--- a/chicoryshunt/fleet/messages.py
+++ b/chicoryshunt/fleet/messages.py
@@ -11,6 +11,7 @@
     """A run on an engine; ``age`` is in seconds since it was placed.
 
     ``team`` is a hash of 32 bits; 0 stands for no team, or an unknown one.
+    ``has_waited``: no engine had room for it at first.
     """
 
     request: RequestId
@@ -20,6 +21,7 @@
     max_tokens: int
     age: float
     team: int = 0
+    has_waited: bool = False
 
 
 class RunNews(msgspec.Struct, frozen=True, array_like=True, tag='wn'):
@@ -118,11 +120,31 @@
     service: int
 
 
+class DemandNote(msgspec.Struct, frozen=True, array_like=True):
+    """A refused request whose caller may return.
+
+    The times are in milliseconds: since it arrived first, and until it may
+    return. ``key`` is a hash of 64 bits of its team, route and prompt parts.
+    """
+
+    key: int
+    priority: int
+    team: int
+    prompt_tokens: int
+    age: int
+    time_to_return: int
+    expected_tokens: int
+    service: int
+
+
 class DemandNews(msgspec.Struct, frozen=True, array_like=True, tag='dn'):
     """The requests that wait at a node, most urgent first.
 
     ``sent`` is the time of the sender's clock in monotonic seconds.
+    ``returned`` are the keys of notes whose callers are back.
     """
 
     sent: float
     groups: tuple[DemandGroup, ...] = ()
+    notes: tuple[DemandNote, ...] = ()
+    returned: tuple[int, ...] = ()
--- a/chicoryshunt/fleet/workload.py
+++ b/chicoryshunt/fleet/workload.py
@@ -54,6 +54,7 @@
         self._empty_rounds = 0
         self._next_repeat = now + _REPEAT_SECONDS
         self._subscribers: list[Callable[[], None]] = []
+        self._placed_subscribers: list[Callable[[KnownRun], None]] = []
         self.arrivals = Arrivals()
         membership.subscribe(self._handle_vm_state)
 
@@ -61,6 +62,10 @@
         """Call ``notify()`` after runs were placed, moved or ended."""
         self._subscribers.append(notify)
 
+    def on_placed(self, notify: Callable[[KnownRun], None]) -> None:
+        """Call ``notify(known)`` for each run that becomes known."""
+        self._placed_subscribers.append(notify)
+
     def list_runs(self) -> Iterator[KnownRun]:
         """Iterate over the runs of all nodes."""
         return iter(self._runs.values())
@@ -145,6 +150,9 @@
             self._remove(run.request)
         self._runs[run.request] = KnownRun(run, sender, now - run.age)
         self._requests.setdefault(sender, set()).add(run.request)
+        if known is None:
+            for notify in self._placed_subscribers:
+                notify(self._runs[run.request])
 
     def _remove(self, request: RequestId) -> bool:
         """Remove a run; return whether it was known."""
--- a/chicoryshunt/relay/fleet_queue.py
+++ b/chicoryshunt/relay/fleet_queue.py
@@ -1,16 +1,22 @@
 """The requests that wait at this node, in the order of the whole fleet."""
 
+import math
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from chicoryshunt.dispatch.engines import Engine, list_free_memory
 from chicoryshunt.dispatch.service_order import (
     Claim,
+    NoteKey,
+    PlacementRate,
     Preceding,
+    ReturnNote,
+    ReturnTimes,
     TeamHash,
     WaitingGroup,
     find_teams_over,
     group_requests,
+    hash_request,
     hash_service,
     hash_team,
     should_yield,
@@ -20,6 +26,7 @@
 from chicoryshunt.events import log_event
 from chicoryshunt.fleet.demand import MAX_GROUPS
 from chicoryshunt.fleet.facts import TargetFact
+from chicoryshunt.fleet.workload import KnownRun
 from chicoryshunt.relay.context import RelayContext, build_placed_run_view
 from chicoryshunt.relay.stream import Stream
 from chicoryshunt.types import ServiceId
@@ -33,6 +40,9 @@
 # Share of its caller's patience after which a request goes first.
 _STARVING_SHARE = 0.5
 
+# The wait of a request is estimated again after this time.
+_ESTIMATE_SECONDS = 0.25
+
 _NO_TEAMS: frozenset[TeamHash] = frozenset()
 
 
@@ -44,6 +54,22 @@
     found_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class Backlog:
+    """What a request waits behind, and for how many seconds, if known.
+
+    ``rate`` is in memory tokens per second.
+    """
+
+    preceding: Preceding
+    rate: float | None = None
+
+    @property
+    def wait(self) -> float:
+        """Return the estimated wait in seconds, 0 if the rate is unknown."""
+        return self.preceding.tokens / self.rate if self.rate else 0
+
+
 class FleetQueue:
     """Requests that wait at this node beside those at other nodes.
 
@@ -55,7 +81,10 @@
         self._context = context
         self._queue: WaitQueue[FleetWaiter] = WaitQueue()
         self._over: dict[ServiceId, _TeamsOver] = {}
+        self._rates: dict[ServiceId, PlacementRate] = {}
+        self._return_times: dict[ServiceId, ReturnTimes] = {}
         context.demand.report_with(self.summarise)
+        context.workload.on_placed(self._record_placement)
 
     def __len__(self) -> int:
         """Return how many requests wait at this node."""
@@ -63,12 +92,18 @@
 
     def enter(self, stream: Stream) -> FleetWaiter:
         """Return the queue's entry for a request."""
+        claim = _build_claim(stream)
+        key = None
+        if self._is_ordered():
+            key = _hash_request(stream)
+            claim = self._apply_note(claim, key)
         return FleetWaiter(
             request=stream.request,
             priority=stream.admitted.priority,
             since=self._context.clock.now(),
             target_latency=stream.route.target_latency,
-            claim=_build_claim(stream),
+            claim=claim,
+            key=key,
             service=stream.service,
             view=stream.view,
         )
@@ -100,18 +135,73 @@
         if len(self._queue) <= 1 and not groups:
             return True
         over = self._find_teams_over(waiter.service, now)
-        if not waiter.is_next(self._queue, over, now):
+        if self._goes_next_here(waiter, over, engines, now):
+            preceding = self._sum_preceding(waiter, groups, over, engines, now)
+            if not preceding.count or not self._yield(waiter, preceding, now):
+                return True
+        else:
             waiter.yields.stop(now)
-            if waiter.is_next(self._queue, _NO_TEAMS, now):
-                self._count_passed_over(waiter)
-            return False
-        preceding = self._sum_preceding(waiter, over, engines, now)
-        if not preceding.count or not self._yield(waiter, preceding, now):
-            return True
-        if not self._sum_preceding(waiter, _NO_TEAMS, engines, now).count:
-            self._count_passed_over(waiter)
+        if waiter.claim.team in over:
+            self._check_passed_over(waiter, engines, now)
         return False
 
+    def is_estimate_due(self, waiter: FleetWaiter, now: float) -> bool:
+        """Return whether the wait of a request is to be estimated again."""
+        if now - waiter.checked_at < _ESTIMATE_SECONDS:
+            return False
+        return self._is_ordered()
+
+    def estimate_backlog(self, waiter: FleetWaiter, now: float) -> Backlog:
+        """Return what a request without room waits behind in the fleet."""
+        if not self._is_ordered():
+            return Backlog(Preceding())
+        waiter.checked_at = now
+        demand = self._context.demand
+        groups = [*demand.list_groups(now), *demand.list_notes(now)]
+        groups += [
+            other.build_group() for other in self._queue if other is not waiter
+        ]
+        over = self._find_teams_over(waiter.service, now) if groups else ()
+        rate = self._rates.get(waiter.service)
+        return Backlog(
+            sum_preceding(waiter.claim, groups, over, now),
+            None if rate is None else rate.measure(now),
+        )
+
+    def reserve_return(
+        self,
+        waiter: FleetWaiter,
+        backlog: Backlog,
+        forecast: float,
+        longest: float,
+        now: float,
+    ) -> float:
+        """Return after how many seconds a refused caller is to return.
+
+        It is at most ``longest``.
+        """
+        seconds = max(backlog.wait, forecast)
+        if not backlog.rate:
+            return min(seconds, longest)
+        times = self._return_times.setdefault(waiter.service, ReturnTimes())
+        tokens = waiter.build_group().tokens
+        return times.reserve(
+            min(seconds, longest), tokens / backlog.rate, longest, now
+        )
+
+    def note_refusal(
+        self, waiter: FleetWaiter, seconds: float, now: float
+    ) -> None:
+        """Note at all nodes that a refused caller may return in seconds."""
+        if waiter.key is None:
+            return
+        group = waiter.build_group()
+        claim = replace(group.claim, late_at=math.inf, first_at=math.inf)
+        self._context.demand.add_note(
+            ReturnNote(waiter.key, replace(group, claim=claim), now + seconds),
+            now,
+        )
+
     def summarise(self, now: float) -> list[WaitingGroup]:
         """Return the groups of requests that wait here, for other nodes."""
         if not len(self._queue) or not self._is_ordered():
@@ -129,30 +219,67 @@
             (one.build_group() for one in reported), over, now, MAX_GROUPS
         )
 
+    def _apply_note(self, claim: Claim, key: NoteKey | None) -> Claim:
+        """Give the place of a request that was refused before, if noted."""
+        now = self._context.clock.now()
+        note = None
+        if key is not None:
+            note = self._context.demand.take_note(key, now)
+        if note is None:
+            return claim
+        arrived = min(note.group.claim.arrived, claim.arrived)
+        log_event(
+            'request_returned',
+            request=claim.request,
+            seconds=claim.arrived - arrived,
+            early_seconds=note.return_at - now,
+        )
+        return replace(claim, arrived=arrived)
+
+    def _record_placement(self, known: KnownRun) -> None:
+        if not known.run.has_waited:
+            return
+        fact = self._context.catalog.find(known.run.target)
+        if fact is not None:
+            rate = self._rates.setdefault(fact.service, PlacementRate())
+            tokens = known.run.prompt_tokens + known.run.expected_tokens
+            rate.record(known.run.request, tokens, known.placed)
+
     def _is_ordered(self) -> bool:
         """Return whether the rules name several teams."""
         index = self._context.catalog.rules
         return index is not None and len(index.rules.teams) > 1
 
-    def _sum_preceding(
+    def _goes_next_here(
         self,
         waiter: FleetWaiter,
         over: frozenset[TeamHash],
         engines: Sequence[Engine],
         now: float,
-    ) -> Preceding:
-        """Return the requests that would take all room, also at other nodes.
+    ) -> bool:
+        """Return whether no request of this node goes first.
 
-        Those of this node count that found no room when they last looked.
+        Requests that found no room may look once more before a later one
+        takes the room that became free.
         """
-        groups = [
-            *self._context.demand.list_groups(now),
-            *(
-                other.build_group()
-                for other in self._queue
-                if other is not waiter and other.may_be_overtaken(now)
-            ),
+        if not waiter.is_next(self._queue, over, now):
+            return False
+        missed = [
+            other.build_group()
+            for other in self._queue
+            if other.has_missed(waiter.room_since)
         ]
+        return not self._sum_preceding(waiter, missed, over, engines, now).count
+
+    def _sum_preceding(
+        self,
+        waiter: FleetWaiter,
+        groups: Sequence[WaitingGroup],
+        over: frozenset[TeamHash],
+        engines: Sequence[Engine],
+        now: float,
+    ) -> Preceding:
+        """Return the requests of some groups that would take all room."""
         if not sum_preceding(waiter.claim, groups, over, now).count:
             return Preceding()
         free = list_free_memory(engines, waiter.view, self._context.token_rate)
@@ -180,8 +307,18 @@
             )
         return True
 
-    def _count_passed_over(self, waiter: FleetWaiter) -> None:
-        if waiter.is_passed_over:
+    def _check_passed_over(
+        self, waiter: FleetWaiter, engines: Sequence[Engine], now: float
+    ) -> None:
+        """Count a request that would go next but for its team's share."""
+        groups = self._context.demand.list_groups(now)
+        if (
+            waiter.is_passed_over
+            or not self._goes_next_here(waiter, _NO_TEAMS, engines, now)
+            or self._sum_preceding(
+                waiter, groups, _NO_TEAMS, engines, now
+            ).count
+        ):
             return
         waiter.is_passed_over = True
         self._context.metrics.count(
@@ -246,3 +383,12 @@
         arrived + patience * _STARVING_SHARE,
         stream.request,
     )
+
+
+def _hash_request(stream: Stream) -> NoteKey | None:
+    params = stream.incoming.params
+    return hash_request(
+        stream.admitted.team_id,
+        stream.route.name,
+        () if params is None else params.prefix,
+    )
--- a/chicoryshunt/relay/placing.py
+++ b/chicoryshunt/relay/placing.py
@@ -21,7 +21,7 @@
 from chicoryshunt.fleet.facts import TargetFact
 from chicoryshunt.fleet.messages import PlacedRun
 from chicoryshunt.relay.context import RelayContext
-from chicoryshunt.relay.fleet_queue import POLL_SECONDS, FleetQueue
+from chicoryshunt.relay.fleet_queue import POLL_SECONDS, Backlog, FleetQueue
 from chicoryshunt.relay.planned_stop import refuse_stopping
 from chicoryshunt.relay.stream import Stream
 from chicoryshunt.relay.stream_actions import (
@@ -81,7 +81,9 @@
             return _find_fact(facts, choice.target)
         return None
 
-    def announce_run(self, stream: Stream, target: TargetId) -> None:
+    def announce_run(
+        self, stream: Stream, target: TargetId, *, has_waited: bool = False
+    ) -> None:
         """Announce to the other nodes which engine a run is on."""
         context = self._context
         now = context.clock.now()
@@ -94,6 +96,7 @@
             stream.view.max_tokens,
             now - stream.placed_at,
             hash_team(stream.admitted.team_id),
+            has_waited,
         )
         context.send(context.workload.place(run, now))
 
@@ -148,7 +151,11 @@
         """Announce a placement; return whether it holds against others."""
         self._wait_queue.remove(waiter)
         self._context.cold.consume(target.target)
-        self.announce_run(stream, target.target)
+        # Callers that return have waited as well.
+        waited = self._context.clock.now() - waiter.claim.arrived
+        self.announce_run(
+            stream, target.target, has_waited=waited >= POLL_SECONDS
+        )
         own = Announcement(stream.request, self._context.clock.now())
         await asyncio.sleep(ANNOUNCE_DELAY_SECONDS)
         if self._still_fits(
@@ -218,14 +225,69 @@
             case NeverFits(need):
                 detail = f'no engine holds {need} tokens'
                 return refuse(Reason.no_capacity, detail)
-            case NoRoom(seconds) if seconds >= remaining:
-                return self.refuse_no_capacity(
-                    stream, 'no room in time', seconds
-                )
+            case NoRoom(seconds):
+                refused = self._refuse_late(stream, waiter, seconds, remaining)
+                if refused is not None:
+                    return refused
         if remaining < _MIN_REMAINING_SECONDS:
             return self.refuse_no_capacity(stream, 'no room in time')
         return None
 
+    def _refuse_late(
+        self,
+        stream: Stream,
+        waiter: FleetWaiter,
+        seconds: float,
+        remaining: float,
+    ) -> Verdict | None:
+        """Refuse a request that cannot start in the ``remaining`` seconds.
+
+        Load pattern: callers wait in vain behind requests of other nodes.
+        """
+        now = self._context.clock.now()
+        is_expected = seconds >= remaining
+        if not is_expected and not self._wait_queue.is_estimate_due(
+            waiter, now
+        ):
+            return None
+        backlog = self._wait_queue.estimate_backlog(waiter, now)
+        if not is_expected and backlog.wait <= remaining:
+            return None
+        self._count_refusal('forecast' if is_expected else 'behind_others')
+        verdict = self.refuse_no_capacity(stream, 'no room in time', seconds)
+        if backlog.rate:
+            verdict = self._refuse_behind(stream, waiter, backlog, seconds, now)
+        self._wait_queue.note_refusal(waiter, verdict.retry_after or 0, now)
+        return verdict
+
+    def _refuse_behind(
+        self,
+        stream: Stream,
+        waiter: FleetWaiter,
+        backlog: Backlog,
+        forecast: float,
+        now: float,
+    ) -> Verdict:
+        """Refuse with a return time that keeps the order of the callers."""
+        longest = max(stream.deadline - now, 0) * _MAX_RETRY_SHARE
+        retry_after = self._wait_queue.reserve_return(
+            waiter, backlog, forecast, longest, now
+        )
+        preceding = backlog.preceding
+        return refuse(
+            Reason.no_capacity,
+            f'no room in time behind {preceding.count} requests'
+            f' of {preceding.tokens:.0f} tokens',
+            Seconds(retry_after),
+        )
+
+    def _count_refusal(self, reason: str) -> None:
+        self._context.metrics.count(
+            'capacity_refusals',
+            'Generations that were refused for lack of room, by reason',
+            reason=reason,
+        )
+
     def _ends_before_stop(self, stream: Stream, now: float) -> bool:
         stop = self._context.planned_stop
         return stop is None or stop.accepts(
