--- a/chicoryshunt/dispatch/engines.py
+++ b/chicoryshunt/dispatch/engines.py
@@ -158,6 +158,21 @@
     return NoRoom(min(map(_estimate_wait, forecasts), default=HORIZONS[-1]))
 
 
+def list_free_memory(
+    engines: Sequence[Engine], demand: RunView, token_rate: float
+) -> list[float]:
+    """Return the free memory tokens of each engine with room for a run."""
+    forecasts = [
+        _forecast(engine, demand, token_rate / engine.slowness)
+        for engine in engines
+    ]
+    return [
+        one.engine.memory_tokens * ADMISSION_FRACTION - max(one.held)
+        for one in forecasts
+        if _fits(one, demand)
+    ]
+
+
 @dataclass(frozen=True, slots=True)
 class Announcement:
     """A run that was just placed on an engine, at ``placed`` seconds."""
--- a/chicoryshunt/fleet/agent.py
+++ b/chicoryshunt/fleet/agent.py
@@ -10,11 +10,9 @@
 from chicoryshunt.fleet.broadcast import Broadcast
 from chicoryshunt.fleet.catalog import Catalog
 from chicoryshunt.fleet.catalog_sync import CatalogSync
-from chicoryshunt.fleet.crash_exchange import CrashExchange
 from chicoryshunt.fleet.discovery import Discovery
+from chicoryshunt.fleet.exchanges import build_exchanges
 from chicoryshunt.fleet.facts import Fact
-from chicoryshunt.fleet.outage_exchange import OutageExchange
-from chicoryshunt.fleet.pace_exchange import PaceExchange
 from chicoryshunt.fleet.rules_offers import RulesOffers
 from chicoryshunt.fleet.workload import Workload
 from chicoryshunt.membership.membership import Membership
@@ -49,23 +47,11 @@
             self.catalog, self.membership, broadcast, now
         )
         self.workload = Workload(self.membership, broadcast, now)
-        self.crash_exchange = CrashExchange(
-            self.membership, broadcast, now, rng
-        )
-        self.pace_exchange = PaceExchange(
-            self.membership, broadcast, now, metrics
-        )
-        self.outage_exchange = OutageExchange(
-            self.membership, broadcast, now, metrics
+        self.exchanges = build_exchanges(
+            self.membership, broadcast, self.workload, now, rng, metrics
         )
         broadcast.deliver_to(
-            (
-                self.catalog_sync,
-                self.workload,
-                self.crash_exchange,
-                self.pace_exchange,
-                self.outage_exchange,
-            )
+            (self.catalog_sync, self.workload, *self.exchanges.cores)
         )
         self.rules_offers = RulesOffers(self.catalog, self.membership, rng)
         links = Links()
@@ -79,9 +65,7 @@
             self.discovery,
             self.catalog_sync,
             self.workload,
-            self.crash_exchange,
-            self.pace_exchange,
-            self.outage_exchange,
+            *self.exchanges.cores,
             broadcast,
             self.rules_offers,
         )
--- a/chicoryshunt/fleet/broadcast.py
+++ b/chicoryshunt/fleet/broadcast.py
@@ -8,6 +8,7 @@
 from chicoryshunt.fleet.messages import (
     Beacon,
     CrashNews,
+    DemandNews,
     FactNews,
     OutageNews,
     PaceNews,
@@ -20,7 +21,14 @@
 from chicoryshunt.types import DataCentreId, VmId
 
 BroadcastMessage = (
-    Beacon | CrashNews | FactNews | OutageNews | PaceNews | RunList | RunNews
+    Beacon
+    | CrashNews
+    | DemandNews
+    | FactNews
+    | OutageNews
+    | PaceNews
+    | RunList
+    | RunNews
 )
 
 
--- a/chicoryshunt/fleet/messages.py
+++ b/chicoryshunt/fleet/messages.py
@@ -8,7 +8,11 @@
 
 
 class PlacedRun(msgspec.Struct, frozen=True, array_like=True):
-    """A run on an engine; ``age`` is in seconds since it was placed."""
+    """A run on an engine; ``age`` is in seconds since it was placed.
+
+    ``team`` is a hash of 32 bits; 0 stands for no team, or an unknown one.
+    ``has_waited``: no engine had room for it at first.
+    """
 
     request: RequestId
     target: TargetId
@@ -16,6 +20,8 @@
     expected_tokens: int
     max_tokens: int
     age: float
+    team: int = 0
+    has_waited: bool = False
 
 
 class RunNews(msgspec.Struct, frozen=True, array_like=True, tag='wn'):
@@ -113,3 +119,52 @@
     """Answer to the report of a crash: suspects that are harmless."""
 
     parts: tuple[PartKey, ...]
+
+
+class DemandGroup(msgspec.Struct, frozen=True, array_like=True):
+    """Similar requests that wait at a node; tokens are their sums.
+
+    The times are in milliseconds, for the oldest request: since it arrived,
+    until its target latency passes, and until it goes first in any case.
+    ``team`` and ``service`` are hashes of 32 bits.
+    """
+
+    priority: int
+    team: int
+    count: int
+    prompt_tokens: int
+    age: int
+    time_left: int
+    expected_tokens: int
+    time_to_first: int
+    service: int
+
+
+class DemandNote(msgspec.Struct, frozen=True, array_like=True):
+    """A refused request whose caller may return.
+
+    The times are in milliseconds: since it arrived first, and until it may
+    return. ``key`` is a hash of 64 bits of its team, route and prompt parts.
+    """
+
+    key: int
+    priority: int
+    team: int
+    prompt_tokens: int
+    age: int
+    time_to_return: int
+    expected_tokens: int
+    service: int
+
+
+class DemandNews(msgspec.Struct, frozen=True, array_like=True, tag='dn'):
+    """The requests that wait at a node, most urgent first.
+
+    ``sent`` is the time of the sender's clock in monotonic seconds.
+    ``returned`` are the keys of notes whose callers are back.
+    """
+
+    sent: float
+    groups: tuple[DemandGroup, ...] = ()
+    notes: tuple[DemandNote, ...] = ()
+    returned: tuple[int, ...] = ()
--- a/chicoryshunt/relay/context.py
+++ b/chicoryshunt/relay/context.py
@@ -32,11 +32,9 @@
 from chicoryshunt.dispatch.retry_budget import FleetRetryBudget
 from chicoryshunt.events import log_event
 from chicoryshunt.fleet.catalog import Catalog
-from chicoryshunt.fleet.crash_exchange import CrashExchange
+from chicoryshunt.fleet.exchanges import Exchanges
 from chicoryshunt.fleet.facts import Fact, TargetFact, TargetPhase
 from chicoryshunt.fleet.messages import PlacedRun
-from chicoryshunt.fleet.outage_exchange import OutageExchange
-from chicoryshunt.fleet.pace_exchange import PaceExchange
 from chicoryshunt.fleet.workload import Workload
 from chicoryshunt.membership.membership import Membership
 from chicoryshunt.metrics import Metrics
@@ -68,9 +66,7 @@
     pool: UpstreamPool
     codec: TargetCodec
     retry_budget: FleetRetryBudget
-    crash_exchange: CrashExchange
-    pace_exchange: PaceExchange
-    outage_exchange: OutageExchange
+    exchanges: Exchanges
     metrics: Metrics
     send: Callable[[Iterable[Send]], None]
     publish: Callable[[Sequence[Fact]], None]
@@ -96,7 +92,7 @@
             clock=self.clock,
             catalog=self.catalog,
             membership=self.membership,
-            crash_exchange=self.crash_exchange,
+            crash_exchange=self.exchanges.crashes,
             pool=self.pool,
             metrics=self.metrics,
             send=self.send,
@@ -130,7 +126,7 @@
             fact
             for fact in usable
             if not self.outliers.is_paused(fact.target, now)
-            and not self.outage_exchange.is_down(fact.target, now)
+            and not self.exchanges.outages.is_down(fact.target, now)
         ]
         return sound or usable
 
@@ -159,7 +155,7 @@
         )
         now = self.clock.now()
         if outcome is ExchangeOutcome.answered:
-            self.outage_exchange.record_answer(target, now)
+            self.exchanges.outages.record_answer(target, now)
         if self.outliers.record(target, outcome, now):
             log_event(
                 'target_paused',
@@ -182,7 +178,14 @@
         now = self.clock.now()
         is_linked = now - self.last_connected < _LINK_PROOF_SECONDS
         if is_linked or isinstance(error, NotListeningError):
-            self.send(self.outage_exchange.report(target, now))
+            self.send(self.exchanges.outages.report(target, now))
+
+    def forget_target(self, fact: TargetFact) -> None:
+        """Drop what was observed of a target that is gone or changed."""
+        self.exchanges.outages.forget(fact.target)
+        if fact.phase is TargetPhase.gone:
+            self.outliers.forget(fact.target)
+            self.exchanges.pace.table.forget(fact.target)
 
     def is_leaving(self, target: TargetId) -> bool:
         """Return whether a target is leaving, gone or unknown."""
@@ -231,7 +234,7 @@
 
     def find_slowness(self, target: TargetId) -> float:
         """Return how many times the median an engine needs for a token."""
-        return self.pace_exchange.table.slowness(target, self.clock.now())
+        return self.exchanges.pace.table.slowness(target, self.clock.now())
 
     def build_engines(
         self,
@@ -264,7 +267,7 @@
         excluded: frozenset[RequestId],
     ) -> list[Engine]:
         now = self.clock.now()
-        pace = self.pace_exchange.table
+        pace = self.exchanges.pace.table
         runs: dict[TargetId, list[RunView]] = {}
         for known in self.workload.list_runs():
             if known.run.request in excluded:
--- a/chicoryshunt/relay/gateway.py
+++ b/chicoryshunt/relay/gateway.py
@@ -8,7 +8,7 @@
 
 from chicoryshunt.connection.relayed_exchange import RelayedExchange
 from chicoryshunt.events import log_event, log_problem, log_routine
-from chicoryshunt.fleet.facts import Fact, TargetFact, TargetPhase
+from chicoryshunt.fleet.facts import Fact, TargetFact
 from chicoryshunt.relay.calls import CallRelay
 from chicoryshunt.relay.context import RelayContext
 from chicoryshunt.relay.generations import GenerationRelay
@@ -290,10 +290,7 @@
         if not isinstance(fact, TargetFact):
             return
         self._generations.on_target_changed(fact)
-        if fact.phase is TargetPhase.gone:
-            self._context.outliers.forget(fact.target)
-            self._context.pace_exchange.table.forget(fact.target)
-        self._context.outage_exchange.forget(fact.target)
+        self._context.forget_target(fact)
 
 
 def is_success(result: Result) -> bool:
--- a/chicoryshunt/relay/holding.py
+++ b/chicoryshunt/relay/holding.py
@@ -1,5 +1,8 @@
 """Holds back requests that can wait, and records for how long."""
 
+from collections.abc import Iterator
+from contextlib import contextmanager
+
 from chicoryshunt.dispatch.departures import Departures
 from chicoryshunt.dispatch.engines import EngineChoice, Placed
 from chicoryshunt.dispatch.reserve import HoldReason, Reserve, find_reserve
@@ -78,8 +81,15 @@
             self._begin(reason, choice)
         return reason is not None
 
-    def finish(self) -> None:
-        """Record how long the request was held back, if it was."""
+    @contextmanager
+    def measure(self) -> Iterator[None]:
+        """Record at the end of the block how long the request was held."""
+        try:
+            yield
+        finally:
+            self._record()
+
+    def _record(self) -> None:
         if self._reason is not None:
             self._context.metrics.observe(
                 'held_back_seconds',
--- a/chicoryshunt/relay/leg_watch.py
+++ b/chicoryshunt/relay/leg_watch.py
@@ -56,7 +56,7 @@
         rules = self.context.find_engine_rules(self.target.service)
         if rules is not None:
             self.pace_meter = PaceMeter(
-                self.context.pace_exchange,
+                self.context.exchanges.pace,
                 self.target.target,
                 rules.tokens_per_event,
             )
--- a/chicoryshunt/relay/placing.py
+++ b/chicoryshunt/relay/placing.py
@@ -8,6 +8,7 @@
 from chicoryshunt.dispatch.engines import (
     ANNOUNCE_DELAY_SECONDS,
     Announcement,
+    Engine,
     EngineChoice,
     NeverFits,
     NoRoom,
@@ -16,11 +17,13 @@
     has_precedence,
 )
 from chicoryshunt.dispatch.resume_time import StartTime, find_start_time
-from chicoryshunt.dispatch.waiting import WaitingRequest, WaitQueue
+from chicoryshunt.dispatch.service_order import hash_team
+from chicoryshunt.dispatch.waiting import FleetWaiter
 from chicoryshunt.events import log_routine
 from chicoryshunt.fleet.facts import TargetFact
 from chicoryshunt.fleet.messages import PlacedRun
 from chicoryshunt.relay.context import RelayContext, build_placed_run_view
+from chicoryshunt.relay.fleet_queue import POLL_SECONDS, Backlog, FleetQueue
 from chicoryshunt.relay.holding import Hold
 from chicoryshunt.relay.planned_stop import refuse_stopping
 from chicoryshunt.relay.stream import Stream
@@ -31,8 +34,6 @@
 from chicoryshunt.types import Reason, Seconds, TargetId
 from chicoryshunt.verdict import Verdict, refuse
 
-# Interval at which a waiting request looks for an engine with room.
-_POLL_SECONDS = 0.03
 # Retries are spread over this share of the expected wait.
 _RETRY_JITTER = 0.5
 # Callers respect a retry time up to this share of the time they have left.
@@ -49,7 +50,7 @@
     def __init__(self, context: RelayContext) -> None:
         """Start without waiting requests."""
         self._context = context
-        self._wait_queue = WaitQueue()
+        self._wait_queue = FleetQueue(context)
         self._departures = Departures()
 
     async def find_engine(
@@ -58,16 +59,10 @@
         tried: Sequence[TargetId],
     ) -> TargetFact | Verdict:
         """Return an engine once one has room; refuse if none will in time."""
-        waiter = WaitingRequest(
-            stream.request,
-            stream.admitted.priority,
-            self._context.clock.now(),
-            stream.route.target_latency,
-        )
         hold = Hold(
             self._context, stream, self._departures, is_retry=bool(tried)
         )
-        try:
+        with self._wait_queue.enter(stream) as waiter, hold.measure():
             while True:
                 self._wait_queue.add(waiter)
                 found = self._try_place(stream, tried, waiter, hold)
@@ -78,10 +73,7 @@
                     stream, waiter, found, max_backlog
                 ):
                     return found
-                await asyncio.sleep(max(_POLL_SECONDS, hold.poll_seconds))
-        finally:
-            self._wait_queue.remove(waiter)
-            hold.finish()
+                await asyncio.sleep(max(POLL_SECONDS, hold.poll_seconds))
 
     def find_other_engine(self, stream: Stream) -> TargetFact | None:
         """Return an engine with room that has not failed or refused the run."""
@@ -90,7 +82,7 @@
         if state is not None:
             tried.add(state.engine.target)
         facts = self._context.list_candidates(stream.service, tried)
-        choice = self._choose(stream, facts)
+        choice = self._choose(stream, self._build_engines(stream, facts))
         if isinstance(choice, Placed):
             return _find_fact(facts, choice.target)
         return None
@@ -108,7 +100,9 @@
         )
         self._departures.record(fact.service, fact.target, tokens, now)
 
-    def announce_run(self, stream: Stream, target: TargetId) -> None:
+    def announce_run(
+        self, stream: Stream, target: TargetId, *, has_waited: bool = False
+    ) -> None:
         """Announce to the other nodes which engine a run is on."""
         context = self._context
         now = context.clock.now()
@@ -120,6 +114,8 @@
             stream.view.expected_tokens,
             stream.view.max_tokens,
             now - stream.placed_at,
+            hash_team(stream.admitted.team_id),
+            has_waited,
         )
         context.send(context.workload.place(run, now))
 
@@ -186,14 +182,18 @@
     async def _announce(
         self,
         stream: Stream,
-        waiter: WaitingRequest,
+        waiter: FleetWaiter,
         target: TargetFact,
         max_backlog: float | None,
     ) -> bool:
         """Announce a placement; return whether it holds against others."""
         self._wait_queue.remove(waiter)
         self._context.cold.consume(target.target)
-        self.announce_run(stream, target.target)
+        # Callers that return have waited as well.
+        waited = self._context.clock.now() - waiter.claim.arrived
+        self.announce_run(
+            stream, target.target, has_waited=waited >= POLL_SECONDS
+        )
         own = Announcement(stream.request, self._context.clock.now())
         await asyncio.sleep(ANNOUNCE_DELAY_SECONDS)
         if self._still_fits(
@@ -247,7 +247,7 @@
         self,
         stream: Stream,
         tried: Iterable[TargetId],
-        waiter: WaitingRequest,
+        waiter: FleetWaiter,
         hold: Hold,
     ) -> TargetFact | Verdict | None:
         refusal = self._context.prompt_guard.find_refusal(stream.incoming)
@@ -257,26 +257,77 @@
         if not self._ends_before_stop(stream, now):
             return refuse_stopping()
         facts = self._context.list_candidates(stream.service, tried)
-        choice = self._choose(stream, facts, hold.max_backlog)
+        engines = self._build_engines(stream, facts)
+        choice = self._choose(stream, engines, hold.max_backlog)
         remaining = stream.find_latest_start() - now
+        waiter.record_room(now, has_room=isinstance(choice, Placed))
         is_held = hold.update(waiter, choice, now)
         match choice:
             case Placed() if is_held:
                 return None
-            case Placed(target) if self._wait_queue.may_proceed(waiter, now):
+            case Placed(target) if self._wait_queue.may_proceed(
+                waiter, engines, now
+            ):
                 self._log_placed(stream, choice, now - waiter.since)
                 return _find_fact(facts, target)
             case NeverFits(need):
                 detail = f'no engine holds {need} tokens'
                 return refuse(Reason.no_capacity, detail)
-            case NoRoom(seconds) if seconds >= remaining and not hold.seconds:
-                return self.refuse_no_capacity(
-                    stream, 'no room in time', seconds
-                )
+            case NoRoom(seconds) if not hold.seconds:
+                refused = self._refuse_late(stream, waiter, seconds, remaining)
+                if refused is not None:
+                    return refused
         if remaining < _MIN_REMAINING_SECONDS:
             return self.refuse_no_capacity(stream, 'no room in time')
         return None
 
+    def _refuse_late(
+        self,
+        stream: Stream,
+        waiter: FleetWaiter,
+        seconds: float,
+        remaining: float,
+    ) -> Verdict | None:
+        """Refuse a request that cannot start in the ``remaining`` seconds.
+
+        Load pattern: callers that are refused in a burst return together,
+        and behind requests that came later than they.
+        """
+        if seconds < remaining:
+            return None
+        now = self._context.clock.now()
+        backlog = self._wait_queue.estimate_backlog(waiter, now)
+        self._context.metrics.count(
+            'capacity_refusals',
+            'Generations that were refused for lack of room',
+        )
+        verdict = self.refuse_no_capacity(stream, 'no room in time', seconds)
+        if backlog.rate:
+            verdict = self._refuse_behind(stream, waiter, backlog, seconds, now)
+        self._wait_queue.note_refusal(waiter, verdict.retry_after or 0, now)
+        return verdict
+
+    def _refuse_behind(
+        self,
+        stream: Stream,
+        waiter: FleetWaiter,
+        backlog: Backlog,
+        forecast: float,
+        now: float,
+    ) -> Verdict:
+        """Refuse with a return time that keeps the order of the callers."""
+        longest = max(stream.deadline - now, 0) * _MAX_RETRY_SHARE
+        retry_after = self._wait_queue.reserve_return(
+            waiter, backlog, forecast, longest, now
+        )
+        preceding = backlog.preceding
+        return refuse(
+            Reason.no_capacity,
+            f'no room in time behind {preceding.count} requests'
+            f' of {preceding.tokens:.0f} tokens',
+            Seconds(retry_after),
+        )
+
     def _ends_before_stop(self, stream: Stream, now: float) -> bool:
         stop = self._context.planned_stop
         return stop is None or stop.accepts(
@@ -285,14 +336,19 @@
             stream.deadline,
         )
 
+    def _build_engines(
+        self, stream: Stream, facts: Iterable[TargetFact]
+    ) -> list[Engine]:
+        return self._context.build_planned_engines(facts, stream.engine_rules)
+
     def _choose(
         self,
         stream: Stream,
-        facts: Iterable[TargetFact],
+        engines: Sequence[Engine],
         max_backlog: float | None = None,
     ) -> EngineChoice:
         return choose_engine(
-            self._context.build_planned_engines(facts, stream.engine_rules),
+            engines,
             stream.view,
             self._context.data_centre,
             self._context.token_rate,
--- a/tests/backlog_replay.py
+++ b/tests/backlog_replay.py
@@ -7,7 +7,6 @@
 from random import Random
 from unittest.mock import MagicMock
 
-from chicoryshunt.dispatch.departures import Departures
 from chicoryshunt.dispatch.engines import (
     PREFILL_TOKENS_PER_SECOND,
     Engine,
@@ -20,7 +19,7 @@
 from chicoryshunt.metrics import Metrics
 from chicoryshunt.relay.placing import Placer
 from chicoryshunt.rules.model import RequestType, Route, RouteId
-from chicoryshunt.rules.routing import RuleIndex
+from chicoryshunt.rules.routing import AdmittedRequest, RuleIndex
 from chicoryshunt.types import RequestId, ServiceId
 from tests.fleet_builders import (
     HOME,
@@ -88,7 +87,7 @@
 def replay(routes: tuple[Route, ...] = ()) -> list[Arrival]:
     """Place a rush on 8 engines; return the requests, all placed."""
     arrivals = list(draw_rush(routes))
-    queue = WaitQueue()
+    queue: WaitQueue[WaitingRequest] = WaitQueue()
     busy_until = dict.fromkeys(_ENGINES, float(0))
     runs: dict[str, list[Arrival]] = {name: [] for name in _ENGINES}
     left = list(arrivals)
@@ -118,7 +117,10 @@
 
 
 def _place(
-    one: Arrival, queue: WaitQueue, runs: dict[str, list[Arrival]], now: float
+    one: Arrival,
+    queue: WaitQueue[WaitingRequest],
+    runs: dict[str, list[Arrival]],
+    now: float,
 ) -> str | None:
     queue.add(one.waiting)
     engines = [
@@ -155,7 +157,6 @@
     get_time = asyncio.get_running_loop().time
     context = MagicMock(
         metrics=Metrics(),
-        departures=Departures(),
         planned_stop=None,
         data_centre=HOME,
         token_rate=TOKEN_RATE,
@@ -188,7 +189,7 @@
         deadline=now + 10,
         placed_at=0,
     )
-    stream.admitted.priority = LONG.priority
+    stream.admitted = AdmittedRequest(LONG, None)
     stream.incoming.received_at = now
     stream.find_latest_start = lambda: now + patience
     stream.find_latest_end = lambda *_: now + 8
--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -35,12 +35,12 @@
         """Let a node report a crash."""
         node = self._trial.nodes[index]
         now = self._trial.clock.now()
-        self._send(node, node.crash_exchange.report(target, parts, now))
+        self._send(node, node.exchanges.crashes.report(target, parts, now))
 
     def clear(self, index: int, parts: Collection[PartKey]) -> None:
         """Let a node clear parts."""
         node = self._trial.nodes[index]
-        self._send(node, node.crash_exchange.clear(parts))
+        self._send(node, node.exchanges.crashes.clear(parts))
 
     def restart(self, index: int) -> None:
         """Stop a node at once and start it again."""
@@ -54,7 +54,7 @@
     def count_blocking(self, *parts: PartKey) -> int:
         """Return how many nodes block a request with these parts."""
         return sum(
-            node.crash_exchange.suspects.find_block(parts) is not None
+            node.exchanges.crashes.suspects.find_block(parts) is not None
             for node in self._trial.nodes
         )
 
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -11,12 +11,10 @@
 from chicoryshunt.fleet.broadcast import Broadcast
 from chicoryshunt.fleet.catalog import Catalog
 from chicoryshunt.fleet.catalog_sync import CatalogSync
-from chicoryshunt.fleet.crash_exchange import CrashExchange
 from chicoryshunt.fleet.discovery import Discovery
+from chicoryshunt.fleet.exchanges import build_exchanges
 from chicoryshunt.fleet.facts import Revision, TargetFact, TargetPhase
 from chicoryshunt.fleet.messages import PlacedRun
-from chicoryshunt.fleet.outage_exchange import OutageExchange
-from chicoryshunt.fleet.pace_exchange import PaceExchange
 from chicoryshunt.fleet.rules_offers import RulesOffers
 from chicoryshunt.fleet.workload import Workload
 from chicoryshunt.membership.membership import Membership
@@ -163,23 +161,12 @@
         )
         self.catalog_sync.needs_full_read = False
         self.workload = Workload(self.membership, broadcast, now)
-        self.crash_exchange = CrashExchange(
-            self.membership, broadcast, now, rng
-        )
-        self.pace_exchange = PaceExchange(
-            self.membership, broadcast, now, Metrics()
-        )
-        self.outage_exchange = OutageExchange(
-            self.membership, broadcast, now, Metrics()
+        self.exchanges = build_exchanges(
+            self.membership, broadcast, self.workload, now, rng, Metrics()
         )
+        self.demand = self.exchanges.demand
         broadcast.deliver_to(
-            (
-                self.catalog_sync,
-                self.workload,
-                self.crash_exchange,
-                self.pace_exchange,
-                self.outage_exchange,
-            )
+            (self.catalog_sync, self.workload, *self.exchanges.cores)
         )
         self.rules_offers = RulesOffers(self.catalog, self.membership, rng)
         self.discovery = Discovery(vm, seeds, self.membership, Links(), rng)
@@ -189,9 +176,7 @@
                 self.discovery,
                 self.catalog_sync,
                 self.workload,
-                self.crash_exchange,
-                self.pace_exchange,
-                self.outage_exchange,
+                *self.exchanges.cores,
                 broadcast,
                 self.rules_offers,
             ),
--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -117,7 +117,7 @@
 
 def _queue_two(*, can_wait: bool) -> bool:
     """Return whether a request passes an earlier one that is held back."""
-    queue = WaitQueue()
+    queue: WaitQueue[WaitingRequest] = WaitQueue()
     first, second = (
         WaitingRequest(RequestId(f'r{one}'), 2, one, 4) for one in range(2)
     )
--- a/tests/test_leg_watch.py
+++ b/tests/test_leg_watch.py
@@ -71,9 +71,11 @@
         clock=clock,
         is_leaving=lambda _: is_leaving,
         find_engine_rules=lambda _: SimpleNamespace(tokens_per_event=4),
-        pace_exchange=SimpleNamespace(
-            was_delayed=lambda *_: False,
-            report=lambda *report: reports.append(report),
+        exchanges=SimpleNamespace(
+            pace=SimpleNamespace(
+                was_delayed=lambda *_: False,
+                report=lambda *report: reports.append(report),
+            ),
         ),
     )
     watch = _build_watch(context)
--- a/tests/test_outage_exchange.py
+++ b/tests/test_outage_exchange.py
@@ -23,7 +23,7 @@
 
 
 def _report(trial: FleetTrial, node: int = 0) -> None:
-    exchange = trial.nodes[node].outage_exchange
+    exchange = trial.nodes[node].exchanges.outages
     for target in DOWN:
         sends = exchange.report(target, trial.clock.now())
         trial.network.send(trial.nodes[node].vm, sends)
@@ -32,7 +32,7 @@
 def _count_informed(trial: FleetTrial) -> int:
     now = trial.clock.now()
     return sum(
-        all(node.outage_exchange.is_down(one, now) for one in DOWN)
+        all(node.exchanges.outages.is_down(one, now) for one in DOWN)
         for node in trial.nodes
     )
 
@@ -64,7 +64,7 @@
 
 def test_a_target_that_answers_is_not_down() -> None:
     """Guards against a node with a cut link that stops all others."""
-    exchange = _start_fleet(1).nodes[0].outage_exchange
+    exchange = _start_fleet(1).nodes[0].exchanges.outages
     exchange.record_answer(DOWN[0], 100)
     list(exchange.receive(cast(Any, 'vm-1'), OutageNews(DOWN), 100.9))
 
@@ -78,7 +78,7 @@
     """Guards against a flood as engines go up and down by turns."""
     trial = _start_fleet(60)
     before = trial.network.payloads[OutageNews.__name__]
-    exchange = trial.nodes[0].outage_exchange
+    exchange = trial.nodes[0].exchanges.outages
     for step in range(100):
         sends = exchange.report(TargetId(f'e{step}'), trial.clock.now())
         trial.network.send(trial.nodes[0].vm, sends)
@@ -105,7 +105,7 @@
     context.last_connected = connected
     context.record_unreachable(DOWN[0], error)
 
-    assert context.outage_exchange.is_down(DOWN[0], 100) is is_down
+    assert context.exchanges.outages.is_down(DOWN[0], 100) is is_down
 
 
 class _Clock:
--- a/tests/test_pace_exchange.py
+++ b/tests/test_pace_exchange.py
@@ -4,6 +4,7 @@
 from itertools import repeat
 from types import SimpleNamespace
 from typing import Any, cast
+from unittest.mock import MagicMock
 
 import pytest
 
@@ -31,7 +32,7 @@
 
 def _report(trial: FleetTrial, node: int, engines: int = 4) -> None:
     for index in range(engines):
-        trial.nodes[node].pace_exchange.report(
+        trial.nodes[node].exchanges.pace.report(
             TargetId(f'e{index}'),
             0.007 if index else 0.02,
             0.03 if index else SLOW_GAP,
@@ -42,8 +43,8 @@
 def _count_informed(trial: FleetTrial) -> int:
     now = trial.clock.now()
     return sum(
-        node.pace_exchange.table.slowness(SLOW, now) > 2
-        and node.pace_exchange.table.find_longest_gap(SLOW, now) == SLOW_GAP
+        node.exchanges.pace.table.slowness(SLOW, now) > 2
+        and node.exchanges.pace.table.find_longest_gap(SLOW, now) == SLOW_GAP
         for node in trial.nodes
     )
 
@@ -103,7 +104,7 @@
     """Guards against nodes that are flooded as engines change all the time."""
     trial = _start_fleet(60)
     before = trial.network.payloads[PaceNews.__name__]
-    exchange = trial.nodes[0].pace_exchange
+    exchange = trial.nodes[0].exchanges.pace
     for step in range(100):
         target = TargetId(f'engine-with-a-long-name-{step}')
         exchange.report(target, 0.01, 0, trial.clock.now())
@@ -116,7 +117,7 @@
 
 def test_invalid_notes_are_ignored() -> None:
     """Guards against a division by zero after a damaged observation."""
-    exchange = _start_fleet(1).nodes[0].pace_exchange
+    exchange = _start_fleet(1).nodes[0].exchanges.pace
     news = PaceNews((PaceNote(SLOW, 0, 9),))
 
     assert not list(exchange.receive(cast(Any, 'vm-1'), news, 100))
@@ -179,7 +180,7 @@
 
 def test_delays_of_the_process_do_not_count() -> None:
     """Guards against a busy node that makes all engines seem slow."""
-    exchange = _start_fleet(1).nodes[0].pace_exchange
+    exchange = _start_fleet(1).nodes[0].exchanges.pace
     now = ManualClock(200).now()
     list(exchange.tick(now))
     assert exchange.was_delayed(now, now + 0.3)
@@ -193,7 +194,7 @@
 
     def __init__(self, *engines: Engine) -> None:
         self.clock = ManualClock(100)
-        context = SimpleNamespace(
+        context = MagicMock(
             clock=self.clock,
             data_centre='home',
             token_rate=100,
@@ -222,7 +223,7 @@
 
     async def place(self) -> object:
         """Return the engine once one is chosen."""
-        waiter = SimpleNamespace(since=100, request='r')
+        waiter = MagicMock(since=100, request='r')
         queue = self.placer._wait_queue
         queue.may_proceed = lambda *_: True  # type: ignore[method-assign]
         hold = Hold(
