--- a/chicoryshunt/dispatch/engine_pace.py
+++ b/chicoryshunt/dispatch/engine_pace.py
@@ -156,4 +156,7 @@
                     for pace in known
                     if pace.seconds_per_token <= self._median * MAX_EQUAL_RATIO
                 )
+            else:
+                # The next observation may give a median.
+                self._median_until = now
         return self._median
--- a/chicoryshunt/fleet/pace_exchange.py
+++ b/chicoryshunt/fleet/pace_exchange.py
@@ -1,6 +1,6 @@
 """Exchanges the pace of engines between nodes."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from chicoryshunt.dispatch.engine_pace import MAX_EQUAL_RATIO, PaceTable
 from chicoryshunt.events import log_event
@@ -54,11 +54,16 @@
         self._metrics = metrics
         self._pending: dict[TargetId, PaceNote] = {}
         self._slow_since: dict[TargetId, float] = {}
+        self._subscribers: list[Callable[[], None]] = []
         self._next_send = now
         self._next_log = now
         self._last_tick = now
         self._delayed_until = float('-inf')
 
+    def subscribe(self, notify: Callable[[], None]) -> None:
+        """Call ``notify()`` when an observation shows an engine to be slow."""
+        self._subscribers.append(notify)
+
     def report(
         self,
         target: TargetId,
@@ -69,7 +74,7 @@
         """Take what a stream of this node observed, if it is news."""
         if not self._is_news(target, seconds_per_token, longest_gap, now):
             return
-        self.table.record(target, seconds_per_token, longest_gap, now)
+        self._record(target, seconds_per_token, longest_gap, now)
         earlier = self._pending.pop(target, None)
         gap = round(longest_gap * _MILLISECONDS)
         self._pending[target] = PaceNote(
@@ -98,7 +103,7 @@
         if isinstance(message, PaceNews):
             for note in message.notes:
                 if note.token_microseconds > 0:
-                    self.table.record(
+                    self._record(
                         note.target,
                         note.token_microseconds / _MICROSECONDS,
                         note.longest_gap_ms / _MILLISECONDS,
@@ -129,6 +134,19 @@
         self._pending.clear()
         self._delayed_until = now
 
+    def _record(
+        self,
+        target: TargetId,
+        seconds_per_token: float,
+        longest_gap: float,
+        now: float,
+    ) -> None:
+        was_slow = self.table.slowness(target, now) > MAX_EQUAL_RATIO
+        self.table.record(target, seconds_per_token, longest_gap, now)
+        if not was_slow and self.table.slowness(target, now) > MAX_EQUAL_RATIO:
+            for notify in self._subscribers:
+                notify()
+
     def _is_news(
         self,
         target: TargetId,
--- a/chicoryshunt/relay/context.py
+++ b/chicoryshunt/relay/context.py
@@ -25,6 +25,7 @@
     RunView,
 )
 from chicoryshunt.dispatch.outliers import ExchangeOutcome, OutlierDetector
+from chicoryshunt.dispatch.relief import Relief
 from chicoryshunt.dispatch.retry_budget import FleetRetryBudget
 from chicoryshunt.events import log_event
 from chicoryshunt.fleet.catalog import Catalog
@@ -75,6 +76,8 @@
     token_rate: float = DEFAULT_TOKENS_PER_SECOND
     planned_stop: PlannedStop | None = None
     max_nodes: int = 1
+    # Moves of this node's runs off slow engines, while they last.
+    reliefs: dict[RequestId, Relief] = field(default_factory=dict)
     # Where the runs of leaving engines are to continue.
     planned_destinations: dict[RequestId, TargetId] = field(
         default_factory=dict
@@ -159,6 +162,20 @@
         fact = self.catalog.find(target)
         return fact is None or fact.phase is not TargetPhase.ready
 
+    def is_copying(self, target: TargetId) -> bool:
+        """Return whether memory of runs may be copied off a target now."""
+        return self.is_leaving(target) or any(
+            relief.source == target for relief in self.reliefs.values()
+        )
+
+    def has_leaving_runs(self, service: ServiceId) -> bool:
+        """Return whether a leaving engine of a service has runs."""
+        targets = {known.run.target for known in self.workload.list_runs()}
+        return any(
+            fact.phase is TargetPhase.leaving and fact.service == service
+            for fact in filter(None, map(self.catalog.find, targets))
+        )
+
     def count_runs(self, target: TargetId) -> int:
         """Return how many runs all nodes have placed on a target."""
         return sum(
--- a/chicoryshunt/relay/generations.py
+++ b/chicoryshunt/relay/generations.py
@@ -12,12 +12,12 @@
 from chicoryshunt.relay.leg import DeadlinePassed, Leg, open_leg
 from chicoryshunt.relay.moving import Mover
 from chicoryshunt.relay.placing import Placer
+from chicoryshunt.relay.relieving import Reliever
 from chicoryshunt.relay.results import (
     Delivered,
     Doubtful,
     NotRun,
     Result,
-    Streamed,
 )
 from chicoryshunt.relay.stream import (
     Stream,
@@ -75,6 +75,7 @@
         self._placer = Placer(context)
         self._mover = Mover(context)
         self._streams: dict[RequestId, Stream] = {}
+        self._reliever = Reliever(context, self._streams)
 
     async def relay(
         self,
@@ -116,7 +117,7 @@
             [
                 stream
                 for stream in self._streams.values()
-                if _is_running_at(stream, source.target)
+                if stream.is_running_at(source.target)
             ],
         )
 
@@ -124,6 +125,7 @@
     def _track(self, stream: Stream) -> Iterator[None]:
         """Register a stream and release its resources however it ends."""
         self._streams[stream.request] = stream
+        self._reliever.start()
         try:
             yield
         finally:
@@ -132,6 +134,7 @@
     def _discard(self, stream: Stream) -> None:
         self._streams.pop(stream.request, None)
         self._mover.cancel(stream)
+        self._reliever.discard(stream)
         stream.close()
         self._context.prompt_guard.release(stream.request)
         self._context.send(self._context.workload.end(stream.request))
@@ -253,11 +256,17 @@
                 ended = self._execute(stream, action)
                 if ended is not None:
                     return ended
-            if isinstance(received, LegOpened):
-                # The run may have returned to an engine that is leaving.
-                self._mover.replan(stream, has_turn=False)
+            self._follow_moves(stream, received)
         return self._end_early(stream, 'the deadline passed')
 
+    def _follow_moves(self, stream: Stream, received: Input) -> None:
+        if isinstance(received, LegEvent):
+            return
+        self._reliever.observe(stream)
+        if isinstance(received, LegOpened):
+            # The run may have returned to an engine that is leaving.
+            self._mover.replan(stream, has_turn=False)
+
     def _record_first_event(self, stream: Stream, received: Input) -> None:
         if isinstance(received, LegEvent) and not stream.first_event_at:
             stream.first_event_at = self._context.clock.now()
@@ -314,7 +323,7 @@
         # The connection accepts the end of an answer without a producer only.
         stream.exchange.unregister_producer()
         stream.exchange.finish()
-        return _build_result(stream, is_whole=True)
+        return stream.build_result(is_whole=True)
 
     def _end_early(self, stream: Stream, reason: str) -> Result:
         state = stream.state
@@ -330,7 +339,7 @@
         if not stream.exchange.is_started:
             return build_uncertain(Reason.engine_lost, reason)
         stream.exchange.abort()
-        return _build_result(stream, is_whole=False)
+        return stream.build_result(is_whole=False)
 
     async def _open_next(self, stream: Stream, opening: OpenLeg) -> None:
         target = await self._find_destination(stream, opening)
@@ -368,6 +377,7 @@
         self._placer.announce_run(stream, target.target)
         stream.legs[opening.leg] = opened
         stream.replan_count = 0
+        stream.moved_at = self._context.clock.now()
         engine = build_engine_address(target)
         stream.inputs.put_nowait(LegOpened(opening.leg, engine))
         opened.start(stream.inputs, stream.stall_limits, stream.gate)
@@ -404,21 +414,3 @@
                 return target
             await asyncio.sleep(_RESTART_POLL_SECONDS)
         return LegDenied(leg, 'no engine has room in time')
-
-
-def _build_result(stream: Stream, *, is_whole: bool) -> Streamed:
-    began = stream.first_event_at or stream.incoming.received_at
-    return Streamed(
-        is_whole=is_whole,
-        events=stream.event_count,
-        first_event_seconds=began - stream.incoming.received_at,
-        longest_gap_seconds=stream.longest_gap,
-        leg_count=0 if stream.state is None else stream.state.leg_count,
-    )
-
-
-def _is_running_at(stream: Stream, target: TargetId) -> bool:
-    state = stream.state
-    if state is None or not stream.first_event_at:
-        return False
-    return state.engine.target == target
--- a/chicoryshunt/relay/leg_watch.py
+++ b/chicoryshunt/relay/leg_watch.py
@@ -75,7 +75,7 @@
         now = self.context.clock.now()
         self.events += count
         if self.pace_meter is not None:
-            if self.context.is_leaving(self.target.target):
+            if self.context.is_copying(self.target.target):
                 # Copies of memory may delay its events.
                 self.pace_meter.skip()
             self.pace_meter.record_events(count, now)
--- a/chicoryshunt/relay/moving.py
+++ b/chicoryshunt/relay/moving.py
@@ -125,7 +125,9 @@
         state = stream.state
         fact = self._context.catalog.find(destination)
         outcome: Copied | CopyFailed = CopyFailed(CopyFailure.not_sent)
-        if state is not None and fact is not None:
+        if self._is_relief_withdrawn(stream, destination):
+            outcome = CopyFailed(CopyFailure.withdrawn)
+        elif state is not None and fact is not None:
             outcome = await self._send_order(
                 state.engine.address,
                 self._context.codec.encode_copy(
@@ -134,7 +136,7 @@
                     stops_run=stops_run,
                 ),
             )
-        if isinstance(outcome, CopyFailed):
+        if isinstance(outcome, CopyFailed) and not self._may_stay(stream):
             stream.excluded.add(destination)
         log_event(
             'memory_copied',
@@ -166,6 +168,18 @@
         if retry is not None:
             retry.cancel()
 
+    def _may_stay(self, stream: Stream) -> bool:
+        state = stream.state
+        return state is not None and not self._context.is_leaving(
+            state.engine.target
+        )
+
+    def _is_relief_withdrawn(
+        self, stream: Stream, destination: TargetId
+    ) -> bool:
+        """Return whether a run rather stays than goes to a leaving engine."""
+        return self._may_stay(stream) and self._context.is_leaving(destination)
+
     def _schedule(
         self,
         stream: Stream,
--- a/chicoryshunt/relay/stream.py
+++ b/chicoryshunt/relay/stream.py
@@ -1,6 +1,7 @@
 """One generation that is being relayed, and its resources."""
 
 import asyncio
+import math
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
 from typing import Any
@@ -18,7 +19,7 @@
     Leg,
     StallLimits,
 )
-from chicoryshunt.relay.results import Delivered, Doubtful, NotRun
+from chicoryshunt.relay.results import Delivered, Doubtful, NotRun, Streamed
 from chicoryshunt.relay.stream_inputs import (
     EngineAddress,
     Input,
@@ -45,7 +46,8 @@
 class Stream:
     """One generation; times are in monotonic seconds, 0 if not reached.
 
-    ``deadline`` is when a caller without an event has to be answered.
+    ``deadline`` is when a caller without an event has to be answered;
+    ``moved_at`` is when the run last went on elsewhere, if it did.
     """
 
     incoming: IncomingRequest
@@ -71,6 +73,7 @@
     longest_gap: float = 0
     event_count: int = 0
     replan_count: int = 0
+    moved_at: float = -math.inf
 
     @property
     def request(self) -> RequestId:
@@ -100,6 +103,12 @@
         """Return whether so many engines have failed the run as may try it."""
         return self.failed_restarts + 1 >= max(self.route.max_attempts, 2)
 
+    def is_running_at(self, target: TargetId) -> bool:
+        """Return whether an engine generates events of the run."""
+        if self.state is None or not self.first_event_at:
+            return False
+        return self.state.engine.target == target
+
     def record_failed_restart(
         self, failed: Delivered | NotRun | Doubtful
     ) -> None:
@@ -167,6 +176,17 @@
         self.last_forwarded_at = now
         self.event_count += count
 
+    def build_result(self, *, is_whole: bool) -> Streamed:
+        """Return how the stream ended."""
+        began = self.first_event_at or self.incoming.received_at
+        return Streamed(
+            is_whole=is_whole,
+            events=self.event_count,
+            first_event_seconds=began - self.incoming.received_at,
+            longest_gap_seconds=self.longest_gap,
+            leg_count=0 if self.state is None else self.state.leg_count,
+        )
+
     def spawn(
         self, coroutine: Coroutine[Any, Any, None], on_error: Input
     ) -> None:
--- a/chicoryshunt/relay/stream_actions.py
+++ b/chicoryshunt/relay/stream_actions.py
@@ -46,7 +46,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Replan:
-    """Plan another move off an engine that is leaving."""
+    """Plan another move off an engine if it is leaving."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/chicoryshunt/relay/stream_inputs.py
+++ b/chicoryshunt/relay/stream_inputs.py
@@ -74,7 +74,7 @@
 
 @dataclass(frozen=True, slots=True)
 class MoveRequested:
-    """The engine of the current leg is leaving; move to ``destination``."""
+    """Move from the engine of the current leg, if that is possible now."""
 
     destination: TargetId
 
--- a/chicoryshunt/relay/stream_state.py
+++ b/chicoryshunt/relay/stream_state.py
@@ -35,7 +35,12 @@
     MoveRequested,
     StopTimerExpired,
 )
-from chicoryshunt.relay.target_codec import Copied, CopyFailed, MemoryCopy
+from chicoryshunt.relay.target_codec import (
+    Copied,
+    CopyFailed,
+    CopyFailure,
+    MemoryCopy,
+)
 from chicoryshunt.types import TargetId
 
 
@@ -220,6 +225,8 @@
                 # The run has stopped, but its memory is still on the source.
                 move.holders = [self.engine.target]
                 yield from self._await_stop(move, handle)
+            case CopyFailed(CopyFailure.withdrawn):
+                yield from self._withdraw_move(move)
             case CopyFailed():
                 if stopped_run and outcome.may_have_stopped:
                     move.holders = [move.destination, self.engine.target]
@@ -243,6 +250,15 @@
             yield CloseLeg(self._current_leg)
             yield self._continue_run(move)
 
+    def _withdraw_move(self, move: _Move) -> Iterator[Action]:
+        """Stay on the engine, which would keep the copy of the run.
+
+        If the leg has ended, the run goes on from that copy.
+        """
+        if move.handle and move.leg_end is None:
+            yield Release(MemoryCopy(self.engine.address, move.handle))
+        yield from self._abandon_move(move)
+
     def _abandon_move(self, move: _Move) -> Iterator[Action]:
         self.phase = Phase.flowing
         if move.leg_end is None:
--- a/chicoryshunt/relay/target_codec.py
+++ b/chicoryshunt/relay/target_codec.py
@@ -48,11 +48,12 @@
 class CopyFailure(Enum):
     """Why the memory of a run was not copied.
 
-    ``not_sent``: the engine did not get the order; ``unreachable``: it may have
-    got it.
+    ``not_sent``: the engine did not get the order; ``withdrawn``: nor did it,
+    as the run may stay there; ``unreachable``: it may have got it.
     """
 
     not_sent = 'not_sent'
+    withdrawn = 'withdrawn'
     no_run = 'no_run'
     busy = 'busy'
     no_room = 'no_room'
@@ -81,7 +82,10 @@
         Without its answer, and if the engine knows no such run, nothing tells
         a run that was stopped from one that ended by itself.
         """
-        return self.reason is not CopyFailure.not_sent
+        return self.reason not in {
+            CopyFailure.not_sent,
+            CopyFailure.withdrawn,
+        }
 
 
 class Health(Enum):
--- a/tests/test_leg_watch.py
+++ b/tests/test_leg_watch.py
@@ -62,14 +62,14 @@
     assert cleared == ['e1']
 
 
-@pytest.mark.parametrize(('is_leaving', 'count'), [(False, 1), (True, 0)])
-def test_a_leg_reports_the_pace(is_leaving: bool, count: int) -> None:
-    """Guards against gaps of a leaving engine that count as its pace."""
+@pytest.mark.parametrize(('is_copying', 'count'), [(False, 1), (True, 0)])
+def test_a_leg_reports_the_pace(is_copying: bool, count: int) -> None:
+    """Guards against gaps during copies that count as an engine's pace."""
     reports: list[object] = []
     clock = ManualClock(100)
     context = SimpleNamespace(
         clock=clock,
-        is_leaving=lambda _: is_leaving,
+        is_copying=lambda _: is_copying,
         find_engine_rules=lambda _: SimpleNamespace(tokens_per_event=4),
         pace_exchange=SimpleNamespace(
             was_delayed=lambda *_: False,
--- a/tests/test_stream_state.py
+++ b/tests/test_stream_state.py
@@ -448,6 +448,7 @@
                 NO_RUN,
                 CopyFailed(CopyFailure.busy),
                 CopyFailed(CopyFailure.not_sent),
+                CopyFailed(CopyFailure.withdrawn),
             ],
         ),
     )
