--- a/tests/relief_builders.py
+++ b/tests/relief_builders.py
@@ -26,6 +26,7 @@
 from chicoryshunt.relay.stream_state import StreamState
 from chicoryshunt.relay.target_codec import Copied, CopyFailed, CopyFailure
 from chicoryshunt.rules.model import EngineRules, ServiceRules
+from chicoryshunt.rules.routing import AdmittedRequest
 from chicoryshunt.types import RequestId, ServiceId, TargetId
 from tests.fleet_builders import (
     HOME,
