--- a/chicoryshunt/fleet/broadcast.py
+++ b/chicoryshunt/fleet/broadcast.py
@@ -32,6 +32,11 @@
 )
 
 
+# Intervals of regular messages hold for so many nodes. In a larger fleet they
+# grow with it, so that no node receives more messages than from this many.
+_SENDING_NODES = 40
+
+
 class Passed(msgspec.Struct, frozen=True, array_like=True, tag='bp'):
     """Broadcast message of the node ``origin``.
 
@@ -66,6 +71,11 @@
         """Deliver relayed messages to these cores."""
         self._cores = tuple(cores)
 
+    def scale_interval(self, seconds: float) -> float:
+        """Return the interval of a regular message of each node, in seconds."""
+        count = self._membership.roster.published_count
+        return seconds * max(1, count / _SENDING_NODES)
+
     def send_to_all(self, payload: BroadcastMessage) -> Iterator[Send]:
         """Return the messages that carry a payload to all other nodes."""
         own = self._membership.own
--- a/chicoryshunt/fleet/demand.py
+++ b/chicoryshunt/fleet/demand.py
@@ -34,9 +34,6 @@
 # Notes are kept for this long after their callers may return.
 _NOTE_SECONDS = 1.0
 _INTERVAL_SECONDS = 0.25
-# In a larger fleet the interval grows with it, so that no node receives more
-# messages than it would from this many nodes.
-_REPORTING_NODES = 40
 _MIN_VALID_SECONDS = 1.0
 _VALID_INTERVALS = 3
 # A transit time beyond this is a clock that was set anew, as by a restart.
@@ -197,8 +194,7 @@
         self._unsent.clear()
 
     def _find_interval(self) -> float:
-        count = self._membership.roster.published_count
-        return _INTERVAL_SECONDS * max(1, count / _REPORTING_NODES)
+        return self._broadcast.scale_interval(_INTERVAL_SECONDS)
 
     def _measure_delay(
         self, sender: VmId, sent: float, now: float
--- a/chicoryshunt/fleet/exchanges.py
+++ b/chicoryshunt/fleet/exchanges.py
@@ -40,7 +40,7 @@
     """Return cores that know nothing yet."""
     return Exchanges(
         CrashExchange(membership, broadcast, now, rng),
-        PaceExchange(membership, broadcast, now, metrics),
-        OutageExchange(membership, broadcast, now, metrics),
+        PaceExchange(broadcast, now, metrics),
+        OutageExchange(broadcast, now, metrics),
         Demand(membership, broadcast, workload, now),
     )
--- a/chicoryshunt/fleet/outage_exchange.py
+++ b/chicoryshunt/fleet/outage_exchange.py
@@ -5,7 +5,6 @@
 from chicoryshunt.events import log_event
 from chicoryshunt.fleet.broadcast import Broadcast
 from chicoryshunt.fleet.messages import OutageNews
-from chicoryshunt.membership.membership import Membership
 from chicoryshunt.metrics import Metrics
 from chicoryshunt.nodes.core import Message, Send
 from chicoryshunt.types import TargetId, VmId
@@ -16,10 +15,8 @@
 # A node that got an answer from a target within this time knows better than
 # the news of others, whose own links may be cut.
 _ALIVE_SECONDS = 1.0
-# A node sends at most one message in this time. In a fleet of more than forty
-# nodes the interval grows, so that none receives more than 160 a second.
+# A node sends at most one message in this time, or less often in a large fleet.
 _SEND_SECONDS = 0.25
-_SENDING_NODES = 40
 # Engines that fail together fit into one message.
 _MAX_TARGETS = 16
 
@@ -36,13 +33,11 @@
 
     def __init__(
         self,
-        membership: Membership,
         broadcast: Broadcast,
         now: float,
         metrics: Metrics,
     ) -> None:
         """Start without targets that are down."""
-        self._membership = membership
         self._broadcast = broadcast
         self._metrics = metrics
         self._down_until: dict[TargetId, float] = {}
@@ -110,8 +105,7 @@
     def _flush(self, now: float) -> Iterator[Send]:
         if now < self._next_send or not self._pending:
             return
-        count = self._membership.roster.published_count
-        self._next_send = now + _SEND_SECONDS * max(1, count / _SENDING_NODES)
+        self._next_send = now + self._broadcast.scale_interval(_SEND_SECONDS)
         targets = tuple(self._pending)[:_MAX_TARGETS]
         for target in targets:
             self._pending.pop(target)
--- a/chicoryshunt/fleet/pace_exchange.py
+++ b/chicoryshunt/fleet/pace_exchange.py
@@ -6,7 +6,6 @@
 from chicoryshunt.events import log_event
 from chicoryshunt.fleet.broadcast import Broadcast
 from chicoryshunt.fleet.messages import PaceNews, PaceNote
-from chicoryshunt.membership.membership import Membership
 from chicoryshunt.metrics import Metrics
 from chicoryshunt.nodes.core import Message, Send
 from chicoryshunt.nodes.packing import pack
@@ -15,9 +14,6 @@
 _MILLISECONDS = 1000
 _MICROSECONDS = 1000000
 _SEND_SECONDS = 0.25
-# In a larger fleet the interval grows with it, so that no node receives more
-# than 160 messages per second.
-_SENDING_NODES = 40
 # Observations that differ from the table by less are not news.
 _NEWS_RATIO = 1.25
 # Gaps shorter than this matter to no route.
@@ -42,14 +38,12 @@
 
     def __init__(
         self,
-        membership: Membership,
         broadcast: Broadcast,
         now: float,
         metrics: Metrics,
     ) -> None:
         """Start without observations; other nodes send theirs as they come."""
         self.table = PaceTable()
-        self._membership = membership
         self._broadcast = broadcast
         self._metrics = metrics
         self._pending: dict[TargetId, PaceNote] = {}
@@ -121,8 +115,7 @@
             self._log_changes(now)
         if now < self._next_send or not self._pending:
             return
-        count = self._membership.roster.published_count
-        self._next_send = now + _SEND_SECONDS * max(1, count / _SENDING_NODES)
+        self._next_send = now + self._broadcast.scale_interval(_SEND_SECONDS)
         # What does not fit into one message waits for the next.
         notes = next(pack(self._pending.values()))
         for note in notes:
--- a/chicoryshunt/fleet/workload.py
+++ b/chicoryshunt/fleet/workload.py
@@ -15,9 +15,6 @@
 
 # Every node repeats the list of its runs, as datagrams may be lost.
 _REPEAT_SECONDS = 2.0
-# In a larger fleet the interval grows with it, so that no node receives more
-# lists than it would from this many nodes.
-_REPEATING_NODES = 40
 _RUNS_PER_MESSAGE = 14
 # A node without runs repeats its empty list, as datagrams may be lost.
 _MAX_EMPTY_ROUNDS = 3
@@ -118,9 +115,8 @@
         """Send the list of this node's runs when that is due."""
         if now < self._next_repeat:
             return
-        count = self._membership.roster.published_count
-        self._next_repeat = now + _REPEAT_SECONDS * max(
-            1, count / _REPEATING_NODES
+        self._next_repeat = now + self._broadcast.scale_interval(
+            _REPEAT_SECONDS
         )
         self._stranded.intersection_update(self._runs)
         own = self._membership.own
