--- a/chicoryshunt/log_account.py
+++ b/chicoryshunt/log_account.py
@@ -14,8 +14,13 @@
 _TIME_FORMAT = '%Y-%m-%d %H:%M:%S,%f'
 # Events of nodes and targets shortly before a request may explain it.
 _LOOKBACK_SECONDS = 30
-_TARGET_FIELDS = ('target', 'source', 'destination')
+_TARGET_FIELDS = ('target', 'source', 'destination', 'overdue')
 _TARGET_EVENTS = frozenset(('target_phase', 'target_paused'))
+# Every node logs these about the same targets. Only what the request's own
+# nodes knew explains their decisions.
+_KNOWN_TARGET_EVENTS = frozenset(
+    ('engine_pace_normal', 'engine_slow', 'target_down'),
+)
 _NODE_EVENTS = frozenset(
     (
         'log_lines_dropped',
@@ -127,7 +132,11 @@
 def _is_related(line: LogLine, targets: set[str], nodes: set[str]) -> bool:
     if line.event in _TARGET_EVENTS:
         return line.fields.get('target') in targets
-    return line.event in _NODE_EVENTS and line.node in nodes
+    if line.node not in nodes:
+        return False
+    if line.event in _KNOWN_TARGET_EVENTS:
+        return line.fields.get('target') in targets
+    return line.event in _NODE_EVENTS
 
 
 def _remove_duplicates(lines: Iterable[LogLine]) -> list[LogLine]:
--- a/tests/test_log_account.py
+++ b/tests/test_log_account.py
@@ -13,6 +13,11 @@
 time="2026-10-24 18:32:38,000" level=INFO event=run_placed request=r1 \
 target=e1 score=0.3
 Traceback (most recent call last):
+time="2026-10-24 18:32:38,020" level=INFO event=engine_slow target=e1 ratio=3
+time="2026-10-24 18:32:38,030" level=INFO event=target_down target=e3
+time="2026-10-24 18:32:38,040" level=INFO event=target_down target=e2
+time="2026-10-24 18:32:38,050" level=INFO event=call_hedged request=r1 \
+target=e1 overdue=e3
 time="2026-10-24 18:32:38,100" level=INFO event=run_placed request=r2 \
 target=e2
 time="2026-10-24 18:32:39,000" level=INFO event=target_phase target=e1 \
@@ -23,6 +28,7 @@
 SECOND = """\
 time="2026-10-24 18:32:38,990" level=INFO event=target_phase target=e1 \
 phase=leaving revision=12 source=store
+time="2026-10-24 18:32:39,300" level=INFO event=target_down target=e3
 time="2026-10-24 18:32:39,500" level=WARNING event=store_lost error=x
 """
 
@@ -42,6 +48,10 @@
     logs: str,
     capsys: pytest.CaptureFixture[str],
 ) -> None:
+    """Guard against accounts that omit why a node avoided a target.
+
+    What a node knew of a target is shown only if it served the request.
+    """
     status = run_command(['explain', 'r1', f'--logs={logs}'])
 
     shown = capsys.readouterr().out.splitlines()
@@ -50,6 +60,9 @@
     assert events == [
         ['vm-1', 'target_phase'],
         ['vm-1', 'run_placed'],
+        ['vm-1', 'engine_slow'],
+        ['vm-1', 'target_down'],
+        ['vm-1', 'call_hedged'],
         ['vm-2', 'target_phase'],
         ['vm-1', 'stream_cut'],
     ]
