--- a/chicoryshunt/fleet/outage_exchange.py
+++ b/chicoryshunt/fleet/outage_exchange.py
@@ -61,6 +61,7 @@
         """Record that a target has answered this node."""
         self._answered[target] = now
         self._down_until.pop(target, None)
+        self._pending.pop(target, None)
 
     def forget(self, target: TargetId) -> None:
         """Drop what is known of a target that started anew or is gone."""
@@ -87,6 +88,7 @@
         for target, until in tuple(self._down_until.items()):
             if until <= now:
                 self._down_until.pop(target)
+                self._pending.pop(target, None)
         return self._flush(now)
 
     def handle_pause(self, now: float, paused_seconds: float) -> None:
--- a/chicoryshunt/relay/placing.py
+++ b/chicoryshunt/relay/placing.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Iterable, Sequence
+from enum import Enum
 
 from chicoryshunt.dispatch.departures import Departures
 from chicoryshunt.dispatch.engines import (
@@ -39,11 +40,27 @@
 # Callers respect a retry time up to this share of the time they have left.
 _MAX_RETRY_SHARE = 1 / 3
 _DEFAULT_RETRY_SECONDS = 1.0
+_NO_ROOM_DETAIL = 'no room in time'
 _MIN_REMAINING_SECONDS = 0.02
 # A run that restarts waits until its prompt has been read once more.
 _RESTART_TIMEOUT_SECONDS = 3.0
 
 
+class RefusalCause(Enum):
+    """Why a generation is refused for lack of room.
+
+    ``forecast``: no engine will have room in time; ``time_over``: none had;
+    ``too_large``: none could hold it; ``engines``: engines refused it;
+    ``retries``: the retry budget is exhausted.
+    """
+
+    forecast = 'forecast'
+    time_over = 'time_over'
+    too_large = 'too_large'
+    engines = 'engines'
+    retries = 'retries'
+
+
 class Placer:
     """Places generations by the runs that all nodes have placed."""
 
@@ -170,10 +187,12 @@
     def refuse_no_capacity(
         self,
         stream: Stream,
+        cause: RefusalCause,
         detail: str,
         seconds: float = _DEFAULT_RETRY_SECONDS,
     ) -> Verdict:
         """Refuse for lack of room, with the time after which to retry."""
+        self._count_refusal(cause)
         remaining = max(stream.deadline - self._context.clock.now(), 0)
         spread = 1 + random.random() * _RETRY_JITTER
         wait = min(seconds * spread, remaining * _MAX_RETRY_SHARE)
@@ -271,6 +290,7 @@
                 self._log_placed(stream, choice, now - waiter.since)
                 return _find_fact(facts, target)
             case NeverFits(need):
+                self._count_refusal(RefusalCause.too_large)
                 detail = f'no engine holds {need} tokens'
                 return refuse(Reason.no_capacity, detail)
             case NoRoom(seconds) if not hold.seconds:
@@ -278,7 +298,9 @@
                 if refused is not None:
                     return refused
         if remaining < _MIN_REMAINING_SECONDS:
-            return self.refuse_no_capacity(stream, 'no room in time')
+            return self.refuse_no_capacity(
+                stream, RefusalCause.time_over, _NO_ROOM_DETAIL
+            )
         return None
 
     def _refuse_late(
@@ -297,16 +319,21 @@
             return None
         now = self._context.clock.now()
         backlog = self._wait_queue.estimate_backlog(waiter, now)
-        self._context.metrics.count(
-            'capacity_refusals',
-            'Generations that were refused for lack of room',
+        verdict = self.refuse_no_capacity(
+            stream, RefusalCause.forecast, _NO_ROOM_DETAIL, seconds
         )
-        verdict = self.refuse_no_capacity(stream, 'no room in time', seconds)
         if backlog.rate:
             verdict = self._refuse_behind(stream, waiter, backlog, seconds, now)
         self._wait_queue.note_refusal(waiter, verdict.retry_after or 0, now)
         return verdict
 
+    def _count_refusal(self, cause: RefusalCause) -> None:
+        self._context.metrics.count(
+            'capacity_refusals',
+            'Generations that were refused for lack of room, by cause',
+            cause=cause.value,
+        )
+
     def _refuse_behind(
         self,
         stream: Stream,
--- a/tests/test_outage_exchange.py
+++ b/tests/test_outage_exchange.py
@@ -74,6 +74,20 @@
     assert not exchange.is_down(DOWN[1], 101)
 
 
+def test_a_target_that_returned_is_not_reported() -> None:
+    """Guards against late reports of targets that are up again."""
+    node = _start_fleet(2).nodes[0]
+    exchange = node.exchanges.outages
+    assert list(exchange.report(DOWN[0], 200))
+    # The next report has to wait for its turn.
+    assert not list(exchange.report(DOWN[1], 200.1))
+    exchange.record_answer(DOWN[1], 200.2)
+    assert not list(exchange.tick(200.4))
+
+    assert not list(exchange.report(DOWN[2], 200.1))
+    assert not list(exchange.tick(202.2))
+
+
 def test_messages_are_bounded() -> None:
     """Guards against a flood as engines go up and down by turns."""
     trial = _start_fleet(60)
