--- a/chicoryshunt/relay/generations.py
+++ b/chicoryshunt/relay/generations.py
@@ -11,7 +11,7 @@
 from chicoryshunt.relay.incoming import IncomingRequest
 from chicoryshunt.relay.leg import DeadlinePassed, Leg, open_leg
 from chicoryshunt.relay.moving import Mover
-from chicoryshunt.relay.placing import Placer, RefusalCause
+from chicoryshunt.relay.placing import Placer
 from chicoryshunt.relay.relieving import Reliever
 from chicoryshunt.relay.results import (
     Delivered,
@@ -181,9 +181,7 @@
             return target
         if self._placer.spend_retry(stream):
             return target
-        return self._placer.refuse_no_capacity(
-            stream, RefusalCause.retries, 'no retries are left'
-        )
+        return self._placer.refuse_retry(stream)
 
     def _resolve_failure(
         self,
@@ -206,9 +204,7 @@
             case NotRun(_, detail) if (
                 attempt_count >= _MAX_REFUSALS and not uncertain_count
             ):
-                return self._placer.refuse_no_capacity(
-                    stream, RefusalCause.engines, detail
-                )
+                return self._placer.refuse_by_engines(stream, detail)
             case NotRun() if attempt_count < _MAX_REFUSALS:
                 return None
             case Doubtful() if stream.route.is_resumable:
--- a/chicoryshunt/relay/placing.py
+++ b/chicoryshunt/relay/placing.py
@@ -184,7 +184,17 @@
             self._context.clock.now(),
         )
 
-    def refuse_no_capacity(
+    def refuse_retry(self, stream: Stream) -> Verdict:
+        """Refuse a run that may not be sent to another engine."""
+        return self._refuse_no_capacity(
+            stream, RefusalCause.retries, 'no retries are left'
+        )
+
+    def refuse_by_engines(self, stream: Stream, detail: str) -> Verdict:
+        """Refuse a run that several engines have refused."""
+        return self._refuse_no_capacity(stream, RefusalCause.engines, detail)
+
+    def _refuse_no_capacity(
         self,
         stream: Stream,
         cause: RefusalCause,
@@ -298,7 +308,7 @@
                 if refused is not None:
                     return refused
         if remaining < _MIN_REMAINING_SECONDS:
-            return self.refuse_no_capacity(
+            return self._refuse_no_capacity(
                 stream, RefusalCause.time_over, _NO_ROOM_DETAIL
             )
         return None
@@ -319,7 +329,7 @@
             return None
         now = self._context.clock.now()
         backlog = self._wait_queue.estimate_backlog(waiter, now)
-        verdict = self.refuse_no_capacity(
+        verdict = self._refuse_no_capacity(
             stream, RefusalCause.forecast, _NO_ROOM_DETAIL, seconds
         )
         if backlog.rate:
