Separate loss, duplication and lateness of the fake network

A message was dropped with a probability and then added again with the same one, so a loss of 1 lost nothing and 0.3 lost 0.21. Tests that set a loss now set both probabilities: duplicates are as frequent as before, losses are not rarer.

--- a/lab/models/network.py
+++ b/lab/models/network.py
@@ -24,6 +24,8 @@
     sender: VmId
     receiver: VmId
     message: Message
+    # Monotonic time in seconds before which it is not delivered.
+    due: float = 0
 
 
 class Host:
@@ -53,12 +55,18 @@
 
 
 class Network:
-    """Delivers, loses, duplicates and reorders messages between hosts."""
+    """Delivers, loses, duplicates, delays and reorders messages.
+
+    ``loss`` and ``duplication`` are probabilities: with ``loss`` 1 nothing
+    arrives. ``lateness`` is the longest additional transit in seconds.
+    """
 
     def __init__(self, clock: ManualClock, rng: Random) -> None:
         self.clock = clock
         self.hosts: dict[VmId, Host] = {}
         self.loss: float = 0
+        self.duplication: float = 0
+        self.lateness: float = 0
         self.messages: Counter[str] = Counter()
         # Counts messages that are passed on by what they carry.
         self.payloads: Counter[str] = Counter()
@@ -67,6 +75,12 @@
         self._pending: list[PendingMessage] = []
         self._sides: list[frozenset[VmId]] = []
 
+    def disturb(self, share: float, lateness: float = 0) -> None:
+        """Lose and duplicate a share of the messages, and delay them."""
+        self.loss = share
+        self.duplication = share
+        self.lateness = lateness
+
     def cut(self, side: Iterable[VmId]) -> None:
         self._sides.append(frozenset(side))
 
@@ -78,17 +92,22 @@
 
     def send(self, sender: VmId, sends: Iterable[Send]) -> None:
         for one in sends:
-            pending = PendingMessage(sender, one.receiver, one.message)
             self.messages[type(one.message).__name__] += 1
             payload = getattr(one.message, 'payload', one.message)
             self.payloads[type(payload).__name__] += 1
             self.bytes_sent[sender] += HEADER_BYTES + len(
                 msgspec.msgpack.encode(one.message)
             )
-            if self._rng.random() >= self.loss:
-                self._pending.append(pending)
-            if self._rng.random() < self.loss:
-                self._pending.append(pending)
+            is_lost = self._rng.random() < self.loss
+            is_duplicated = self._rng.random() < self.duplication
+            if is_lost:
+                continue
+            for _ in range(1 + is_duplicated):
+                self._pending.append(
+                    PendingMessage(
+                        sender, one.receiver, one.message, self._draw_due()
+                    )
+                )
 
     def run(self, seconds: float, step: float = 0.1) -> None:
         """Advance the clock; each message takes up to one step."""
@@ -107,12 +126,20 @@
             host = self.hosts.get(pending.receiver)
             if host is None or self.is_cut(pending.sender, pending.receiver):
                 continue
-            if host.is_paused:
+            if self._is_held(host, pending):
                 self._pending.append(pending)
                 continue
             answers = host.receive(pending.sender, pending.message)
             self.send(pending.receiver, answers)
 
+    def _is_held(self, host: Host, pending: PendingMessage) -> bool:
+        return host.is_paused or pending.due > self.clock.now()
+
+    def _draw_due(self) -> float:
+        if not self.lateness:
+            return 0
+        return self.clock.now() + self._rng.random() * self.lateness
+
 
 def build_vm(
     name: str,
--- a/tests/crash_fleet.py
+++ b/tests/crash_fleet.py
@@ -16,14 +16,14 @@
     """Nodes in three data centres that know each other."""
 
     def __init__(self, count: int, loss: float = 0) -> None:
-        """Lose a share of the messages after discovery."""
+        """Lose and duplicate a share of the messages after discovery."""
         self._trial = FleetTrial(count)
         self._trial.network.run(_DISCOVERY_SECONDS)
-        self._trial.network.loss = loss
+        self.set_loss(loss)
 
     def set_loss(self, loss: float) -> None:
-        """Lose a share of the messages from now on."""
-        self._trial.network.loss = loss
+        """Lose and duplicate a share of the messages from now on."""
+        self._trial.network.disturb(loss)
 
     def run(self, seconds: float) -> None:
         """Advance the clock and deliver messages."""
--- a/tests/test_catalog_sync.py
+++ b/tests/test_catalog_sync.py
@@ -208,7 +208,7 @@
 def test_beacons_repair_lost_facts() -> None:
     trial = FleetTrial(COUNT)
     trial.network.run(5)
-    trial.network.loss = 0.4
+    trial.network.disturb(0.4)
     reader = _find_reader(trial)
     for revision in range(1, 12):
         fact = build_fact(f't{revision}', revision)
@@ -221,7 +221,7 @@
         ):
             for read in reader.catalog.list_facts():
                 other.catalog.apply(read, trial.clock.now(), 'store')
-    trial.network.loss = 0
+    trial.network.disturb(0)
 
     _run_with_readers(trial, 3)
 
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -249,7 +249,7 @@
 
     @rule(loss=st.sampled_from((0, 0.1, 0.3)))
     def lose(self, loss: float) -> None:
-        self.fleet.network.loss = loss
+        self.fleet.network.disturb(loss)
 
     @rule(is_read=st.booleans())
     def read_load(self, *, is_read: bool) -> None:
@@ -271,7 +271,7 @@
     def settle(self) -> None:
         fleet = self.fleet
         fleet.network.heal()
-        fleet.network.loss = 0
+        fleet.network.disturb(0)
         fleet.is_load_read = True
         for host in fleet.network.hosts.values():
             host.is_paused = False
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -245,12 +245,12 @@
 
     @rule(loss=st.sampled_from((0, 0.1, 0.3)))
     def lose(self, loss: float) -> None:
-        self.fleet.network.loss = loss
+        self.fleet.network.disturb(loss)
         self.fleet.network.run(3)
 
     @rule()
     def settle(self) -> None:
-        self.fleet.network.loss = 0
+        self.fleet.network.disturb(0)
         self.fleet.network.run(2 * _CONVERGENCE_SECONDS)
         for vm in self.fleet.vms:
             if self.fleet.members:
