--- a/lab/soak/faults.py
+++ b/lab/soak/faults.py
@@ -8,6 +8,7 @@
 from random import Random
 
 from lab.soak.proxy import Proxy, Trouble
+from lab.soak.splits import DisturbDatagrams, Split, disturb_datagrams
 from lab.soak.world import Node, Running, Target, World
 from lab.standins.odd_answers import Head
 from lab.standins.platform_targets import (
@@ -24,6 +25,9 @@
 # A stream of an engine that is not slow lasts about so long; all are unframed
 # after this time.
 _STREAM_SECONDS = 1.0
+# Shares of datagrams that are lost, and of the others that are late.
+_LEAST_SHARE = 0.05
+_MOST_SHARE = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,6 +97,8 @@
     | ChangeRules
     | AnswerOddly
     | LeaveUnframed
+    | DisturbDatagrams
+    | Split
 )
 
 
@@ -148,6 +154,21 @@
     return plan
 
 
+def draw_datagrams(seed: int, seconds: float, nodes: int) -> list[Planned]:
+    """Return lost and late datagrams, and a split into halves.
+
+    They are drawn apart, so that the other faults of a seed stay the same.
+    """
+    rng = Random(f'datagrams {seed}')
+    share = rng.uniform(_LEAST_SHARE, _MOST_SHARE)
+    side = tuple(rng.sample(range(nodes), nodes // 2))
+    length = rng.uniform(seconds / 3, seconds / 2)
+    return [
+        Planned(0, seconds, DisturbDatagrams(share)),
+        Planned(rng.uniform(0, seconds - length), length, Split(side)),
+    ]
+
+
 def _draw(rng: Random, nodes: int, targets: int) -> Fault:
     hit = tuple(rng.sample(range(nodes), rng.randint(1, _MOST_HIT)))
     troubles = [one for one in Trouble if one is not Trouble.none]
@@ -190,6 +211,9 @@
             world.store.is_down = False
         case ChangeRules():
             world.publish_rules()
+        case DisturbDatagrams() | Split():
+            with disturb_datagrams(world, planned.fault):
+                await asyncio.sleep(planned.seconds)
         case AnswerOddly() | LeaveUnframed():
             await _play_answers(world, planned.fault, planned.seconds)
     return []
--- a/lab/soak/soak.py
+++ b/lab/soak/soak.py
@@ -15,7 +15,14 @@
 
 from chicoryshunt.operations import run_until_done
 from lab.soak.callers import Ask, Callers
-from lab.soak.faults import Planned, draw_odd_answers, draw_plan, play
+from lab.soak.datagrams import Datagrams
+from lab.soak.faults import (
+    Planned,
+    draw_datagrams,
+    draw_odd_answers,
+    draw_plan,
+    play,
+)
 from lab.soak.promises import find_broken
 from lab.soak.regressions import REGRESSIONS
 from lab.soak.speeds import draw_speeds
@@ -65,12 +72,14 @@
     requests: int
     served: int
     faults: Counter[str]
+    datagrams: Counter[str]
 
 
 async def soak(seed: int, size: Size, folder: Path) -> Findings:
     """Play the faults of a seed and check every promise."""
     rng = Random(seed)
-    async with run_world(folder, size.nodes) as world:
+    datagrams = Datagrams(Random(f'losses {seed}'))
+    async with run_world(folder, size.nodes, datagrams=datagrams) as world:
         draw_speeds(seed, world.engines)
         callers = Callers(world, Random(rng.random()))
         broken = await _wait_served(callers, _START_SECONDS, 'after the start')
@@ -82,6 +91,7 @@
             len(world.list_targets()),
         )
         plan += draw_odd_answers(rng, size.seconds, size.rate, world)
+        plan += draw_datagrams(seed, size.seconds, size.nodes)
         broken += await _disturb(world, callers, plan, size.callers)
         broken += await _wait_served(
             callers,
@@ -98,6 +108,7 @@
         len(callers.outcomes),
         sum(one.is_served for one in callers.outcomes),
         Counter(type(one.fault).__name__ for one in plan),
+        datagrams.counts,
     )
 
 
@@ -162,7 +173,11 @@
     print(
         f'seed {seed}: {findings.requests} requests, '
         + f'{findings.served} served, {findings.faults.total()} faults, '
-        + f'{len(findings.broken)} promises broken',
+        + f'{len(findings.broken)} promises broken; datagrams: '
+        + ', '.join(
+            f'{findings.datagrams[kind]} {kind}'
+            for kind in ('lost', 'late', 'cut')
+        ),
         flush=True,
     )
     for text in findings.broken:
--- a/lab/soak/world.py
+++ b/lab/soak/world.py
@@ -5,7 +5,7 @@
 import signal
 import subprocess
 import sys
-from collections.abc import AsyncIterator, Iterator, Sequence
+from collections.abc import AsyncIterator, Iterator, Mapping, Sequence
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -13,6 +13,7 @@
 
 from chicoryshunt.connection.loop_transport import open_server
 from chicoryshunt.platform.settings import SETTINGS_VARIABLE
+from lab.soak.datagrams import Datagrams
 from lab.soak.proxy import Proxy
 from lab.standins.loopback import take_host
 from lab.standins.platform_files import (
@@ -122,6 +123,10 @@
     engines: list[StandInEngine] = field(default_factory=list)
     proxies: dict[str, Proxy] = field(default_factory=dict)
     version: int = 1
+    # Changes to the configuration that stay until they are removed.
+    changes: dict[str, Any] = field(default_factory=dict)
+    # None: nodes reach each other without a proxy.
+    datagrams: Datagrams | None = None
 
     def list_targets(self) -> list[Target]:
         """Return services and engines."""
@@ -136,7 +141,8 @@
     def publish_rules(self, **changes: Any) -> None:
         """Write the next version of the configuration."""
         self.version += 1
-        self.store.put('op/config', build_config(self.version, **changes))
+        config = build_config(self.version, **{**self.changes, **changes})
+        self.store.put('op/config', config)
 
     def find_early_ends(self) -> list[str]:
         """Return the nodes that ended though nobody stopped them."""
@@ -153,12 +159,13 @@
     node_count: int,
     targets: Sequence[Target] = (),
     config: dict[str, Any] | None = None,
+    datagrams: Datagrams | None = None,
 ) -> AsyncIterator[World]:
     """Start everything and stop it by its ids, however the block ends.
 
     By default there are three services and three engines.
     """
-    world = World(folder)
+    world = World(folder, datagrams=datagrams)
     for target in targets or _build_targets():
         if isinstance(target, StandInEngine):
             world.engines.append(target)
@@ -173,7 +180,7 @@
             world.publish(target)
         world.store.put('op/config', config or build_config())
         store = await _serve(stack, world.store.site)
-        hosts = [take_host() for _ in range(node_count)]
+        hosts = await _take_hosts(stack, datagrams, node_count)
         for number in range(node_count):
             node = await _build_node(stack, world, store, hosts, number)
             world.nodes.append(node)
@@ -199,25 +206,43 @@
     return f'{host}:{port}'
 
 
+async def _take_hosts(
+    stack: AsyncExitStack, datagrams: Datagrams | None, count: int
+) -> dict[str, str]:
+    """Return the hosts where nodes listen, each with what it announces."""
+    hosts = {}
+    for _ in range(count):
+        host = take_host()
+        hosts[host] = host
+        if datagrams is not None:
+            listening = datagrams.listen(host)
+            hosts[host] = await stack.enter_async_context(listening)
+    return hosts
+
+
 async def _build_node(
     stack: AsyncExitStack,
     world: World,
     store: str,
-    hosts: Sequence[str],
+    hosts: Mapping[str, str],
     number: int,
 ) -> Node:
-    host = hosts[number]
+    """Build a node; ``hosts`` maps where nodes listen to what they announce."""
+    host = tuple(hosts)[number]
+    announced = hosts[host]
     callers = Proxy(f'{host}:{CALLERS}')
     await stack.enter_async_context(callers.listen())
     to_store = Proxy(store)
     await stack.enter_async_context(to_store.listen())
-    seeds = [f'{one}:{PEERS}' for one in hosts[:3]]
+    seeds = [f'{one}:{PEERS}' for one in tuple(hosts.values())[:3]]
+    addresses = {'ip': announced, 'listen.control': f'{announced}:{PEERS}'}
     lines = build_lines(
         to_store.address,
         host,
         node_name=f'node-{number}',
         zone=_PLACES[number % len(_PLACES)],
         seeds=','.join(seeds),
+        **addresses,
     )
     settings = world.folder / f'node-{number}.conf'
     settings.write_text(lines, encoding='utf-8')
--- a/lab/standins/platform_files.py
+++ b/lab/standins/platform_files.py
@@ -7,6 +7,7 @@
 READINESS = 8749
 PEERS = 8748
 DIRECTORY = 8746
+GOSSIP = 7200
 KEY = 'k1'
 
 
@@ -20,7 +21,7 @@
         'listen.readiness': f'{host}:{READINESS}',
         'listen.control': f'{host}:{PEERS}',
         'listen.directory': f'{host}:{DIRECTORY}',
-        'internal_port_range': '7200,7215',
+        'internal_port_range': f'{GOSSIP},7215',
         'seeds': f'{host}:{PEERS}',
         'bounds.retry_ratio': '0.2',
         'bounds.retry_slack': '58',
@@ -64,6 +65,19 @@
     return config
 
 
+def build_crowding() -> dict[str, Any]:
+    """Return changes that name two teams and leave engines room for one run."""
+    plain, engines = build_config()['services']
+    engines['engine']['kv_capacity'] = 1500
+    return {
+        'services': [plain, engines],
+        'tenants': [
+            {'name': 'club', 'api_keys': [KEY], 'priority': 1},
+            {'name': 'other', 'api_keys': ['k2'], 'priority': 1},
+        ],
+    }
+
+
 def build_entry(
     service: str,
     address: str,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,7 @@
 """The soak: a short run of real processes, and checks that can fail."""
 
 import asyncio
+import re
 import subprocess
 import sys
 import time
@@ -17,7 +18,8 @@
     UpstreamPool,
 )
 from lab.soak.callers import Ask, Outcome
-from lab.soak.faults import draw_odd_answers, draw_plan
+from lab.soak.datagrams import Datagrams
+from lab.soak.faults import draw_datagrams, draw_odd_answers, draw_plan
 from lab.soak.heads import find_odd_line
 from lab.soak.promises import find_broken
 from lab.soak.proxy import Proxy, Trouble
@@ -55,6 +57,8 @@
     )
 
     assert finished.returncode == 0, finished.stdout + finished.stderr
+    disturbed = r'[1-9]\d* lost, [1-9]\d* late, [1-9]\d* cut'
+    assert re.search(disturbed, finished.stdout), finished.stdout
 
 
 def test_a_seed_draws_the_same_faults() -> None:
@@ -73,6 +77,34 @@
     assert len(one) == 9
 
 
+def test_a_seed_disturbs_the_same_datagrams() -> None:
+    one, other = (draw_datagrams(5, 6, 4) for _ in range(2))
+
+    assert one == other
+    assert all(planned.at + planned.seconds <= 6 for planned in one)
+
+
+@pytest.mark.parametrize(
+    ('loss', 'side', 'passed', 'count'),
+    [
+        (0, '', 1, ''),
+        (1, '', 0, 'lost'),
+        (0, 'a', 0, 'cut'),
+        (0, 'ab', 1, ''),
+    ],
+)
+def test_datagrams_are_lost_and_cut(
+    loss: float, side: str, passed: int, count: str
+) -> None:
+    """Guards against a soak that loses datagrams only in name."""
+    sent: list[int] = []
+    datagrams = Datagrams(Random(1), loss=loss, side=frozenset(side))
+    datagrams.pass_on('a', 'b', lambda: sent.append(1))
+
+    assert len(sent) == passed
+    assert list(datagrams.counts) == list(filter(None, [count]))
+
+
 def test_a_seed_slows_the_same_engines() -> None:
     """Guards against a soak whose engines are all of one speed."""
 
