Let nodes of tests connect for longer than a stall

If the loop of a test stalls for longer than the connect timeout of 0.4 s while a node connects, the attempt is not sent. The node then rightly answers 503 where a test expects the 502 of a target that was sent the request, or cuts a stream that only that engine can continue. Its default is unchanged.

--- a/chicoryshunt/platform/node.py
+++ b/chicoryshunt/platform/node.py
@@ -44,12 +44,16 @@
 class Node:
     """Node on the platform; ``run`` returns once the platform stops it."""
 
-    def __init__(self, settings: PlatformSettings) -> None:
+    def __init__(
+        self,
+        settings: PlatformSettings,
+        connect_seconds: float = _CONNECT_SECONDS,
+    ) -> None:
         """Build the parts of the node without listening yet."""
         self._settings = settings
         self._clock = SystemClock()
         self._metrics = Metrics()
-        self._pool = UpstreamPool(_CONNECT_SECONDS)
+        self._pool = UpstreamPool(connect_seconds)
         self._fleet_agent = FleetAgent(
             _describe(settings, settings.vm, settings.data_centre),
             _list_seeds(settings),
