Let the runs of a test end without an order to stop

A node moved the run of this test until its end. An order to stop that was handled after the last event left an unframed stream cut, as nothing tells whether such a run was stopped. The engines now begin no copy during the last 50 events.

--- a/tests/stoppable_engine.py
+++ b/tests/stoppable_engine.py
@@ -8,6 +8,9 @@
 
 _EVENT_SECONDS = 0.01
 _STOP_SECONDS = 0.05
+# No move begins during the last events of a run. Whether an order stopped a run
+# that ended meanwhile cannot be told without framing, and its stream is cut.
+_LAST_EVENTS = 50
 # An answer in time for the node, and one that is not.
 _LATE_SECONDS = 0.4
 _TOO_LATE_SECONDS = 3.2
@@ -138,6 +141,15 @@
             piece = b'%x\r\n%s\r\n' % (len(piece), piece)
         writer.write(piece)
 
+    def _answer_copy(
+        self, request: str, copied: bytes, writer: asyncio.StreamWriter
+    ) -> None:
+        produced = self._fleet.produced.get(request, 0)
+        if produced > self._fleet.length - _LAST_EVENTS:
+            _write(writer, '409 Conflict', [])
+        else:
+            _write(writer, '200 OK', [], copied)
+
     async def _move(
         self, order: dict[str, object], writer: asyncio.StreamWriter
     ) -> None:
@@ -148,7 +160,7 @@
             {'handle': 'h', 'created': self._fleet.produced.get(request, 0)}
         ).encode()
         if not is_last:
-            _write(writer, '200 OK', [], copied)
+            self._answer_copy(request, copied, writer)
             return
         match self._fleet.stop_answer:
             case StopAnswer.goes_on:
