Connect before a call of a test hangs

gRPC gives up a connection whose first frame takes longer than 0.1 s, and the call ends with UNAVAILABLE before its deadline of 0.2 s. The test is about a handler that hangs, so it now connects first.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -28,6 +28,7 @@
 _SENDER = VmId('a')
 _RECEIVER = VmId('b')
 _SECONDS = 5.0
+_RETRY_SECONDS = 0.05
 
 
 class Question(msgspec.Struct, frozen=True, array_like=True):
@@ -146,9 +147,30 @@
     asyncio.run(check())
 
 
+async def _wait_connected(pair: Pair) -> None:
+    """Call until the channel is connected.
+
+    gRPC gives up a handshake after its shortest reconnect backoff of 0.1 s,
+    and a busy machine may take longer.
+    """
+    async with asyncio.timeout(_SECONDS):
+        while True:
+            try:
+                await pair.ask()
+            except PeerError as error:
+                if 'UNAVAILABLE' not in str(error):
+                    raise
+                await asyncio.sleep(_RETRY_SECONDS)
+            else:
+                return
+
+
 def test_hanging_call_ends_at_its_deadline() -> None:
+    """Guards against a call that waits for a handler that never answers."""
+
     async def check() -> None:
         async with connect() as pair:
+            await _wait_connected(pair)
             with pytest.raises(PeerError, match='DEADLINE_EXCEEDED'):
                 await pair.ask('hang', seconds=0.2)
             assert await pair.ask() == Reply(_SENDER, 'x')
