Name every signal around a request that a soak lost

A finding named the last signal only. A loss at the end of a planned stop was reported as that of a reload if SIGHUP followed the SIGTERM, which hid its cause. The rule of what is lost is unchanged.

--- a/lab/soak/lost.py
+++ b/lab/soak/lost.py
@@ -82,7 +82,7 @@
             if one.node == sent.node and _concerns(one, sent.span)
         ]
         if around:
-            lost.append(_describe(sent, around[-1], spans))
+            lost.append(_describe(sent, around, spans))
     return lost
 
 
@@ -118,12 +118,21 @@
     return is_early and any(one.overlaps(last) for one in spans)
 
 
-def _describe(sent: Sent, one: Stop | Reload, spans: Sequence[Span]) -> str:
-    name = 'SIGTERM' if isinstance(one, Stop) else 'SIGHUP'
-    after = sent.span.start - one.at
+def _describe(
+    sent: Sent, around: Sequence[Stop | Reload], spans: Sequence[Span]
+) -> str:
+    """Name every signal around a request: a reload may follow a stop."""
+    times = ' and '.join(_describe_times(sent.span, one) for one in around)
     return (
-        f'{sent.request} to {sent.node} was sent {after:.2f} s '
-        f'after {name}, and cut {sent.span.end - one.at:.2f} s '
-        f'after it, {sent.deadline - sent.span.end:.3f} s before its '
+        f'{sent.request} to {sent.node} was {times}, '
+        f'{sent.deadline - sent.span.end:.3f} s before its '
         f'deadline; passed on: {bool(spans)}'
     )
+
+
+def _describe_times(span: Span, one: Stop | Reload) -> str:
+    name = 'SIGTERM' if isinstance(one, Stop) else 'SIGHUP'
+    return (
+        f'sent {span.start - one.at:.2f} s and '
+        f'cut {span.end - one.at:.2f} s after {name}'
+    )
--- a/tests/test_soak_stops.py
+++ b/tests/test_soak_stops.py
@@ -115,6 +115,16 @@
     assert bool(lost) is is_lost
 
 
+def test_a_finding_names_every_signal() -> None:
+    """Guards against a loss of a stop that is blamed on a later reload."""
+    sent = Sent('r', 'a', Span(107.33, 107.55), _DEADLINE, is_answered=False)
+
+    text = find_lost([sent], [_STOP, Reload('a', 106.4)], {})[0]
+
+    assert 'sent 7.33 s and cut 7.55 s after SIGTERM' in text
+    assert 'sent 0.93 s and cut 1.15 s after SIGHUP' in text
+
+
 def test_a_reload_counts_no_excused_request() -> None:
     work = Span(99, 107.6)
     sent = Sent('r', 'a', work, _DEADLINE, is_answered=False)
