--- a/tests/test_pace_exchange.py
+++ b/tests/test_pace_exchange.py
@@ -31,8 +31,9 @@
 
 
 def _report(trial: FleetTrial, node: int, engines: int = 4) -> None:
+    exchange = trial.nodes[node].exchanges.pace
     for index in range(engines):
-        trial.nodes[node].exchanges.pace.report(
+        exchange.report(
             TargetId(f'e{index}'),
             0.007 if index else 0.02,
             0.03 if index else SLOW_GAP,
