--- a/chicoryshunt/relay/context.py
+++ b/chicoryshunt/relay/context.py
@@ -175,12 +175,16 @@
         """Count a target that accepts no connection, and tell other nodes.
 
         A target that does not answer at all may be cut off from this node
-        only, so that counts if this node has just connected to another.
+        only, so that counts if this node has just connected to another, and
+        its process was not delayed.
         """
         self.record_outcome(target, ExchangeOutcome.unreachable)
         now = self.clock.now()
-        is_linked = now - self.last_connected < _LINK_PROOF_SECONDS
-        if is_linked or isinstance(error, NotListeningError):
+        since = now - _LINK_PROOF_SECONDS
+        is_linked = self.last_connected > since
+        if isinstance(error, NotListeningError) or (
+            is_linked and not self.exchanges.pace.was_delayed(since, now)
+        ):
             self.send(self.exchanges.outages.report(target, now))
 
     def forget_target(self, fact: TargetFact) -> None:
--- a/tests/test_outage_exchange.py
+++ b/tests/test_outage_exchange.py
@@ -103,20 +103,26 @@
 
 
 @pytest.mark.parametrize(
-    ('error', 'connected', 'is_down'),
+    ('error', 'connected', 'ticked', 'is_down'),
     [
-        (NotListeningError('refused'), 0, True),
-        (NotSentError('no answer'), 99.9, True),
-        (NotSentError('no answer'), 0, False),
+        (NotListeningError('refused'), 0, 0, True),
+        (NotSentError('no answer'), 99.9, 99.9, True),
+        (NotSentError('no answer'), 0, 99.9, False),
+        (NotSentError('no answer'), 99.9, 99.5, False),
     ],
 )
 def test_silence_counts_only_on_a_sound_link(
-    error: NotSentError, connected: float, is_down: bool
+    error: NotSentError, connected: float, ticked: float, is_down: bool
 ) -> None:
-    """Guards against a node without network that declares all engines down."""
+    """Guards against a node that declares all engines down.
+
+    It has no network, or its process was delayed while it connected.
+    """
     context = CallTrial([]).context
     context.clock = _Clock()
     context.last_connected = connected
+    for step in range(10):
+        list(context.exchanges.pace.tick(ticked - 0.9 + step / 10))
     context.record_unreachable(DOWN[0], error)
 
     assert context.exchanges.outages.is_down(DOWN[0], 100) is is_down
