--- a/chicoryshunt/dispatch/engine_pace.py
+++ b/chicoryshunt/dispatch/engine_pace.py
@@ -5,8 +5,8 @@
 
 from chicoryshunt.types import TargetId
 
-# Observations lose half of their weight within this time.
-_HALF_LIFE_SECONDS = 10.0
+# The best pace and the longest gap are kept for one to two windows.
+_WINDOW_SECONDS = 5.0
 # An engine without an observation for so long is unknown again.
 _EXPIRY_SECONDS = 30.0
 # Ratios to the median up to this one, and down to its inverse, count as 1:
@@ -19,23 +19,53 @@
 _MEDIAN_SECONDS = 0.25
 
 
+@dataclass(slots=True)
+class _Extremes:
+    """The best pace and the longest gap of a time, in seconds."""
+
+    seconds_per_token: float
+    longest_gap: float
+
+    def add(self, seconds_per_token: float, longest_gap: float) -> None:
+        self.seconds_per_token = min(self.seconds_per_token, seconds_per_token)
+        self.longest_gap = max(self.longest_gap, longest_gap)
+
+
 @dataclass(slots=True)
 class _Pace:
-    """Observations of one engine.
+    """Observations of one engine in the present window and the one before.
 
-    ``longest_gap`` is the longest gap since ``window_start``, and
-    ``earlier_gap`` that of the window before; all times are in seconds.
+    A loaded engine is slow for seconds, and a slow one is never fast. So the
+    best pace of a window tells them apart.
     """
 
-    seconds_per_token: float
-    longest_gap: float
     updated: float
     window_start: float
-    earlier_gap: float = 0
-
-    def find_longest_gap(self) -> float:
+    present: _Extremes
+    earlier: _Extremes
+
+    @property
+    def seconds_per_token(self) -> float:
+        """Return the best pace of both windows."""
+        return min(
+            self.present.seconds_per_token, self.earlier.seconds_per_token
+        )
+
+    @property
+    def longest_gap(self) -> float:
         """Return the longest gap of both windows, in seconds."""
-        return max(self.longest_gap, self.earlier_gap)
+        return max(self.present.longest_gap, self.earlier.longest_gap)
+
+    def record(
+        self, seconds_per_token: float, longest_gap: float, now: float
+    ) -> None:
+        """Add an observation; begin a new window if that is due."""
+        if now - self.window_start >= _WINDOW_SECONDS:
+            self.earlier = self.present
+            self.present = _Extremes(seconds_per_token, longest_gap)
+            self.window_start = now
+        self.present.add(seconds_per_token, longest_gap)
+        self.updated = now
 
 
 class PaceTable:
@@ -62,20 +92,10 @@
         """Record what a stream observed; times are in seconds."""
         pace = self._find(target, now)
         if pace is None:
-            self._paces[target] = _Pace(
-                seconds_per_token, longest_gap, now, now
-            )
-            return
-        weight = 0.5 ** ((now - pace.updated) / _HALF_LIFE_SECONDS)
-        share = 1 / (1 + weight)
-        difference = seconds_per_token - pace.seconds_per_token
-        pace.seconds_per_token += share * difference
-        pace.updated = now
-        if now - pace.window_start >= _HALF_LIFE_SECONDS:
-            pace.earlier_gap = pace.longest_gap
-            pace.longest_gap = longest_gap
-            pace.window_start = now
-        pace.longest_gap = max(pace.longest_gap, longest_gap)
+            first = _Extremes(seconds_per_token, longest_gap)
+            pace = _Pace(now, now, first, first)
+            self._paces[target] = pace
+        pace.record(seconds_per_token, longest_gap, now)
 
     def slowness(self, target: TargetId, now: float) -> float:
         """Return how many times the median a token takes, 1 if unknown."""
@@ -91,7 +111,7 @@
     def find_longest_gap(self, target: TargetId, now: float) -> float:
         """Return the longest gap seen lately, in seconds, 0 if unknown."""
         pace = self._find(target, now)
-        return 0 if pace is None else pace.find_longest_gap()
+        return 0 if pace is None else pace.longest_gap
 
     def predict_longest_gap(self, target: TargetId, now: float) -> float:
         """Return the longest gap to expect, in seconds, 0 if unknown.
@@ -152,7 +172,7 @@
                     pace.seconds_per_token for pace in known
                 )
                 self._typical_gap = statistics.median(
-                    pace.find_longest_gap()
+                    pace.longest_gap
                     for pace in known
                     if pace.seconds_per_token <= self._median * MAX_EQUAL_RATIO
                 )
--- a/chicoryshunt/fleet/pace_exchange.py
+++ b/chicoryshunt/fleet/pace_exchange.py
@@ -18,8 +18,9 @@
 _NEWS_RATIO = 1.25
 # Gaps shorter than this matter to no route.
 _MIN_GAP_SECONDS = 0.05
-# An unchanged pace is repeated after this time, before it loses its weight.
-_REFRESH_SECONDS = 5.0
+# A pace that is not better is repeated after this time, so that one that was
+# observed earlier is replaced.
+_REFRESH_SECONDS = 2.5
 _LOG_SECONDS = 0.5
 # Ticks are 0.1 s apart. After a longer interval this process was delayed so
 # much that the gaps it measured may exceed those that routes intend.
@@ -155,7 +156,7 @@
         ratio = seconds_per_token / known
         return (
             longest_gap > max(gap * _NEWS_RATIO, _MIN_GAP_SECONDS)
-            or not 1 / _NEWS_RATIO <= ratio <= _NEWS_RATIO
+            or ratio < 1 / _NEWS_RATIO
         )
 
     def _log_changes(self, now: float) -> None:
--- a/chicoryshunt/relay/pace_meter.py
+++ b/chicoryshunt/relay/pace_meter.py
@@ -1,17 +1,13 @@
 """Measures how fast an engine generates on one leg of a stream."""
 
-import itertools
+import math
 
 from chicoryshunt.fleet.pace_exchange import PaceExchange
 from chicoryshunt.types import TargetId
 
-# Events of the first observation: engines are replaced every few seconds, so
-# their pace has to be known early.
-_FIRST_EVENTS = 6
-# Events that follow a prompt of another run come late, and tell the load of an
-# engine instead of its pace. So the lower quartile of the times between events
-# counts.
-_QUARTILE = 4
+# Events of one observation. While an engine reads two prompts of other runs,
+# about fourteen events come up to twice as late as otherwise.
+_EVENTS = 20
 # A leg reports at most once in this time after its first observation.
 _REPORT_SECONDS = 1.0
 
@@ -33,7 +29,10 @@
         self._is_measuring = False
         self._last: float = 0
         self._longest_gap: float = 0
-        self._event_seconds: list[float] = []
+        self._best = math.inf
+        self._last_gap = math.inf
+        self._last_count = 0
+        self._events = 0
 
     def record_events(self, count: int, now: float) -> None:
         """Record that events arrived."""
@@ -44,17 +43,19 @@
             return
         gap = now - self._last
         self._longest_gap = max(self._longest_gap, gap)
+        # Events may arrive together, one of them late: two gaps are added.
+        pair = (gap + self._last_gap) / (count + self._last_count)
+        self._best = min(self._best, pair)
+        self._last_gap = gap
+        self._last_count = count
         self._last = now
-        self._event_seconds.extend(itertools.repeat(gap / count, count))
-        measured = len(self._event_seconds)
-        # The first event starts the measurement.
-        if measured < _FIRST_EVENTS - 1 or now < self._next_report:
+        self._events += count
+        if self._events < _EVENTS or now < self._next_report:
             return
-        usual = sorted(self._event_seconds)[measured // _QUARTILE]
-        if usual > 0:
+        if self._best > 0:
             self._exchange.report(
                 self._target,
-                usual / self._tokens_per_event,
+                self._best / self._tokens_per_event,
                 self._longest_gap,
                 now,
             )
@@ -69,4 +70,7 @@
         self._is_measuring = True
         self._last = now
         self._longest_gap = 0
-        self._event_seconds.clear()
+        self._best = math.inf
+        self._last_gap = math.inf
+        self._last_count = 0
+        self._events = 0
