--- a/chicoryshunt/relay/fleet_queue.py
+++ b/chicoryshunt/relay/fleet_queue.py
@@ -53,7 +53,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Backlog:
+class WorkAhead:
     """What a request waits behind, and for how many seconds, if known.
 
     ``rate`` is in memory tokens per second.
@@ -126,10 +126,10 @@
             self._check_passed_over(waiter, engines, now)
         return False
 
-    def estimate_backlog(self, waiter: FleetWaiter, now: float) -> Backlog:
+    def estimate_work_ahead(self, waiter: FleetWaiter, now: float) -> WorkAhead:
         """Return what a request without room waits behind in the fleet."""
         if not self._is_ordered():
-            return Backlog(Preceding())
+            return WorkAhead(Preceding())
         demand = self._context.exchanges.demand
         groups = [*demand.list_groups(now), *demand.list_notes(now)]
         groups += [
@@ -139,7 +139,7 @@
         ]
         over = self._find_teams_over(waiter.service, now) if groups else ()
         rate = self._rates.get(waiter.service)
-        return Backlog(
+        return WorkAhead(
             sum_preceding(waiter.claim, groups, over, now),
             None if rate is None else rate.measure(now),
         )
@@ -147,7 +147,7 @@
     def reserve_return(
         self,
         waiter: FleetWaiter,
-        backlog: Backlog,
+        ahead: WorkAhead,
         forecast: float,
         longest: float,
         now: float,
@@ -156,13 +156,13 @@
 
         It is at most ``longest``.
         """
-        seconds = max(backlog.wait, forecast)
-        if not backlog.rate:
+        seconds = max(ahead.wait, forecast)
+        if not ahead.rate:
             return min(seconds, longest)
         times = self._return_times.setdefault(waiter.service, ReturnTimes())
         tokens = waiter.build_group().tokens
         return times.reserve(
-            min(seconds, longest), tokens / backlog.rate, longest, now
+            min(seconds, longest), tokens / ahead.rate, longest, now
         )
 
     def note_refusal(
--- a/chicoryshunt/relay/placing.py
+++ b/chicoryshunt/relay/placing.py
@@ -24,7 +24,7 @@
 from chicoryshunt.fleet.facts import TargetFact
 from chicoryshunt.fleet.messages import PlacedRun
 from chicoryshunt.relay.context import RelayContext, build_placed_run_view
-from chicoryshunt.relay.fleet_queue import POLL_SECONDS, Backlog, FleetQueue
+from chicoryshunt.relay.fleet_queue import POLL_SECONDS, FleetQueue, WorkAhead
 from chicoryshunt.relay.holding import Hold
 from chicoryshunt.relay.planned_stop import refuse_stopping
 from chicoryshunt.relay.stream import Stream
@@ -328,12 +328,12 @@
         if seconds < remaining:
             return None
         now = self._context.clock.now()
-        backlog = self._wait_queue.estimate_backlog(waiter, now)
+        ahead = self._wait_queue.estimate_work_ahead(waiter, now)
         verdict = self._refuse_no_capacity(
             stream, RefusalCause.forecast, _NO_ROOM_DETAIL, seconds
         )
-        if backlog.rate:
-            verdict = self._refuse_behind(stream, waiter, backlog, seconds, now)
+        if ahead.rate:
+            verdict = self._refuse_behind(stream, waiter, ahead, seconds, now)
         self._wait_queue.note_refusal(waiter, verdict.retry_after or 0, now)
         return verdict
 
@@ -348,16 +348,16 @@
         self,
         stream: Stream,
         waiter: FleetWaiter,
-        backlog: Backlog,
+        ahead: WorkAhead,
         forecast: float,
         now: float,
     ) -> Verdict:
         """Refuse with a return time that keeps the order of the callers."""
         longest = max(stream.deadline - now, 0) * _MAX_RETRY_SHARE
         retry_after = self._wait_queue.reserve_return(
-            waiter, backlog, forecast, longest, now
+            waiter, ahead, forecast, longest, now
         )
-        preceding = backlog.preceding
+        preceding = ahead.preceding
         return refuse(
             Reason.no_capacity,
             f'no room in time behind {preceding.count} requests'
