--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -505,6 +505,8 @@
         super().__init__(name, service, zone, world)
         self.deadly_part = ''
         self.is_down = False
+        # Share of its answers whose body goes on without end.
+        self.endless_share = 0.0
         self.crashes: list[float] = []
 
     def write_entry(self) -> bool:
@@ -536,6 +538,9 @@
             'Transfer-Encoding: chunked\r\n\r\n'.encode()
         )
         await asyncio.sleep(self.prefill_s)
+        if random.random() < self.endless_share:
+            await self._send_endless(writer, run)
+            return
         parts = request.headers.get('x-chicoryshunt-prefix-hash', '')
         held = {part.partition(':')[0] for part in parts.split(',')}
         if self.deadly_part and self.deadly_part in held:
@@ -553,6 +558,27 @@
         await writer.drain()
         run.is_whole = True
 
+    async def _send_endless(
+        self, writer: asyncio.StreamWriter, run: Run
+    ) -> None:
+        """Send a body of chunks of one byte until the caller closes.
+
+        No faster than the caller reads it.
+        """
+        self._world.note(f'body without end from {self.name} {run.request}')
+        sent = 0
+        while not writer.transport.is_closing():
+            writer.write(b'1\r\nx\r\n' * 1000)
+            sent += 6000
+            try:
+                await writer.drain()
+            except OSError:
+                break
+            await asyncio.sleep(0)
+        self._world.note(
+            f'closed after {sent} bytes by the caller: {run.request}'
+        )
+
     def _crash(self, run: Run) -> None:
         if self.is_down:
             return
@@ -596,10 +622,15 @@
 class Client:
     """Asks the directory, keeps a channel and sends requests on it."""
 
-    deadline_s = 0.6
-
-    def __init__(self, world: 'World', zone: str, every_s: float) -> None:
+    def __init__(
+        self,
+        world: 'World',
+        zone: str,
+        every_s: float,
+        deadline_s: float = 0.6,
+    ) -> None:
         self._world = world
+        self.deadline_s = deadline_s
         self._zone = zone
         self._every_s = every_s
         self._addresses: list[str] = []
@@ -1089,8 +1120,9 @@
 
     async def replace_server(self, old: Server, linger_s: float) -> Server:
         """Start a new server first; the old one drains (a release)."""
-        plain = sum(one.service == old.service for one in self.servers)
-        server = Server(f'p{plain}', old.service, old.zone, self)
+        number = sum(one.service == old.service for one in self.servers)
+        name = f'{old.name[0]}{number}'
+        server = type(old)(name, old.service, old.zone, self)
         self.servers.append(server)
         await self.start_server(server)
         self.spawn(old.leave(linger_s))
@@ -1108,10 +1140,13 @@
             server.server.stop()
         self.store.server.stop()
 
-    def start_clients(self, count: int, every_s: float) -> None:
+    def start_clients(
+        self, count: int, every_s: float, deadline_s: float = 0.6
+    ) -> None:
         self.began = time.monotonic()
         for number in range(count):
-            client = Client(self, ZONES[number % len(ZONES)], every_s)
+            zone = ZONES[number % len(ZONES)]
+            client = Client(self, zone, every_s, deadline_s)
             self.spawn(client.send_all())
 
     def write_record(self, path: Path, verdict: list[str]) -> None:
