--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -505,8 +505,8 @@
         super().__init__(name, service, zone, world)
         self.deadly_part = ''
         self.is_down = False
-        # Share of its answers whose body goes on without end.
-        self.endless_share = 0.0
+        # Whether the bodies of its answers go on without end.
+        self.is_endless = False
         self.crashes: list[float] = []
 
     def write_entry(self) -> bool:
@@ -538,9 +538,6 @@
             'Transfer-Encoding: chunked\r\n\r\n'.encode()
         )
         await asyncio.sleep(self.prefill_s)
-        if random.random() < self.endless_share:
-            await self._send_endless(writer, run)
-            return
         parts = request.headers.get('x-chicoryshunt-prefix-hash', '')
         held = {part.partition(':')[0] for part in parts.split(',')}
         if self.deadly_part and self.deadly_part in held:
@@ -550,6 +547,9 @@
         for number in range(1, int(limit) // 4 + 1):
             if self.is_down or writer.transport.is_closing():
                 return
+            if self.is_endless:
+                await self._send_endless(writer, run)
+                return
             event = f'id: {number}\ndata: {run.request}\n\n'.encode()
             writer.write(b'%x\r\n%s\r\n' % (len(event), event))
             await writer.drain()
